--- /dev/null
+++ b/Makefile
@@ -0,0 +1,41 @@
+VENV ?= .venv
+PYTHON ?= python3
+BIN = $(VENV)/bin
+
+.PHONY: install test lint format demo slopes bench fuzz prove-tests capacity
+
+$(VENV)/.installed: pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -e '.[test,experiments]'
+	touch $@
+
+install: $(VENV)/.installed
+
+lint: install
+	$(BIN)/ruff format --check src tests
+	$(BIN)/ruff check src tests
+
+format: install
+	$(BIN)/ruff format src tests
+	$(BIN)/ruff check --fix src tests
+
+test: lint
+	$(BIN)/python -m pytest
+
+demo: install
+	$(BIN)/python -m experiments.demo
+
+slopes: install
+	$(BIN)/python -m experiments.slopes
+
+capacity: install
+	$(BIN)/python -m experiments.capacity
+
+bench: install
+	$(BIN)/python -m experiments.bench
+
+fuzz: install
+	$(BIN)/python -m experiments.fuzz
+
+prove-tests: install
+	$(BIN)/python -m experiments.prove_tests
--- /dev/null
+++ b/src/cedarchute/border/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP towards callers and operators."""
--- /dev/null
+++ b/src/cedarchute/border/forwarder.py
@@ -0,0 +1,117 @@
+"""Passes requests on to the box that is a program's home."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+import urllib3
+from werkzeug.wrappers import Response
+
+from cedarchute.peers.peer_client import is_refused
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from urllib3.response import BaseHTTPResponse
+
+    from cedarchute.membership.box_record import BoxRecord
+    from cedarchute.membership.view import View
+    from cedarchute.metrics import Metrics
+
+HOPS_HEADER: Final = "Cedarchute-Hops"
+REROUTE_HEADER: Final = "Cedarchute-Reroute"
+CONNECT_SECONDS: Final = 1.0
+PASSED_HEADERS: Final = (
+    "Content-Type",
+    "Retry-After",
+    "Cedarchute-Verdict",
+    "Last-Event-Id",
+)
+
+
+class RerouteError(Exception):
+    """The home could not be reached or is elsewhere; look for it again.
+
+    `was_sent` is false when the request surely did not reach the other box.
+    """
+
+    code = "reroute"
+
+    def __init__(self, detail: str, *, was_sent: bool) -> None:
+        super().__init__(detail)
+        self.was_sent = was_sent
+
+
+class Forwarder:
+    """Sends a request one hop further and returns the response as it comes."""
+
+    def __init__(self, view: View, metrics: Metrics) -> None:
+        self.view = view
+        self.metrics = metrics
+        self.pool = urllib3.PoolManager(num_pools=64, maxsize=128, retries=False)
+
+    def open(
+        self,
+        box: BoxRecord,
+        method: str,
+        path: str,
+        body: bytes | None,
+        headers: dict[str, str],
+        seconds: float,
+    ) -> BaseHTTPResponse:
+        """Send a request to `box`; the response is not read yet.
+
+        Raises
+        ------
+        RerouteError
+            When the box does not answer, or is not the home.
+        """
+        self.metrics.count("forwarded")
+        try:
+            response = self.pool.request(
+                method,
+                f"http://{box.peer_address}{path}",
+                body=body,
+                headers={**headers, HOPS_HEADER: "1"},
+                preload_content=False,
+                timeout=urllib3.Timeout(connect=CONNECT_SECONDS, read=seconds),
+            )
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            refused = is_refused(error)
+            if refused:
+                self.view.on_refused(box.identity)
+            raise RerouteError(str(error), was_sent=not refused) from error
+        if REROUTE_HEADER in response.headers:
+            response.drain_conn()
+            response.release_conn()
+            raise RerouteError("not the home", was_sent=False)
+        return response
+
+    def fetch(
+        self,
+        box: BoxRecord,
+        method: str,
+        path: str,
+        body: bytes | None,
+        headers: dict[str, str],
+        seconds: float,
+    ) -> Response:
+        """Send a request to `box` and return its whole response."""
+        answer = self.open(box, method, path, body, headers, seconds)
+        try:
+            data = answer.read()
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            answer.close()
+            raise RerouteError(str(error), was_sent=True) from error
+        answer.release_conn()
+        return make_response(answer, data)
+
+
+def make_response(answer: BaseHTTPResponse, data: bytes | Iterator[bytes]) -> Response:
+    """Return another box's response as one of this box."""
+    headers = {
+        name: answer.headers[name] for name in PASSED_HEADERS if name in answer.headers
+    }
+    return Response(
+        data, status=answer.status, headers=headers, direct_passthrough=True
+    )
--- /dev/null
+++ b/src/cedarchute/copies/owned_partition.py
@@ -0,0 +1,95 @@
+"""A partition whose calls this box orders."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from eventlet.semaphore import Semaphore
+
+from cedarchute.problem import Problem
+
+if TYPE_CHECKING:
+    from cedarchute.copies.program_log import ProgramLog
+    from cedarchute.membership.partition_record import PartitionRecord
+    from cedarchute.verdict import Verdict
+
+
+class PartitionMovedError(Exception):
+    """Another box orders the calls of the partition now."""
+
+    code = "partition_moved"
+
+    def __init__(self, partition: str) -> None:
+        super().__init__(f"partition {partition} moved to another box")
+        self.partition = partition
+
+
+class OwnedPartition:
+    """What the owner of a partition knows of it.
+
+    Attributes
+    ----------
+    gate : Semaphore
+        Held while the set of holders changes; appends wait for it.
+    confirmed_at : float
+        Monotonic time of the start of the last exchange in which a quorum of
+        holders accepted this box as the owner.
+    """
+
+    def __init__(self, record: PartitionRecord, version: int) -> None:
+        self.record = record
+        self.version = version
+        self.logs: dict[str, ProgramLog] = {}
+        self.joining: tuple[str, ...] = ()
+        self.gate = Semaphore(1)
+        self.is_lost = False
+        self.is_handing_over = False
+        self.is_recovering = False
+        self.confirmed: dict[str, float] = {}
+        self.next_number = 0
+
+    @property
+    def name(self) -> str:
+        """The id of the partition."""
+        return self.record.partition
+
+    @property
+    def epoch(self) -> int:
+        """The epoch under which this box owns it."""
+        return self.record.epoch
+
+    @property
+    def confirmed_at(self) -> float:
+        """When a quorum of holders last accepted this box as the owner."""
+        quorum = self.record.quorum
+        if quorum == 0:
+            return float("inf")
+        times = sorted(
+            (self.confirmed.get(h, float("-inf")) for h in self.record.holders),
+            reverse=True,
+        )
+        return times[quorum - 1]
+
+    def lose(self) -> None:
+        """Note that another box owns the partition; wake every waiter."""
+        if self.is_lost:
+            return
+        self.is_lost = True
+        for log in self.logs.values():
+            log.wake()
+
+    def check_owned(self) -> None:
+        """Raise `PartitionMovedError` when another box owns the partition."""
+        if self.is_lost:
+            raise PartitionMovedError(self.name)
+
+
+def make_copies_problem(verdict: Verdict) -> Problem:
+    """Return the problem of too few holders answering."""
+    return Problem(
+        "copies_unavailable",
+        "Too few boxes can hold a copy of the record right now; ask again.",
+        status=503,
+        verdict=verdict,
+        retry_after=1.0,
+    )
--- /dev/null
+++ b/src/cedarchute/copies/replicator.py
@@ -0,0 +1,170 @@
+"""Writes records ahead: nothing is visible before a quorum of holders has it."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING, Final
+
+import eventlet
+
+from cedarchute.copies.held_record import HeldRecord
+from cedarchute.copies.holder_link import HolderLink
+from cedarchute.copies.owned_partition import make_copies_problem
+from cedarchute.verdict import Verdict
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from cedarchute.clock import Clock
+    from cedarchute.copies.holder import Holder
+    from cedarchute.copies.owned_partition import OwnedPartition
+    from cedarchute.membership.view import View
+    from cedarchute.metrics import Metrics
+    from cedarchute.peers.peer_client import PeerClient
+    from cedarchute.programs.records import ProgramRecord
+    from cedarchute.settings.box_settings import CopiesSection
+
+log = logging.getLogger("cedarchute.copies")
+
+OWNED_SHARE: Final = 0.5
+CONFIRM_POLL_SECONDS: Final = 0.05
+
+
+class Replicator:
+    """Appends to the logs of the partitions that this box owns.
+
+    Parameters
+    ----------
+    takeover_seconds : float
+        No holder lets another box take over sooner than this after it has heard
+        from the owner, unless the owner is known to be gone.
+    """
+
+    def __init__(
+        self,
+        local: Holder,
+        view: View,
+        client: PeerClient,
+        settings: CopiesSection,
+        takeover_seconds: float,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self.local = local
+        self.view = view
+        self.client = client
+        self.settings = settings
+        self.takeover_seconds = takeover_seconds
+        self.clock = clock
+        self.metrics = metrics
+        self.partitions: dict[str, OwnedPartition] = {}
+        self.links: dict[str, HolderLink] = {}
+
+    def link(self, holder: str) -> HolderLink:
+        """Return the link to `holder`, made on first use."""
+        if holder not in self.links:
+            self.links[holder] = HolderLink(
+                holder,
+                self.local,
+                self.view,
+                self.client,
+                self.partitions.get,
+                self.clock,
+                self.metrics,
+            )
+        return self.links[holder]
+
+    def extend(
+        self,
+        partition: OwnedPartition,
+        program: str,
+        records: Sequence[ProgramRecord],
+    ) -> int:
+        """Add `records` to a log and send them; return the index of the first.
+
+        Raises
+        ------
+        PartitionMovedError
+            When another box owns the partition now.
+        """
+        with partition.gate:
+            partition.check_owned()
+            program_log = partition.logs[program]
+            start = len(program_log)
+            program_log.records.extend(
+                HeldRecord(epoch=partition.epoch, text=record.to_json())
+                for record in records
+            )
+            preferred = max(self.settings.wanted, partition.record.quorum)
+            holders = partition.record.holders
+            for holder in (*holders[:preferred], *partition.joining):
+                self.link(holder).mark(partition.name, program)
+        return start
+
+    def wait_kept(self, partition: OwnedPartition, program: str, length: int) -> None:
+        """Return when a quorum of holders has `length` records of a program.
+
+        The spare holders are asked when the preferred ones are late.
+
+        Raises
+        ------
+        PartitionMovedError
+            When another box owns the partition now.
+        Problem
+            ``copies_unavailable`` with verdict ``may have run``: the records may
+            or may not survive this box.
+        """
+        program_log = partition.logs[program]
+        started = self.clock.monotonic()
+        is_spare_asked = False
+        while True:
+            partition.check_owned()
+            record = partition.record
+            if program_log.count_holders(length, record.holders) >= record.quorum:
+                return
+            waited = self.clock.monotonic() - started
+            if waited >= self.settings.append_seconds:
+                self.metrics.count("copies.append_timeout")
+                raise make_copies_problem(Verdict.MAY_HAVE_RUN)
+            if not is_spare_asked and waited >= self.settings.spare_after_seconds:
+                is_spare_asked = True
+                self.metrics.count("copies.spare_asked")
+                for holder in record.holders:
+                    self.link(holder).mark(partition.name, program)
+            until_spare = self.settings.spare_after_seconds - waited
+            program_log.wait(until_spare if until_spare > 0 else 0.25)
+
+    def confirm_owned(self, partition: OwnedPartition) -> None:
+        """Make sure that no other box can have taken over by now.
+
+        A box that was paused finds out here, before it says or sends anything.
+
+        Raises
+        ------
+        PartitionMovedError
+            When another box owns the partition.
+        Problem
+            ``copies_unavailable`` when the holders do not answer.
+        """
+        partition.check_owned()
+        if self.is_fresh(partition):
+            return
+        for holder in partition.record.holders:
+            self.link(holder).ping(partition.name)
+        deadline = self.clock.monotonic() + self.settings.append_seconds
+        while not self.is_fresh(partition):
+            partition.check_owned()
+            if self.clock.monotonic() > deadline:
+                raise make_copies_problem(Verdict.MAY_HAVE_RUN)
+            eventlet.sleep(CONFIRM_POLL_SECONDS)
+
+    def is_fresh(self, partition: OwnedPartition) -> bool:
+        """Return whether a quorum confirmed the owner a short while ago."""
+        age = self.clock.monotonic() - partition.confirmed_at
+        return age < self.takeover_seconds * OWNED_SHARE
+
+    def forget(self, partition: OwnedPartition, program: str) -> None:
+        """Drop a program whose answers need not be kept any longer."""
+        partition.logs.pop(program, None)
+        for holder in partition.record.holders:
+            self.link(holder).forget(partition.name, program)
--- /dev/null
+++ b/src/cedarchute/daemon/listeners.py
@@ -0,0 +1,57 @@
+"""Opens the ports of a box before anything else happens."""
+
+from __future__ import annotations
+
+import errno
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any, Final
+
+import eventlet
+
+if TYPE_CHECKING:
+    from cedarchute.address import Address
+    from cedarchute.settings.box_settings import BoxSection
+
+BACKLOG: Final = 1024
+
+
+class PortInUseError(Exception):
+    """An address of the settings cannot be listened on."""
+
+    code = "port_in_use"
+
+
+@dataclass(frozen=True)
+class Listeners:
+    """The sockets towards callers and towards boxes and operators."""
+
+    caller: Any
+    peer: Any
+
+
+def open_listeners(box: BoxSection, file: str) -> Listeners:
+    """Listen on both addresses of a box.
+
+    Raises
+    ------
+    PortInUseError
+        Names the key whose address is taken or not of this box.
+    """
+    return Listeners(
+        caller=open_listener(box.caller_address, f"{file}: [box] caller_address"),
+        peer=open_listener(box.peer_address, f"{file}: [box] peer_address"),
+    )
+
+
+def open_listener(address: Address, place: str) -> Any:
+    """Listen on one address; two daemons must never share a port."""
+    try:
+        return eventlet.listen(
+            (address.host, address.port), reuse_port=False, backlog=BACKLOG
+        )
+    except OSError as error:
+        if error.errno == errno.EADDRINUSE:
+            mend = "in use by another process; stop it or give another port"
+        else:
+            mend = f"cannot be listened on ({error.strerror}); use an IP of this box"
+        raise PortInUseError(f"{place}: {address} {mend}") from error
--- /dev/null
+++ b/src/cedarchute/daemon/main.py
@@ -0,0 +1,66 @@
+"""Entry point of ``cedarchuted``."""
+
+from __future__ import annotations
+
+import warnings
+
+# The users chose eventlet; its notice about its future is not news to them.
+warnings.filterwarnings("ignore", message=".*[Ee]ventlet.*", category=Warning)
+
+import eventlet
+
+eventlet.monkey_patch()
+
+import logging
+import signal
+import sys
+from typing import Final
+
+from absl import app, flags
+
+from cedarchute.daemon.composition import compose
+from cedarchute.daemon.listeners import PortInUseError, open_listeners
+from cedarchute.daemon.logs import set_up_logs
+from cedarchute.ini import IniError
+from cedarchute.settings.loader import load_settings
+
+log = logging.getLogger("cedarchute.daemon")
+
+EXIT_BAD_SETTINGS: Final = 2
+
+SETTINGS = flags.DEFINE_string("settings", None, "The settings file of this box.")
+LOG_FORMAT = flags.DEFINE_enum("log_format", "text", ["text", "json"], "Form of logs.")
+LOG_LEVEL = flags.DEFINE_enum(
+    "log_level", "info", ["debug", "info", "warning"], "Least level of logs."
+)
+
+
+def run(argv: list[str]) -> int:
+    """Serve until a planned stop; return the exit code."""
+    if len(argv) > 1:
+        sys.stderr.write(f"cedarchuted takes only flags, not '{argv[1]}'\n")
+        return EXIT_BAD_SETTINGS
+    if SETTINGS.value is None:
+        sys.stderr.write("cedarchuted: give --settings FILE\n")
+        return EXIT_BAD_SETTINGS
+    set_up_logs(LOG_FORMAT.value, LOG_LEVEL.value)
+    try:
+        settings = load_settings(SETTINGS.value)
+        listeners = open_listeners(settings.box, SETTINGS.value)
+    except (IniError, PortInUseError) as error:
+        sys.stderr.write(f"{error}\n")
+        return EXIT_BAD_SETTINGS
+    daemon = compose(settings, listeners)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: daemon.stopper.ask())
+    daemon.run()
+    return 0
+
+
+def main() -> None:
+    """Run the daemon as a program."""
+    app.run(lambda argv: sys.exit(run(argv)))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/cedarchute/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits of workspaces, retries and time."""
--- /dev/null
+++ b/src/cedarchute/limits/token_bucket.py
@@ -0,0 +1,38 @@
+"""A bucket that refills at a rate."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from cedarchute.clock import Clock
+
+
+class TokenBucket:
+    """Grants up to `burst` at once and `rate` a second in the long run."""
+
+    def __init__(self, rate: float, burst: float, clock: Clock) -> None:
+        self.rate = rate
+        self.burst = burst
+        self.clock = clock
+        self.level = burst
+        self.updated_at = clock.monotonic()
+
+    def refill(self) -> None:
+        """Add what the time since the last call brought."""
+        now = self.clock.monotonic()
+        self.level = min(self.burst, self.level + (now - self.updated_at) * self.rate)
+        self.updated_at = now
+
+    def take(self, amount: float = 1.0) -> bool:
+        """Take `amount` if it is there."""
+        self.refill()
+        if self.level < amount:
+            return False
+        self.level -= amount
+        return True
+
+    def seconds_until(self, amount: float = 1.0) -> float:
+        """Return how long it takes until `amount` is there."""
+        self.refill()
+        return max(0.0, (amount - self.level) / self.rate)
--- /dev/null
+++ b/src/cedarchute/membership/heartbeats.py
@@ -0,0 +1,139 @@
+"""Heartbeats to a few peers: liveness, and configuration while the store is down."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+import eventlet
+
+from cedarchute.membership.view import rank
+from cedarchute.peers.heartbeat import (
+    ConfigurationReply,
+    ConfigurationRequest,
+    Heartbeat,
+    HeartbeatReply,
+)
+from cedarchute.peers.peer_client import PeerError
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from cedarchute.membership.box_record import BoxRecord
+    from cedarchute.membership.lease_keeper import LeaseKeeper
+    from cedarchute.membership.view import View
+    from cedarchute.operators.configuration import Configuration
+    from cedarchute.peers.peer_client import PeerClient
+
+log = logging.getLogger("cedarchute.membership")
+
+
+class Heartbeats:
+    """Beats to the next box on a ring, and to a few boxes chosen by chance.
+
+    The ring gives each box one that notices when its process is gone. The chosen
+    ones pass a new configuration to all boxes in a logarithmic number of beats,
+    so the cost of a box does not grow with the fleet.
+    """
+
+    def __init__(
+        self,
+        view: View,
+        keeper: LeaseKeeper,
+        configuration: Configuration,
+        client: PeerClient,
+        seconds: float,
+        peers: int,
+        random_source: random.Random,
+        on_refused: Callable[[BoxRecord], None],
+    ) -> None:
+        self.view = view
+        self.keeper = keeper
+        self.configuration = configuration
+        self.client = client
+        self.seconds = seconds
+        self.peers = peers
+        self.random_source = random_source
+        self.on_refused = on_refused
+
+    def beat_forever(self) -> None:
+        """Beat once in each period."""
+        while True:
+            for peer in self.choose_peers():
+                eventlet.spawn_n(self.beat, peer)
+            eventlet.sleep(self.seconds * self.random_source.uniform(0.9, 1.1))
+
+    def choose_peers(self) -> list[BoxRecord]:
+        """Return the next box on the ring and some others by chance."""
+        me = self.keeper.record
+        others = [b for b in self.view.all_boxes if b.name != me.name]
+        if not others:
+            return []
+        ring = sorted([*others, me], key=lambda box: rank("ring", box.name))
+        names = [box.name for box in ring]
+        successor = ring[(names.index(me.name) + 1) % len(ring)]
+        rest = [box for box in others if box.name != successor.name]
+        count = min(len(rest), self.peers - 1)
+        return [successor, *self.random_source.sample(rest, count)]
+
+    def beat(self, peer: BoxRecord) -> None:
+        """Exchange one heartbeat with `peer`."""
+        accepted = self.configuration.accepted
+        message = Heartbeat(
+            box=self.keeper.record,
+            revision=self.configuration.revision,
+            digest=accepted.digest if accepted else "",
+        )
+        try:
+            reply = self.client.send(
+                peer.peer_address, "heartbeat", message, HeartbeatReply
+            )
+        except PeerError as error:
+            if error.refused:
+                self.on_refused(peer)
+            return
+        self.view.on_heard(reply.box.identity)
+        if reply.box.identity != peer.identity and reply.box.name == peer.name:
+            self.view.put_box(reply.box)
+        if reply.newer is not None:
+            self.configuration.offer(reply.newer, f"heartbeat with {peer.name}")
+
+    def on_heartbeat(self, message: Heartbeat) -> HeartbeatReply:
+        """Answer a heartbeat; pass on a newer configuration or fetch it."""
+        self.on_box(message.box)
+        self.view.on_heard(message.box.identity)
+        accepted = self.configuration.accepted
+        newer = None
+        if accepted is not None and accepted.revision > message.revision:
+            newer = accepted
+        elif message.revision > self.configuration.revision:
+            eventlet.spawn_n(self.fetch, message.box)
+        return HeartbeatReply(
+            box=self.keeper.record, revision=self.configuration.revision, newer=newer
+        )
+
+    def on_box(self, record: BoxRecord) -> None:
+        """Take in what a box says of itself, which is newer than the store."""
+        known = self.view.boxes.get(record.name)
+        if known != record and record.name != self.keeper.record.name:
+            self.view.put_box(record)
+
+    def fetch(self, peer: BoxRecord) -> None:
+        """Ask `peer` for its newer configuration."""
+        request = ConfigurationRequest(above=self.configuration.revision)
+        try:
+            reply = self.client.send(
+                peer.peer_address, "configuration", request, ConfigurationReply
+            )
+        except PeerError:
+            return
+        if reply.accepted is not None:
+            self.configuration.offer(reply.accepted, f"box {peer.name}")
+
+    def on_configuration(self, message: ConfigurationRequest) -> ConfigurationReply:
+        """Answer a request for the file in force."""
+        accepted = self.configuration.accepted
+        if accepted is None or accepted.revision <= message.above:
+            return ConfigurationReply(accepted=None)
+        return ConfigurationReply(accepted=accepted)
--- /dev/null
+++ b/src/cedarchute/operators/__init__.py
@@ -0,0 +1,1 @@
+"""What operators declare: the applied file, its revision and its spread."""
--- /dev/null
+++ b/src/cedarchute/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Which box owns a partition, and how that changes."""
--- /dev/null
+++ b/src/cedarchute/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between boxes and the client that sends them."""
--- /dev/null
+++ b/src/cedarchute/platform/store_entry.py
@@ -0,0 +1,39 @@
+"""One entry of the platform's key-value service."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class StoreEntry:
+    """A key, its value and the store revision of its last change."""
+
+    key: str
+    value: str
+    version: int
+
+
+@dataclass(frozen=True)
+class StoreListing:
+    """Every entry under a prefix, read at one revision of the store."""
+
+    entries: tuple[StoreEntry, ...]
+    revision: int
+
+
+@dataclass(frozen=True)
+class StoreChange:
+    """One change seen by a watch; `entry` is None when the key went away."""
+
+    key: str
+    entry: StoreEntry | None
+    revision: int
+
+
+@dataclass(frozen=True)
+class SwapResult:
+    """The result of a compare-and-swap, with what stands under the key now."""
+
+    won: bool
+    current: StoreEntry | None
--- /dev/null
+++ b/src/cedarchute/programs/__init__.py
@@ -0,0 +1,1 @@
+"""Programs: their records, their order, their budget and their end."""
--- /dev/null
+++ b/src/cedarchute/programs/cache_sweeper.py
@@ -0,0 +1,145 @@
+"""Compares what engines hold with the programs that live."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+import eventlet
+
+from cedarchute.membership.view import rank
+from cedarchute.message import Message
+from cedarchute.peers.peer_client import PeerError
+from cedarchute.problem import Problem
+from cedarchute.programs.program_id import parse_partition
+from cedarchute.targets.target_error import TargetError
+
+if TYPE_CHECKING:
+    from cedarchute.membership.view import View
+    from cedarchute.metrics import Metrics
+    from cedarchute.peers.peer_client import PeerClient
+    from cedarchute.programs.home import ProgramHome
+    from cedarchute.scheduling.load_poller import LoadPoller
+    from cedarchute.scheduling.target_book import TargetBook
+    from cedarchute.scheduling.target_state import TargetState
+    from cedarchute.targets.engine_client import EngineClient
+
+log = logging.getLogger("cedarchute.release")
+
+
+class LivesRequest(Message):
+    """Asks a program's home which of some programs still need their cache."""
+
+    partition: str
+    programs: tuple[str, ...]
+
+
+class LivesReply(Message):
+    """The programs that do; `known` is false when the box cannot tell."""
+
+    known: bool
+    living: tuple[str, ...] = ()
+
+
+class CacheSweeper:
+    """Releases what no living program needs; one box sweeps each engine.
+
+    This finds what the confirmed releases miss: a program whose records were lost
+    or an engine that started work after its release.
+    """
+
+    def __init__(
+        self,
+        box: str,
+        view: View,
+        home: ProgramHome,
+        book: TargetBook,
+        poller: LoadPoller,
+        engines: EngineClient,
+        client: PeerClient,
+        seconds: float,
+        metrics: Metrics,
+    ) -> None:
+        self.box = box
+        self.view = view
+        self.home = home
+        self.book = book
+        self.poller = poller
+        self.engines = engines
+        self.client = client
+        self.seconds = seconds
+        self.metrics = metrics
+
+    def sweep_forever(self) -> None:
+        """Sweep in each period."""
+        while True:
+            eventlet.sleep(self.seconds)
+            for target in list(self.book.targets.values()):
+                if self.poller.is_engine(target) and self.is_mine(target):
+                    self.sweep(target)
+
+    def is_mine(self, target: TargetState) -> bool:
+        """Return whether this box is the one that sweeps `target`."""
+        names = [box.name for box in self.view.entries] or [self.box]
+        return max(names, key=lambda name: rank(name, target.name)) == self.box
+
+    def sweep(self, target: TargetState) -> None:
+        """Release on one engine what no program needs."""
+        try:
+            held = self.engines.read_held(target.section.address)
+        except TargetError:
+            return
+        by_partition: dict[str, list[str]] = {}
+        for program in held:
+            try:
+                by_partition.setdefault(parse_partition(program), []).append(program)
+            except Problem:
+                continue
+        for partition, programs in by_partition.items():
+            living = self.ask_living(partition, programs)
+            if living is None:
+                continue
+            for program in programs:
+                if program not in living:
+                    self.release(target, program)
+
+    def release(self, target: TargetState, program: str) -> None:
+        """Release one program; the next sweep tries again if that fails."""
+        try:
+            self.engines.release(target.section.address, program)
+            self.metrics.count("release.swept")
+            log.info("Swept %s on %s.", program, target.name)
+        except TargetError:
+            self.metrics.count_retry("release_swept")
+
+    def ask_living(self, partition: str, programs: list[str]) -> set[str] | None:
+        """Return which programs live, or None when nobody can tell now."""
+        record = self.view.partitions.get(partition)
+        if record is None:
+            return set() if self.view.is_replaced(partition) else None
+        request = LivesRequest(partition=partition, programs=tuple(programs))
+        owner = self.view.find_box(record.owner)
+        if owner is None:
+            return None
+        try:
+            if owner.name == self.box:
+                reply = self.on_lives(request)
+            else:
+                reply = self.client.send(
+                    owner.peer_address, "lives", request, LivesReply
+                )
+        except PeerError:
+            return None
+        return set(reply.living) if reply.known else None
+
+    def on_lives(self, request: LivesRequest) -> LivesReply:
+        """Say which programs need their cache."""
+        partition = self.home.replicator.partitions.get(request.partition)
+        if partition is None or partition.is_lost or partition.is_recovering:
+            return LivesReply(known=False)
+        living = []
+        for program_id in request.programs:
+            program = self.home.programs.get(program_id)
+            if program is not None and program.ended is None:
+                living.append(program_id)
+        return LivesReply(known=True, living=tuple(living))
--- /dev/null
+++ b/src/cedarchute/programs/home.py
@@ -0,0 +1,349 @@
+"""The home of programs: opens them, finds them, ends them."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING, Final
+
+import eventlet
+
+from cedarchute.copies.owned_partition import PartitionMovedError
+from cedarchute.copies.program_log import ProgramLog
+from cedarchute.problem import Problem
+from cedarchute.programs.budget import Budget
+from cedarchute.programs.program import Program
+from cedarchute.programs.program_id import mint_program_id, parse_partition
+from cedarchute.programs.records import (
+    PartReserved,
+    PartReturned,
+    ProgramEnded,
+    ProgramOpened,
+)
+from cedarchute.verdict import Verdict
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from cedarchute.clock import Clock
+    from cedarchute.copies.owned_partition import OwnedPartition
+    from cedarchute.copies.replicator import Replicator
+    from cedarchute.limits.workspace_limits import WorkspaceLimits
+    from cedarchute.metrics import Metrics
+    from cedarchute.operators.site_file import WorkspaceSection
+    from cedarchute.programs.records import ProgramRecord
+    from cedarchute.programs.requests import OpenRequest
+    from cedarchute.settings.box_settings import ServingSection
+
+log = logging.getLogger("cedarchute.programs")
+
+FULL_SECONDS: Final = 5.0
+RECOVERING_SECONDS: Final = 0.5
+RETRY_APPEND_SECONDS: Final = 0.5
+
+
+class ProgramHome:
+    """Every program whose calls this box orders."""
+
+    def __init__(
+        self,
+        replicator: Replicator,
+        limits: WorkspaceLimits,
+        settings: ServingSection,
+        own_partition: Callable[[], OwnedPartition],
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self.replicator = replicator
+        self.limits = limits
+        self.settings = settings
+        self.own_partition = own_partition
+        self.clock = clock
+        self.metrics = metrics
+        self.programs: dict[str, Program] = {}
+        self.ended_listeners: list[Callable[[Program], None]] = []
+
+    def append(self, program: Program, records: Sequence[ProgramRecord]) -> None:
+        """Append records and return when holders have them.
+
+        They count for the program's state at once, so that no two calls are
+        promised the same part of a budget.
+        """
+        start = self.replicator.extend(program.partition, program.id, records)
+        program.apply_all(records, start)
+        program.touched_at = self.clock.monotonic()
+        self.replicator.wait_kept(program.partition, program.id, start + len(records))
+
+    def append_surely(self, program: Program, records: Sequence[ProgramRecord]) -> None:
+        """Append records, for as long as it takes while the program is here."""
+        try:
+            self.append(program, records)
+            return
+        except Problem:
+            self.metrics.count_retry("copies_unavailable")
+        length = len(program.log)
+        while True:
+            try:
+                self.replicator.wait_kept(program.partition, program.id, length)
+                return
+            except Problem:
+                eventlet.sleep(RETRY_APPEND_SECONDS)
+
+    def open(self, request: OpenRequest) -> Program:
+        """Open a program, or a sub-agent's program with a part of the budget.
+
+        Raises
+        ------
+        Problem
+            Verdict ``not run``: limits, budget or copies do not allow it.
+        PartitionMovedError
+            When the parent's home is another box now.
+        """
+        section = self.limits.find_section(request.workspace)
+        if len(self.programs) >= self.settings.max_programs:
+            self.metrics.count_refusal("box_full")
+            raise Problem(
+                "box_full",
+                "This box orders as many programs as it may; ask another entry.",
+                status=503,
+                retry_after=FULL_SECONDS,
+            )
+        if request.parent is not None:
+            return self._open_child(request, section)
+        return self._open_in(self.own_partition(), request, section, None)
+
+    def _open_in(
+        self,
+        partition: OwnedPartition,
+        request: OpenRequest,
+        section: WorkspaceSection,
+        parent: Program | None,
+    ) -> Program:
+        partition.next_number += 1
+        program_id = mint_program_id(
+            partition.name, partition.epoch, partition.next_number
+        )
+        budget = make_budget(request, section)
+        if parent is not None:
+            budget = self._split_budget(parent, program_id, request, budget)
+        now = self.clock.wall()
+        deadline = now + budget.seconds
+        if parent is not None and parent.opened is not None:
+            deadline = min(deadline, parent.opened.deadline)
+        opened = ProgramOpened(
+            workspace=request.workspace,
+            budget=budget,
+            opened_at=now,
+            deadline=deadline,
+            parent=request.parent,
+        )
+        program_log = ProgramLog()
+        partition.logs[program_id] = program_log
+        program = Program(program_id, partition, program_log)
+        program.touched_at = self.clock.monotonic()
+        try:
+            self.append(program, [opened])
+        except Problem as problem:
+            self.replicator.forget(partition, program_id)
+            self.metrics.count_refusal(problem.code)
+            raise Problem(
+                problem.code,
+                problem.detail,
+                status=problem.status,
+                retry_after=problem.retry_after,
+            ) from problem
+        self.programs[program_id] = program
+        self.metrics.count("programs.opened")
+        return program
+
+    def _open_child(self, request: OpenRequest, section: WorkspaceSection) -> Program:
+        parent = self.find(request.parent or "")
+        if parent.workspace != request.workspace:
+            raise Problem("wrong_workspace", "A sub-agent is of its parent's workspace")
+        self.check_open(parent)
+        return self._open_in(parent.partition, request, section, parent)
+
+    def _split_budget(
+        self, parent: Program, child: str, request: OpenRequest, budget: Budget
+    ) -> Budget:
+        """Reserve the child's part on the parent's log before the child exists."""
+        tokens = request.budget.tokens or max(1, parent.left_tokens // 2)
+        calls = request.budget.calls or max(1, parent.left_calls // 2)
+        if tokens > parent.left_tokens or calls > parent.left_calls:
+            self.metrics.count_refusal("budget_spent")
+            raise Problem(
+                "budget_spent",
+                f"The parent has {parent.left_tokens} tokens and {parent.left_calls} "
+                f"calls left, less than the {tokens} and {calls} asked for.",
+                status=403,
+            )
+        self.append(parent, [PartReserved(child=child, tokens=tokens, calls=calls)])
+        return Budget(tokens=tokens, calls=calls, seconds=budget.seconds)
+
+    def find(self, program_id: str) -> Program:
+        """Return a program whose home is here.
+
+        Raises
+        ------
+        PartitionMovedError
+            When this box does not order its calls.
+        Problem
+            ``unknown_program`` when it was forgotten or never was;
+            ``recovering`` while its records are being read.
+        """
+        name = parse_partition(program_id)
+        partition = self.replicator.partitions.get(name)
+        if partition is None or partition.is_lost:
+            raise PartitionMovedError(name)
+        self.replicator.confirm_owned(partition)
+        program = self.programs.get(program_id)
+        if program is None and partition.is_recovering:
+            raise make_recovering_problem()
+        if program is None:
+            raise Problem(
+                "unknown_program",
+                f"Program {program_id} is not known (any more).",
+                status=404,
+            )
+        if not program.is_ready:
+            raise make_recovering_problem()
+        return program
+
+    def check_open(self, program: Program) -> None:
+        """Raise a `Problem` when the program takes no further call."""
+        if program.ended is not None or program.is_ending:
+            self.metrics.count_refusal("program_ended")
+            reason = program.ended.reason if program.ended else "ending"
+            raise Problem(
+                "program_ended", f"The program has ended: {reason}.", status=409
+            )
+
+    def end(self, program: Program, reason: str) -> None:
+        """End a program and its sub-agents, and give the rest of its budget back."""
+        if program.ended is not None:
+            return
+        program.is_ending = True
+        for child in list(program.parts):
+            if child in self.programs:
+                self.end(self.programs[child], f"parent {reason}")
+        with program.order:
+            if program.ended is not None:
+                return
+            now = self.clock.wall()
+            self.append(program, [ProgramEnded(reason=reason, ended_at=now)])
+        self.metrics.count("programs.ended")
+        self.return_part(program)
+        for listener in self.ended_listeners:
+            listener(program)
+
+    def return_part(self, program: Program) -> None:
+        """Give what a sub-agent has left back to its parent."""
+        assert program.opened is not None
+        parent = self.programs.get(program.opened.parent or "")
+        if parent is None or program.id not in parent.parts:
+            return
+        returned = PartReturned(
+            child=program.id,
+            spent_tokens=program.spent_tokens,
+            spent_calls=program.spent_calls,
+        )
+        self.append(parent, [returned])
+
+    def return_parts(self, partition: OwnedPartition) -> None:
+        """Give back the parts of sub-agents that never came to be or have ended.
+
+        A box may be lost between the two records of a part; whoever takes over
+        makes them agree.
+        """
+        for program in list(self.programs.values()):
+            if program.partition is not partition:
+                continue
+            for child_id in list(program.parts):
+                child = self.programs.get(child_id)
+                if child is None:
+                    returned = PartReturned(
+                        child=child_id, spent_tokens=0, spent_calls=0
+                    )
+                    self.append_surely(program, [returned])
+                elif child.ended is not None:
+                    self.return_part(child)
+
+    def drop_partition(self, partition: OwnedPartition) -> None:
+        """Forget the programs of a partition that another box owns now."""
+        for program_id, program in list(self.programs.items()):
+            if program.partition is not partition:
+                continue
+            for run in program.runs.values():
+                run.move()
+            del self.programs[program_id]
+        current = self.replicator.partitions.get(partition.name)
+        if current is partition:
+            del self.replicator.partitions[partition.name]
+
+    def forget(self, program: Program) -> None:
+        """Drop an ended program whose answers need not be kept any longer."""
+        self.programs.pop(program.id, None)
+        self.replicator.forget(program.partition, program.id)
+        self.metrics.count("programs.forgotten")
+
+    def reap_forever(self) -> None:
+        """End programs that are out of time or idle; forget ended ones."""
+        while True:
+            eventlet.sleep(1.0)
+            for program in list(self.programs.values()):
+                self.reap(program)
+
+    def reap(self, program: Program) -> None:
+        """End or forget one program if it is due."""
+        assert program.opened is not None
+        now = self.clock.wall()
+        idle = self.clock.monotonic() - program.touched_at
+        if program.ended is not None:
+            kept = now - program.ended.ended_at
+            if not program.cached and kept > self.settings.keep_answers_seconds:
+                self.forget(program)
+            return
+        if program.is_ending or not program.is_ready:
+            return
+        if now > program.opened.deadline:
+            eventlet.spawn_n(self.end_quietly, program, "time budget spent")
+        elif not program.runs and idle > self.settings.idle_program_seconds:
+            eventlet.spawn_n(self.end_quietly, program, "idle for too long")
+
+    def end_quietly(self, program: Program, reason: str) -> None:
+        """End a program in a task of its own; try again later if that fails."""
+        try:
+            self.end(program, reason)
+        except (Problem, PartitionMovedError) as error:
+            program.is_ending = False
+            log.info("Program %s not ended yet: %s.", program.id, error)
+
+
+def make_budget(request: OpenRequest, section: WorkspaceSection) -> Budget:
+    """Return the budget asked for, bounded by that of the workspace."""
+    asked = request.budget
+    tokens = asked.tokens or section.program_tokens
+    calls = asked.calls or section.program_calls
+    seconds = asked.seconds or section.program_seconds
+    if (
+        tokens > section.program_tokens
+        or calls > section.program_calls
+        or seconds > section.program_seconds
+    ):
+        raise Problem(
+            "budget_too_large",
+            f"A program of this workspace may have at most {section.program_tokens} "
+            f"tokens, {section.program_calls} calls and "
+            f"{section.program_seconds:g} seconds.",
+        )
+    return Budget(tokens=tokens, calls=calls, seconds=seconds)
+
+
+def make_recovering_problem() -> Problem:
+    """Return the problem of a program whose records are being read."""
+    return Problem(
+        "recovering",
+        "Another box has just taken the program over; ask again.",
+        status=503,
+        verdict=Verdict.MAY_HAVE_RUN,
+        retry_after=RECOVERING_SECONDS,
+    )
--- /dev/null
+++ b/src/cedarchute/scheduling/sticky.py
@@ -0,0 +1,33 @@
+"""Keeps each program on the target it started on; a baseline."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from cedarchute.scheduling.least_load import LeastLoad
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Sequence
+
+    from cedarchute.scheduling.placement import PlacementRequest
+    from cedarchute.scheduling.target_state import TargetState
+
+
+class Sticky:
+    """The first call goes to the least load, the others to the same target."""
+
+    def __init__(self) -> None:
+        self.first = LeastLoad()
+
+    def choose(
+        self,
+        request: PlacementRequest,
+        targets: Sequence[TargetState],
+        random_source: random.Random,
+    ) -> TargetState:
+        """Return the target of the previous call if it may be used."""
+        for target in targets:
+            if target.name == request.last_target:
+                return target
+        return self.first.choose(request, targets, random_source)
--- /dev/null
+++ b/src/cedarchute/settings/__init__.py
@@ -0,0 +1,1 @@
+"""The settings of one box, read from an INI file."""
--- /dev/null
+++ b/src/cedarchute/settings/fields.py
@@ -0,0 +1,23 @@
+"""Field types that the models of both kinds of file share."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+from pydantic import BeforeValidator, Field, PlainSerializer
+
+from cedarchute.address import Address
+
+
+def read_address(value: object) -> Address:
+    """Return an address given as text or as an address."""
+    if isinstance(value, Address):
+        return value
+    return Address.parse(str(value))
+
+
+AddressField = Annotated[
+    Address, BeforeValidator(read_address), PlainSerializer(str, return_type=str)
+]
+Seconds = Annotated[float, Field(gt=0, le=86_400)]
+Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9_-]{0,62}$")]
--- /dev/null
+++ b/src/cedarchute/targets/__init__.py
@@ -0,0 +1,1 @@
+"""What stands behind the system: model engines, plain services and tools."""
--- /dev/null
+++ b/src/cedarchute/targets/engine_client.py
@@ -0,0 +1,185 @@
+"""Speaks the chat-completions form with model engines."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Any, Final
+
+import urllib3
+from pydantic import ValidationError
+
+from cedarchute.targets.load_report import LoadReport
+from cedarchute.targets.stream_piece import StreamEnd, StreamPiece
+from cedarchute.targets.target_error import (
+    TargetError,
+    describe_status,
+    describe_transport_error,
+)
+from cedarchute.verdict import Verdict
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from urllib3.response import BaseHTTPResponse
+
+    from cedarchute.address import Address
+    from cedarchute.targets.generate_request import GenerateRequest
+
+CONNECT_SECONDS: Final = 2.0
+CONTROL_SECONDS: Final = 3.0
+TRANSPORT_ERRORS: Final = (urllib3.exceptions.HTTPError, OSError)
+
+
+class EngineClient:
+    """Generates, resumes, cancels and releases on one engine at a time."""
+
+    def __init__(self) -> None:
+        self.pool = urllib3.PoolManager(num_pools=256, maxsize=64, retries=False)
+        self.control_pool = urllib3.PoolManager(num_pools=256, maxsize=4, retries=False)
+
+    def generate(
+        self, address: Address, request: GenerateRequest, seconds: float
+    ) -> Iterator[StreamPiece | StreamEnd]:
+        """Start an answer and yield its pieces, the end last.
+
+        Raises
+        ------
+        TargetError
+            With ``not run`` only when the engine surely did not start.
+        """
+        url = f"http://{address}/v1/chat/completions"
+        response = self._open("POST", url, seconds, request.to_bytes())
+        yield from self._read(response)
+
+    def resume(
+        self, address: Address, request_id: str, offset: int, seconds: float
+    ) -> Iterator[StreamPiece | StreamEnd]:
+        """Continue an answer at `offset` characters.
+
+        Raises
+        ------
+        TargetError
+            ``stream_unknown`` when the engine does not know the request.
+        """
+        url = f"http://{address}/v1/streams/{request_id}?offset={offset}"
+        response = self._open("GET", url, seconds)
+        yield from self._read(response)
+
+    def cancel(self, address: Address, request_id: str) -> None:
+        """Stop an answer; raise `TargetError` when the engine did not confirm."""
+        self._control("DELETE", f"http://{address}/v1/streams/{request_id}")
+
+    def release(self, address: Address, program: str) -> None:
+        """Free the cache of `program`; raise `TargetError` when unconfirmed."""
+        body = {"program": program}
+        self._control("POST", f"http://{address}/cache/release", body)
+
+    def read_held(self, address: Address) -> list[str]:
+        """Return the programs that the engine holds cache for."""
+        return list(self._control("GET", f"http://{address}/cache/held")["programs"])
+
+    def read_load(self, address: Address) -> LoadReport:
+        """Return the engine's load report."""
+        document = self._control("GET", f"http://{address}/load")
+        try:
+            return LoadReport.model_validate(document)
+        except ValidationError as error:
+            raise TargetError("bad_report", str(error), Verdict.NOT_RUN) from error
+
+    def order(self, address: Address, order: dict[str, object]) -> dict[str, Any]:
+        """Give an order; raise `TargetError` when it was refused or unanswered."""
+        return self._control("POST", f"http://{address}/orders", order)
+
+    def _open(
+        self, method: str, url: str, seconds: float, body: bytes | None = None
+    ) -> BaseHTTPResponse:
+        timeout = urllib3.Timeout(connect=CONNECT_SECONDS, read=seconds)
+        try:
+            response = self.pool.request(
+                method,
+                url,
+                body=body,
+                headers={"content-type": "application/json"},
+                preload_content=False,
+                timeout=timeout,
+            )
+        except TRANSPORT_ERRORS as error:
+            raise describe_transport_error(error) from error
+        if response.status == 200:
+            return response
+        response.drain_conn()
+        response.release_conn()
+        if response.status == 404 and method == "GET":
+            raise TargetError("stream_unknown", url, Verdict.MAY_HAVE_RUN)
+        raise describe_status(response)
+
+    def _read(self, response: BaseHTTPResponse) -> Iterator[StreamPiece | StreamEnd]:
+        buffer = b""
+        is_whole = False
+        try:
+            while chunk := response.read1(65_536):
+                buffer += chunk
+                complete, separator, rest = buffer.rpartition(b"\n\n")
+                if not separator:
+                    continue
+                buffer = rest
+                for item in parse_events(complete):
+                    yield item
+                    is_whole = is_whole or isinstance(item, StreamEnd)
+        except (*TRANSPORT_ERRORS, ValueError, KeyError) as error:
+            response.close()
+            raise describe_transport_error(error) from error
+        finally:
+            if is_whole:
+                response.release_conn()
+            else:
+                response.close()
+        if not is_whole:
+            raise TargetError("target_broke_off", "no end", Verdict.MAY_HAVE_RUN)
+
+    def _control(
+        self, method: str, url: str, body: dict[str, object] | None = None
+    ) -> dict[str, Any]:
+        try:
+            response = self.control_pool.request(
+                method, url, json=body, timeout=CONTROL_SECONDS
+            )
+        except TRANSPORT_ERRORS as error:
+            raise describe_transport_error(error) from error
+        if response.status != 200:
+            raise describe_status(response)
+        try:
+            return response.json()
+        except ValueError as error:
+            raise TargetError("bad_answer", url, Verdict.MAY_HAVE_RUN) from error
+
+
+def parse_events(data: bytes) -> Iterator[StreamPiece | StreamEnd]:
+    """Yield what some whole events say; the texts joined to one piece.
+
+    An engine sends one event for each token. Joining those that arrived together
+    saves the cost of handling each by itself.
+    """
+    texts = []
+    tokens = 0
+    end = None
+    for line in data.split(b"\n"):
+        if not line.startswith(b"data: ") or line == b"data: [DONE]":
+            continue
+        event = json.loads(line[6:])
+        choice = event["choices"][0] if event.get("choices") else {}
+        content = choice.get("delta", {}).get("content")
+        if content:
+            texts.append(content)
+            tokens += 1
+        if usage := event.get("usage"):
+            end = StreamEnd(
+                finish_reason=choice.get("finish_reason") or "stop",
+                prompt_tokens=usage["prompt_tokens"],
+                cached_tokens=usage.get("cached_tokens", 0),
+                completion_tokens=usage["completion_tokens"],
+            )
+    if texts:
+        yield StreamPiece("".join(texts), tokens)
+    if end is not None:
+        yield end
--- /dev/null
+++ b/src/cedarchute/targets/generate_request.py
@@ -0,0 +1,46 @@
+"""What an engine is asked to generate."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from cedarchute.programs.records import ChatMessage
+
+
+@dataclass(frozen=True)
+class GenerateRequest:
+    """One answer asked of an engine, in the chat-completions form.
+
+    `priority` is lower for what goes first. `pause_seconds` is how long the
+    program is expected to pause afterwards, a hint for the engine's cache.
+    """
+
+    request_id: str
+    program: str
+    model: str
+    messages: Sequence[ChatMessage]
+    max_tokens: int
+    priority: int
+    pause_seconds: float | None = None
+
+    def to_bytes(self) -> bytes:
+        """Return the body of the request."""
+        return json.dumps(
+            {
+                "request_id": self.request_id,
+                "program": self.program,
+                "model": self.model,
+                "messages": [
+                    {"role": m.role, "content": m.content} for m in self.messages
+                ],
+                "max_tokens": self.max_tokens,
+                "priority": self.priority,
+                "pause_seconds": self.pause_seconds,
+                "stream": True,
+            }
+        ).encode()
--- /dev/null
+++ b/src/cedarchute/targets/service_client.py
@@ -0,0 +1,50 @@
+"""Calls plain services and tools."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+import urllib3
+
+from cedarchute.targets.target_error import describe_status, describe_transport_error
+
+if TYPE_CHECKING:
+    from cedarchute.address import Address
+
+CONNECT_SECONDS: Final = 2.0
+
+
+class ServiceClient:
+    """Posts one JSON body and returns the answer's text."""
+
+    def __init__(self) -> None:
+        self.pool = urllib3.PoolManager(num_pools=256, maxsize=64, retries=False)
+
+    def call(
+        self, address: Address, key: str, program: str, body: str, seconds: float
+    ) -> str:
+        """Call the service once.
+
+        Raises
+        ------
+        TargetError
+            With the verdict that the failure allows.
+        """
+        headers = {
+            "content-type": "application/json",
+            "idempotency-key": key,
+            "cedarchute-program": program,
+        }
+        try:
+            response = self.pool.request(
+                "POST",
+                f"http://{address}/call",
+                body=body.encode(),
+                headers=headers,
+                timeout=urllib3.Timeout(connect=CONNECT_SECONDS, read=seconds),
+            )
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            raise describe_transport_error(error) from error
+        if response.status != 200:
+            raise describe_status(response)
+        return response.data.decode()
--- /dev/null
+++ b/src/cedarchute/targets/target_error.py
@@ -0,0 +1,60 @@
+"""A target that failed, with what is known about the request."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import urllib3
+
+from cedarchute.peers.peer_client import is_refused
+from cedarchute.verdict import Verdict
+
+if TYPE_CHECKING:
+    from urllib3.response import BaseHTTPResponse
+
+
+class TargetError(Exception):
+    """A request to a target failed; the verdict says whether it may have run."""
+
+    code = "target_failed"
+
+    def __init__(
+        self,
+        reason: str,
+        detail: str,
+        verdict: Verdict,
+        retry_after: float | None = None,
+    ) -> None:
+        super().__init__(f"{reason}: {detail}")
+        self.reason = reason
+        self.detail = detail
+        self.verdict = verdict
+        self.retry_after = retry_after
+
+
+def describe_transport_error(error: Exception) -> TargetError:
+    """Return what a failed exchange says about the request.
+
+    Only a connection that was never made proves that nothing ran.
+    """
+    never_sent = is_refused(error) or isinstance(
+        error,
+        urllib3.exceptions.NewConnectionError | urllib3.exceptions.ConnectTimeoutError,
+    )
+    if never_sent:
+        return TargetError("target_unreachable", str(error), Verdict.NOT_RUN)
+    if isinstance(error, urllib3.exceptions.ReadTimeoutError):
+        return TargetError("target_timeout", str(error), Verdict.MAY_HAVE_RUN)
+    return TargetError("target_broke_off", str(error), Verdict.MAY_HAVE_RUN)
+
+
+def describe_status(response: BaseHTTPResponse) -> TargetError:
+    """Return what an error status says about the request."""
+    retry_after = response.headers.get("retry-after")
+    seconds = float(retry_after) if retry_after else None
+    detail = f"status {response.status}"
+    if response.status in (429, 503):
+        return TargetError("target_busy", detail, Verdict.NOT_RUN, seconds)
+    if 400 <= response.status < 500:
+        return TargetError("target_refused", detail, Verdict.NOT_RUN)
+    return TargetError("target_error", detail, Verdict.MAY_HAVE_RUN, seconds)
--- /dev/null
+++ b/src/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Demo, load, measurements: everything that starts the processes of a site."""
--- /dev/null
+++ b/src/experiments/local_site.py
@@ -0,0 +1,275 @@
+"""A whole site on one machine: stand-ins and daemons as processes."""
+
+from __future__ import annotations
+
+import base64
+import json
+import shutil
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any, Final
+
+import urllib3
+
+from experiments.http_json import HttpJson
+from experiments.ports import find_free_port
+from experiments.process import Process
+from experiments.waiting import wait_until
+
+if TYPE_CHECKING:
+    from pathlib import Path
+    from types import TracebackType
+
+HOST: Final = "127.0.0.1"
+
+
+@dataclass
+class BoxTiming:
+    """Times of the daemons; short ones, so that failures show soon."""
+
+    lease_seconds: float = 2.0
+    heartbeat_seconds: float = 0.3
+    takeover_seconds: float = 1.5
+    entry_keep_seconds: float = 1.0
+    sweep_seconds: float = 1.0
+    idle_program_seconds: float = 60.0
+    keep_answers_seconds: float = 60.0
+    load_seconds: float = 0.3
+    wanted: int = 2
+    spare: int = 1
+    subset_targets: int = 20
+    coalesce_seconds: float = 0.03
+    append_seconds: float = 3.0
+    drain_seconds: float = 20.0
+
+
+@dataclass
+class Target:
+    """A stand-in behind the system."""
+
+    name: str
+    service: str
+    port: int
+    failure_domain: str
+    options: dict[str, str] = field(default_factory=dict)
+
+
+class LocalSite:
+    """Starts, breaks and stops the processes of a site.
+
+    Parameters
+    ----------
+    folder : Path
+        For settings and logs; made anew.
+    """
+
+    def __init__(self, folder: Path, timing: BoxTiming | None = None) -> None:
+        shutil.rmtree(folder, ignore_errors=True)
+        folder.mkdir(parents=True)
+        self.folder = folder
+        self.timing = timing or BoxTiming()
+        self.http = HttpJson()
+        self.processes: dict[str, Process] = {}
+        self.callers: dict[str, str] = {}
+        self.peers: dict[str, str] = {}
+        self.targets: dict[str, Target] = {}
+        self.services: dict[str, dict[str, str]] = {}
+        self.store_port = 0
+
+    def __enter__(self) -> LocalSite:
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self.stop()
+
+    def stop(self) -> None:
+        """End every process of the site."""
+        for process in self.processes.values():
+            process.kill()
+
+    def add(self, name: str, arguments: list[str]) -> Process:
+        """Start one process."""
+        process = Process(name, arguments, self.folder)
+        self.processes[name] = process
+        process.start()
+        return process
+
+    def start_store(self) -> None:
+        """Start the stand-in of the platform's store."""
+        self.store_port = find_free_port()
+        self.add("store", ["-m", "standins.store", "--port", str(self.store_port)])
+        self.wait_listening(f"{HOST}:{self.store_port}", "/calls")
+
+    @property
+    def store(self) -> str:
+        """The address of the store."""
+        return f"{HOST}:{self.store_port}"
+
+    def start_engine(
+        self, name: str, service: str, failure_domain: str, **options: object
+    ) -> None:
+        """Start the stand-in of a model engine."""
+        port = find_free_port()
+        texts = {key: str(value) for key, value in options.items()}
+        self.targets[name] = Target(name, service, port, failure_domain, texts)
+        arguments = ["-m", "standins.engine", "--port", str(port)]
+        for key, value in texts.items():
+            arguments += [f"--{key}", value]
+        self.add(name, arguments)
+
+    def start_service(self, name: str, service: str, failure_domain: str) -> None:
+        """Start the stand-in of a plain service or tool."""
+        port = find_free_port()
+        self.targets[name] = Target(name, service, port, failure_domain)
+        self.add(name, ["-m", "standins.service", "--port", str(port)])
+
+    def target_address(self, name: str) -> str:
+        """Return the address of a target."""
+        return f"{HOST}:{self.targets[name].port}"
+
+    def wait_targets(self) -> None:
+        """Wait until every target answers."""
+        for name in self.targets:
+            self.wait_listening(self.target_address(name), "/")
+
+    def wait_listening(self, address: str, path: str) -> None:
+        """Wait until something answers at an address."""
+
+        def answers() -> bool:
+            try:
+                self.http.request("GET", address, path, timeout=2.0)
+            except urllib3.exceptions.HTTPError:
+                return False
+            return True
+
+        wait_until(answers, f"{address} answers")
+
+    def write_settings(self, name: str, failure_domain: str, **extra: str) -> Path:
+        """Write the settings of a box and return their file."""
+        timing = self.timing
+        self.callers.setdefault(name, f"{HOST}:{find_free_port()}")
+        self.peers.setdefault(name, f"{HOST}:{find_free_port()}")
+        lines = [
+            "[box]",
+            f"name = {name}",
+            f"failure_domain = {failure_domain}",
+            f"caller_address = {self.callers[name]}",
+            f"peer_address = {self.peers[name]}",
+            *(f"{key} = {value}" for key, value in extra.items()),
+            "[platform]",
+            f"store = {self.store}",
+            "[membership]",
+            f"lease_seconds = {timing.lease_seconds}",
+            f"heartbeat_seconds = {timing.heartbeat_seconds}",
+            f"takeover_seconds = {timing.takeover_seconds}",
+            "[copies]",
+            f"wanted = {timing.wanted}",
+            f"spare = {timing.spare}",
+            f"append_seconds = {timing.append_seconds}",
+            "[serving]",
+            f"entry_keep_seconds = {timing.entry_keep_seconds}",
+            f"sweep_seconds = {timing.sweep_seconds}",
+            f"idle_program_seconds = {timing.idle_program_seconds}",
+            f"keep_answers_seconds = {timing.keep_answers_seconds}",
+            f"load_seconds = {timing.load_seconds}",
+            f"subset_targets = {timing.subset_targets}",
+            f"coalesce_seconds = {timing.coalesce_seconds}",
+            f"drain_seconds = {timing.drain_seconds}",
+        ]
+        path = self.folder / f"{name}.ini"
+        path.write_text("\n".join(lines) + "\n")
+        return path
+
+    def start_box(self, name: str, failure_domain: str, **extra: str) -> Process:
+        """Start a daemon."""
+        path = self.write_settings(name, failure_domain, **extra)
+        arguments = ["-m", "cedarchute.daemon.main", "--settings", str(path)]
+        return self.add(name, arguments)
+
+    def wait_boxes(self, *names: str) -> None:
+        """Wait until boxes serve and have their partition."""
+
+        def serve(name: str) -> bool:
+            try:
+                status = self.box_status(name)
+            except urllib3.exceptions.HTTPError:
+                return False
+            return status is not None and status["partitions"] > 0
+
+        for name in names or tuple(self.callers):
+            wait_until(lambda name=name: serve(name), f"box {name} serves")
+
+    def box_status(self, name: str) -> dict[str, Any] | None:
+        """Return how a box is, or None while it starts."""
+        reply = self.http.post(self.peers[name], "/peer/status", {})
+        return reply.document if reply.status == 200 else None
+
+    def counter(self, name: str, counter: str) -> int:
+        """Return a counter of a box."""
+        status = self.box_status(name)
+        return status["counters"].get(counter, 0) if status else 0
+
+    def site_text(self, **site: object) -> str:
+        """Return an operators' file for the services and targets started."""
+        lines = ["[site]", "name = local", *(f"{k} = {v}" for k, v in site.items())]
+        for name, keys in self.services.items():
+            lines += [f"[service {name}]", *(f"{k} = {v}" for k, v in keys.items())]
+        for target in self.targets.values():
+            lines += [
+                f"[target {target.name}]",
+                f"service = {target.service}",
+                f"address = {HOST}:{target.port}",
+                f"failure_domain = {target.failure_domain}",
+            ]
+        lines += ["[workspace members]", "calls_per_second = 10000"]
+        return "\n".join(lines) + "\n"
+
+    def apply(self, text: str, operation: str = "first", base: int = 0) -> Any:
+        """Apply an operators' file at some box."""
+        document = {
+            "operation": operation,
+            "operator": "driver",
+            "base": base,
+            "text": text,
+        }
+        address = next(iter(self.peers.values()))
+        return self.http.request("PUT", address, "/operators/file", document)
+
+    def wait_in_force(self, revision: int, *names: str) -> None:
+        """Wait until boxes have a revision in force."""
+
+        def in_force(name: str) -> bool:
+            status = self.box_status(name)
+            return status is not None and status["revision"] >= revision
+
+        for name in names or tuple(self.peers):
+            wait_until(lambda name=name: in_force(name), f"revision on {name}")
+
+    def wait_held(self) -> None:
+        """Wait until every partition has as many holders as wanted."""
+        wanted = min(self.timing.wanted, len(self.peers) - 1)
+
+        def is_held() -> bool:
+            return all(len(holders) >= wanted for holders in self.read_holders())
+
+        wait_until(is_held, "partitions are held")
+
+    def read_holders(self) -> list[list[str]]:
+        """Return the holders of each partition, as the store has them."""
+        first = base64.b64encode(b"cedarchute/partitions/").decode()
+        end = base64.b64encode(b"cedarchute/partitions0").decode()
+        body = {"key": first, "range_end": end}
+        found = self.http.post(self.store, "/v3/kv/range", body).document["kvs"]
+        return [json.loads(base64.b64decode(kv["value"]))["holders"] for kv in found]
+
+    def switch_store(self, **switch: object) -> None:
+        """Bring about an outage of the store, or end it."""
+        self.http.post(self.store, "/switch", switch)
+
+    def switch_target(self, name: str, **switch: object) -> None:
+        """Bring about a failure of a target, or end it."""
+        self.http.post(self.target_address(name), "/switch", switch)
