--- a/src/cedarchute/border/call_border.py
+++ b/src/cedarchute/border/call_border.py
@@ -18,7 +18,8 @@
     make_problem_event,
     make_restart_event,
 )
-from cedarchute.border.forwarder import REROUTE_HEADER, RerouteError, make_response
+from cedarchute.border.forwarder import REROUTE_HEADER, make_response
+from cedarchute.border.reroute_error import RerouteError
 from cedarchute.border.web_app import make_json_response, make_problem_response
 from cedarchute.copies.owned_partition import PartitionMovedError
 from cedarchute.problem import Problem
@@ -71,6 +72,11 @@
     offset: int = 0
     has_sent: bool = False
 
+    @property
+    def partition(self) -> str:
+        """The partition of the program."""
+        return parse_partition(self.program)
+
     @property
     def path(self) -> str:
         """The path under which another box takes the same request."""
@@ -146,7 +152,7 @@
         PartitionMovedError
             When another box has passed the request on to the wrong home.
         """
-        partition = parse_partition(exchange.program)
+        partition = exchange.partition
         started = self.clock.monotonic()
         while True:
             location = self.locator.locate(partition)
@@ -220,13 +226,14 @@
                 raise make_late_problem()
             run.wait(1.0)
         if run.is_moved:
-            raise PartitionMovedError(parse_partition(exchange.program))
+            raise PartitionMovedError(exchange.partition)
 
     def answer_there(self, exchange: CallExchange, box: BoxRecord) -> Response:
         """Answer from another box, which is the home."""
         seconds = exchange.seconds + 2 * ANSWER_MARGIN_SECONDS
         if not exchange.is_stream:
             return self.forwarder.fetch(
+                exchange.partition,
                 box,
                 exchange.method,
                 exchange.path,
@@ -239,7 +246,7 @@
             data = answer.read()
             answer.release_conn()
             return make_response(answer, data)
-        events = self.read_stream(exchange, self.pass_events(exchange, answer))
+        events = self.read_stream(exchange, self.pass_events(exchange, box, answer))
         return make_response(answer, events)
 
     def open_there(
@@ -247,6 +254,7 @@
     ) -> urllib3.BaseHTTPResponse:
         """Open a stream at another box, from where the caller has it."""
         return self.forwarder.open(
+            exchange.partition,
             box,
             exchange.method,
             exchange.path,
@@ -285,7 +293,7 @@
                 answer.release_conn()
                 found.append(iter([b"event: problem\ndata: " + data + b"\n\n"]))
                 return Response()
-            found.append(self.pass_events(exchange, answer))
+            found.append(self.pass_events(exchange, box, answer))
             return Response()
 
         self.follow(exchange, here, there)
@@ -328,7 +336,10 @@
         return True
 
     def pass_events(
-        self, exchange: CallExchange, answer: urllib3.BaseHTTPResponse
+        self,
+        exchange: CallExchange,
+        box: BoxRecord,
+        answer: urllib3.BaseHTTPResponse,
     ) -> Iterator[bytes]:
         """Yield another box's events as they are; return whether they are whole.
 
@@ -338,7 +349,7 @@
         buffer = b""
         tail = b""
         try:
-            while chunk := answer.read1(65_536):
+            while chunk := self.read_chunk(exchange, box, answer):
                 buffer += chunk
                 complete, separator, rest = buffer.rpartition(b"\n\n")
                 if not separator:
@@ -348,8 +359,11 @@
                 note_offset(exchange, data)
                 tail = (tail + data)[-TAIL_BYTES:]
                 yield data
-        except (urllib3.exceptions.HTTPError, OSError) as error:
+        except (urllib3.exceptions.HTTPError, OSError, RerouteError) as error:
             log.info("Stream of %s broke off: %s.", exchange.program, error)
+        except BaseException:
+            answer.close()
+            raise
         is_whole = tail.endswith(DONE_EVENT)
         if is_whole:
             answer.release_conn()
@@ -357,6 +371,16 @@
             answer.close()
         return is_whole
 
+    def read_chunk(
+        self,
+        exchange: CallExchange,
+        box: BoxRecord,
+        answer: urllib3.BaseHTTPResponse,
+    ) -> bytes:
+        """Return what another box has sent, or wait until it does."""
+        with self.forwarder.watch.waiting(exchange.partition, box.identity):
+            return answer.read1(65_536)
+
 
 def note_offset(exchange: CallExchange, data: bytes) -> None:
     """Note how much of the stream the caller has after some whole events."""
--- a/src/cedarchute/border/caller_app.py
+++ b/src/cedarchute/border/caller_app.py
@@ -7,7 +7,8 @@
 
 from cedarchute.border.answers import describe_program
 from cedarchute.border.call_border import CallExchange, make_reroute_response
-from cedarchute.border.forwarder import HOPS_HEADER, RerouteError
+from cedarchute.border.forwarder import HOPS_HEADER
+from cedarchute.border.reroute_error import RerouteError
 from cedarchute.border.web_app import (
     REQUEST_ID_HEADER,
     WebApp,
@@ -101,7 +102,7 @@
         if boxes:
             box = self.random_source.choice(boxes)
             try:
-                return self.forward(request, box)
+                return self.forward(request, box, "")
             except RerouteError:
                 self.metrics.count_retry("open_elsewhere")
         raise Problem(
@@ -206,12 +207,12 @@
             return self.calls.follow(
                 exchange,
                 here,  # type: ignore[arg-type]
-                lambda box: self.forward(request, box),
+                lambda box: self.forward(request, box, exchange.partition),
             )
         except PartitionMovedError:
             return make_reroute_response()
 
-    def forward(self, request: Request, box: BoxRecord) -> Response:
+    def forward(self, request: Request, box: BoxRecord, partition: str) -> Response:
         """Pass a short request on to another box.
 
         Raises
@@ -222,6 +223,7 @@
         """
         try:
             return self.calls.forwarder.fetch(
+                partition,
                 box,
                 request.method,
                 request.full_path.rstrip("?"),
--- a/src/cedarchute/border/forwarder.py
+++ b/src/cedarchute/border/forwarder.py
@@ -7,6 +7,7 @@
 import urllib3
 from werkzeug.wrappers import Response
 
+from cedarchute.border.reroute_error import RerouteError
 from cedarchute.peers.peer_client import is_refused
 
 if TYPE_CHECKING:
@@ -14,6 +15,7 @@
 
     from urllib3.response import BaseHTTPResponse
 
+    from cedarchute.border.owner_watch import OwnerWatch
     from cedarchute.membership.box_record import BoxRecord
     from cedarchute.membership.view import View
     from cedarchute.metrics import Metrics
@@ -29,29 +31,18 @@
 )
 
 
-class RerouteError(Exception):
-    """The home could not be reached or is elsewhere; look for it again.
-
-    `was_sent` is false when the request surely did not reach the other box.
-    """
-
-    code = "reroute"
-
-    def __init__(self, detail: str, *, was_sent: bool) -> None:
-        super().__init__(detail)
-        self.was_sent = was_sent
-
-
 class Forwarder:
     """Sends a request one hop further and returns the response as it comes."""
 
-    def __init__(self, view: View, metrics: Metrics) -> None:
+    def __init__(self, view: View, watch: OwnerWatch, metrics: Metrics) -> None:
         self.view = view
+        self.watch = watch
         self.metrics = metrics
         self.pool = urllib3.PoolManager(num_pools=64, maxsize=128, retries=False)
 
     def open(
         self,
+        partition: str,
         box: BoxRecord,
         method: str,
         path: str,
@@ -68,14 +59,15 @@
         """
         self.metrics.count("forwarded")
         try:
-            response = self.pool.request(
-                method,
-                f"http://{box.peer_address}{path}",
-                body=body,
-                headers={**headers, HOPS_HEADER: "1"},
-                preload_content=False,
-                timeout=urllib3.Timeout(connect=CONNECT_SECONDS, read=seconds),
-            )
+            with self.watch.waiting(partition, box.identity):
+                response = self.pool.request(
+                    method,
+                    f"http://{box.peer_address}{path}",
+                    body=body,
+                    headers={**headers, HOPS_HEADER: "1"},
+                    preload_content=False,
+                    timeout=urllib3.Timeout(connect=CONNECT_SECONDS, read=seconds),
+                )
         except (urllib3.exceptions.HTTPError, OSError) as error:
             refused = is_refused(error)
             if refused:
@@ -89,6 +81,7 @@
 
     def fetch(
         self,
+        partition: str,
         box: BoxRecord,
         method: str,
         path: str,
@@ -97,9 +90,10 @@
         seconds: float,
     ) -> Response:
         """Send a request to `box` and return its whole response."""
-        answer = self.open(box, method, path, body, headers, seconds)
+        answer = self.open(partition, box, method, path, body, headers, seconds)
         try:
-            data = answer.read()
+            with self.watch.waiting(partition, box.identity):
+                data = answer.read()
         except (urllib3.exceptions.HTTPError, OSError) as error:
             answer.close()
             raise RerouteError(str(error), was_sent=True) from error
--- a/src/cedarchute/daemon/composition.py
+++ b/src/cedarchute/daemon/composition.py
@@ -13,6 +13,7 @@
 from cedarchute.border.caller_app import CallerApp
 from cedarchute.border.forwarder import Forwarder
 from cedarchute.border.home_locator import HomeLocator
+from cedarchute.border.owner_watch import OwnerWatch
 from cedarchute.clock import SystemClock
 from cedarchute.copies.holder import Holder
 from cedarchute.copies.messages import AppendRequest, ReadRequest, SealRequest
@@ -192,7 +193,7 @@
     )
 
     locator = HomeLocator(view, replicator, keeper, takeover_seconds)
-    forwarder = Forwarder(view, metrics)
+    forwarder = Forwarder(view, OwnerWatch(view), metrics)
     calls = CallBorder(
         home,
         runner,
--- a/src/experiments/caller.py
+++ b/src/experiments/caller.py
@@ -113,6 +113,14 @@
             raise ValueError(f"not opened: {reply.document}")
         return reply.document["program"]
 
+    def open_here(self, address: str, workspace: str = "members") -> str:
+        """Open a program at one box, which becomes its home."""
+        document = {"workspace": workspace}
+        reply = self.http.request("POST", address, "/v1/programs", document)
+        if reply.status != 201:
+            raise ValueError(f"not opened: {reply.document}")
+        return reply.document["program"]
+
     def call(self, program: str, key: str, **request: object) -> JsonReply:
         """Run a call to its final answer."""
         headers = {"Idempotency-Key": key}
--- a/src/experiments/local_site.py
+++ b/src/experiments/local_site.py
@@ -194,18 +194,18 @@
         """Wait until boxes serve and have their partition."""
 
         def serve(name: str) -> bool:
-            try:
-                status = self.box_status(name)
-            except urllib3.exceptions.HTTPError:
-                return False
+            status = self.box_status(name)
             return status is not None and status["partitions"] > 0
 
         for name in names or tuple(self.callers):
             wait_until(lambda name=name: serve(name), f"box {name} serves")
 
     def box_status(self, name: str) -> dict[str, Any] | None:
-        """Return how a box is, or None while it starts."""
-        reply = self.http.post(self.peers[name], "/peer/status", {})
+        """Return how a box is, or None while it starts or is gone."""
+        try:
+            reply = self.http.post(self.peers[name], "/peer/status", {})
+        except urllib3.exceptions.HTTPError:
+            return None
         return reply.document if reply.status == 200 else None
 
     def counter(self, name: str, counter: str) -> int:
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -1,6 +1,6 @@
 from __future__ import annotations
 
-from conftest import make_message
+from support import make_messages
 
 from experiments.caller import Caller, new_key
 
@@ -8,11 +8,11 @@
 def test_a_program_is_served_end_to_end(site, caller):
     program = caller.open()
     first = caller.call(
-        program, "first", service="agent", messages=make_message("Hi"), max_tokens=8
+        program, "first", service="agent", messages=make_messages("Hi"), max_tokens=8
     )
     paid = caller.call(program, "pay", service="transfer", body={"amount": 5})
     second = caller.call(
-        program, "second", service="agent", messages=make_message("So"), max_tokens=8
+        program, "second", service="agent", messages=make_messages("So"), max_tokens=8
     )
     assert first.document["choices"][0]["message"]["content"]
     assert paid.document["answer"]["count"] == 1
@@ -32,7 +32,7 @@
         program,
         new_key(),
         service="agent",
-        messages=make_message("Tell me"),
+        messages=make_messages("Tell me"),
         max_tokens=60,
     )
     assert result.is_whole
@@ -56,13 +56,13 @@
     program = caller.open()
     key = new_key()
     whole = caller.stream(
-        program, key, service="agent", messages=make_message("Go"), max_tokens=20
+        program, key, service="agent", messages=make_messages("Go"), max_tokens=20
     )
     for address in site.callers.values():
         headers = {"Idempotency-Key": key, "Last-Event-ID": "0.30"}
         request = {
             "service": "agent",
-            "messages": make_message("Go"),
+            "messages": make_messages("Go"),
             "max_tokens": 20,
         }
         events = list(caller.open_stream(address, program, headers, request))
@@ -74,7 +74,7 @@
     child = caller.open(parent=parent, tokens=400, calls=4)
     assert caller.show(parent)["budget"]["tokens_used"] == 400
     caller.call(
-        child, "one", service="agent", messages=make_message("x" * 40), max_tokens=10
+        child, "one", service="agent", messages=make_messages("x" * 40), max_tokens=10
     )
     caller.end(child)
     assert caller.show(parent)["budget"] == {
