--- /dev/null
+++ b/src/cedarchute/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command-line tool of operators."""
