--- a/src/cedarchute/border/call_border.py
+++ b/src/cedarchute/border/call_border.py
@@ -190,7 +190,7 @@
         run = self.find_run(exchange)
         if exchange.is_stream:
             events = self.read_stream(exchange, self.read_events(exchange, run))
-            return Response(events, content_type=STREAM_TYPE)
+            return Response(events, content_type=STREAM_TYPE, direct_passthrough=True)
         self.wait(exchange, run)
         if run.problem is not None:
             return make_problem_response(run.problem)
@@ -313,7 +313,7 @@
                 if exchange.offset:
                     exchange.offset = 0
                     yield make_restart_event(run.attempt)
-            text = run.text[exchange.offset :]
+            text = run.read_from(exchange.offset)
             if text:
                 exchange.offset += len(text)
                 yield make_piece_event(run.attempt, exchange.offset, text)
--- a/src/cedarchute/border/forwarder.py
+++ b/src/cedarchute/border/forwarder.py
@@ -8,6 +8,7 @@
 from werkzeug.wrappers import Response
 
 from cedarchute.border.reroute_error import RerouteError
+from cedarchute.host_pools import HostPools
 from cedarchute.peers.peer_client import is_refused
 
 if TYPE_CHECKING:
@@ -22,6 +23,7 @@
 
 HOPS_HEADER: Final = "Cedarchute-Hops"
 REROUTE_HEADER: Final = "Cedarchute-Reroute"
+CONNECTIONS: Final = 128
 CONNECT_SECONDS: Final = 1.0
 PASSED_HEADERS: Final = (
     "Content-Type",
@@ -38,7 +40,7 @@
         self.view = view
         self.watch = watch
         self.metrics = metrics
-        self.pool = urllib3.PoolManager(num_pools=64, maxsize=128, retries=False)
+        self.pools = HostPools(CONNECTIONS)
 
     def open(
         self,
@@ -60,9 +62,10 @@
         self.metrics.count("forwarded")
         try:
             with self.watch.waiting(partition, box.identity):
-                response = self.pool.request(
+                response = self.pools.request(
                     method,
-                    f"http://{box.peer_address}{path}",
+                    box.peer_address,
+                    path,
                     body=body,
                     headers={**headers, HOPS_HEADER: "1"},
                     preload_content=False,
--- a/src/cedarchute/copies/replicator.py
+++ b/src/cedarchute/copies/replicator.py
@@ -79,8 +79,15 @@
         partition: OwnedPartition,
         program: str,
         records: Sequence[ProgramRecord],
+        *,
+        is_sent: bool = True,
     ) -> int:
-        """Add `records` to a log and send them; return the index of the first.
+        """Add `records` to a log; return the index of the first.
+
+        Parameters
+        ----------
+        is_sent : bool
+            Send them at once; otherwise they go with the next ones.
 
         Raises
         ------
@@ -95,6 +102,8 @@
                 HeldRecord(epoch=partition.epoch, text=record.to_json())
                 for record in records
             )
+            if not is_sent:
+                return start
             preferred = max(self.settings.wanted, partition.record.quorum)
             holders = partition.record.holders
             for holder in (*holders[:preferred], *partition.joining):
--- a/src/cedarchute/daemon/composition.py
+++ b/src/cedarchute/daemon/composition.py
@@ -126,7 +126,7 @@
     )
 
     book = TargetBook(box.name, settings.serving.subset_targets, clock, metrics)
-    engines = EngineClient()
+    engines = EngineClient(metrics)
     poller = LoadPoller(
         book, configuration, engines, settings.serving.load_seconds, random_source
     )
--- a/src/cedarchute/metrics.py
+++ b/src/cedarchute/metrics.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 from collections import Counter
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 import statsd
 
+HEADER_BYTES: Final = 350
+
 if TYPE_CHECKING:
     from cedarchute.address import Address
 
@@ -40,6 +42,18 @@
         """Count one retried request under its reason."""
         self.count(f"retried.{reason}")
 
+    def count_exchange(self, kind: str, sent: int, received: int) -> None:
+        """Count the bytes of one HTTP exchange, its headers by their usual size.
+
+        Parameters
+        ----------
+        kind : str
+            ``control`` for what a box says at rest too, ``data`` for the rest.
+        sent, received : int
+            Bytes of the two bodies.
+        """
+        self.count(f"{kind}.bytes", sent + received + HEADER_BYTES)
+
     def time(self, name: str, seconds: float) -> None:
         """Record one duration."""
         if self.client is not None:
--- a/src/cedarchute/peers/peer_client.py
+++ b/src/cedarchute/peers/peer_client.py
@@ -7,6 +7,7 @@
 import urllib3
 from pydantic import ValidationError
 
+from cedarchute.host_pools import HostPools
 from cedarchute.message import Message
 
 if TYPE_CHECKING:
@@ -15,6 +16,8 @@
 
 MessageT = TypeVar("MessageT", bound=Message)
 
+DATA_PATHS: Final = frozenset({"append", "read", "seal"})
+CONNECTIONS: Final = 16
 JSON_HEADERS: Final = {"content-type": "application/json"}
 
 
@@ -48,7 +51,7 @@
     def __init__(self, metrics: Metrics, timeout: float = 2.0) -> None:
         self.metrics = metrics
         self.timeout = timeout
-        self.pool = urllib3.PoolManager(num_pools=64, maxsize=16, retries=False)
+        self.pools = HostPools(CONNECTIONS)
 
     def send(
         self,
@@ -67,9 +70,10 @@
         """
         body = message.to_json().encode()
         try:
-            response = self.pool.request(
+            response = self.pools.request(
                 "POST",
-                f"http://{address}/peer/{path}",
+                address,
+                f"/peer/{path}",
                 body=body,
                 headers=JSON_HEADERS,
                 timeout=timeout or self.timeout,
@@ -79,8 +83,8 @@
             raise PeerError(
                 f"{address} {path}: {error}", refused=is_refused(error)
             ) from error
-        self.metrics.count("peers.sent_bytes", len(body))
-        self.metrics.count("peers.received_bytes", len(response.data))
+        kind = "data" if path in DATA_PATHS else "control"
+        self.metrics.count_exchange(kind, len(body), len(response.data))
         if response.status != 200:
             raise PeerError(f"{address} {path}: status {response.status}")
         try:
--- a/src/cedarchute/platform/store_client.py
+++ b/src/cedarchute/platform/store_client.py
@@ -199,16 +199,18 @@
 
     def _call(self, path: str, body: dict[str, object]) -> dict[str, Any]:
         self.metrics.count("store.calls")
+        data = json.dumps(body)
         try:
             response = self.pool.request(
                 "POST",
                 f"http://{self.address}{path}",
-                body=json.dumps(body),
+                body=data,
                 timeout=self.timeout,
             )
         except (urllib3.exceptions.HTTPError, OSError) as error:
             self.metrics.count("store.failures")
             raise StoreUnavailableError(f"{path}: {error}") from error
+        self.metrics.count_exchange("control", len(data), len(response.data))
         if response.status != 200:
             self.metrics.count("store.failures")
             raise StoreUnavailableError(f"{path}: status {response.status}")
--- a/src/cedarchute/programs/call_run.py
+++ b/src/cedarchute/programs/call_run.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from bisect import bisect_right
 from typing import TYPE_CHECKING
 
 import eventlet
@@ -22,6 +23,8 @@
     ----------
     attempt : int
         Goes up when the answer starts again from its beginning.
+    parts, ends : list
+        The pieces of the text, and the length of the text after each of them.
     deadline : float
         Wall clock time after which the call is not started any more.
     """
@@ -34,12 +37,14 @@
         self.deadline = deadline
         self.attempt = attempt
         self.parts: list[str] = []
+        self.ends: list[int] = []
         self.length = 0
         self.outcome: CallFinished | None = None
         self.problem: Problem | None = None
         self.is_moved = False
         self.is_cancelled = False
         self.progress = Event()
+        self.waiting = 0
 
     @property
     def is_done(self) -> bool:
@@ -49,20 +54,26 @@
     @property
     def text(self) -> str:
         """The text so far."""
-        if len(self.parts) > 1:
-            self.parts = ["".join(self.parts)]
-        return self.parts[0] if self.parts else ""
+        return "".join(self.parts)
+
+    def read_from(self, offset: int) -> str:
+        """Return the text from `offset` characters on."""
+        first = bisect_right(self.ends, offset)
+        text = "".join(self.parts[first:])
+        return text[len(text) - (self.length - offset) :] if text else ""
 
     def add(self, text: str) -> None:
         """Add text that the engine streamed."""
         self.parts.append(text)
         self.length += len(text)
+        self.ends.append(self.length)
         self._wake()
 
     def restart(self, attempt: int) -> None:
         """Start the answer again from its beginning."""
         self.attempt = attempt
         self.parts = []
+        self.ends = []
         self.length = 0
         self._wake()
 
@@ -87,11 +98,14 @@
         if self.is_done:
             return True
         event = self.progress
+        self.waiting += 1
         with eventlet.Timeout(seconds, False):
             event.wait()
             return True
         return False
 
     def _wake(self) -> None:
-        event, self.progress = self.progress, Event()
-        event.send(None)
+        if self.waiting:
+            event, self.progress = self.progress, Event()
+            self.waiting = 0
+            event.send(None)
--- a/src/cedarchute/programs/call_runner.py
+++ b/src/cedarchute/programs/call_runner.py
@@ -202,15 +202,26 @@
                 "deadline", "Its deadline passed before its turn came.", status=504
             )
         intent = self.make_intent(program, run, request, service)
+        self.record_intent(program, intent)
+        call = Dispatch(program, intent, program.calls[run.key], run)
+        outcome = self.dispatcher.dispatch(call)
+        self.home.append_surely(program, [outcome])
+        return outcome
+
+    def record_intent(self, program: Program, intent: CallIntended) -> None:
+        """Record an intent, on holders before anything that has an effect.
+
+        A plain call that may be repeated has none that matters: its intent goes
+        with its outcome, and a new home simply does not know the call.
+        """
+        if intent.service_kind is ServiceKind.PLAIN and intent.repeatable:
+            self.home.note(program, intent)
+            return
         try:
             self.home.append(program, [intent])
         except Problem:
             eventlet.spawn_n(self.withdraw, program, intent)
             raise
-        call = Dispatch(program, intent, program.calls[run.key], run)
-        outcome = self.dispatcher.dispatch(call)
-        self.home.append_surely(program, [outcome])
-        return outcome
 
     def make_intent(
         self,
--- a/src/cedarchute/programs/home.py
+++ b/src/cedarchute/programs/home.py
@@ -73,6 +73,13 @@
         program.touched_at = self.clock.monotonic()
         self.replicator.wait_kept(program.partition, program.id, start + len(records))
 
+    def note(self, program: Program, record: ProgramRecord) -> None:
+        """Add a record that need not be kept before the next one is."""
+        start = self.replicator.extend(
+            program.partition, program.id, [record], is_sent=False
+        )
+        program.apply(record, start)
+
     def append_surely(self, program: Program, records: Sequence[ProgramRecord]) -> None:
         """Append records, for as long as it takes while the program is here."""
         try:
--- a/src/cedarchute/targets/engine_client.py
+++ b/src/cedarchute/targets/engine_client.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import json
 from typing import TYPE_CHECKING, Any, Final
 
 import urllib3
 from pydantic import ValidationError
+from pydantic_core import from_json
 
 from cedarchute.targets.load_report import LoadReport
 from cedarchute.targets.stream_piece import StreamEnd, StreamPiece
@@ -23,6 +23,7 @@
     from urllib3.response import BaseHTTPResponse
 
     from cedarchute.address import Address
+    from cedarchute.metrics import Metrics
     from cedarchute.targets.generate_request import GenerateRequest
 
 CONNECT_SECONDS: Final = 2.0
@@ -33,7 +34,8 @@
 class EngineClient:
     """Generates, resumes, cancels and releases on one engine at a time."""
 
-    def __init__(self) -> None:
+    def __init__(self, metrics: Metrics) -> None:
+        self.metrics = metrics
         self.pool = urllib3.PoolManager(num_pools=256, maxsize=64, retries=False)
         self.control_pool = urllib3.PoolManager(num_pools=256, maxsize=4, retries=False)
 
@@ -150,6 +152,7 @@
             )
         except TRANSPORT_ERRORS as error:
             raise describe_transport_error(error) from error
+        self.metrics.count_exchange("control", 0, len(response.data))
         if response.status != 200:
             raise describe_status(response)
         try:
@@ -170,7 +173,7 @@
     for line in data.split(b"\n"):
         if not line.startswith(b"data: ") or line == b"data: [DONE]":
             continue
-        event = json.loads(line[6:])
+        event = from_json(line[6:])
         choice = event["choices"][0] if event.get("choices") else {}
         content = choice.get("delta", {}).get("content")
         if content:
--- a/src/cedarchute/targets/service_client.py
+++ b/src/cedarchute/targets/service_client.py
@@ -6,11 +6,13 @@
 
 import urllib3
 
+from cedarchute.host_pools import HostPools
 from cedarchute.targets.target_error import describe_status, describe_transport_error
 
 if TYPE_CHECKING:
     from cedarchute.address import Address
 
+CONNECTIONS: Final = 64
 CONNECT_SECONDS: Final = 2.0
 
 
@@ -18,7 +20,7 @@
     """Posts one JSON body and returns the answer's text."""
 
     def __init__(self) -> None:
-        self.pool = urllib3.PoolManager(num_pools=256, maxsize=64, retries=False)
+        self.pools = HostPools(CONNECTIONS)
 
     def call(
         self, address: Address, key: str, program: str, body: str, seconds: float
@@ -36,9 +38,10 @@
             "cedarchute-program": program,
         }
         try:
-            response = self.pool.request(
+            response = self.pools.request(
                 "POST",
-                f"http://{address}/call",
+                address,
+                "/call",
                 body=body.encode(),
                 headers=headers,
                 timeout=urllib3.Timeout(connect=CONNECT_SECONDS, read=seconds),
