Prove the decisions by a stateful test against a simple oracle

Cause: kills of processes reach only the moments that a test can wait for; the pauses between an append and its dispatch, or between an effect and its record, need a test that strikes exactly there.

Change: a hypothesis machine over the real homes, copies, ownership and dispatch with fakes for clock, store, network and targets; it strikes just before and just after a call takes effect.

--- /dev/null
+++ b/src/experiments/mutations.py
@@ -0,0 +1,208 @@
+"""The mechanisms that the proof rests on, and how each is taken out."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Final
+
+FUZZ: Final = (
+    "tests/stateful/test_programs_machine.py::"
+    "test_any_order_of_calls_failures_and_recoveries"
+)
+KILLED: Final = "tests/failures/test_home_killed.py::"
+PAUSED: Final = "tests/failures/test_home_paused.py::"
+STOPPED: Final = "tests/failures/test_planned_stop.py::"
+TARGETS: Final = "tests/failures/test_targets.py::"
+CONFIGURATION: Final = "tests/failures/test_configuration.py::"
+OUTAGE: Final = "tests/failures/test_store_outage.py::"
+PLATFORM: Final = "tests/failures/test_platform.py::"
+
+
+@dataclass(frozen=True)
+class Mutation:
+    """A mechanism, the text that takes it out, and the test that must fail."""
+
+    mechanism: str
+    file: str
+    before: str
+    after: str
+    test: str
+
+
+MUTATIONS: Final = (
+    Mutation(
+        "holders refuse appends of old epochs",
+        "copies/holder.py",
+        "if append.epoch < copy.epoch:",
+        "if False:",
+        "tests/copies/test_holder.py",
+    ),
+    Mutation(
+        "a holder waits before it seals a silent owner",
+        "copies/holder.py",
+        "and silent < self.takeover_seconds",
+        "and False",
+        "tests/copies/test_holder.py",
+    ),
+    Mutation(
+        "an owner confirms that it is one before it sends or refuses",
+        "copies/replicator.py",
+        "if self.is_fresh(partition):",
+        "if True:",
+        FUZZ,
+    ),
+    Mutation(
+        "the intent stands on holders before the call goes out",
+        "programs/call_runner.py",
+        "self.home.append(program, [intent])",
+        "self.home.note(program, intent)",
+        FUZZ,
+    ),
+    Mutation(
+        "the outcome stands on holders before the answer",
+        "copies/replicator.py",
+        ">= record.quorum:",
+        ">= 0:",
+        FUZZ,
+    ),
+    Mutation(
+        "an open call that may not repeat is not sent again",
+        "programs/call_runner.py",
+        "if entry.kind is ServiceKind.PLAIN and not entry.repeatable:",
+        "if False:",
+        KILLED + "test_an_open_call_that_may_not_repeat_is_not_sent_again",
+    ),
+    Mutation(
+        "only what was not run or may repeat is tried again",
+        "programs/dispatcher.py",
+        "if error.verdict is not Verdict.NOT_RUN and not call.intent.repeatable:",
+        "if False:",
+        "tests/programs/test_dispatcher.py",
+    ),
+    Mutation(
+        "a known key gets the answer it has",
+        "programs/call_runner.py",
+        "if known is not None:",
+        "if False:",
+        PAUSED + "test_one_key_at_every_box_at_once_runs_once",
+    ),
+    Mutation(
+        "calls of a program wait for their turn",
+        "programs/call_runner.py",
+        "            with program.order:\n                outcome = self.run_in_turn",
+        "            if True:\n                outcome = self.run_in_turn",
+        "tests/programs/test_call_order.py",
+    ),
+    Mutation(
+        "a stream is read on by the new home",
+        "programs/call_runner.py",
+        "is_resumed=is_model, may_have_run=True",
+        "is_resumed=False, may_have_run=True",
+        KILLED + "test_a_stream_survives_the_kill_of_its_home",
+    ),
+    Mutation(
+        "a wait for a home that lost ends",
+        "border/owner_watch.py",
+        "if wait in self.waits:",
+        "if False:",
+        PAUSED + "test_a_paused_home_neither_sends_nor_answers_after_a_takeover",
+    ),
+    Mutation(
+        "a release is tried until it is confirmed",
+        "programs/releaser.py",
+        "eventlet.sleep(wait)",
+        "return",
+        "tests/programs/test_releaser.py",
+    ),
+    Mutation(
+        "whoever takes over releases what is owed",
+        "programs/call_runner.py",
+        "        if program.ended is not None:\n            for listener",
+        "        if False:\n            for listener",
+        "tests/programs/test_releaser.py",
+    ),
+    Mutation(
+        "a lower revision is ignored",
+        "operators/configuration.py",
+        "if accepted.revision <= self.revision:",
+        "if False:",
+        "tests/operators/test_configuration.py",
+    ),
+    Mutation(
+        "a store that went back is repaired",
+        "operators/applier.py",
+        "if stored.revision >= accepted.revision:",
+        "if True:",
+        CONFIGURATION + "test_a_store_that_comes_back_older_reverts_nothing",
+    ),
+    Mutation(
+        "an apply is settled by its operation",
+        "operators/applier.py",
+        "earlier = stored.find_operation(request.operation) if stored else None",
+        "earlier = None",
+        CONFIGURATION + "test_a_lost_reply_is_settled_by_the_operation",
+    ),
+    Mutation(
+        "silence of the store is no sign that a box is gone",
+        "ownership/takeover.py",
+        "return known is None or not self.answers(known)",
+        "return True",
+        "tests/ownership/test_takeover.py",
+    ),
+    Mutation(
+        "entries are left first and served on while answers are kept",
+        "daemon/stopper.py",
+        "eventlet.sleep(self.settings.entry_keep_seconds)",
+        "pass",
+        STOPPED + "test_a_leaving_box_serves_as_long_as_answers_are_kept",
+    ),
+    Mutation(
+        "a stop waits for plain calls in progress",
+        "daemon/stopper.py",
+        "self.wait_until(lambda: not self.has_plain_calls(partition)",
+        "self.wait_until(lambda: True or partition",
+        STOPPED + "test_a_planned_stop_cuts_nothing_off",
+    ),
+    Mutation(
+        "a leaving target gets nothing new",
+        "scheduling/target_book.py",
+        "if not is_leaving(target)",
+        "if True",
+        TARGETS + "test_a_leaving_target_gets_nothing_new",
+    ),
+    Mutation(
+        "a call's reserve is taken from the budget before it goes out",
+        "programs/program.py",
+        "return self.opened.budget.tokens - self.spent_tokens - reserved - parts",
+        "return self.opened.budget.tokens - self.spent_tokens - parts",
+        "tests/programs/test_program.py",
+    ),
+    Mutation(
+        "copies stand in other failure domains",
+        "ownership/holder_choice.py",
+        "if box.failure_domain not in used",
+        "if True",
+        "tests/ownership/test_holder_choice.py",
+    ),
+    Mutation(
+        "orders end before their term does",
+        "targets/orders/order_keeper.py",
+        "if self.clock.monotonic() - started > TERM_SECONDS - STOP_EARLY_SECONDS:",
+        "if False:",
+        "tests/targets/test_order_keeper.py",
+    ),
+    Mutation(
+        "a term is taken only after the last one is over",
+        "targets/orders/order_keeper.py",
+        "if last is not None and not self.is_over(last):",
+        "if False:",
+        "tests/targets/test_order_keeper.py",
+    ),
+    Mutation(
+        "retries are held to their allowance",
+        "limits/retry_allowance.py",
+        "if self.level < 1.0:",
+        "if False:",
+        "tests/limits/test_retry_allowance.py",
+    ),
+)
--- a/tests/failures/test_planned_stop.py
+++ b/tests/failures/test_planned_stop.py
@@ -1,8 +1,18 @@
 from __future__ import annotations
 
-from support import Background, count_engine, count_ran, make_messages, open_at
+import time
+
+from support import (
+    Background,
+    count_engine,
+    count_ran,
+    make_messages,
+    open_at,
+    start_site,
+)
 
 from experiments.caller import Caller
+from experiments.local_site import BoxTiming
 from experiments.waiting import wait_until
 
 
@@ -68,3 +78,29 @@
     caller.call(program, "last", messages=make_messages("A"), **request)
     keys = [call["key"] for call in caller.show(program)["calls"]]
     assert keys == ["k0", "k1", "k2", "k3", "last"]
+
+
+def test_a_leaving_box_serves_as_long_as_answers_are_kept(tmp_path):
+    timing = BoxTiming(entry_keep_seconds=3.0)
+    with start_site(tmp_path / "run", boxes=4, timing=timing) as site:
+        address = site.callers["box-1"]
+        # This caller keeps the address and never asks for entries again.
+        caller = Caller([address])
+        caller.ask_entries()
+        caller.entries = [address]
+        until = caller.keep_until
+        site.processes["box-1"].terminate()
+        program = Caller([site.callers["box-2"]]).open()
+        number = 0
+        while time.monotonic() < until:
+            reply = caller.try_request(
+                "POST",
+                f"/v1/programs/{program}/calls",
+                {"service": "balance", "body": number},
+                {"Idempotency-Key": f"k{number}"},
+            )
+            assert reply is not None, "cut off while the answer may be kept"
+            assert reply.status == 200, reply.document
+            number += 1
+            time.sleep(0.03)
+        assert site.processes["box-1"].wait() == 0
--- /dev/null
+++ b/tests/ownership/test_takeover.py
@@ -0,0 +1,46 @@
+from __future__ import annotations
+
+import pytest
+from fake_world import FakeWorld
+
+
+@pytest.fixture
+def world():
+    world = FakeWorld()
+    yield world
+    world.close()
+
+
+def test_an_owner_that_answers_is_not_taken_over_for_lack_of_a_record(world):
+    """The store has lost every lease, but all boxes run."""
+    program = world.open(0)
+    for box in world.boxes.values():
+        for record in list(box.view.boxes.values()):
+            box.view.drop_box(record.name, world.clock.monotonic())
+    world.clock.advance(100)
+    for box in list(world.boxes.values()):
+        for record in list(box.view.partitions.values()):
+            if box.takeover.may_take(record):
+                box.takeover.consider(record)
+    home = world.find_home(program)
+    assert home is world.boxes[0]
+    assert home.home.find(program).takeovers == 0
+
+
+def test_nobody_takes_over_while_the_store_is_down(world):
+    program = world.open(0)
+    world.kill(0)
+    world.store.is_down = True
+    world.pass_lease()
+    assert world.find_home(program) is None
+    world.store.is_down = False
+    world.pass_lease()
+    assert world.find_home(program) is not None
+
+
+def test_a_takeover_whose_reply_was_lost_is_gone_on_with(world):
+    program = world.open(0)
+    world.kill(0)
+    world.store.lost_replies = 1
+    world.settle()
+    assert world.find_home(program).home.find(program).takeovers == 1
--- /dev/null
+++ b/tests/programs/test_dispatcher.py
@@ -0,0 +1,58 @@
+from __future__ import annotations
+
+import pytest
+from fake_world import FakeWorld
+
+from cedarchute.targets.target_error import TargetError
+from cedarchute.verdict import Verdict
+
+
+@pytest.fixture
+def world():
+    world = FakeWorld()
+    yield world
+    world.close()
+
+
+def test_a_call_that_may_have_run_is_not_tried_again(world):
+    program = world.open(0)
+    world.service.behaviour = "lost"
+    outcome = world.call(world.boxes[0], program, "k", service="transfer", body=1)
+    assert outcome.verdict == "may have run"
+    assert world.service.ran == {f"{program}:k": 1}
+    assert world.boxes[0].metrics.totals["retried.target_broke_off"] == 0
+
+
+def test_an_attempt_that_may_have_run_is_never_followed_by_not_run(world):
+    """A model call breaks off, then every other target refuses."""
+    program = world.open(0)
+    box = world.boxes[0]
+    calls = []
+
+    def generate(address, request, seconds):
+        calls.append(request.request_id)
+        verdict = Verdict.MAY_HAVE_RUN if len(calls) == 1 else Verdict.NOT_RUN
+        raise TargetError("target_error", "gone", verdict)
+        yield
+
+    box.runner.dispatcher.engines.generate = generate
+    outcome = world.call(
+        box,
+        program,
+        "k",
+        service="agent",
+        messages=[{"role": "user", "content": "Hi"}],
+    )
+    assert outcome.verdict == "may have run"
+
+
+def test_a_cut_off_owner_sends_nothing_once_it_may_have_been_replaced(world):
+    program = world.open(0)
+    box = world.boxes[0]
+    assert world.call(box, program, "a", service="transfer", body=1)
+    world.network.cut.add(box.port)
+    world.pass_lease()
+    assert world.find_home(program) is not None
+    answer = world.call(box, program, "b", service="transfer", body=2)
+    assert answer is None or answer.verdict == "may have run"
+    assert world.service.ran == {f"{program}:a": 1}
--- /dev/null
+++ b/tests/programs/test_releaser.py
@@ -0,0 +1,49 @@
+from __future__ import annotations
+
+import eventlet
+import pytest
+from fake_world import FakeWorld
+
+from cedarchute.programs import releaser
+
+
+@pytest.fixture
+def world(monkeypatch):
+    monkeypatch.setattr(releaser, "FIRST_WAIT_SECONDS", 0.01)
+    world = FakeWorld()
+    yield world
+    world.close()
+
+
+def run_and_end(world):
+    program = world.open(0)
+    messages = [{"role": "user", "content": "Hi"}]
+    world.call(world.boxes[0], program, "k", service="agent", messages=messages)
+    assert world.engines.held == {program}
+    world.engines.is_deaf = True
+    home = world.boxes[0].home
+    home.end(home.find(program), "test")
+    eventlet.sleep(0.05)
+    assert world.engines.held == {program}
+    return program
+
+
+def wait_released(world):
+    with eventlet.Timeout(5):
+        while world.engines.held:
+            world.look()
+            eventlet.sleep(0.01)
+
+
+def test_a_release_goes_on_until_the_engine_confirms(world):
+    run_and_end(world)
+    world.engines.is_deaf = False
+    wait_released(world)
+
+
+def test_a_release_is_taken_over_with_the_program(world):
+    run_and_end(world)
+    world.kill(0)
+    world.engines.is_deaf = False
+    world.pass_lease()
+    wait_released(world)
--- /dev/null
+++ b/tests/stateful/test_programs_machine.py
@@ -0,0 +1,243 @@
+from __future__ import annotations
+
+import os
+from unittest import mock
+
+import pytest
+from fake_world import BOXES, FakeWorld
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    Bundle,
+    RuleBasedStateMachine,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+
+from cedarchute.copies import holder_link, replicator
+from cedarchute.ownership import partition_keeper, takeover
+from cedarchute.problem import Problem
+from cedarchute.programs import home
+
+SHORT = {
+    (holder_link, "RETRY_SECONDS"): 0.005,
+    (replicator, "CONFIRM_POLL_SECONDS"): 0.005,
+    (takeover, "STAGGER_SECONDS"): 0.0,
+    (takeover, "SEAL_WAIT_SECONDS"): 0.0,
+    (takeover, "SEAL_RETRY_SECONDS"): 0.005,
+    (home, "RETRY_APPEND_SECONDS"): 0.01,
+    (partition_keeper, "JOIN_SECONDS"): 0.3,
+    (partition_keeper, "GATE_SECONDS"): 0.1,
+}
+NUMBERS = st.integers(0, BOXES - 1)
+MAX_DOWN = 1
+
+
+class Programs(RuleBasedStateMachine):
+    """Programs, calls, failures and recoveries in any order, against an oracle.
+
+    The oracle knows what callers were told; it knows nothing of how boxes agree.
+    """
+
+    programs = Bundle("programs")
+
+    def __init__(self):
+        super().__init__()
+        self.world = FakeWorld()
+        self.told = {}
+        self.told_order = {}
+        self.keys = 0
+
+    def teardown(self):
+        try:
+            self.check_after_recovery()
+        finally:
+            self.world.close()
+
+    @property
+    def disturbed(self):
+        network = self.world.network
+        down = [b for b in self.world.boxes.values() if b.is_dead]
+        return len(down) + len(network.cut)
+
+    @rule(target=programs, number=NUMBERS)
+    def open_program(self, number):
+        program = self.world.open(number)
+        if program is None:
+            return "none"
+        self.told_order[program] = []
+        return program
+
+    @rule(
+        program=programs,
+        behaviour=st.sampled_from(["ok", "ok", "busy", "lost"]),
+        trouble=st.sampled_from([None, None, "kill", "cut", "cut_and_pass"]),
+        is_before=st.booleans(),
+    )
+    def transfer(self, program, behaviour, trouble, is_before):
+        """A call that may not repeat, with trouble just before or after it ran."""
+        if program == "none":
+            return
+        self.keys += 1
+        self.world.service.behaviour = behaviour
+        if trouble and self.disturbed < MAX_DOWN:
+            hook = self.make_trouble(trouble)
+            self.world.service.before = hook if is_before else None
+            self.world.service.after = None if is_before else hook
+        key = f"k{self.keys}"
+        self.ask(program, key, service="transfer", body=self.keys)
+        self.world.service.before = self.world.service.after = None
+
+    def make_trouble(self, trouble):
+        def strike(port):
+            number = port // 100
+            if trouble == "kill":
+                self.world.kill(number)
+                return
+            self.world.network.cut.add(port)
+            if trouble == "cut_and_pass":
+                self.world.pass_lease()
+
+        return strike
+
+    @rule(program=programs)
+    def ask_model(self, program):
+        if program == "none":
+            return
+        self.keys += 1
+        messages = [{"role": "user", "content": f"{program} asks {self.keys}"}]
+        self.ask(program, f"k{self.keys}", service="agent", messages=messages)
+
+    @rule(program=programs, data=st.data())
+    def ask_again(self, program, data):
+        """The same key again, wherever the home is believed to be."""
+        keys = [k for (p, k) in self.told if p == program]
+        if not keys:
+            return
+        key = data.draw(st.sampled_from(sorted(keys)))
+        request, _ = self.told[(program, key)]
+        self.ask(program, key, **request)
+
+    @rule(program=programs, number=NUMBERS, key=st.integers(1, 3))
+    def ask_a_stale_home(self, program, number, key):
+        """A caller that knocks at any box, also one that was cut off."""
+        if program == "none" or f"k{key}" not in dict(self.keys_of(program)):
+            return
+        request = dict(self.keys_of(program))[f"k{key}"]
+        self.ask(program, f"k{key}", box=self.world.boxes[number], **request)
+
+    def keys_of(self, program):
+        return [(k, r) for (p, k), (r, _) in self.told.items() if p == program]
+
+    def ask(self, program, key, box=None, **request):
+        box = box or self.world.find_home(program)
+        if box is None or box.is_dead:
+            return
+        ran_before = self.world.service.ran[f"{program}:{key}"]
+        answer = self.world.call(box, program, key, **request)
+        _, earlier = self.told.get((program, key), (None, None))
+        self.told.setdefault((program, key), (request, None))
+        if answer is None:
+            return
+        if isinstance(answer, Problem):
+            if answer.verdict == "not run" and answer.code != "unknown_program":
+                assert ran_before == 0, "refused as not run, but it ran"
+                assert self.world.service.ran[f"{program}:{key}"] == 0
+            return
+        told = (answer.verdict.value, answer.text, answer.code)
+        if answer.verdict == "not run":
+            assert self.world.service.ran[f"{program}:{key}"] == 0
+            return
+        if earlier is not None:
+            assert told == earlier, "another answer for the same key"
+        else:
+            self.told_order[program].append(key)
+        self.told[(program, key)] = (request, told)
+        if answer.verdict == "ran":
+            assert program in answer.text, "an answer of another program"
+
+    @rule(number=NUMBERS)
+    def kill(self, number):
+        if self.disturbed < MAX_DOWN:
+            self.world.kill(number)
+
+    @rule(number=NUMBERS)
+    def cut(self, number):
+        if self.disturbed < MAX_DOWN and not self.world.boxes[number].is_dead:
+            self.world.network.cut.add(self.world.boxes[number].port)
+
+    @rule()
+    def mend(self):
+        self.world.settle()
+
+    @rule()
+    def pass_lease(self):
+        self.world.pass_lease()
+
+    @rule()
+    def look(self):
+        self.world.look()
+
+    @rule(is_down=st.booleans(), lost=st.integers(0, 1))
+    def break_store(self, is_down, lost):
+        self.world.store.is_down = is_down
+        self.world.store.lost_replies = lost
+
+    @invariant()
+    def nothing_ran_twice(self):
+        assert all(count <= 1 for count in self.world.service.ran.values())
+
+    def check_after_recovery(self):
+        """Everything that callers were told is still there, in order."""
+        self.world.settle()
+        for program, order in self.told_order.items():
+            home = self.world.find_home(program)
+            assert home is not None, "a program was lost"
+            found = home.home.find(program)
+            kept = [key for key in found.calls if key in order]
+            assert kept == order, "history lost or out of order"
+            assert found.left_tokens >= 0
+            assert found.used_calls <= found.opened.budget.calls
+            for message in found.read_history():
+                assert program in message.content, "histories are mixed"
+        for (program, key), (request, told) in self.told.items():
+            if told is not None:
+                self.ask(program, key, **request)
+        for program in self.told_order:
+            home = self.world.find_home(program)
+            home.home.end(home.home.find(program), "test over")
+        for _ in range(40):
+            if not self.world.engines.held:
+                break
+            self.world.look()
+            self.world.clock.advance(1)
+        assert not self.world.engines.held, "engine memory held after the end"
+        sent = self.world.service.order
+        for program in self.told_order:
+            mine = [int(k.rpartition("k")[2]) for k in sent if program in k]
+            assert mine == sorted(mine), "calls out of order"
+
+
+@pytest.mark.timeout(600)
+def test_any_order_of_calls_failures_and_recoveries():
+    examples = int(os.environ.get("CEDARCHUTE_FUZZ_EXAMPLES", "40"))
+    is_fixed = "CEDARCHUTE_FUZZ_EXAMPLES" not in os.environ
+    patches = [mock.patch.object(m, name, v) for (m, name), v in SHORT.items()]
+    for patch in patches:
+        patch.start()
+    try:
+        run_state_machine_as_test(
+            Programs,
+            settings=settings(
+                max_examples=examples,
+                stateful_step_count=25,
+                deadline=None,
+                derandomize=is_fixed,
+                database=None,
+                suppress_health_check=list(HealthCheck),
+            ),
+        )
+    finally:
+        for patch in patches:
+            patch.stop()
