--- a/src/cedarchute/border/forwarder.py
+++ b/src/cedarchute/border/forwarder.py
@@ -24,6 +24,7 @@
 HOPS_HEADER: Final = "Cedarchute-Hops"
 REROUTE_HEADER: Final = "Cedarchute-Reroute"
 CONNECTIONS: Final = 128
+HOSTS: Final = 32
 CONNECT_SECONDS: Final = 1.0
 PASSED_HEADERS: Final = (
     "Content-Type",
@@ -40,7 +41,7 @@
         self.view = view
         self.watch = watch
         self.metrics = metrics
-        self.pools = HostPools(CONNECTIONS)
+        self.pools = HostPools(CONNECTIONS, HOSTS)
 
     def open(
         self,
--- a/src/cedarchute/daemon/composition.py
+++ b/src/cedarchute/daemon/composition.py
@@ -49,6 +49,7 @@
 from cedarchute.programs.dispatcher import Dispatcher
 from cedarchute.programs.home import ProgramHome
 from cedarchute.programs.releaser import Releaser
+from cedarchute.scheduling.admission import Admission
 from cedarchute.scheduling.load_poller import LoadPoller
 from cedarchute.scheduling.policies import PolicyChoice
 from cedarchute.scheduling.target_book import TargetBook
@@ -139,6 +140,7 @@
     home = ProgramHome(
         replicator,
         limits,
+        Admission(book, configuration, random_source, metrics),
         settings.serving,
         lambda: partitions.own_partition(),
         clock,
--- a/src/cedarchute/daemon/main.py
+++ b/src/cedarchute/daemon/main.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import os
 import warnings
 
+# Addresses are IP numbers: without its resolver, eventlet takes 6 MB less.
+os.environ.setdefault("EVENTLET_NO_GREENDNS", "yes")
 # The users chose eventlet; its notice about its future is not news to them.
 warnings.filterwarnings("ignore", message=".*[Ee]ventlet.*", category=Warning)
 
--- a/src/cedarchute/host_pools.py
+++ b/src/cedarchute/host_pools.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from typing import TYPE_CHECKING
 
 import urllib3
@@ -17,11 +18,20 @@
 
     The look-up parses the URL and normalises a key on each request; on the path of
     every call that is a seventh of the cost of a small exchange.
+
+    Parameters
+    ----------
+    size : int
+        Connections kept open to one address.
+    hosts : int
+        Addresses kept; those used longest ago are closed, so that heartbeats to
+        boxes chosen by chance do not end in a connection to every box.
     """
 
-    def __init__(self, size: int) -> None:
+    def __init__(self, size: int, hosts: int) -> None:
         self.size = size
-        self.pools: dict[Address, urllib3.HTTPConnectionPool] = {}
+        self.hosts = hosts
+        self.pools: OrderedDict[Address, urllib3.HTTPConnectionPool] = OrderedDict()
 
     def request(
         self,
@@ -35,13 +45,7 @@
         preload_content: bool = True,
     ) -> BaseHTTPResponse:
         """Send one request, with no retry of urllib3's own."""
-        pool = self.pools.get(address)
-        if pool is None:
-            pool = urllib3.HTTPConnectionPool(
-                address.host, address.port, maxsize=self.size, retries=False
-            )
-            self.pools[address] = pool
-        return pool.urlopen(
+        return self.find_pool(address).urlopen(
             method,
             path,
             body=body,
@@ -50,3 +54,17 @@
             timeout=timeout,
             preload_content=preload_content,
         )
+
+    def find_pool(self, address: Address) -> urllib3.HTTPConnectionPool:
+        """Return the pool of an address, made on first use."""
+        pool = self.pools.get(address)
+        if pool is not None:
+            self.pools.move_to_end(address)
+            return pool
+        pool = urllib3.HTTPConnectionPool(
+            address.host, address.port, maxsize=self.size, retries=False
+        )
+        self.pools[address] = pool
+        if len(self.pools) > self.hosts:
+            self.pools.popitem(last=False)[1].close()
+        return pool
--- a/src/cedarchute/operators/site_file.py
+++ b/src/cedarchute/operators/site_file.py
@@ -42,6 +42,7 @@
     policy: Policy = Policy.PROGRAM_AWARE
     latency_weight: float = Field(default=0.5, ge=0, le=1)
     retry_allowance: float = Field(default=0.1, ge=0, le=1)
+    admit_backlog: float = Field(default=1.0, ge=0)
     loads_at_once: int = Field(default=2, ge=1)
 
 
--- a/src/cedarchute/peers/peer_client.py
+++ b/src/cedarchute/peers/peer_client.py
@@ -18,6 +18,7 @@
 
 DATA_PATHS: Final = frozenset({"append", "read", "seal"})
 CONNECTIONS: Final = 16
+HOSTS: Final = 16
 JSON_HEADERS: Final = {"content-type": "application/json"}
 
 
@@ -51,7 +52,7 @@
     def __init__(self, metrics: Metrics, timeout: float = 2.0) -> None:
         self.metrics = metrics
         self.timeout = timeout
-        self.pools = HostPools(CONNECTIONS)
+        self.pools = HostPools(CONNECTIONS, HOSTS)
 
     def send(
         self,
--- a/src/cedarchute/programs/home.py
+++ b/src/cedarchute/programs/home.py
@@ -32,6 +32,7 @@
     from cedarchute.operators.site_file import WorkspaceSection
     from cedarchute.programs.records import ProgramRecord
     from cedarchute.programs.requests import OpenRequest
+    from cedarchute.scheduling.admission import Admission
     from cedarchute.settings.box_settings import ServingSection
 
 log = logging.getLogger("cedarchute.programs")
@@ -48,6 +49,7 @@
         self,
         replicator: Replicator,
         limits: WorkspaceLimits,
+        admission: Admission,
         settings: ServingSection,
         own_partition: Callable[[], OwnedPartition],
         clock: Clock,
@@ -55,6 +57,7 @@
     ) -> None:
         self.replicator = replicator
         self.limits = limits
+        self.admission = admission
         self.settings = settings
         self.own_partition = own_partition
         self.clock = clock
@@ -116,6 +119,7 @@
             )
         if request.parent is not None:
             return self._open_child(request, section)
+        self.admission.admit()
         return self._open_in(self.own_partition(), request, section, None)
 
     def _open_in(
--- a/src/cedarchute/settings/box_settings.py
+++ b/src/cedarchute/settings/box_settings.py
@@ -58,8 +58,8 @@
     drain_seconds: Seconds = 30.0
     idle_program_seconds: Seconds = 900.0
     keep_answers_seconds: Seconds = 600.0
-    subset_targets: int = Field(default=20, ge=1)
-    load_seconds: Seconds = 0.5
+    subset_targets: int = Field(default=10, ge=1)
+    load_seconds: Seconds = 1.0
     sweep_seconds: Seconds = 30.0
     order_seconds: Seconds = 3.0
 
--- a/src/cedarchute/targets/service_client.py
+++ b/src/cedarchute/targets/service_client.py
@@ -13,6 +13,7 @@
     from cedarchute.address import Address
 
 CONNECTIONS: Final = 64
+HOSTS: Final = 256
 CONNECT_SECONDS: Final = 2.0
 
 
@@ -20,7 +21,7 @@
     """Posts one JSON body and returns the answer's text."""
 
     def __init__(self) -> None:
-        self.pools = HostPools(CONNECTIONS)
+        self.pools = HostPools(CONNECTIONS, HOSTS)
 
     def call(
         self, address: Address, key: str, program: str, body: str, seconds: float
--- /dev/null
+++ b/src/experiments/bench.py
@@ -0,0 +1,235 @@
+"""Compares our policy with the baselines, in one run: ``make bench``.
+
+Interleaved over policies, several seeds; writes docs/figures/bench.json, a table
+and plots.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import tempfile
+import threading
+import time
+from pathlib import Path
+from typing import TYPE_CHECKING, Any, Final
+
+import numpy as np
+from hdrh.histogram import HdrHistogram
+
+from experiments.bench_report import write_report
+from experiments.http_json import HttpJson
+from experiments.load_run import LoadRun
+from experiments.local_site import BoxTiming, LocalSite
+from experiments.program_plan import plan_programs
+from experiments.scenario import load_scenario
+
+if TYPE_CHECKING:
+    from experiments.load_run import LoadResult
+    from experiments.scenario import Scenario
+
+FIGURES: Final = Path(__file__).parents[2] / "docs" / "figures"
+POLICIES: Final = ("program_aware", "round_robin", "least_load", "sticky")
+LOADS: Final = (0.8, 1.0)
+FAULTS: Final = ("box", "domain", "target", "store")
+HISTOGRAM_MOST: Final = 600_000
+
+
+class Bench:
+    """One scenario on one site that stays up for all its cells."""
+
+    def __init__(self, scenario: Scenario, folder: Path, seconds: float) -> None:
+        self.scenario = scenario
+        self.seconds = seconds
+        self.folder = folder
+        self.revision = 0
+        self.cells: list[dict[str, Any]] = []
+        self.capacity = 0.0
+
+    def start(self) -> LocalSite:
+        """Start a fresh site for the scenario."""
+        site = LocalSite(self.folder, BoxTiming(load_seconds=0.25))
+        site.services = {"agent": {"kind": "model", "model": "small"}}
+        site.services["agent"]["timeout_seconds"] = "60"
+        site.start_store()
+        scenario = self.scenario
+        for number in range(scenario.engines):
+            domain = f"domain-{number % scenario.domains}"
+            site.start_engine(f"engine-{number}", "agent", domain, **scenario.engine)
+        for number in range(scenario.boxes):
+            site.start_box(f"box-{number}", f"domain-{number % scenario.domains}")
+        site.wait_targets()
+        site.wait_boxes()
+        self.revision = 0
+        return site
+
+    def apply(self, site: LocalSite, policy: str) -> None:
+        """Put a policy in force and empty the engines' caches."""
+        weight = self.scenario.latency_weight
+        text = site.site_text(policy=policy, latency_weight=weight)
+        reply = site.apply(text, f"cell-{self.revision}", self.revision)
+        assert reply.status == 200, reply.document
+        self.revision += 1
+        site.wait_in_force(self.revision)
+        site.wait_held()
+        for name in site.targets:
+            site.switch_target(name, flush=True)
+
+    def measure_capacity(self, site: LocalSite) -> None:
+        """Measure programs a second when far more arrive than can be served."""
+        self.apply(site, "least_load")
+        slots = self.scenario.engines * int(self.scenario.engine["max_running"])
+        generator = np.random.default_rng(99)
+        plans = plan_programs(self.scenario, slots, self.seconds, generator)
+        result = LoadRun(site, HttpJson()).run(plans)
+        times = np.sort(np.array(result.finished_at))
+        middle = times[(times > self.seconds * 0.5) & (times < times[-1] * 0.9)]
+        self.capacity = (len(middle) - 1) / (middle[-1] - middle[0])
+        print(f"{self.scenario.name}: capacity {self.capacity:.2f} programs/s")
+
+    def run_cell(
+        self, site: LocalSite, policy: str, load: float, seed: int, fault: str = ""
+    ) -> None:
+        """Run one cell and keep its figures."""
+        self.apply(site, policy)
+        generator = np.random.default_rng(seed)
+        rate = self.capacity * load
+        plans = plan_programs(self.scenario, rate, self.seconds, generator)
+        before = read_counts(site)
+        striker = threading.Timer(self.seconds / 2, strike, (site, fault))
+        if fault:
+            striker.start()
+        result = LoadRun(site, HttpJson()).run(plans)
+        if fault:
+            striker.join()
+        cell = {
+            "scenario": self.scenario.name,
+            "policy": policy,
+            "load": load,
+            "seed": seed,
+            "fault": fault,
+            "programs": len(plans),
+            **summarise(result, self.seconds),
+            **summarise_cache(site, before),
+        }
+        self.cells.append(cell)
+        print(
+            f"{self.scenario.name} {policy} load {load} seed {seed} {fault}: "
+            f"p50 {cell['p50']:.2f} p95 {cell['p95']:.2f} "
+            f"again {cell['computed_again']:.3f} finished {cell['finished']} "
+            f"of {cell['programs']} refusals {cell['refusals']}",
+            flush=True,
+        )
+
+
+def strike(site: LocalSite, fault: str) -> None:
+    """Bring about the fault of a cell."""
+    if fault == "box":
+        site.processes["box-0"].kill()
+    elif fault == "domain":
+        for name, process in site.processes.items():
+            if name.startswith("box-") and "domain-0" in read_domain(site, name):
+                process.kill()
+    elif fault == "target":
+        site.processes["engine-0"].kill()
+    elif fault == "store":
+        site.switch_store(down=True)
+        time.sleep(5.0)
+        site.switch_store(down=False)
+
+
+def read_domain(site: LocalSite, box: str) -> str:
+    """Return the settings of a box, which name its failure domain."""
+    return (site.folder / f"{box}.ini").read_text()
+
+
+def read_counts(site: LocalSite) -> dict[str, dict[str, int]]:
+    """Return the counters of every engine that runs."""
+    return {
+        name: site.http.get(site.target_address(name), "/counts")
+        for name in site.targets
+        if site.processes[name].is_running
+    }
+
+
+def summarise(result: LoadResult, seconds: float) -> dict[str, Any]:
+    """Return the figures of the programs."""
+    histogram = HdrHistogram(1, HISTOGRAM_MOST, 3)
+    for latency in result.latencies:
+        histogram.record_value(max(1, int(latency * 1000)))
+    in_time = [at for at in result.finished_at if at <= seconds]
+    return {
+        "finished": len(result.latencies),
+        "p50": histogram.get_value_at_percentile(50) / 1000,
+        "p95": histogram.get_value_at_percentile(95) / 1000,
+        "p99": histogram.get_value_at_percentile(99) / 1000,
+        "goodput": len(in_time) / seconds,
+        "refusals": dict(result.refusals),
+        "lost": result.lost,
+        "doubled": result.doubled,
+        "out_of_order": result.out_of_order,
+        "failed": len(result.failed),
+        "failures": result.failed[:3],
+        "unfinished": result.unfinished,
+    }
+
+
+def summarise_cache(
+    site: LocalSite, before: dict[str, dict[str, int]]
+) -> dict[str, Any]:
+    """Return the figures of the engines' caches."""
+    computed = 0
+    distinct: set[str] = set()
+    held = 0
+    after = read_counts(site)
+    for name, counts in after.items():
+        earlier = before.get(name, {}).get("computed_tokens", 0)
+        computed += counts.get("computed_tokens", 0) - earlier
+        address = site.target_address(name)
+        distinct.update(site.http.get(address, "/cache/seen")["blocks"])
+        held += sum(site.http.get(address, "/cache/held")["tokens"].values())
+    needed = len(distinct) * 16
+    again = max(0, computed - needed) / computed if computed else 0.0
+    return {"computed_tokens": computed, "computed_again": again, "held_after": held}
+
+
+def run_scenario(name: str, arguments: argparse.Namespace) -> list[dict[str, Any]]:
+    """Run every cell of one scenario."""
+    folder = Path(tempfile.mkdtemp(prefix="cedarchute-bench-")) / "run"
+    bench = Bench(load_scenario(name), folder, arguments.seconds)
+    with bench.start() as site:
+        bench.measure_capacity(site)
+        for seed in range(1, arguments.seeds + 1):
+            for load in LOADS:
+                for policy in POLICIES:
+                    bench.run_cell(site, policy, load, seed)
+            for load in (0.5, 1.2):
+                bench.run_cell(site, "program_aware", load, seed)
+    if not arguments.no_faults:
+        for fault in FAULTS:
+            with bench.start() as site:
+                bench.run_cell(site, "program_aware", 0.8, 1, fault)
+    return [{**cell, "capacity": bench.capacity} for cell in bench.cells]
+
+
+def main() -> None:
+    """Run the scenarios and write the figures."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--scenarios", default="vanua,shrestha")
+    parser.add_argument("--seeds", type=int, default=2)
+    parser.add_argument("--seconds", type=float, default=15.0)
+    parser.add_argument("--no_faults", action="store_true")
+    parser.add_argument("--output", default=str(FIGURES / "bench.json"))
+    arguments = parser.parse_args()
+    cells = []
+    for name in arguments.scenarios.split(","):
+        cells += run_scenario(name, arguments)
+    path = Path(arguments.output)
+    path.parent.mkdir(parents=True, exist_ok=True)
+    document = {"seconds": arguments.seconds, "cells": cells}
+    path.write_text(json.dumps(document, indent=1) + "\n")
+    write_report(cells, path.parent)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/experiments/caller.py
+++ b/src/experiments/caller.py
@@ -38,8 +38,10 @@
 class Caller:
     """Keeps the entries for as long as it may and spreads over them by chance."""
 
-    def __init__(self, first: list[str], seed: int = 0) -> None:
-        self.http = HttpJson()
+    def __init__(
+        self, first: list[str], seed: int = 0, http: HttpJson | None = None
+    ) -> None:
+        self.http = http or HttpJson()
         self.known = list(first)
         self.entries = list(first)
         self.keep_until = 0.0
--- a/src/experiments/slopes.py
+++ b/src/experiments/slopes.py
@@ -36,7 +36,8 @@
     entry_keep_seconds=10.0,
     sweep_seconds=30.0,
     order_seconds=3.0,
-    load_seconds=0.5,
+    load_seconds=1.0,
+    subset_targets=10,
     idle_program_seconds=900.0,
     keep_answers_seconds=600.0,
 )
@@ -318,13 +319,14 @@
 
 
 def measure_targets(slopes: Slopes) -> None:
-    """Control at rest, against the number of engines that a box polls."""
+    """Control at rest, against how many engines a box polls a second."""
     timing = BoxTiming(**{**asdict(SLOW_TIMING), "subset_targets": 100})
     for count in (5, 10, 20, 40):
         with slopes.site(timing) as site:
             start_small(site, engines=count)
             time.sleep(SETTLE_SECONDS)
-            measure_control(slopes, site, "targets", count)
+            polls = count / timing.load_seconds
+            measure_control(slopes, site, "polls", polls)
 
 
 def measure_configuration(slopes: Slopes) -> None:
--- a/src/standins/engine.py
+++ b/src/standins/engine.py
@@ -99,6 +99,7 @@
         self.running: list[Sequence] = []
         self.sequences: OrderedDict[str, Sequence] = OrderedDict()
         self.blocks: OrderedDict[bytes, set[str]] = OrderedDict()
+        self.seen: set[bytes] = set()
         self.events: list[dict[str, Any]] = []
         self.counts: Counter[str] = Counter()
         self.reports: deque[tuple[float, dict[str, Any]]] = deque()
@@ -114,6 +115,7 @@
         self.add("GET", "/load", self.on_load)
         self.add("POST", "/cache/release", self.on_release)
         self.add("GET", "/cache/held", self.on_held)
+        self.add("GET", "/cache/seen", self.on_seen)
         self.add("GET", "/cache/events", self.on_events)
         self.add("POST", "/cache/export", self.on_export)
         self.add("POST", "/cache/import", self.on_import)
@@ -157,6 +159,7 @@
                 self.counts["computed_tokens"] += done
                 if sequence.to_prefill == 0:
                     self.keep(sequence.prompt, sequence.program)
+                    self.seen.update(hash_blocks(sequence.prompt))
                 continue
             sequence.tokens += 1
             self.counts["generated_tokens"] += 1
@@ -361,6 +364,10 @@
                 held[program] += BLOCK_TOKENS
         return reply({"programs": sorted(held), "tokens": dict(held)})
 
+    def on_seen(self, request: Request) -> Response:
+        """Say which blocks were ever in a prompt, to find what was needed."""
+        return reply({"blocks": [block.hex() for block in self.seen]})
+
     def on_events(self, request: Request) -> Response:
         """Give cache events after a number, late."""
         after = int(request.args.get("after", -1))
@@ -426,6 +433,9 @@
         self.stalled = body.get("stalled", self.stalled)
         if body.get("forget_streams"):
             self.sequences.clear()
+        if body.get("flush"):
+            self.blocks.clear()
+            self.seen.clear()
         return reply({})
 
 
--- a/tests/stateful/fake_box.py
+++ b/tests/stateful/fake_box.py
@@ -26,6 +26,7 @@
 from cedarchute.programs.dispatcher import Dispatcher
 from cedarchute.programs.home import ProgramHome
 from cedarchute.programs.releaser import Releaser
+from cedarchute.scheduling.admission import Admission
 from cedarchute.scheduling.program_aware import ProgramAware
 from cedarchute.scheduling.target_book import TargetBook
 from cedarchute.settings.box_settings import CopiesSection, ServingSection
@@ -96,6 +97,7 @@
         self.home = ProgramHome(
             self.replicator,
             limits,
+            Admission(book, configuration, random.Random(1), metrics),
             ServingSection(),
             lambda: self.partitions.own_partition(),
             clock,
