--- a/src/cedarchute/operators/site_file.py
+++ b/src/cedarchute/operators/site_file.py
@@ -55,7 +55,6 @@
     model: Name | None = None
     version: str | None = None
     adapters: Annotated[tuple[str, ...], BeforeValidator(split_words)] = ()
-    max_in_flight: int = Field(default=64, ge=1)
 
 
 class TargetSection(Message):
--- a/src/cedarchute/programs/call_runner.py
+++ b/src/cedarchute/programs/call_runner.py
@@ -344,7 +344,7 @@
                 status=502,
                 finish_reason="error",
                 tokens=entry.reserved_tokens,
-                code="home_lost",
+                code="outcome_unknown",
                 detail="The box that sent the call was lost before its outcome was "
                 "kept; the call may have run and is not sent again.",
             )
--- a/src/cedarchute/targets/orders/order_keeper.py
+++ b/src/cedarchute/targets/orders/order_keeper.py
@@ -98,7 +98,11 @@
         self, name: str, target: TargetSection, service: ServiceSection
     ) -> None:
         """Order one target if it does not serve what it should."""
-        wanted = {"model": service.model, "version": service.version or ""}
+        wanted = {
+            "model": service.model,
+            "version": service.version or "",
+            "adapters": sorted(service.adapters),
+        }
         try:
             if self.is_right(target, wanted):
                 return
@@ -109,13 +113,13 @@
         except StoreUnavailableError:
             self.metrics.count_retry("order_store")
 
-    def is_right(self, target: TargetSection, wanted: dict[str, str | None]) -> bool:
+    def is_right(self, target: TargetSection, wanted: dict[str, object]) -> bool:
         """Return whether a target serves what it should."""
         state = self.engines.read_state(target.address)
         return all(state.get(key) == value for key, value in wanted.items())
 
     def order(
-        self, name: str, target: TargetSection, wanted: dict[str, str | None]
+        self, name: str, target: TargetSection, wanted: dict[str, object]
     ) -> None:
         """Take a term and give one order within it."""
         started = self.clock.monotonic()
--- a/src/standins/engine.py
+++ b/src/standins/engine.py
@@ -103,7 +103,11 @@
         self.events: list[dict[str, Any]] = []
         self.counts: Counter[str] = Counter()
         self.reports: deque[tuple[float, dict[str, Any]]] = deque()
-        self.order = {"model": arguments.model, "version": arguments.version}
+        self.order: dict[str, Any] = {
+            "model": arguments.model,
+            "version": arguments.version,
+            "adapters": [],
+        }
         self.role = "both"
         self.fence = 0
         self.leaving = False
@@ -402,6 +406,7 @@
         self.counts["orders"] += 1
         self.order["model"] = body.get("model", self.order["model"])
         self.order["version"] = body.get("version", self.order["version"])
+        self.order["adapters"] = body.get("adapters", self.order["adapters"])
         self.role = body.get("role", self.role)
         eventlet.sleep(self.arguments.load_model_seconds)
         return reply(self.state())
