Order programs by age, correct late reports by what this box knows exactly

Change: a box counts its own requests exactly and only the others' by the report; queued tokens drain at the target's rate; order oldest or attained in the file; admission above three waiting requests a slot with shorter waits; heartbeats to two peers, reports each 1.5 s.

--- a/src/cedarchute/daemon/composition.py
+++ b/src/cedarchute/daemon/composition.py
@@ -131,7 +131,7 @@
     poller = LoadPoller(
         book, configuration, engines, settings.serving.load_seconds, random_source
     )
-    policies = PolicyChoice()
+    policies = PolicyChoice(clock)
     allowance = RetryAllowance(0.1)
     limits = WorkspaceLimits(
         configuration, lambda: len(view.entries), clock, random_source, metrics
--- a/src/cedarchute/operators/site_file.py
+++ b/src/cedarchute/operators/site_file.py
@@ -21,6 +21,13 @@
     STICKY = "sticky"
 
 
+class Order(StrEnum):
+    """Which program goes first at an engine, under the program-aware policy."""
+
+    OLDEST = "oldest"
+    ATTAINED = "attained"
+
+
 class ServiceKind(StrEnum):
     """What stands behind a service."""
 
@@ -40,9 +47,10 @@
 
     name: Name
     policy: Policy = Policy.PROGRAM_AWARE
+    order: Order = Order.OLDEST
     latency_weight: float = Field(default=0.5, ge=0, le=1)
     retry_allowance: float = Field(default=0.1, ge=0, le=1)
-    admit_backlog: float = Field(default=1.0, ge=0)
+    admit_backlog: float = Field(default=3.0, ge=0)
     loads_at_once: int = Field(default=2, ge=1)
 
 
--- a/src/cedarchute/ownership/takeover.py
+++ b/src/cedarchute/ownership/takeover.py
@@ -39,7 +39,7 @@
 
 log = logging.getLogger("cedarchute.takeover")
 
-PERIOD_SECONDS: Final = 0.25
+PERIOD_SECONDS: Final = 0.5
 STAGGER_SECONDS: Final = 1.0
 SEAL_WAIT_SECONDS: Final = 1.0
 SEAL_RETRY_SECONDS: Final = 0.3
--- a/src/cedarchute/programs/dispatcher.py
+++ b/src/cedarchute/programs/dispatcher.py
@@ -7,10 +7,10 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
-from cedarchute.operators.site_file import ServiceKind
+from cedarchute.operators.site_file import Policy, ServiceKind
 from cedarchute.problem import Problem
 from cedarchute.programs.records import CallFinished, CallRetargeted
-from cedarchute.scheduling.order import priority_of
+from cedarchute.scheduling.order import ProgramStanding, priority_of
 from cedarchute.scheduling.placement import PlacementRequest
 from cedarchute.targets.generate_request import GenerateRequest
 from cedarchute.targets.stream_piece import StreamEnd, StreamPiece
@@ -300,13 +300,14 @@
         workspace = site.workspaces.get(program.workspace)
         service = site.services[call.intent.service]
         priority = 0
-        if site.site.policy == "program_aware":
-            priority = priority_of(
-                program.attained_tokens,
-                workspace.weight if workspace else 1.0,
-                self.clock.wall() - program.opened.opened_at,
-                len(program.parts),
+        if site.site.policy is Policy.PROGRAM_AWARE:
+            standing = ProgramStanding(
+                opened_at=program.opened.root_opened_at,
+                age_seconds=self.clock.wall() - program.opened.root_opened_at,
+                attained_tokens=program.attained_tokens,
+                weight=workspace.weight if workspace else 1.0,
             )
+            priority = priority_of(site.site.order, standing)
         target = self.book.targets[call.entry.target]
         self.book.note_prefix(target, digest_prefix(messages[0].content))
         return GenerateRequest(
--- a/src/cedarchute/programs/home.py
+++ b/src/cedarchute/programs/home.py
@@ -138,12 +138,15 @@
             budget = self._split_budget(parent, program_id, request, budget)
         now = self.clock.wall()
         deadline = now + budget.seconds
+        root_opened_at = now
         if parent is not None and parent.opened is not None:
             deadline = min(deadline, parent.opened.deadline)
+            root_opened_at = parent.opened.root_opened_at
         opened = ProgramOpened(
             workspace=request.workspace,
             budget=budget,
             opened_at=now,
+            root_opened_at=root_opened_at,
             deadline=deadline,
             parent=request.parent,
         )
--- a/src/cedarchute/programs/records.py
+++ b/src/cedarchute/programs/records.py
@@ -30,6 +30,7 @@
     workspace: str
     budget: Budget
     opened_at: float
+    root_opened_at: float
     deadline: float
     parent: str | None = None
 
--- a/src/cedarchute/scheduling/admission.py
+++ b/src/cedarchute/scheduling/admission.py
@@ -14,7 +14,8 @@
     from cedarchute.operators.configuration import Configuration
     from cedarchute.scheduling.target_book import TargetBook
 
-LEAST_WAIT_SECONDS: Final = 0.5
+LEAST_WAIT_SECONDS: Final = 0.4
+MOST_EXCESS: Final = 10.0
 SPREAD: Final = 1.0
 
 
@@ -55,7 +56,7 @@
         if excess <= 0:
             return
         self.metrics.count_refusal("overloaded")
-        wait = LEAST_WAIT_SECONDS + min(excess, 10.0)
+        wait = LEAST_WAIT_SECONDS * (1.0 + min(excess, MOST_EXCESS))
         wait *= 1.0 + self.random_source.uniform(0, SPREAD)
         raise Problem(
             "overloaded",
--- a/src/cedarchute/scheduling/policies.py
+++ b/src/cedarchute/scheduling/policies.py
@@ -11,6 +11,7 @@
 from cedarchute.scheduling.sticky import Sticky
 
 if TYPE_CHECKING:
+    from cedarchute.clock import Clock
     from cedarchute.operators.accepted_file import AcceptedFile
     from cedarchute.scheduling.placement import PlacementPolicy
 
@@ -18,8 +19,9 @@
 class PolicyChoice:
     """Holds the policy in force."""
 
-    def __init__(self) -> None:
-        self.policy: PlacementPolicy = ProgramAware(0.5)
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.policy: PlacementPolicy = ProgramAware(0.5, clock)
 
     def current(self) -> PlacementPolicy:
         """Return the policy in force."""
@@ -36,4 +38,4 @@
             case Policy.STICKY:
                 self.policy = Sticky()
             case Policy.PROGRAM_AWARE:
-                self.policy = ProgramAware(site.latency_weight)
+                self.policy = ProgramAware(site.latency_weight, self.clock)
--- a/src/cedarchute/scheduling/program_aware.py
+++ b/src/cedarchute/scheduling/program_aware.py
@@ -8,6 +8,7 @@
     import random
     from collections.abc import Sequence
 
+    from cedarchute.clock import Clock
     from cedarchute.scheduling.placement import PlacementRequest
     from cedarchute.scheduling.target_state import TargetState
 
@@ -27,7 +28,8 @@
         three times, so that a program stays with its cache for longer.
     """
 
-    def __init__(self, latency_weight: float) -> None:
+    def __init__(self, latency_weight: float, clock: Clock) -> None:
+        self.clock = clock
         self.waste_factor = 1.0 + 2.0 * (1.0 - latency_weight)
 
     def choose(
@@ -64,7 +66,7 @@
         slots = report.max_running if report else 16
         uncached = request.prompt_tokens - self.cached(request, target)
         prefill = self.waste_factor * uncached / rate
-        queue = target.queued_tokens / rate
+        queue = target.queued_tokens(self.clock.monotonic()) / rate
         excess = max(0, target.queued + 1 - slots)
         waiting = excess * step * request.max_tokens / slots
         far = target.section.failure_domain != request.failure_domain
--- a/src/cedarchute/scheduling/target_book.py
+++ b/src/cedarchute/scheduling/target_book.py
@@ -77,7 +77,6 @@
     def on_sent(self, target: TargetState, tokens: int) -> None:
         """Note a request that goes to `target`, with `tokens` to compute."""
         target.in_flight += 1
-        target.sent_since += 1
         target.sent_tokens_since += tokens
         target.probing = target.failures > 0
 
@@ -102,7 +101,7 @@
         """Take in a load report; corrections start again from it."""
         target.report = report
         target.reported_at = self.clock.monotonic()
-        target.sent_since = 0
+        target.in_flight_at_report = target.in_flight
         target.sent_tokens_since = 0
 
     def note_prefix(self, target: TargetState, prefix: str) -> None:
--- a/src/cedarchute/scheduling/target_state.py
+++ b/src/cedarchute/scheduling/target_state.py
@@ -18,19 +18,18 @@
     ----------
     in_flight : int
         Requests of this box that are at the target now.
-    sent_since : int
-        Requests that this box sent after the last report was asked for; the
-        report cannot count them yet.
+    in_flight_at_report : int
+        The same at the time of the last report.
     sent_tokens_since : int
-        Input tokens of those requests that the target has to compute.
+        Input tokens that this box sent after the last report.
     """
 
     name: str
     section: TargetSection
     in_flight: int = 0
+    in_flight_at_report: int = 0
     report: LoadReport | None = None
     reported_at: float = 0.0
-    sent_since: int = 0
     sent_tokens_since: int = 0
     failures: int = 0
     failing_until: float = 0.0
@@ -39,14 +38,23 @@
 
     @property
     def queued(self) -> int:
-        """Requests at the target as far as this box can tell."""
+        """Requests at the target as far as this box can tell.
+
+        Its own part is known exactly; only that of other boxes is as late as the
+        report.
+        """
         if self.report is None:
             return self.in_flight
         reported = self.report.running + self.report.waiting
-        return max(self.in_flight, reported + self.sent_since)
+        return self.in_flight + max(0, reported - self.in_flight_at_report)
 
-    @property
-    def queued_tokens(self) -> int:
-        """Input tokens that the target has yet to compute."""
-        reported = self.report.waiting_tokens if self.report else 0
-        return reported + self.sent_tokens_since
+    def queued_tokens(self, now: float) -> float:
+        """Return the input tokens that the target has yet to compute.
+
+        What was reported and what was sent since drains at the target's rate.
+        """
+        if self.report is None:
+            return float(self.sent_tokens_since)
+        drained = (now - self.reported_at) * self.report.prefill_tokens_per_second
+        known = self.report.waiting_tokens + self.sent_tokens_since
+        return max(0.0, known - drained)
--- a/src/cedarchute/settings/box_settings.py
+++ b/src/cedarchute/settings/box_settings.py
@@ -35,7 +35,7 @@
 
     lease_seconds: Seconds = 15.0
     heartbeat_seconds: Seconds = 1.0
-    heartbeat_peers: int = Field(default=3, ge=1, le=16)
+    heartbeat_peers: int = Field(default=2, ge=1, le=16)
     takeover_seconds: Seconds = 10.0
 
 
@@ -59,7 +59,7 @@
     idle_program_seconds: Seconds = 900.0
     keep_answers_seconds: Seconds = 600.0
     subset_targets: int = Field(default=10, ge=1)
-    load_seconds: Seconds = 1.0
+    load_seconds: Seconds = 1.5
     sweep_seconds: Seconds = 30.0
     order_seconds: Seconds = 3.0
 
--- a/src/experiments/load_run.py
+++ b/src/experiments/load_run.py
@@ -61,6 +61,28 @@
         self.result.unfinished = sum(thread.is_alive() for thread in threads)
         return self.result
 
+    def run_closed(
+        self, plans: Sequence[ProgramPlan], under_way: int, seconds: float
+    ) -> LoadResult:
+        """Keep so many programs under way for some seconds."""
+        self.started = time.monotonic()
+        remaining = iter(plans)
+
+        def work() -> None:
+            while time.monotonic() - self.started < seconds:
+                with self.lock:
+                    plan = next(remaining, None)
+                if plan is None:
+                    return
+                self.run_plan(plan)
+
+        threads = [threading.Thread(target=work) for _ in range(under_way)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        return self.result
+
     def run_plan(self, plan: ProgramPlan) -> None:
         """Run one program and note how it went."""
         caller = Caller(list(self.site.callers.values()), plan.number, self.http)
