Give a box that lost its partition a new one; split large modules

Ruled out: a restart of the process (callers of its streams would be cut off).

Change: the box takes a new number from the store and opens a new partition under it; an opening that meets a lost partition is refused as not run.

--- a/src/cedarchute/border/call_border.py
+++ b/src/cedarchute/border/call_border.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
 import eventlet
@@ -18,17 +17,22 @@
     make_problem_event,
     make_restart_event,
 )
-from cedarchute.border.forwarder import REROUTE_HEADER, make_response
+from cedarchute.border.call_problems import (
+    make_home_lost_problem,
+    make_late_problem,
+    make_reroute_response,
+)
+from cedarchute.border.forwarder import make_response
 from cedarchute.border.reroute_error import RerouteError
 from cedarchute.border.web_app import make_json_response, make_problem_response
 from cedarchute.copies.owned_partition import PartitionMovedError
 from cedarchute.problem import Problem
-from cedarchute.programs.program_id import parse_partition
 from cedarchute.verdict import Verdict
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
+    from cedarchute.border.call_exchange import CallExchange
     from cedarchute.border.forwarder import Forwarder
     from cedarchute.border.home_locator import HomeLocator
     from cedarchute.clock import Clock
@@ -37,70 +41,15 @@
     from cedarchute.programs.call_run import CallRun
     from cedarchute.programs.call_runner import CallRunner
     from cedarchute.programs.home import ProgramHome
-    from cedarchute.programs.requests import CallRequest
 
 log = logging.getLogger("cedarchute.border")
 
 STREAM_TYPE: Final = "text/event-stream"
 REROUTE_SECONDS: Final = 0.1
 ANSWER_MARGIN_SECONDS: Final = 5.0
-COME_BACK_SECONDS: Final = 2.0
 TAIL_BYTES: Final = 256
 
 
-@dataclass
-class CallExchange:
-    """One caller's request as it is followed from box to box.
-
-    Attributes
-    ----------
-    is_forwarded : bool
-        Another box passed the request on; it is not passed on again.
-    attempt, offset : int
-        How much of the stream the caller has.
-    """
-
-    program: str
-    key: str
-    request: CallRequest | None
-    body: bytes | None
-    seconds: float
-    is_stream: bool
-    is_forwarded: bool
-    request_id: str
-    attempt: int = 0
-    offset: int = 0
-    has_sent: bool = False
-
-    @property
-    def partition(self) -> str:
-        """The partition of the program."""
-        return parse_partition(self.program)
-
-    @property
-    def path(self) -> str:
-        """The path under which another box takes the same request."""
-        if self.request is None:
-            stream = "?stream=1" if self.is_stream else ""
-            return f"/v1/programs/{self.program}/calls/{self.key}{stream}"
-        return f"/v1/programs/{self.program}/calls"
-
-    @property
-    def method(self) -> str:
-        """The method under which another box takes the same request."""
-        return "GET" if self.request is None else "POST"
-
-    @property
-    def headers(self) -> dict[str, str]:
-        """The headers with which another box takes the same request."""
-        return {
-            "Content-Type": "application/json",
-            "Idempotency-Key": self.key,
-            "X-Request-Id": self.request_id,
-            "Last-Event-ID": f"{self.attempt}.{self.offset}",
-        }
-
-
 class CallBorder:
     """Follows a call to its home, and to its next home when that is lost.
 
@@ -356,7 +305,7 @@
                     continue
                 buffer = rest
                 data = complete + separator
-                note_offset(exchange, data)
+                exchange.note_offset(data)
                 tail = (tail + data)[-TAIL_BYTES:]
                 yield data
         except (urllib3.exceptions.HTTPError, OSError, RerouteError) as error:
@@ -380,52 +329,3 @@
         """Return what another box has sent, or wait until it does."""
         with self.forwarder.watch.waiting(exchange.partition, box.identity):
             return answer.read1(65_536)
-
-
-def note_offset(exchange: CallExchange, data: bytes) -> None:
-    """Note how much of the stream the caller has after some whole events."""
-    position = data.rfind(b"id: ")
-    if position < 0:
-        return
-    name = data[position + 4 : data.index(b"\n", position)]
-    attempt, _, offset = name.partition(b".")
-    if attempt.isdigit() and offset.isdigit():
-        exchange.attempt = int(attempt)
-        exchange.offset = int(offset)
-
-
-def make_reroute_response() -> Response:
-    """Return the answer to a box that took this one for the home."""
-    problem = Problem(
-        "not_home",
-        "The program's home is another box; look for it again.",
-        status=421,
-        verdict=Verdict.MAY_HAVE_RUN,
-        retry_after=COME_BACK_SECONDS,
-    )
-    response = make_problem_response(problem)
-    response.headers[REROUTE_HEADER] = "1"
-    return response
-
-
-def make_home_lost_problem() -> Problem:
-    """Return the problem of a home that nobody has taken over yet."""
-    return Problem(
-        "home_lost",
-        "The box that orders the program's calls is gone and not replaced yet; "
-        "ask again with the same key.",
-        status=503,
-        verdict=Verdict.MAY_HAVE_RUN,
-        retry_after=COME_BACK_SECONDS,
-    )
-
-
-def make_late_problem() -> Problem:
-    """Return the problem of an answer that takes longer than allowed."""
-    return Problem(
-        "answer_late",
-        "The call is still in progress; fetch its answer later with its key.",
-        status=504,
-        verdict=Verdict.MAY_HAVE_RUN,
-        retry_after=COME_BACK_SECONDS,
-    )
--- /dev/null
+++ b/src/cedarchute/border/call_exchange.py
@@ -0,0 +1,75 @@
+"""One caller's request for a call, as it is followed from box to box."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from cedarchute.programs.program_id import parse_partition
+
+if TYPE_CHECKING:
+    from cedarchute.programs.requests import CallRequest
+
+
+@dataclass
+class CallExchange:
+    """One caller's request as it is followed from box to box.
+
+    Attributes
+    ----------
+    is_forwarded : bool
+        Another box passed the request on; it is not passed on again.
+    attempt, offset : int
+        How much of the stream the caller has.
+    """
+
+    program: str
+    key: str
+    request: CallRequest | None
+    body: bytes | None
+    seconds: float
+    is_stream: bool
+    is_forwarded: bool
+    request_id: str
+    attempt: int = 0
+    offset: int = 0
+    has_sent: bool = False
+
+    @property
+    def partition(self) -> str:
+        """The partition of the program."""
+        return parse_partition(self.program)
+
+    @property
+    def path(self) -> str:
+        """The path under which another box takes the same request."""
+        if self.request is None:
+            stream = "?stream=1" if self.is_stream else ""
+            return f"/v1/programs/{self.program}/calls/{self.key}{stream}"
+        return f"/v1/programs/{self.program}/calls"
+
+    @property
+    def method(self) -> str:
+        """The method under which another box takes the same request."""
+        return "GET" if self.request is None else "POST"
+
+    @property
+    def headers(self) -> dict[str, str]:
+        """The headers with which another box takes the same request."""
+        return {
+            "Content-Type": "application/json",
+            "Idempotency-Key": self.key,
+            "X-Request-Id": self.request_id,
+            "Last-Event-ID": f"{self.attempt}.{self.offset}",
+        }
+
+    def note_offset(self, data: bytes) -> None:
+        """Note how much of the stream the caller has after some whole events."""
+        position = data.rfind(b"id: ")
+        if position < 0:
+            return
+        name = data[position + 4 : data.index(b"\n", position)]
+        attempt, _, offset = name.partition(b".")
+        if attempt.isdigit() and offset.isdigit():
+            self.attempt = int(attempt)
+            self.offset = int(offset)
--- a/src/cedarchute/border/caller_app.py
+++ b/src/cedarchute/border/caller_app.py
@@ -6,7 +6,8 @@
 from typing import TYPE_CHECKING, Final
 
 from cedarchute.border.answers import describe_program
-from cedarchute.border.call_border import CallExchange, make_reroute_response
+from cedarchute.border.call_exchange import CallExchange
+from cedarchute.border.call_problems import make_reroute_response
 from cedarchute.border.forwarder import HOPS_HEADER
 from cedarchute.border.reroute_error import RerouteError
 from cedarchute.border.web_app import (
--- a/src/cedarchute/daemon/composition.py
+++ b/src/cedarchute/daemon/composition.py
@@ -37,17 +37,22 @@
 from cedarchute.operators.applier import Applier
 from cedarchute.operators.configuration import Configuration
 from cedarchute.operators.operator_api import OperatorApi
+from cedarchute.ownership.hand_over import HandOver
+from cedarchute.ownership.owner_check import OwnerCheck
 from cedarchute.ownership.partition_keeper import PartitionKeeper
-from cedarchute.ownership.takeover import HandOver, Takeover
+from cedarchute.ownership.recovery import Recovery
+from cedarchute.ownership.takeover import Takeover
 from cedarchute.peers.heartbeat import ConfigurationRequest, Heartbeat, Suspicion
 from cedarchute.peers.peer_app import PeerApp
 from cedarchute.peers.peer_client import PeerClient
 from cedarchute.platform.box_list import BoxListWatcher
 from cedarchute.platform.store_client import StoreClient
+from cedarchute.programs.adopter import Adopter
 from cedarchute.programs.cache_sweeper import CacheSweeper, LivesRequest
 from cedarchute.programs.call_runner import CallRunner
 from cedarchute.programs.dispatcher import Dispatcher
 from cedarchute.programs.home import ProgramHome
+from cedarchute.programs.reaper import Reaper
 from cedarchute.programs.releaser import Releaser
 from cedarchute.scheduling.admission import Admission
 from cedarchute.scheduling.load_poller import LoadPoller
@@ -147,7 +152,7 @@
         metrics,
     )
     partitions = PartitionKeeper(
-        store, keys, view, keeper, replicator, home, settings.copies, metrics
+        store, keys, view, keeper, replicator, home, settings.copies, clock, metrics
     )
     dispatcher = Dispatcher(
         book,
@@ -163,9 +168,9 @@
         random_source,
         metrics,
     )
-    runner = CallRunner(
-        record.identity, home, dispatcher, limits, configuration, clock, metrics
-    )
+    runner = CallRunner(home, dispatcher, limits, configuration, clock, metrics)
+    adopter = Adopter(record.identity, home, dispatcher, metrics)
+    reaper = Reaper(home, settings.serving, clock)
     releaser = Releaser(home, book, engines, metrics)
     home.ended_listeners.append(releaser.on_ended)
     sweeper = CacheSweeper(
@@ -179,13 +184,15 @@
         settings.serving.sweep_seconds,
         metrics,
     )
+    check = OwnerCheck(view, keeper, holder, client, takeover_seconds, clock, metrics)
+    recovery = Recovery(view, holder, home, adopter, client, clock, metrics)
     takeover = Takeover(
         partitions,
         view,
         keeper,
         holder,
-        runner,
-        client,
+        check,
+        recovery,
         takeover_seconds,
         clock,
         metrics,
@@ -198,7 +205,7 @@
         settings.membership.heartbeat_seconds,
         settings.membership.heartbeat_peers,
         random_source,
-        takeover.suspect,
+        check.suspect,
     )
 
     locator = HomeLocator(view, replicator, keeper, takeover_seconds)
@@ -224,7 +231,7 @@
     peers.add_message(
         "configuration", ConfigurationRequest, heartbeats.on_configuration
     )
-    peers.add_message("suspect", Suspicion, takeover.on_suspicion)
+    peers.add_message("suspect", Suspicion, check.on_suspicion)
     peers.add_message("hand-over", HandOver, takeover.on_hand_over)
     peers.add_message("lives", LivesRequest, sweeper.on_lives)
     OperatorApi(
@@ -273,7 +280,7 @@
         poller.poll_forever,
         partitions.keep_forever,
         takeover.watch_forever,
-        home.reap_forever,
+        reaper.reap_forever,
         sweeper.sweep_forever,
         orders.order_forever,
     ]
--- a/src/cedarchute/daemon/stopper.py
+++ b/src/cedarchute/daemon/stopper.py
@@ -9,7 +9,7 @@
 from eventlet.event import Event
 
 from cedarchute.operators.site_file import ServiceKind
-from cedarchute.ownership.takeover import HandOver, HandOverReply
+from cedarchute.ownership.hand_over import HandOver, HandOverReply
 from cedarchute.peers.peer_client import PeerError
 from cedarchute.platform.store_client import StoreUnavailableError
 
--- /dev/null
+++ b/src/cedarchute/ownership/owner_check.py
@@ -0,0 +1,129 @@
+"""Finds out whether the owner of a partition is gone."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import eventlet
+
+from cedarchute.membership.view import REFUSALS_NEEDED
+from cedarchute.peers.heartbeat import (
+    Acknowledged,
+    Heartbeat,
+    HeartbeatReply,
+    Suspicion,
+)
+from cedarchute.peers.peer_client import PeerError
+
+if TYPE_CHECKING:
+    from cedarchute.clock import Clock
+    from cedarchute.copies.holder import Holder
+    from cedarchute.membership.box_record import BoxRecord
+    from cedarchute.membership.lease_keeper import LeaseKeeper
+    from cedarchute.membership.partition_record import PartitionRecord
+    from cedarchute.membership.view import View
+    from cedarchute.metrics import Metrics
+    from cedarchute.peers.peer_client import PeerClient
+
+
+class OwnerCheck:
+    """Weighs the store's record, heartbeats and what holders have heard.
+
+    Only a refused connection or a later incarnation proves a box gone. A missing
+    record does not: the store may have lost its leases.
+    """
+
+    def __init__(
+        self,
+        view: View,
+        keeper: LeaseKeeper,
+        holder: Holder,
+        client: PeerClient,
+        takeover_seconds: float,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self.view = view
+        self.keeper = keeper
+        self.holder = holder
+        self.client = client
+        self.takeover_seconds = takeover_seconds
+        self.clock = clock
+        self.metrics = metrics
+        self.missing_since: dict[str, float] = {}
+
+    def is_proved_gone(self, owner: str) -> bool:
+        """Return whether the owner's process surely does not run any more."""
+        if self.view.is_replaced(owner):
+            return True
+        return self.view.is_refusing(owner)
+
+    def is_missing(self, record: PartitionRecord) -> bool:
+        """Return whether the owner was neither in the store nor heard for long."""
+        owner = record.owner
+        name = owner.rpartition(".")[0]
+        box = self.view.boxes.get(name)
+        if box is not None and box.identity == owner:
+            self.missing_since.pop(owner, None)
+            return False
+        now = self.clock.monotonic()
+        since = self.missing_since.setdefault(owner, now)
+        copy = self.holder.partitions.get(record.partition)
+        heard_at = copy.heard_at if copy else float("-inf")
+        if now - max(since, heard_at) < self.takeover_seconds:
+            return False
+        known = self.view.find_box(owner)
+        return known is None or not self.answers(known)
+
+    def answers(self, box: BoxRecord) -> bool:
+        """Return whether the process of `box` answers a heartbeat."""
+        message = Heartbeat(box=self.keeper.record, revision=0, digest="")
+        try:
+            reply = self.client.send(
+                box.peer_address, "heartbeat", message, HeartbeatReply
+            )
+        except PeerError as error:
+            if error.refused:
+                self.view.on_refused(box.identity)
+            return False
+        if reply.box.identity != box.identity:
+            return False
+        self.view.on_heard(box.identity)
+        return True
+
+    def suspect(self, box: BoxRecord) -> None:
+        """Tell the holders of a box's partitions that nothing listens there."""
+        self.view.on_refused(box.identity)
+        told = set()
+        for record in self.view.partitions.values():
+            if record.owner != box.identity:
+                continue
+            for holder in record.holders:
+                peer = self.view.find_holder(holder)
+                if peer is None or peer.name in told:
+                    continue
+                told.add(peer.name)
+                if peer.name == self.keeper.record.name:
+                    self.check_suspect(box.identity)
+                else:
+                    eventlet.spawn_n(self.tell, peer, box.identity)
+
+    def tell(self, peer: BoxRecord, identity: str) -> None:
+        """Send one suspicion."""
+        message = Suspicion(identity=identity)
+        try:
+            self.client.send(peer.peer_address, "suspect", message, Acknowledged)
+        except PeerError:
+            self.metrics.count("takeover.suspicion_lost")
+
+    def on_suspicion(self, message: Suspicion) -> Acknowledged:
+        """Look for oneself whether a suspected box is gone."""
+        eventlet.spawn_n(self.check_suspect, message.identity)
+        return Acknowledged()
+
+    def check_suspect(self, identity: str) -> None:
+        """Try the suspected box; only a refused connection proves it gone."""
+        box = self.view.find_box(identity)
+        for _ in range(REFUSALS_NEEDED):
+            if box is None or self.answers(box):
+                return
--- a/src/cedarchute/ownership/partition_keeper.py
+++ b/src/cedarchute/ownership/partition_keeper.py
@@ -9,12 +9,14 @@
 import eventlet
 
 from cedarchute.copies.owned_partition import OwnedPartition, make_copies_problem
+from cedarchute.membership.incarnation import try_incarnation
 from cedarchute.membership.partition_record import PartitionRecord
 from cedarchute.ownership.holder_choice import choose_holders
 from cedarchute.platform.store_client import StoreUnavailableError
 from cedarchute.verdict import Verdict
 
 if TYPE_CHECKING:
+    from cedarchute.clock import Clock
     from cedarchute.copies.replicator import Replicator
     from cedarchute.membership.lease_keeper import LeaseKeeper
     from cedarchute.membership.store_keys import StoreKeys
@@ -48,6 +50,7 @@
         replicator: Replicator,
         home: ProgramHome,
         settings: CopiesSection,
+        clock: Clock,
         metrics: Metrics,
     ) -> None:
         self.store = store
@@ -57,12 +60,14 @@
         self.replicator = replicator
         self.home = home
         self.settings = settings
+        self.clock = clock
         self.metrics = metrics
         self.operations = itertools.count(1)
+        self.own_name = keeper.record.identity
 
     @property
     def identity(self) -> str:
-        """The identity of this box, which names its own partition."""
+        """The identity of this box."""
         return self.keeper.record.identity
 
     def new_operation(self) -> str:
@@ -84,7 +89,7 @@
         Problem
             ``copies_unavailable`` while it has no holders or no record.
         """
-        partition = self.replicator.partitions.get(self.identity)
+        partition = self.replicator.partitions.get(self.own_name)
         if partition is None or partition.is_lost or partition.is_handing_over:
             raise make_copies_problem(Verdict.NOT_RUN)
         return partition
@@ -100,7 +105,7 @@
 
     def keep_once(self) -> None:
         """Open the own partition, replace holders, drop what moved away."""
-        if self.identity not in self.replicator.partitions:
+        if self.own_name not in self.replicator.partitions:
             self.open_own()
         self.drop_stale_copies()
         for partition in list(self.replicator.partitions.values()):
@@ -131,36 +136,55 @@
                 local.drop(name)
 
     def open_own(self) -> None:
-        """Write the record of this box's own partition, once there are holders."""
+        """Write the record of this box's own partition, once there are holders.
+
+        A box that was paused or cut off for long finds that another one owns its
+        partition; it goes on with a new partition under a new number.
+        """
         holders = self.choose()
         if self.settings.wanted > 0 and not holders:
             return
-        known = self.view.partitions.get(self.identity)
-        if known is not None and known.owner == self.identity:
-            version = self.view.partition_versions[self.identity]
-            self.replicator.partitions[self.identity] = OwnedPartition(known, version)
-        if known is not None:
-            return
+        known = self.view.partitions.get(self.own_name)
+        if known is not None and known.owner != self.identity:
+            self.rename_own()
+        elif known is not None:
+            version = self.view.partition_versions[self.own_name]
+            self.replicator.partitions[self.own_name] = OwnedPartition(known, version)
+        else:
+            self.write_own(holders)
+
+    def rename_own(self) -> None:
+        """Take a new number for this box's own partition."""
+        name = self.keeper.record.name
+        key = self.keys.incarnation(name)
+        number = try_incarnation(self.store, key, self.clock)
+        if number is not None:
+            self.own_name = f"{name}.{number}"
+            self.metrics.count("ownership.own_renamed")
+
+    def write_own(self, holders: tuple[str, ...]) -> None:
+        """Put the record of this box's own partition into the store."""
         record = PartitionRecord(
-            partition=self.identity,
+            partition=self.own_name,
             epoch=1,
             owner=self.identity,
             holders=holders,
             quorum=min(self.settings.wanted, len(holders)),
             operation=self.new_operation(),
         )
-        key = self.keys.partition(self.identity)
+        key = self.keys.partition(self.own_name)
         result = self.store.swap(key, record.to_json(), 0)
+        if result.current is not None:
+            self.view.put_partition(result.current)
         if not result.won or result.current is None:
             return
-        self.view.put_partition(result.current)
         partition = OwnedPartition(record, result.current.version)
-        self.replicator.partitions[self.identity] = partition
-        log.info("Partition %s opened with %s.", self.identity, ", ".join(holders))
+        self.replicator.partitions[self.own_name] = partition
+        log.info("Partition %s opened with %s.", self.own_name, ", ".join(holders))
 
     def is_spent(self, partition: OwnedPartition) -> bool:
         """Return whether an inherited partition has no programs any more."""
-        return partition.name != self.identity and not partition.logs
+        return partition.name != self.own_name and not partition.logs
 
     def remove(self, partition: OwnedPartition) -> None:
         """Remove the record of a partition without programs."""
--- /dev/null
+++ b/src/cedarchute/ownership/recovery.py
@@ -0,0 +1,178 @@
+"""Reads a partition's programs from its holders and goes on with them."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING, Final
+
+import eventlet
+
+from cedarchute.copies.messages import (
+    LogSummary,
+    ReadReply,
+    ReadRequest,
+    SealReply,
+    SealRequest,
+)
+from cedarchute.copies.program_log import ProgramLog
+from cedarchute.peers.peer_client import PeerError
+from cedarchute.programs.program import Program
+
+if TYPE_CHECKING:
+    from cedarchute.clock import Clock
+    from cedarchute.copies.held_record import HeldRecord
+    from cedarchute.copies.holder import Holder
+    from cedarchute.copies.owned_partition import OwnedPartition
+    from cedarchute.membership.view import View
+    from cedarchute.metrics import Metrics
+    from cedarchute.peers.peer_client import PeerClient
+    from cedarchute.programs.adopter import Adopter
+    from cedarchute.programs.home import ProgramHome
+
+log = logging.getLogger("cedarchute.takeover")
+
+SEAL_WAIT_SECONDS: Final = 1.0
+SEAL_RETRY_SECONDS: Final = 0.3
+READ_ATTEMPTS: Final = 5
+ADOPTING: Final = 32
+
+
+class Recovery:
+    """Seals the copies of a partition, so that its old owner cannot go on.
+
+    Enough holders are sealed to meet every record that was ever kept; of each
+    program the log with the later last epoch, then the longer one, is read.
+    """
+
+    def __init__(
+        self,
+        view: View,
+        holder: Holder,
+        home: ProgramHome,
+        adopter: Adopter,
+        client: PeerClient,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self.view = view
+        self.holder = holder
+        self.home = home
+        self.adopter = adopter
+        self.client = client
+        self.clock = clock
+        self.metrics = metrics
+
+    def recover(self, partition: OwnedPartition, owner_gone: bool) -> None:
+        """Seal the copies, read the longest logs, go on with the programs."""
+        logs = None
+        while logs is None and not partition.is_lost:
+            logs = self.read_all(partition, self.seal(partition, owner_gone))
+        if logs is None or partition.is_lost:
+            return
+        partition.logs.update(logs)
+        programs = [
+            Program.replay(program_id, partition, program_log)
+            for program_id, program_log in logs.items()
+        ]
+        for program in programs:
+            program.is_ready = False
+            program.touched_at = self.clock.monotonic()
+            self.home.programs[program.id] = program
+        partition.is_recovering = False
+        self.metrics.count("takeover.programs", len(programs))
+        log.info("Took over %d programs of %s.", len(programs), partition.name)
+        pool = eventlet.GreenPool(ADOPTING)
+        for program in programs:
+            pool.spawn_n(self.adopter.adopt, program)
+        pool.waitall()
+        self.home.return_parts(partition)
+
+    def read_all(
+        self, partition: OwnedPartition, sealed: dict[str, SealReply]
+    ) -> dict[str, ProgramLog] | None:
+        """Return the longest log of each program; None when a holder went away."""
+        best: dict[str, tuple[LogSummary, str]] = {}
+        for holder, reply in sealed.items():
+            for program, summary in reply.logs.items():
+                found = best.get(program)
+                if found is None or order_key(summary) > order_key(found[0]):
+                    best[program] = (summary, holder)
+        logs = {}
+        for program, (summary, holder) in best.items():
+            records = self.read(partition, program, holder)
+            if records is None:
+                self.metrics.count_retry("takeover_read")
+                return None
+            program_log = ProgramLog(records)
+            for other, reply in sealed.items():
+                if reply.logs.get(program) == summary:
+                    program_log.matched[other] = len(records)
+            logs[program] = program_log
+        return logs
+
+    def seal(self, partition: OwnedPartition, owner_gone: bool) -> dict[str, SealReply]:
+        """Return the replies of enough holders to meet every kept record."""
+        sealed: dict[str, SealReply] = {}
+        record = partition.record
+        started = self.clock.monotonic()
+        while not partition.is_lost:
+            for holder in record.holders:
+                if holder not in sealed:
+                    reply = self.seal_one(partition, holder, owner_gone)
+                    if reply is not None:
+                        sealed[holder] = reply
+            waited = self.clock.monotonic() - started
+            is_enough = len(sealed) >= record.seals_needed
+            if len(sealed) == len(record.holders):
+                break
+            if is_enough and waited >= SEAL_WAIT_SECONDS:
+                break
+            eventlet.sleep(SEAL_RETRY_SECONDS)
+        return sealed
+
+    def seal_one(
+        self, partition: OwnedPartition, holder: str, owner_gone: bool
+    ) -> SealReply | None:
+        """Seal the copies of one holder; None when it did not."""
+        request = SealRequest(
+            holder=holder,
+            partition=partition.name,
+            epoch=partition.epoch,
+            owner_gone=owner_gone,
+        )
+        if holder == self.holder.name:
+            reply = self.holder.on_seal(request)
+        else:
+            box = self.view.find_holder(holder)
+            if box is None:
+                return None
+            try:
+                reply = self.client.send(box.peer_address, "seal", request, SealReply)
+            except PeerError:
+                return None
+        if reply.refused == "higher epoch":
+            partition.lose()
+        return reply if reply.refused is None else None
+
+    def read(
+        self, partition: OwnedPartition, program: str, holder: str
+    ) -> tuple[HeldRecord, ...] | None:
+        """Return the records of one program; None when the holder is gone."""
+        if holder == self.holder.name:
+            return self.holder.read(partition.name, program)
+        request = ReadRequest(holder=holder, partition=partition.name, program=program)
+        for _ in range(READ_ATTEMPTS):
+            box = self.view.find_holder(holder)
+            if box is None or partition.is_lost:
+                return None
+            try:
+                reply = self.client.send(box.peer_address, "read", request, ReadReply)
+                return reply.records
+            except PeerError:
+                eventlet.sleep(SEAL_RETRY_SECONDS)
+        return None
+
+
+def order_key(summary: LogSummary) -> tuple[int, int]:
+    """Return how two logs compare: the later last epoch, then the longer."""
+    return (summary.last_epoch, summary.length)
--- a/src/cedarchute/programs/call_runner.py
+++ b/src/cedarchute/programs/call_runner.py
@@ -14,8 +14,8 @@
 from cedarchute.operators.site_file import ServiceKind
 from cedarchute.problem import Problem
 from cedarchute.programs.call_run import CallRun
-from cedarchute.programs.dispatcher import Dispatch
-from cedarchute.programs.records import CallFinished, CallIntended, TakenOver
+from cedarchute.programs.dispatch import Dispatch
+from cedarchute.programs.records import CallFinished, CallIntended
 from cedarchute.targets.target_error import TargetError
 from cedarchute.verdict import Verdict
 
@@ -25,7 +25,6 @@
     from cedarchute.metrics import Metrics
     from cedarchute.operators.configuration import Configuration
     from cedarchute.operators.site_file import ServiceSection
-    from cedarchute.programs.call_entry import CallEntry
     from cedarchute.programs.dispatcher import Dispatcher
     from cedarchute.programs.home import ProgramHome
     from cedarchute.programs.program import Program
@@ -37,17 +36,10 @@
 
 
 class CallRunner:
-    """Accepts calls, runs each once, and keeps the answers.
-
-    Parameters
-    ----------
-    box : str
-        The identity of this box, written into the records of a takeover.
-    """
+    """Accepts calls, runs each once, and keeps the answers."""
 
     def __init__(
         self,
-        box: str,
         home: ProgramHome,
         dispatcher: Dispatcher,
         limits: WorkspaceLimits,
@@ -55,7 +47,6 @@
         clock: Clock,
         metrics: Metrics,
     ) -> None:
-        self.box = box
         self.home = home
         self.dispatcher = dispatcher
         self.limits = limits
@@ -304,56 +295,3 @@
             self.dispatcher.engines.cancel(target.section.address, request_id)
         except TargetError as error:
             log.info("Cancel of %s not confirmed: %s.", request_id, error)
-
-    def adopt(self, program: Program) -> None:
-        """Go on with a program that this box has taken over.
-
-        An open call that may not be repeated is never sent again: its caller gets
-        ``may have run``. A model's stream is read on at the engine.
-        """
-        self.in_progress += 1
-        runs = {}
-        for entry in program.open_calls:
-            run = CallRun(entry.key, entry.digest, entry.attempt)
-            runs[entry.key] = program.runs[entry.key] = run
-        try:
-            with program.order:
-                self.home.append_surely(program, [TakenOver(owner=self.box)])
-                program.is_ready = True
-                for entry in list(program.open_calls):
-                    self.finish_adopted(program, entry, runs[entry.key])
-        except (Problem, PartitionMovedError) as error:
-            log.info("Takeover of %s interrupted: %s.", program.id, error)
-            for run in runs.values():
-                run.move()
-        finally:
-            self.in_progress -= 1
-            for key in runs:
-                program.runs.pop(key, None)
-        if program.ended is not None:
-            for listener in self.home.ended_listeners:
-                listener(program)
-
-    def finish_adopted(self, program: Program, entry: CallEntry, run: CallRun) -> None:
-        """Bring one open call of a program taken over to its outcome."""
-        if entry.kind is ServiceKind.PLAIN and not entry.repeatable:
-            self.metrics.count("takeover.may_have_run")
-            outcome = CallFinished(
-                key=entry.key,
-                verdict=Verdict.MAY_HAVE_RUN,
-                status=502,
-                finish_reason="error",
-                tokens=entry.reserved_tokens,
-                code="outcome_unknown",
-                detail="The box that sent the call was lost before its outcome was "
-                "kept; the call may have run and is not sent again.",
-            )
-        else:
-            intent = program.read_intent(entry)
-            call = Dispatch(program, intent, entry, run)
-            is_model = entry.kind is ServiceKind.MODEL
-            outcome = self.dispatcher.dispatch(
-                call, is_resumed=is_model, may_have_run=True
-            )
-        self.home.append_surely(program, [outcome])
-        run.finish(outcome)
--- /dev/null
+++ b/src/cedarchute/programs/dispatch.py
@@ -0,0 +1,27 @@
+"""A call on its way to its target."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from cedarchute.programs.call_entry import CallEntry
+    from cedarchute.programs.call_run import CallRun
+    from cedarchute.programs.program import Program
+    from cedarchute.programs.records import CallIntended
+
+
+@dataclass(frozen=True)
+class Dispatch:
+    """A call on its way: its program, its intent, its state and its run."""
+
+    program: Program
+    intent: CallIntended
+    entry: CallEntry
+    run: CallRun
+
+    @property
+    def request_id(self) -> str:
+        """The id under which the target knows this attempt."""
+        return f"{self.program.id}:{self.intent.key}:{self.entry.attempt}"
--- a/src/cedarchute/programs/dispatcher.py
+++ b/src/cedarchute/programs/dispatcher.py
@@ -2,16 +2,14 @@
 
 from __future__ import annotations
 
-import hashlib
 import logging
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
 from cedarchute.operators.site_file import Policy, ServiceKind
 from cedarchute.problem import Problem
 from cedarchute.programs.records import CallFinished, CallRetargeted
 from cedarchute.scheduling.order import ProgramStanding, priority_of
-from cedarchute.scheduling.placement import PlacementRequest
+from cedarchute.scheduling.placement import PlacementRequest, digest_prefix
 from cedarchute.targets.generate_request import GenerateRequest
 from cedarchute.targets.stream_piece import StreamEnd, StreamPiece
 from cedarchute.targets.target_error import TargetError
@@ -26,10 +24,9 @@
     from cedarchute.limits.retry_allowance import RetryAllowance
     from cedarchute.metrics import Metrics
     from cedarchute.operators.configuration import Configuration
-    from cedarchute.programs.call_entry import CallEntry
-    from cedarchute.programs.call_run import CallRun
+    from cedarchute.programs.dispatch import Dispatch
     from cedarchute.programs.program import Program
-    from cedarchute.programs.records import CallIntended, ChatMessage, ProgramRecord
+    from cedarchute.programs.records import ChatMessage, ProgramRecord
     from cedarchute.scheduling.placement import PlacementPolicy
     from cedarchute.scheduling.target_book import TargetBook
     from cedarchute.scheduling.target_state import TargetState
@@ -48,21 +45,6 @@
 }
 
 
-@dataclass(frozen=True)
-class Dispatch:
-    """A call on its way: its program, its intent, its state and its run."""
-
-    program: Program
-    intent: CallIntended
-    entry: CallEntry
-    run: CallRun
-
-    @property
-    def request_id(self) -> str:
-        """The id under which the target knows this attempt."""
-        return f"{self.program.id}:{self.intent.key}:{self.entry.attempt}"
-
-
 class Dispatcher:
     """Chooses targets and carries calls out, one attempt after the other."""
 
@@ -339,8 +321,3 @@
             code=error.reason,
             detail=f"{call.entry.target}: {error.detail}",
         )
-
-
-def digest_prefix(text: str) -> str:
-    """Return a short digest of a first message."""
-    return hashlib.blake2b(text.encode(), digest_size=8).hexdigest()
--- a/src/cedarchute/scheduling/placement.py
+++ b/src/cedarchute/scheduling/placement.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Protocol
 
@@ -51,3 +52,8 @@
     ) -> TargetState:
         """Return the target that the call goes to."""
         ...
+
+
+def digest_prefix(text: str) -> str:
+    """Return a short digest of a first message."""
+    return hashlib.blake2b(text.encode(), digest_size=8).hexdigest()
--- a/src/experiments/mutations.py
+++ b/src/experiments/mutations.py
@@ -9,6 +9,7 @@
     "tests/stateful/test_programs_machine.py::"
     "test_any_order_of_calls_failures_and_recoveries"
 )
+WRITE_AHEAD: Final = "tests/programs/test_write_ahead.py"
 KILLED: Final = "tests/failures/test_home_killed.py::"
 PAUSED: Final = "tests/failures/test_home_paused.py::"
 STOPPED: Final = "tests/failures/test_planned_stop.py::"
@@ -30,6 +31,20 @@
 
 
 MUTATIONS: Final = (
+    Mutation(
+        "the intent stands on holders before the call goes out",
+        "programs/call_runner.py",
+        "self.home.append(program, [intent])",
+        "self.home.note(program, intent)",
+        FUZZ,
+    ),
+    Mutation(
+        "the outcome stands on holders before the answer",
+        "copies/replicator.py",
+        ">= record.quorum:",
+        ">= 0:",
+        FUZZ,
+    ),
     Mutation(
         "holders refuse appends of old epochs",
         "copies/holder.py",
@@ -49,25 +64,25 @@
         "copies/replicator.py",
         "if self.is_fresh(partition):",
         "if True:",
-        FUZZ,
+        WRITE_AHEAD,
     ),
     Mutation(
         "the intent stands on holders before the call goes out",
         "programs/call_runner.py",
         "self.home.append(program, [intent])",
         "self.home.note(program, intent)",
-        FUZZ,
+        WRITE_AHEAD,
     ),
     Mutation(
         "the outcome stands on holders before the answer",
         "copies/replicator.py",
         ">= record.quorum:",
         ">= 0:",
-        FUZZ,
+        WRITE_AHEAD,
     ),
     Mutation(
         "an open call that may not repeat is not sent again",
-        "programs/call_runner.py",
+        "programs/adopter.py",
         "if entry.kind is ServiceKind.PLAIN and not entry.repeatable:",
         "if False:",
         KILLED + "test_an_open_call_that_may_not_repeat_is_not_sent_again",
@@ -95,7 +110,7 @@
     ),
     Mutation(
         "a stream is read on by the new home",
-        "programs/call_runner.py",
+        "programs/adopter.py",
         "is_resumed=is_model, may_have_run=True",
         "is_resumed=False, may_have_run=True",
         KILLED + "test_a_stream_survives_the_kill_of_its_home",
@@ -116,7 +131,7 @@
     ),
     Mutation(
         "whoever takes over releases what is owed",
-        "programs/call_runner.py",
+        "programs/adopter.py",
         "        if program.ended is not None:\n            for listener",
         "        if False:\n            for listener",
         "tests/programs/test_releaser.py",
@@ -144,7 +159,7 @@
     ),
     Mutation(
         "silence of the store is no sign that a box is gone",
-        "ownership/takeover.py",
+        "ownership/owner_check.py",
         "return known is None or not self.answers(known)",
         "return True",
         "tests/ownership/test_takeover.py",
--- a/tests/failures/test_home_paused.py
+++ b/tests/failures/test_home_paused.py
@@ -27,6 +27,10 @@
         assert count_ran(broken_site, "transfer-1", program, key) == 1
     keys = [call["key"] for call in caller.show(program)["calls"]]
     assert keys == ["pay", "next", "third"]
+    # The box that was paused is a home again, under a new number.
+    wait_until(lambda: broken_site.counter("box-1", "ownership.own_renamed"), "renamed")
+    broken_site.wait_boxes("box-1")
+    assert Caller([broken_site.callers["box-1"]]).open()
 
 
 def test_a_retry_at_another_box_while_the_first_is_paused_runs_once(broken_site):
--- a/tests/ownership/test_takeover.py
+++ b/tests/ownership/test_takeover.py
@@ -3,6 +3,9 @@
 import pytest
 from fake_world import FakeWorld
 
+from cedarchute.problem import Problem
+from cedarchute.programs.requests import OpenRequest
+
 
 @pytest.fixture
 def world():
@@ -17,11 +20,12 @@
     for box in world.boxes.values():
         for record in list(box.view.boxes.values()):
             box.view.drop_box(record.name, world.clock.monotonic())
-    world.clock.advance(100)
-    for box in list(world.boxes.values()):
-        for record in list(box.view.partitions.values()):
-            if box.takeover.may_take(record):
-                box.takeover.consider(record)
+    for _ in range(2):
+        world.clock.advance(100)
+        for box in list(world.boxes.values()):
+            for record in list(box.view.partitions.values()):
+                if box.takeover.may_take(record):
+                    box.takeover.consider(record)
     home = world.find_home(program)
     assert home is world.boxes[0]
     assert home.home.find(program).takeovers == 0
@@ -44,3 +48,26 @@
     world.store.lost_replies = 1
     world.settle()
     assert world.find_home(program).home.find(program).takeovers == 1
+
+
+def test_a_box_that_lost_its_partition_opens_programs_again(world):
+    first = world.open(0)
+    world.network.cut.add(world.boxes[0].port)
+    world.pass_lease()
+    world.settle()
+    second = world.open(0)
+    assert second is not None
+    assert world.find_home(second) is world.boxes[0]
+    assert world.find_home(first) is not world.boxes[0]
+
+
+def test_an_opening_at_a_box_that_was_cut_off_is_refused_as_not_run(world):
+    box = world.boxes[0]
+    world.open(0)
+    world.network.cut.add(box.port)
+    world.pass_lease()
+    world.network.cut.clear()
+    with pytest.raises(Problem) as refusal:
+        box.home.open(OpenRequest(workspace="members"))
+    assert refusal.value.verdict == "not run"
+    assert refusal.value.retry_after > 0
