--- a/src/cedarchute/scheduling/program_aware.py
+++ b/src/cedarchute/scheduling/program_aware.py
@@ -14,6 +14,7 @@
 
 DEFAULT_PREFILL_RATE: Final = 20_000.0
 DEFAULT_STEP_SECONDS: Final = 0.005
+DISPLACING_FACTOR: Final = 2.0
 NEAR_SECONDS: Final = 0.002
 CANDIDATES: Final = 4
 
@@ -24,13 +25,14 @@
     Parameters
     ----------
     latency_weight : float
-        1 counts only the delay of this call; 0 counts each token computed again
-        three times, so that a program stays with its cache for longer.
+        With 1, a token computed again counts twice: once for its delay, once for
+        the cached token that it displaces and that someone computes again. With
+        0 it counts four times, so that a program stays with its cache for longer.
     """
 
     def __init__(self, latency_weight: float, clock: Clock) -> None:
         self.clock = clock
-        self.waste_factor = 1.0 + 2.0 * (1.0 - latency_weight)
+        self.waste_factor = DISPLACING_FACTOR + 2.0 * (1.0 - latency_weight)
 
     def choose(
         self,
