--- a/src/cedarchute/daemon/main.py
+++ b/src/cedarchute/daemon/main.py
@@ -8,7 +8,7 @@
 # Addresses are IP numbers: without its resolver, eventlet takes 6 MB less.
 os.environ.setdefault("EVENTLET_NO_GREENDNS", "yes")
 # The users chose eventlet; its notice about its future is not news to them.
-warnings.filterwarnings("ignore", message=".*[Ee]ventlet.*", category=Warning)
+warnings.filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
 
 import eventlet
 
