Write the id of the request into the logs of entry and home

Ruled out: passing the id through every function that may log.

Change: the id is kept for each task; a filter of logging adds it, both formats show it, the answer carries it back. A call that runs on after its connection is gone keeps the id of the request that started it. Ids that could break a log line are replaced by new ones.

Conclusion: done; messages between boxes have no id, as before.

--- a/src/cedarchute/border/call_exchange.py
+++ b/src/cedarchute/border/call_exchange.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from cedarchute.programs.program_id import parse_partition
+from cedarchute.request_ids import REQUEST_ID_HEADER
 
 if TYPE_CHECKING:
     from cedarchute.programs.requests import CallRequest
@@ -59,7 +60,7 @@
         return {
             "Content-Type": "application/json",
             "Idempotency-Key": self.key,
-            "X-Request-Id": self.request_id,
+            REQUEST_ID_HEADER: self.request_id,
             "Last-Event-ID": f"{self.attempt}.{self.offset}",
         }
 
--- a/src/cedarchute/border/caller_app.py
+++ b/src/cedarchute/border/caller_app.py
@@ -10,14 +10,15 @@
 from cedarchute.border.call_problems import make_reroute_response
 from cedarchute.border.forwarder import HOPS_HEADER
 from cedarchute.border.reroute_error import RerouteError
-from cedarchute.border.web_app import (
-    REQUEST_ID_HEADER,
-    WebApp,
-    make_json_response,
-)
+from cedarchute.border.web_app import WebApp, make_json_response
 from cedarchute.copies.owned_partition import PartitionMovedError
 from cedarchute.problem import Problem
 from cedarchute.programs.requests import CallRequest, OpenRequest
+from cedarchute.request_ids import (
+    REQUEST_ID_HEADER,
+    current_request_id,
+    is_request_id,
+)
 from cedarchute.verdict import Verdict
 
 if TYPE_CHECKING:
@@ -176,7 +177,7 @@
             seconds=DEFAULT_SECONDS,
             is_stream=False,
             is_forwarded=HOPS_HEADER in request.headers,
-            request_id=self.request_id(request),
+            request_id=current_request_id(),
         )
         attempt, _, offset = request.headers.get("Last-Event-ID", "").partition(".")
         if attempt.isdigit() and offset.isdigit():
@@ -184,11 +185,13 @@
             exchange.offset = int(offset)
         return exchange
 
-    def request_id(self, request: Request) -> str:
+    def read_request_id(self, request: Request) -> str:
         """Return the caller's request id, or a new one."""
+        given = request.headers.get(REQUEST_ID_HEADER, "")
+        if is_request_id(given):
+            return given
         self.request_count += 1
-        new = f"{self.keeper.record.identity}-{self.request_count}"
-        return request.headers.get(REQUEST_ID_HEADER, new)
+        return f"{self.keeper.record.identity}-{self.request_count}"
 
     def read_key(self, key: str) -> str:
         """Return a checked key."""
@@ -229,7 +232,10 @@
                 request.method,
                 request.full_path.rstrip("?"),
                 request.get_data() or None,
-                {"Content-Type": "application/json"},
+                {
+                    "Content-Type": "application/json",
+                    REQUEST_ID_HEADER: current_request_id(),
+                },
                 SHORT_SECONDS,
             )
         except RerouteError as error:
--- a/src/cedarchute/border/web_app.py
+++ b/src/cedarchute/border/web_app.py
@@ -15,6 +15,7 @@
 from cedarchute.ini import IniError
 from cedarchute.message import Message
 from cedarchute.problem import PROBLEM_TYPE, Problem
+from cedarchute.request_ids import REQUEST_ID_HEADER, set_request_id
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -26,7 +27,6 @@
 MessageT = TypeVar("MessageT", bound=Message)
 
 JSON_TYPE: Final = "application/json"
-REQUEST_ID_HEADER: Final = "X-Request-Id"
 
 
 class WebApp:
@@ -52,6 +52,9 @@
         environ["eventlet.minimum_write_chunk_size"] = 0
         request = Request(environ)
         request.max_content_length = self.max_body_bytes
+        request_id = self.read_request_id(request)
+        # A connection serves one request after the other in the same task.
+        set_request_id(request_id)
         try:
             endpoint, values = self.rules.bind_to_environ(environ).match()
             response = self.handlers[endpoint](request, **values)
@@ -75,8 +78,15 @@
             log.exception("Request %s %s failed.", request.method, request.path)
             problem = Problem("internal", "The system failed; ask again.", status=500)
             response = make_problem_response(problem)
+        if request_id:
+            response.headers[REQUEST_ID_HEADER] = request_id
         return response(environ, start_response)
 
+    def read_request_id(self, request: Request) -> str:
+        """Return the id of a request for the logs; empty for those between boxes."""
+        del request
+        return ""
+
     def read_message(self, request: Request, model: type[MessageT]) -> MessageT:
         """Return the checked body of a request.
 
--- a/src/cedarchute/daemon/logs.py
+++ b/src/cedarchute/daemon/logs.py
@@ -7,11 +7,13 @@
 import sys
 from typing import Final
 
+from cedarchute.request_ids import RequestIdFilter
+
 PREFIX: Final = "cedarchute."
 
 
 class TextFormatter(logging.Formatter):
-    """Formats as ``time level part: sentence``."""
+    """Formats as ``time level part: sentence``, with the request at the end."""
 
     def __init__(self) -> None:
         super().__init__("%(asctime)s %(levelname).1s %(part)s: %(message)s")
@@ -19,7 +21,9 @@
     def format(self, record: logging.LogRecord) -> str:
         """Return one line."""
         record.part = record.name.removeprefix(PREFIX)
-        return super().format(record)
+        line = super().format(record)
+        request_id = getattr(record, "request_id", "")
+        return f"{line} [request {request_id}]" if request_id else line
 
 
 class JsonFormatter(logging.Formatter):
@@ -33,6 +37,8 @@
             "part": record.name.removeprefix(PREFIX),
             "message": record.getMessage(),
         }
+        if request_id := getattr(record, "request_id", ""):
+            document["request_id"] = request_id
         if record.exc_info:
             document["exception"] = self.formatException(record.exc_info)
         return json.dumps(document)
@@ -41,6 +47,7 @@
 def set_up_logs(form: str, level: str) -> None:
     """Send logs to standard error in the given form."""
     handler = logging.StreamHandler(sys.stderr)
+    handler.addFilter(RequestIdFilter())
     handler.setFormatter(JsonFormatter() if form == "json" else TextFormatter())
     root = logging.getLogger("cedarchute")
     root.handlers = [handler]
--- a/src/cedarchute/programs/call_run.py
+++ b/src/cedarchute/programs/call_run.py
@@ -27,6 +27,8 @@
         The pieces of the text, and the length of the text after each of them.
     deadline : float
         Wall clock time after which the call is not started any more.
+    request_id : str
+        Of the request that started it, for the logs.
     """
 
     def __init__(
@@ -35,6 +37,7 @@
         self.key = key
         self.digest = digest
         self.deadline = deadline
+        self.request_id = ""
         self.attempt = attempt
         self.parts: list[str] = []
         self.ends: list[int] = []
--- a/src/cedarchute/programs/call_runner.py
+++ b/src/cedarchute/programs/call_runner.py
@@ -16,6 +16,7 @@
 from cedarchute.programs.call_run import CallRun
 from cedarchute.programs.dispatch import Dispatch
 from cedarchute.programs.records import CallFinished, CallIntended
+from cedarchute.request_ids import current_request_id, set_request_id
 from cedarchute.targets.target_error import TargetError
 from cedarchute.verdict import Verdict
 
@@ -83,6 +84,7 @@
         seconds = request.deadline_seconds or service.timeout_seconds
         run = CallRun(key, request.digest, deadline=self.clock.wall() + seconds)
         program.runs[key] = run
+        run.request_id = current_request_id()
         eventlet.spawn_n(self.run, program, run, request, service)
         return run
 
@@ -152,6 +154,7 @@
     ) -> None:
         """Run one call when its turn comes; the run tells how it ended."""
         self.in_progress += 1
+        set_request_id(run.request_id)
         try:
             with program.order:
                 outcome = self.run_in_turn(program, run, request, service)
--- a/tests/failures/test_targets.py
+++ b/tests/failures/test_targets.py
@@ -103,3 +103,18 @@
     later = caller.call(program, "pay", service="transfer", body={"a": 1})
     assert later.document["verdict"] == "ran"
     assert count_ran(broken_site, "transfer-1", program, "pay") == 1
+
+
+def test_a_failure_is_found_in_the_logs_by_the_id_of_its_request(broken_site):
+    program, caller = open_at(broken_site, "box-1")
+    broken_site.switch_target("transfer-1", fail_after_effect=1)
+    reply = caller.http.request(
+        "POST",
+        broken_site.callers["box-2"],
+        f"/v1/programs/{program}/calls",
+        {"service": "transfer", "body": {"a": 1}},
+        {"Idempotency-Key": "pay", "X-Request-Id": "teller-7"},
+    )
+    assert reply.headers["x-request-id"] == "teller-7"
+    lines = broken_site.processes["box-1"].log_path.read_text().splitlines()
+    assert any("failed" in line and "[request teller-7]" in line for line in lines)
