Cut and slow single links between processes; listen apart from the address told

Change: a stand-in for a link passes bytes on, slowly or not at all; a cut one says nothing, as a partition does. A box may listen elsewhere than at the address that others are told (caller_listen, peer_listen), which a link before a box needs and translated addresses too.

--- a/src/cedarchute/daemon/listeners.py
+++ b/src/cedarchute/daemon/listeners.py
@@ -38,11 +38,22 @@
         Names the key whose address is taken or not of this box.
     """
     return Listeners(
-        caller=open_listener(box.caller_address, f"{file}: [box] caller_address"),
-        peer=open_listener(box.peer_address, f"{file}: [box] peer_address"),
+        caller=open_first(
+            {"caller_listen": box.caller_listen, "caller_address": box.caller_address},
+            file,
+        ),
+        peer=open_first(
+            {"peer_listen": box.peer_listen, "peer_address": box.peer_address}, file
+        ),
     )
 
 
+def open_first(addresses: dict[str, Address | None], file: str) -> Any:
+    """Listen on the first address that is given, by its key in ``[box]``."""
+    key, address = next((k, a) for k, a in addresses.items() if a is not None)
+    return open_listener(address, f"{file}: [box] {key}")
+
+
 def open_listener(address: Address, place: str) -> Any:
     """Listen on one address; two daemons must never share a port."""
     try:
--- a/src/cedarchute/settings/box_settings.py
+++ b/src/cedarchute/settings/box_settings.py
@@ -11,13 +11,20 @@
 
 
 class BoxSection(Message):
-    """``[box]``: who this box is and where it listens."""
+    """``[box]``: who this box is and where it listens.
+
+    Others are told `caller_address` and `peer_address`. The box listens there too,
+    unless `caller_listen` or `peer_listen` say otherwise, as behind a translation
+    of addresses.
+    """
 
     name: Name
     failure_domain: Name
     region: Name = "region"
     caller_address: AddressField
     peer_address: AddressField
+    caller_listen: AddressField | None = None
+    peer_listen: AddressField | None = None
     data_folder: Path | None = None
 
 
--- a/src/experiments/local_site.py
+++ b/src/experiments/local_site.py
@@ -75,6 +75,7 @@
         self.targets: dict[str, Target] = {}
         self.services: dict[str, dict[str, str]] = {}
         self.platform: dict[str, str] = {}
+        self.links: dict[str, str] = {}
         self.store_port = 0
 
     def __enter__(self) -> LocalSite:
@@ -161,7 +162,9 @@
 
         wait_until(answers, f"{address} answers")
 
-    def write_settings(self, name: str, failure_domain: str, **extra: str) -> Path:
+    def write_settings(
+        self, name: str, failure_domain: str, store: str = "", **extra: str
+    ) -> Path:
         """Write the settings of a box and return their file."""
         timing = self.timing
         self.callers.setdefault(name, f"{HOST}:{find_free_port()}")
@@ -174,7 +177,7 @@
             f"peer_address = {self.peers[name]}",
             *(f"{key} = {value}" for key, value in extra.items()),
             "[platform]",
-            f"store = {self.store}",
+            f"store = {store or self.store}",
             *(f"{key} = {value}" for key, value in self.platform.items()),
             "[membership]",
             f"lease_seconds = {timing.lease_seconds}",
@@ -199,6 +202,32 @@
         path.write_text("\n".join(lines) + "\n")
         return path
 
+    def start_link(self, name: str, to_port: int) -> int:
+        """Start a link to a port of this machine; return the port before it."""
+        port, link_port = find_free_port(), find_free_port()
+        arguments = ["-m", "standins.link", "--port", str(port)]
+        arguments += ["--link_port", str(link_port), "--to_port", str(to_port)]
+        self.add(name, arguments)
+        self.links[name] = f"{HOST}:{port}"
+        self.wait_listening(self.links[name], "/")
+        return link_port
+
+    def switch_link(self, name: str, **switch: object) -> None:
+        """Cut a link, make it slow, or mend it."""
+        self.http.post(self.links[name], "/switch", switch)
+
+    def start_linked_box(self, name: str, failure_domain: str) -> None:
+        """Start a daemon behind links: others reach it, and it the store, by them."""
+        listen = find_free_port()
+        self.peers[name] = f"{HOST}:{self.start_link(f'{name}-peer', listen)}"
+        store = self.start_link(f"{name}-store", self.store_port)
+        self.start_box(
+            name,
+            failure_domain,
+            store=f"{HOST}:{store}",
+            peer_listen=f"{HOST}:{listen}",
+        )
+
     def start_box(self, name: str, failure_domain: str, **extra: str) -> Process:
         """Start a daemon."""
         path = self.write_settings(name, failure_domain, **extra)
@@ -275,11 +304,15 @@
 
     def read_holders(self) -> list[list[str]]:
         """Return the holders of each partition, as the store has them."""
+        return [record["holders"] for record in self.read_partitions()]
+
+    def read_partitions(self) -> list[dict[str, Any]]:
+        """Return the records of the partitions, as the store has them."""
         first = base64.b64encode(b"cedarchute/partitions/").decode()
         end = base64.b64encode(b"cedarchute/partitions0").decode()
         body = {"key": first, "range_end": end}
         found = self.http.post(self.store, "/v3/kv/range", body).document["kvs"]
-        return [json.loads(base64.b64decode(kv["value"]))["holders"] for kv in found]
+        return [json.loads(base64.b64decode(kv["value"])) for kv in found]
 
     def switch_store(self, **switch: object) -> None:
         """Bring about an outage of the store, or end it."""
--- a/tests/support.py
+++ b/tests/support.py
@@ -11,8 +11,12 @@
 DOMAINS: Final = ("domain-a", "domain-b", "domain-c")
 
 
-def start_site(folder, boxes=3, **options):
-    """Start a store, two engines, two plain services and some boxes."""
+def start_site(folder, boxes=3, linked=(), engine=None, **options):
+    """Start a store, two engines, two plain services and some boxes.
+
+    The boxes named in `linked` stand behind links that a test may cut; `engine` are
+    further options of the engines.
+    """
     site = LocalSite(folder, **options)
     site.services = {
         "agent": {"kind": "model", "model": "small"},
@@ -22,13 +26,15 @@
     try:
         site.start_store()
         # They serve what the file wants from the start: nothing is to be ordered.
-        served = {"model": "small", "version": ""}
+        served = {"model": "small", "version": "", **(engine or {})}
         site.start_engine("engine-1", "agent", DOMAINS[0], **served)
         site.start_engine("engine-2", "agent", DOMAINS[1], **served)
         site.start_service("transfer-1", "transfer", DOMAINS[0])
         site.start_service("balance-1", "balance", DOMAINS[1])
         for number in range(boxes):
-            site.start_box(f"box-{number + 1}", DOMAINS[number % len(DOMAINS)])
+            name, domain = f"box-{number + 1}", DOMAINS[number % len(DOMAINS)]
+            start = site.start_linked_box if name in linked else site.start_box
+            start(name, domain)
         site.wait_targets()
         if boxes == 0:
             return site
