Measure capacity by the best policy, tokens computed again without answers' blocks

Cause: loads were a share of what our own policy carried while it computed 0.4 of the tokens again, in windows shorter than the longest programs.

Ruled out: the driver as the limit (slots generated 489 of 666 tokens/s at most).

Change: capacity is the best of all policies with two programs a slot under way; windows of 40 s; 50% added; each cell tells the p95 of the same programs on idle engines and the slowdown against it.

--- a/src/experiments/bench.py
+++ b/src/experiments/bench.py
@@ -12,6 +12,7 @@
 import tempfile
 import threading
 import time
+from collections import Counter
 from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, Final
@@ -19,6 +20,7 @@
 import numpy as np
 from hdrh.histogram import HdrHistogram
 
+from cedarchute.scheduling.shared_name import is_shared_name
 from experiments.bench_report import write_report
 from experiments.http_json import HttpJson
 from experiments.load_run import LoadRun
@@ -28,15 +30,19 @@
 from experiments.scenario import load_scenario
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from experiments.load_run import LoadResult
+    from experiments.program_plan import ProgramPlan
     from experiments.scenario import Scenario
 
 FIGURES: Final = Path(__file__).parents[2] / "docs" / "figures"
 PAGE: Final = FIGURES.parent / "BENCH.md"
 POLICIES: Final = ("program_aware", "round_robin", "least_load", "sticky")
-LOADS: Final = (0.8, 1.0, 1.2)
 FAULTS: Final = ("box", "domain", "target", "store")
-UNDER_WAY: Final = 4
+UNDER_WAY: Final = 2
+BLOCK_TOKENS: Final = 16
+SETTLED_SHARE: Final = 0.4
 HISTOGRAM_MOST: Final = 600_000
 
 
@@ -83,18 +89,33 @@
         for name in site.targets:
             site.switch_target(name, flush=True)
 
-    def measure_capacity(self, site: LocalSite) -> None:
-        """Measure programs a second with many always under way."""
-        self.apply(site, "program_aware")
+    def measure_capacity(self, site: LocalSite, policies: Sequence[str]) -> None:
+        """Measure the most programs a second that any policy carries.
+
+        With some programs under way for each slot no slot waits for a pause. A
+        policy that computes much again carries less than the engines could, so the
+        best of all policies is what loads are a share of.
+        """
         slots = self.scenario.engines * int(self.scenario.engine["max_running"])
-        generator = np.random.default_rng(99)
-        plans = plan_programs(self.scenario, slots * 2, self.seconds, generator)
-        run = LoadRun(site, HttpJson())
-        result = run.run_closed(plans, slots * UNDER_WAY, self.seconds)
-        times = np.array(result.finished_at)
-        middle = (times > self.seconds * 0.4) & (times < self.seconds)
-        self.capacity = float(np.sum(middle)) / (self.seconds * 0.6)
-        print(f"{self.scenario.name}: capacity {self.capacity:.2f} programs/s")
+        for policy in policies:
+            self.apply(site, policy)
+            generator = np.random.default_rng(99)
+            plans = plan_programs(self.scenario, slots * 2, self.seconds, generator)
+            run = LoadRun(site, HttpJson(), self.idle_seconds)
+            result = run.run_closed(plans, slots * UNDER_WAY, self.seconds)
+            times = np.array(result.finished_at)
+            middle = (times > self.seconds * SETTLED_SHARE) & (times < self.seconds)
+            counted_seconds = self.seconds * (1.0 - SETTLED_SHARE)
+            carried = float(np.sum(middle)) / counted_seconds
+            self.capacity = max(self.capacity, carried)
+            print(f"{self.scenario.name}: {policy} carries {carried:.2f} programs/s")
+
+    def idle_seconds(self, plan: ProgramPlan) -> float:
+        """Return how long a program takes when nobody else is there."""
+        engine = self.scenario.engine
+        return plan.idle_seconds(
+            float(engine["step_seconds"]), int(engine["prefill_per_step"])
+        )
 
     def run_cell(
         self, site: LocalSite, policy: str, load: float, seed: int, fault: str = ""
@@ -108,7 +129,7 @@
         striker = threading.Timer(self.seconds / 2, strike, (site, fault))
         if fault:
             striker.start()
-        result = LoadRun(site, HttpJson()).run(plans)
+        result = LoadRun(site, HttpJson(), self.idle_seconds).run(plans)
         if fault:
             striker.join()
         cell = {
@@ -118,13 +139,15 @@
             "seed": seed,
             "fault": fault,
             "programs": len(plans),
+            "idle_p95": float(np.percentile([*map(self.idle_seconds, plans)], 95)),
             **summarise(result, self.seconds),
             **summarise_cache(site, before),
         }
         self.cells.append(cell)
         print(
             f"{self.scenario.name} {policy} load {load} seed {seed} {fault}: "
-            f"p50 {cell['p50']:.2f} p95 {cell['p95']:.2f} "
+            f"p50 {cell['p50']:.2f} p95 {cell['p95']:.2f} idle {cell['idle_p95']:.2f} "
+            f"slowdown {cell['slowdown_p50']:.2f} {cell['slowdown_p95']:.2f} "
             f"again {cell['computed_again']:.3f} finished {cell['finished']} "
             f"of {cell['programs']} refusals {cell['refusals']}",
             flush=True,
@@ -172,6 +195,8 @@
         "p50": histogram.get_value_at_percentile(50) / 1000,
         "p95": histogram.get_value_at_percentile(95) / 1000,
         "p99": histogram.get_value_at_percentile(99) / 1000,
+        "slowdown_p50": float(np.percentile(result.slowdowns, 50)),
+        "slowdown_p95": float(np.percentile(result.slowdowns, 95)),
         "goodput": len(in_time) / seconds,
         "refusals": dict(result.refusals),
         "lost": result.lost,
@@ -189,28 +214,41 @@
     """Return the figures of the engines' caches."""
     computed = 0
     distinct: set[str] = set()
-    held = 0
+    made: set[str] = set()
+    held: Counter[str] = Counter()
     after = read_counts(site)
     for name, counts in after.items():
         earlier = before.get(name, {}).get("computed_tokens", 0)
         computed += counts.get("computed_tokens", 0) - earlier
         address = site.target_address(name)
-        distinct.update(site.http.get(address, "/cache/seen")["blocks"])
-        held += sum(site.http.get(address, "/cache/held")["tokens"].values())
-    needed = len(distinct) * 16
+        blocks = site.http.get(address, "/cache/seen")
+        distinct.update(blocks["blocks"])
+        made.update(blocks["made"])
+        tokens = site.http.get(address, "/cache/held")["tokens"]
+        for holder, count in tokens.items():
+            held["shared" if is_shared_name(holder) else "programs"] += count
+    needed = len(distinct - made) * BLOCK_TOKENS
     again = max(0, computed - needed) / computed if computed else 0.0
-    return {"computed_tokens": computed, "computed_again": again, "held_after": held}
+    return {
+        "computed_tokens": computed,
+        "computed_again": again,
+        "held_after": held["programs"],
+        "held_shared": held["shared"],
+    }
 
 
 def run_scenario(name: str, arguments: argparse.Namespace) -> list[dict[str, Any]]:
     """Run every cell of one scenario."""
     folder = Path(tempfile.mkdtemp(prefix="cedarchute-bench-")) / "run"
     bench = Bench(load_scenario(name), folder, arguments.seconds)
+    policies = arguments.policies.split(",")
+    bench.capacity = arguments.capacity
     with bench.start() as site:
-        bench.measure_capacity(site)
+        if not bench.capacity:
+            bench.measure_capacity(site, policies)
         for seed in range(1, arguments.seeds + 1):
-            for load in LOADS:
-                for policy in arguments.policies.split(","):
+            for load in map(float, arguments.loads.split(",")):
+                for policy in policies:
                     bench.run_cell(site, policy, load, seed)
     if not arguments.no_faults:
         for fault in FAULTS:
@@ -225,7 +263,11 @@
     parser.add_argument("--scenarios", default="vanua,shrestha")
     parser.add_argument("--seeds", type=int, default=2)
     parser.add_argument("--policies", default=",".join(POLICIES))
-    parser.add_argument("--seconds", type=float, default=15.0)
+    parser.add_argument("--loads", default="0.5,0.8,1.0,1.2")
+    parser.add_argument("--seconds", type=float, default=40.0)
+    parser.add_argument(
+        "--capacity", type=float, default=0.0, help="programs a second; 0: measured"
+    )
     parser.add_argument("--no_faults", action="store_true")
     parser.add_argument("--output", default=str(FIGURES / "bench.json"))
     arguments = parser.parse_args()
--- a/src/experiments/demo.py
+++ b/src/experiments/demo.py
@@ -12,6 +12,7 @@
 from typing import Any, Final
 
 from cedarchute.cli.output import format_table
+from cedarchute.scheduling.shared_name import is_shared_name
 from experiments.caller import Caller
 from experiments.local_site import BoxTiming, LocalSite
 
@@ -134,12 +135,13 @@
 
 
 def read_held(site: LocalSite) -> int:
-    """Return the tokens that engines hold for ended programs: all of them."""
+    """Return the tokens that engines hold for programs, all of which have ended."""
     held = 0
     for name, target in site.targets.items():
         if target.service == "agent-llm":
             found = site.http.get(site.target_address(name), "/cache/held")
-            held += sum(found["tokens"].values())
+            tokens = found["tokens"].items()
+            held += sum(n for name, n in tokens if not is_shared_name(name))
     return held
 
 
--- a/src/experiments/load_run.py
+++ b/src/experiments/load_run.py
@@ -9,15 +9,15 @@
 from typing import TYPE_CHECKING, Final
 
 from experiments.caller import Caller
+from experiments.program_plan import SUB_AGENT_TOKENS
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
 
     from experiments.http_json import HttpJson
     from experiments.local_site import LocalSite
     from experiments.program_plan import ProgramPlan, TurnPlan
 
-SUB_AGENT_TOKENS: Final = 16
 DRAIN_SECONDS: Final = 40.0
 
 
@@ -26,6 +26,7 @@
     """What became of the programs of one run."""
 
     latencies: list[float] = field(default_factory=list)
+    slowdowns: list[float] = field(default_factory=list)
     finished_at: list[float] = field(default_factory=list)
     by_kind: dict[str, list[float]] = field(default_factory=dict)
     refusals: Counter[str] = field(default_factory=Counter)
@@ -39,9 +40,15 @@
 class LoadRun:
     """One thread for each program under way; arrivals do not wait for answers."""
 
-    def __init__(self, site: LocalSite, http: HttpJson) -> None:
+    def __init__(
+        self,
+        site: LocalSite,
+        http: HttpJson,
+        idle_seconds: Callable[[ProgramPlan], float],
+    ) -> None:
         self.site = site
         self.http = http
+        self.idle_seconds = idle_seconds
         self.result = LoadResult()
         self.lock = threading.Lock()
         self.started = 0.0
@@ -96,6 +103,8 @@
             now = time.monotonic()
             with self.lock:
                 self.result.latencies.append(now - arrived)
+                slowdown = (now - arrived) / self.idle_seconds(plan)
+                self.result.slowdowns.append(slowdown)
                 self.result.finished_at.append(now - self.started)
                 kind = self.result.by_kind.setdefault(plan.kind, [])
                 kind.append(now - arrived)
--- a/src/experiments/program_plan.py
+++ b/src/experiments/program_plan.py
@@ -2,14 +2,18 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 if TYPE_CHECKING:
     import numpy as np
 
     from experiments.scenario import Between, ProgramKind, Scenario
 
+CHARACTERS_PER_TOKEN: Final = 4
+SUB_AGENT_TOKENS: Final = 16
+
 
 @dataclass(frozen=True)
 class TurnPlan:
@@ -31,6 +35,28 @@
     shared_text: str
     turns: tuple[TurnPlan, ...]
 
+    def idle_seconds(self, step_seconds: float, prefill_per_step: int) -> float:
+        """Return how long the program takes on idle engines with all in cache.
+
+        Parameters
+        ----------
+        step_seconds : float
+            Length of an engine's step, which makes one token.
+        prefill_per_step : int
+            Tokens of a new prompt that a step computes.
+        """
+        steps = 0
+        pauses = 0.0
+        for turn in self.turns:
+            prefill = math.ceil(
+                len(turn.text) / CHARACTERS_PER_TOKEN / prefill_per_step
+            )
+            steps += prefill + turn.max_tokens
+            if turn.has_sub_agent:
+                steps += prefill + SUB_AGENT_TOKENS
+            pauses += turn.pause_seconds
+        return steps * step_seconds + pauses
+
 
 def draw(generator: np.random.Generator, between: Between) -> float:
     """Return a number of a range."""
--- a/src/standins/engine.py
+++ b/src/standins/engine.py
@@ -21,12 +21,13 @@
 import random
 import time
 from collections import Counter, OrderedDict, deque
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any, Final
 
 import urllib3
 from eventlet.event import Event
 
+from standins.prefix_cache import BLOCK_TOKENS, PrefixCache
+from standins.sequence import Sequence
 from standins.serving import StandIn, reply, stream
 
 if TYPE_CHECKING:
@@ -34,8 +35,6 @@
 
     from werkzeug.wrappers import Request, Response
 
-BLOCK_CHARACTERS: Final = 64
-BLOCK_TOKENS: Final = 16
 CHARACTERS_PER_TOKEN: Final = 4
 KEEP_STREAMS: Final = 2000
 
@@ -52,55 +51,17 @@
     return digest[start : start + 3] + " "
 
 
-def hash_blocks(text: str) -> list[bytes]:
-    """Return the chained hashes of the whole blocks of a text."""
-    hashes = []
-    previous = b""
-    for start in range(0, len(text) - BLOCK_CHARACTERS + 1, BLOCK_CHARACTERS):
-        block = text[start : start + BLOCK_CHARACTERS].encode()
-        previous = hashlib.blake2b(previous + block, digest_size=8).digest()
-        hashes.append(previous)
-    return hashes
-
-
-@dataclass
-class Sequence:
-    """One request in the engine."""
-
-    request_id: str
-    program: str
-    prompt: str
-    max_tokens: int
-    priority: int
-    seed: str
-    prompt_tokens: int = 0
-    to_prefill: int = 0
-    cached_tokens: int = 0
-    tokens: int = 0
-    finish_reason: str | None = None
-    arrived_at: float = field(default_factory=time.monotonic)
-    progress: Event = field(default_factory=Event)
-
-    def wake(self) -> None:
-        """Let the readers look again."""
-        event, self.progress = self.progress, Event()
-        event.send(None)
-
-
 class Engine(StandIn):
     """The engine and its HTTP interface."""
 
     def __init__(self, arguments: argparse.Namespace) -> None:
         super().__init__()
         self.arguments = arguments
-        self.random = random.Random(arguments.port)
         self.waiting: list[tuple[int, int, Sequence]] = []
         self.numbers = itertools.count()
         self.running: list[Sequence] = []
         self.sequences: OrderedDict[str, Sequence] = OrderedDict()
-        self.blocks: OrderedDict[bytes, set[str]] = OrderedDict()
-        self.seen: set[bytes] = set()
-        self.events: list[dict[str, Any]] = []
+        self.cache = PrefixCache(arguments.cache_tokens, random.Random(arguments.port))
         self.counts: Counter[str] = Counter()
         self.reports: deque[tuple[float, dict[str, Any]]] = deque()
         self.order: dict[str, Any] = {
@@ -162,8 +123,7 @@
                 prefill -= done
                 self.counts["computed_tokens"] += done
                 if sequence.to_prefill == 0:
-                    self.keep(sequence.prompt, sequence.program)
-                    self.seen.update(hash_blocks(sequence.prompt))
+                    self.cache.keep_prompt(sequence.prompt, sequence.program)
                 continue
             sequence.tokens += 1
             self.counts["generated_tokens"] += 1
@@ -174,13 +134,7 @@
 
     def admit(self, sequence: Sequence) -> None:
         """Start a request: find what of its prompt is cached."""
-        cached = 0
-        for block in hash_blocks(sequence.prompt):
-            if block not in self.blocks:
-                break
-            self.blocks.move_to_end(block)
-            self.blocks[block].add(sequence.program)
-            cached += BLOCK_TOKENS
+        cached = self.cache.match(sequence.prompt, sequence.program)
         sequence.cached_tokens = min(cached, sequence.prompt_tokens - 1)
         sequence.to_prefill = sequence.prompt_tokens - sequence.cached_tokens
         self.counts["cached_tokens"] += sequence.cached_tokens
@@ -192,39 +146,9 @@
         if sequence in self.running:
             self.running.remove(sequence)
         answer = self.answer(sequence, 0)
-        self.keep(f"{sequence.prompt}assistant\n{answer}\n", sequence.program)
+        self.cache.keep_answer(sequence.prompt, answer, sequence.program)
         sequence.wake()
 
-    def keep(self, text: str, program: str) -> None:
-        """Put the blocks of a text into the cache; drop the oldest ones."""
-        for block in hash_blocks(text):
-            if block not in self.blocks:
-                self.blocks[block] = set()
-                self.add_event("stored", block, program)
-            self.blocks[block].add(program)
-            self.blocks.move_to_end(block)
-        most = self.arguments.cache_tokens // BLOCK_TOKENS
-        while len(self.blocks) > most:
-            block, _ = self.blocks.popitem(last=False)
-            self.counts["evicted_blocks"] += 1
-            self.add_event("removed", block, program)
-
-    def add_event(self, kind: str, block: bytes, program: str) -> None:
-        """Note a cache event; one in a hundred is lost."""
-        if self.random.random() < 0.01:
-            return
-        self.events.append(
-            {
-                "number": len(self.events),
-                "kind": kind,
-                "block": block.hex(),
-                "program": program,
-                "at": time.monotonic(),
-            }
-        )
-        if len(self.events) > 50_000:
-            del self.events[:25_000]
-
     def answer(self, sequence: Sequence, offset: int) -> str:
         """Return the text of an answer from `offset` characters on."""
         first = offset // CHARACTERS_PER_TOKEN
@@ -328,9 +252,10 @@
             "waiting_tokens": sum(s.prompt_tokens for s in waiting)
             + sum(s.to_prefill for s in self.running),
             "prefill_tokens_per_second": self.arguments.prefill_per_step / step,
+            "import_tokens_per_second": self.arguments.import_tokens_per_second,
             "step_seconds": step,
             "cache_tokens": self.arguments.cache_tokens,
-            "cache_used_tokens": len(self.blocks) * BLOCK_TOKENS,
+            "cache_used_tokens": self.cache.used_tokens,
             "leaving": self.leaving,
             "role": self.role,
             **self.order,
@@ -352,44 +277,40 @@
         """Free what only one program needs."""
         program = request.get_json(force=True)["program"]
         self.counts["released"] += 1
-        for block, programs in list(self.blocks.items()):
-            if program in programs:
-                programs.discard(program)
-                if not programs:
-                    del self.blocks[block]
-                    self.add_event("removed", block, program)
+        self.cache.release(program)
         return reply({})
 
     def on_held(self, request: Request) -> Response:
         """Say which programs hold cache, and how much."""
-        held: Counter[str] = Counter()
-        for programs in self.blocks.values():
-            for program in programs:
-                held[program] += BLOCK_TOKENS
+        held = self.cache.count_held()
         return reply({"programs": sorted(held), "tokens": dict(held)})
 
     def on_seen(self, request: Request) -> Response:
-        """Say which blocks were ever in a prompt, to find what was needed."""
-        return reply({"blocks": [block.hex() for block in self.seen]})
+        """Say which blocks were ever in a prompt, and which an answer made.
+
+        A block that an answer made was not computed from a prompt the first time.
+        """
+        seen = [block.hex() for block in self.cache.seen]
+        made = [block.hex() for block in self.cache.made]
+        return reply({"blocks": seen, "made": made})
 
     def on_events(self, request: Request) -> Response:
         """Give cache events after a number, late."""
         after = int(request.args.get("after", -1))
         ripe = time.monotonic() - self.arguments.report_lag
-        found = [e for e in self.events if e["number"] > after and e["at"] <= ripe]
-        return reply({"events": found[:1000]})
+        return reply({"events": self.cache.events_after(after, ripe)})
 
     def on_export(self, request: Request) -> Response:
         """Give the blocks of a program, for another engine to import."""
         program = request.get_json(force=True)["program"]
-        blocks = [b.hex() for b, programs in self.blocks.items() if program in programs]
-        return reply({"program": program, "blocks": blocks})
+        return reply({"program": program, "blocks": self.cache.blocks_of(program)})
 
     def on_import(self, request: Request) -> Response:
         """Take in the blocks of a program."""
         body = request.get_json(force=True)
-        for block in body["blocks"]:
-            self.blocks.setdefault(bytes.fromhex(block), set()).add(body["program"])
+        tokens = len(body["blocks"]) * BLOCK_TOKENS
+        eventlet.sleep(tokens / max(1.0, self.arguments.import_tokens_per_second))
+        self.cache.take_in(body["blocks"], body["program"])
         self.counts["imported_tokens"] += len(body["blocks"]) * BLOCK_TOKENS
         return reply({})
 
@@ -429,7 +350,7 @@
 
     def on_counts(self, request: Request) -> Response:
         """Say what was done so far."""
-        return reply(dict(self.counts))
+        return reply({**self.counts, "evicted_blocks": self.cache.evicted})
 
     def on_switch(self, request: Request) -> Response:
         """Make the engine leave, stall or forget its streams."""
@@ -439,8 +360,7 @@
         if body.get("forget_streams"):
             self.sequences.clear()
         if body.get("flush"):
-            self.blocks.clear()
-            self.seen.clear()
+            self.cache.flush()
         return reply({})
 
 
@@ -455,6 +375,7 @@
     parser.add_argument("--max_running", type=int, default=16)
     parser.add_argument("--max_waiting", type=int, default=256)
     parser.add_argument("--prefill_per_step", type=int, default=100)
+    parser.add_argument("--import_tokens_per_second", type=float, default=0.0)
     parser.add_argument("--cache_tokens", type=int, default=65_536)
     parser.add_argument("--report_lag", type=float, default=0.3)
     parser.add_argument("--load_model_seconds", type=float, default=0.0)
