Meet on shared beginnings, hold them past their programs, move caches

Cause: a shared source text was recognised only when the whole first message was the same, which it never is; so programs with one text were spread, each engine computed it, and it was freed whenever the last program with it ended. Programs left their cache although only younger ones waited before them, and under load each move made the others wait.

Ruled out: telling boxes of each other's placements (messages for each program), the engines' cache events (thousands of blocks a second at the two-year size).

Change: chained digests of the first 4,096 tokens find how far prompts agree; every box ranks the targets by the first chunk alike, so programs meet without a word. The queue that counts is what goes before the call; computing again costs more while requests wait; a new program weighs a crowded engine for its later calls too. Cache that another engine has, a leaving one included, is exported and imported where that beats computing. The dispatcher is split in three; the unused hint of pauses is gone. Ranks are remembered, and the boxes that order are found once a pass instead of once a target.

--- a/src/cedarchute/daemon/composition.py
+++ b/src/cedarchute/daemon/composition.py
@@ -48,15 +48,20 @@
 from cedarchute.platform.box_list import BoxListWatcher
 from cedarchute.platform.store_client import StoreClient
 from cedarchute.programs.adopter import Adopter
+from cedarchute.programs.cache_mover import CacheMover
 from cedarchute.programs.cache_sweeper import CacheSweeper, LivesRequest
 from cedarchute.programs.call_runner import CallRunner
 from cedarchute.programs.dispatcher import Dispatcher
 from cedarchute.programs.home import ProgramHome
+from cedarchute.programs.model_caller import ModelCaller
 from cedarchute.programs.reaper import Reaper
 from cedarchute.programs.releaser import Releaser
+from cedarchute.programs.target_chooser import TargetChooser
 from cedarchute.scheduling.admission import Admission
 from cedarchute.scheduling.load_poller import LoadPoller
 from cedarchute.scheduling.policies import PolicyChoice
+from cedarchute.scheduling.prefix_index import PrefixIndex
+from cedarchute.scheduling.shared_holds import SharedHolds
 from cedarchute.scheduling.target_book import TargetBook
 from cedarchute.targets.engine_client import EngineClient
 from cedarchute.targets.orders.order_keeper import OrderKeeper
@@ -136,7 +141,15 @@
     poller = LoadPoller(
         book, configuration, engines, settings.serving.load_seconds, random_source
     )
-    policies = PolicyChoice(clock)
+    prefix_index = PrefixIndex(clock)
+    policies = PolicyChoice(prefix_index, clock)
+    shared_holds = SharedHolds(
+        engines,
+        prefix_index,
+        lambda: configuration.site.site.hold_shared_seconds,
+        clock,
+        metrics,
+    )
     allowance = RetryAllowance(0.1)
     limits = WorkspaceLimits(
         configuration, lambda: len(view.entries), clock, random_source, metrics
@@ -154,18 +167,19 @@
     partitions = PartitionKeeper(
         store, keys, view, keeper, replicator, home, settings.copies, clock, metrics
     )
+    chooser = TargetChooser(
+        book, policies.current, configuration, box.failure_domain, clock, random_source
+    )
     dispatcher = Dispatcher(
         book,
-        policies.current,
-        engines,
+        chooser,
+        ModelCaller(engines, prefix_index, shared_holds, configuration, clock, metrics),
+        CacheMover(engines, book, prefix_index, configuration, metrics),
         ServiceClient(),
         replicator,
         home.append,
         allowance,
-        configuration,
-        box.failure_domain,
         clock,
-        random_source,
         metrics,
     )
     runner = CallRunner(home, dispatcher, limits, configuration, clock, metrics)
@@ -182,6 +196,7 @@
         engines,
         client,
         settings.serving.sweep_seconds,
+        clock,
         metrics,
     )
     check = OwnerCheck(view, keeper, holder, client, takeover_seconds, clock, metrics)
--- a/src/cedarchute/membership/view.py
+++ b/src/cedarchute/membership/view.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+from functools import lru_cache
 from typing import TYPE_CHECKING, Final
 
 from cedarchute.membership.partition_record import PartitionRecord
@@ -14,8 +15,10 @@
     from cedarchute.platform.store_entry import StoreEntry
 
 REFUSALS_NEEDED: Final = 2
+RANKS_KEPT: Final = 2048
 
 
+@lru_cache(maxsize=RANKS_KEPT)
 def rank(*parts: str) -> int:
     """Return a number that every box computes alike for the same parts."""
     digest = hashlib.blake2b("|".join(parts).encode(), digest_size=8).digest()
--- a/src/cedarchute/operators/site_file.py
+++ b/src/cedarchute/operators/site_file.py
@@ -50,6 +50,7 @@
     order: Order = Order.OLDEST
     latency_weight: float = Field(default=0.5, ge=0, le=1)
     retry_allowance: float = Field(default=0.1, ge=0, le=1)
+    hold_shared_seconds: int = Field(default=30, ge=0, le=3600)
     admit_backlog: float = Field(default=3.0, ge=0)
     loads_at_once: int = Field(default=2, ge=1)
 
@@ -93,6 +94,11 @@
     targets: dict[str, TargetSection] = {}
     workspaces: dict[str, WorkspaceSection] = {}
 
+    @property
+    def is_program_aware(self) -> bool:
+        """Whether calls are ordered and placed by their programs."""
+        return self.site.policy is Policy.PROGRAM_AWARE
+
     def targets_of(self, service: str) -> dict[str, TargetSection]:
         """Return the targets of one service by name."""
         return {n: t for n, t in self.targets.items() if t.service == service}
--- a/src/cedarchute/programs/cache_sweeper.py
+++ b/src/cedarchute/programs/cache_sweeper.py
@@ -12,9 +12,11 @@
 from cedarchute.peers.peer_client import PeerError
 from cedarchute.problem import Problem
 from cedarchute.programs.program_id import parse_partition
+from cedarchute.scheduling.shared_name import is_shared_name, is_shared_name_over
 from cedarchute.targets.target_error import TargetError
 
 if TYPE_CHECKING:
+    from cedarchute.clock import Clock
     from cedarchute.membership.view import View
     from cedarchute.metrics import Metrics
     from cedarchute.peers.peer_client import PeerClient
@@ -58,6 +60,7 @@
         engines: EngineClient,
         client: PeerClient,
         seconds: float,
+        clock: Clock,
         metrics: Metrics,
     ) -> None:
         self.box = box
@@ -68,6 +71,7 @@
         self.engines = engines
         self.client = client
         self.seconds = seconds
+        self.clock = clock
         self.metrics = metrics
 
     def sweep_forever(self) -> None:
@@ -90,7 +94,12 @@
         except TargetError:
             return
         by_partition: dict[str, list[str]] = {}
+        now = self.clock.wall()
         for program in held:
+            if is_shared_name(program):
+                if is_shared_name_over(program, now):
+                    self.release(target, program)
+                continue
             try:
                 by_partition.setdefault(parse_partition(program), []).append(program)
             except Problem:
--- a/src/cedarchute/programs/call_runner.py
+++ b/src/cedarchute/programs/call_runner.py
@@ -241,7 +241,7 @@
             )
         max_tokens = min(max_tokens, left)
         messages = [*program.read_history(), *request.messages] if is_model else []
-        target = self.dispatcher.choose_target(
+        target = self.dispatcher.chooser.choose(
             program, request.service, messages, max_tokens, set()
         )
         if target is None:
@@ -290,11 +290,8 @@
         entry = program.calls.get(key)
         if entry is None or entry.kind is not ServiceKind.MODEL:
             return
-        target = self.dispatcher.book.targets.get(entry.target)
-        if target is None:
-            return
         request_id = f"{program.id}:{key}:{entry.attempt}"
         try:
-            self.dispatcher.engines.cancel(target.section.address, request_id)
+            self.dispatcher.cancel(entry.target, request_id)
         except TargetError as error:
             log.info("Cancel of %s not confirmed: %s.", request_id, error)
--- a/src/cedarchute/programs/dispatch.py
+++ b/src/cedarchute/programs/dispatch.py
@@ -9,7 +9,7 @@
     from cedarchute.programs.call_entry import CallEntry
     from cedarchute.programs.call_run import CallRun
     from cedarchute.programs.program import Program
-    from cedarchute.programs.records import CallIntended
+    from cedarchute.programs.records import CallIntended, ChatMessage
 
 
 @dataclass(frozen=True)
@@ -25,3 +25,7 @@
     def request_id(self) -> str:
         """The id under which the target knows this attempt."""
         return f"{self.program.id}:{self.intent.key}:{self.entry.attempt}"
+
+    def read_messages(self) -> list[ChatMessage]:
+        """Return the program's history with the new messages of the call."""
+        return [*self.program.read_history(), *self.intent.messages]
--- /dev/null
+++ b/src/cedarchute/programs/model_caller.py
@@ -0,0 +1,138 @@
+"""Generates answers on model engines, and reads on after a break."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from cedarchute.programs.records import CallFinished
+from cedarchute.targets.generate_request import GenerateRequest
+from cedarchute.targets.stream_piece import StreamEnd, StreamPiece
+from cedarchute.targets.target_error import TargetError
+from cedarchute.verdict import Verdict
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from cedarchute.clock import Clock
+    from cedarchute.metrics import Metrics
+    from cedarchute.operators.configuration import Configuration
+    from cedarchute.programs.dispatch import Dispatch
+    from cedarchute.scheduling.prefix_index import PrefixIndex
+    from cedarchute.scheduling.shared_holds import SharedHolds
+    from cedarchute.scheduling.target_state import TargetState
+    from cedarchute.targets.engine_client import EngineClient
+
+RESUME_ATTEMPTS: Final = 2
+
+
+class ModelCaller:
+    """Carries one attempt of a call out on one engine."""
+
+    def __init__(
+        self,
+        engines: EngineClient,
+        prefix_index: PrefixIndex,
+        shared_holds: SharedHolds,
+        configuration: Configuration,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self.engines = engines
+        self.prefix_index = prefix_index
+        self.shared_holds = shared_holds
+        self.configuration = configuration
+        self.clock = clock
+        self.metrics = metrics
+
+    def attempt(
+        self,
+        call: Dispatch,
+        target: TargetState,
+        priority: int,
+        is_resumed: bool,
+        seconds: float,
+    ) -> CallFinished:
+        """Generate an answer, reading on after a break as long as that works."""
+        address = target.section.address
+        resumes = 0
+        while True:
+            try:
+                if is_resumed:
+                    stream = self.engines.resume(
+                        address, call.request_id, call.run.length, seconds
+                    )
+                else:
+                    stream = self.engines.generate(
+                        address, self.make_request(call, priority), seconds
+                    )
+                outcome = self.follow(call, target, stream)
+                self.hold_shared(call, target)
+                return outcome
+            except TargetError as error:
+                is_broken = error.reason in ("target_broke_off", "target_timeout")
+                if not is_broken or resumes >= RESUME_ATTEMPTS:
+                    raise
+                if self.clock.wall() >= call.intent.deadline:
+                    raise
+                resumes += 1
+                is_resumed = True
+                self.metrics.count_retry("stream_resumed")
+
+    def follow(
+        self,
+        call: Dispatch,
+        target: TargetState,
+        stream: Iterable[StreamPiece | StreamEnd],
+    ) -> CallFinished:
+        """Pass the pieces of a stream on and return the outcome at its end."""
+        for item in stream:
+            if isinstance(item, StreamPiece):
+                call.program.partition.check_owned()
+                call.run.add(item.text)
+                if self.clock.wall() > call.intent.deadline:
+                    self.engines.cancel(target.section.address, call.request_id)
+                    raise TargetError("deadline", "time spent", Verdict.MAY_HAVE_RUN)
+                continue
+            target.learn(item.prompt_tokens, item.cached_tokens, item.completion_tokens)
+            return CallFinished(
+                key=call.intent.key,
+                verdict=Verdict.RAN,
+                status=200,
+                text=call.run.text,
+                finish_reason=item.finish_reason,
+                tokens=call.intent.input_tokens + item.completion_tokens,
+                prompt_tokens=item.prompt_tokens,
+                completion_tokens=item.completion_tokens,
+                cached_tokens=item.cached_tokens,
+            )
+        raise TargetError("target_broke_off", "no end", Verdict.MAY_HAVE_RUN)
+
+    def hold_shared(self, call: Dispatch, target: TargetState) -> None:
+        """Keep what the prompt shares with other programs at its target."""
+        site = self.configuration.site
+        if site is None or not site.is_program_aware:
+            return
+        service = site.services.get(call.intent.service)
+        if service is None:
+            return
+        self.shared_holds.on_finished(
+            target,
+            service.model or "",
+            call.program.prefixes,
+            call.read_messages,
+        )
+
+    def make_request(self, call: Dispatch, priority: int) -> GenerateRequest:
+        """Return what the engine is asked for."""
+        site = self.configuration.site
+        assert site is not None
+        program = call.program
+        self.prefix_index.note(program.prefixes, program.id, call.entry.target)
+        return GenerateRequest(
+            request_id=call.request_id,
+            program=program.id,
+            model=site.services[call.intent.service].model or "",
+            messages=call.read_messages(),
+            max_tokens=call.intent.max_tokens,
+            priority=priority,
+        )
--- a/src/cedarchute/programs/program.py
+++ b/src/cedarchute/programs/program.py
@@ -43,6 +43,8 @@
         Targets that may hold cache of the program, with its believed length.
     attained_tokens : int
         Tokens that engines computed for the program so far.
+    prefixes : tuple of bytes
+        Digests of the beginnings of its prompt, once a model was called.
     """
 
     def __init__(
@@ -60,6 +62,7 @@
         self.calls: dict[str, CallEntry] = {}
         self.parts: dict[str, PartReserved] = {}
         self.cached: dict[str, int] = {}
+        self.prefixes: tuple[bytes, ...] = ()
         self.last_target: str | None = None
         self.spent_tokens = 0
         self.spent_calls = 0
--- a/src/cedarchute/scheduling/placement.py
+++ b/src/cedarchute/scheduling/placement.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import hashlib
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Protocol
 
@@ -23,10 +22,10 @@
         The whole history with the new input.
     cached_tokens : mapping of str to int
         For each target, how much of the history it is believed to have cached.
-    prefix : str
-        A digest of the first message, which other programs may share.
-    prefix_tokens : int
-        The length of the first message.
+    prefixes : sequence of bytes
+        Digests of the beginnings of the prompt, which other programs may share.
+    priority : int
+        What an engine orders its queue by; lower goes first.
     last_target : str or None
         Where the previous call of the program ran.
     """
@@ -35,8 +34,8 @@
     prompt_tokens: int
     max_tokens: int
     cached_tokens: dict[str, int] = field(default_factory=dict)
-    prefix: str = ""
-    prefix_tokens: int = 0
+    prefixes: Sequence[bytes] = ()
+    priority: int = 0
     last_target: str | None = None
     failure_domain: str = ""
 
@@ -52,8 +51,3 @@
     ) -> TargetState:
         """Return the target that the call goes to."""
         ...
-
-
-def digest_prefix(text: str) -> str:
-    """Return a short digest of a first message."""
-    return hashlib.blake2b(text.encode(), digest_size=8).hexdigest()
--- a/src/cedarchute/scheduling/policies.py
+++ b/src/cedarchute/scheduling/policies.py
@@ -14,14 +14,16 @@
     from cedarchute.clock import Clock
     from cedarchute.operators.accepted_file import AcceptedFile
     from cedarchute.scheduling.placement import PlacementPolicy
+    from cedarchute.scheduling.prefix_index import PrefixIndex
 
 
 class PolicyChoice:
     """Holds the policy in force."""
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, index: PrefixIndex, clock: Clock) -> None:
+        self.index = index
         self.clock = clock
-        self.policy: PlacementPolicy = ProgramAware(0.5, clock)
+        self.policy: PlacementPolicy = ProgramAware(0.5, index, clock)
 
     def current(self) -> PlacementPolicy:
         """Return the policy in force."""
@@ -38,4 +40,4 @@
             case Policy.STICKY:
                 self.policy = Sticky()
             case Policy.PROGRAM_AWARE:
-                self.policy = ProgramAware(site.latency_weight, self.clock)
+                self.policy = ProgramAware(site.latency_weight, self.index, self.clock)
--- /dev/null
+++ b/src/cedarchute/scheduling/prefix_digests.py
@@ -0,0 +1,45 @@
+"""Digests of the beginnings of a prompt, by which shared ones are recognised."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import TYPE_CHECKING, Final
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+CHUNK_CHARACTERS: Final = 256
+CHUNK_TOKENS: Final = CHUNK_CHARACTERS // 4
+MOST_CHUNKS: Final = 64
+DIGEST_BYTES: Final = 8
+
+
+def digest_prefixes(contents: Iterable[str]) -> tuple[bytes, ...]:
+    """Return a digest for each beginning of a prompt that ends with a whole chunk.
+
+    Programs share a beginning as far as their digests agree, wherever in the first
+    messages it ends: a source text, a system prompt, a parent's history.
+
+    Parameters
+    ----------
+    contents : iterable of str
+        The messages of the prompt, in order.
+
+    Returns
+    -------
+    tuple of bytes
+        At most `MOST_CHUNKS` digests, of 1, 2, 3, ... chunks.
+    """
+    digests = []
+    state = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    rest = ""
+    for content in contents:
+        rest += content + "\n"
+        whole = len(rest) - len(rest) % CHUNK_CHARACTERS
+        for start in range(0, whole, CHUNK_CHARACTERS):
+            state.update(rest[start : start + CHUNK_CHARACTERS].encode())
+            digests.append(state.digest())
+            if len(digests) == MOST_CHUNKS:
+                return tuple(digests)
+        rest = rest[whole:]
+    return tuple(digests)
--- a/src/cedarchute/scheduling/target_book.py
+++ b/src/cedarchute/scheduling/target_book.py
@@ -16,7 +16,6 @@
 
 FIRST_REST_SECONDS: Final = 0.5
 LONGEST_REST_SECONDS: Final = 15.0
-MAX_PREFIXES: Final = 256
 
 
 class TargetBook:
@@ -74,21 +73,24 @@
             return True
         return now >= target.failing_until and not target.probing
 
-    def on_sent(self, target: TargetState, tokens: int) -> None:
+    def on_sent(self, target: TargetState, tokens: int, priority: int = 0) -> None:
         """Note a request that goes to `target`, with `tokens` to compute."""
         target.in_flight += 1
+        target.priorities.append(priority)
         target.sent_tokens_since += tokens
         target.probing = target.failures > 0
 
-    def on_done(self, target: TargetState) -> None:
+    def on_done(self, target: TargetState, priority: int = 0) -> None:
         """Note that a request to `target` ended well."""
         target.in_flight -= 1
+        target.priorities.remove(priority)
         target.failures = 0
         target.probing = False
 
-    def on_failed(self, target: TargetState, reason: str) -> None:
+    def on_failed(self, target: TargetState, reason: str, priority: int = 0) -> None:
         """Note a failure; the target rests for twice as long each time."""
         target.in_flight -= 1
+        target.priorities.remove(priority)
         target.probing = False
         if reason in ("target_busy", "target_refused"):
             return
@@ -104,13 +106,6 @@
         target.in_flight_at_report = target.in_flight
         target.sent_tokens_since = 0
 
-    def note_prefix(self, target: TargetState, prefix: str) -> None:
-        """Note that `target` has computed a prefix that programs may share."""
-        target.prefixes.pop(prefix, None)
-        target.prefixes[prefix] = self.clock.monotonic()
-        if len(target.prefixes) > MAX_PREFIXES:
-            del target.prefixes[next(iter(target.prefixes))]
-
 
 def is_leaving(target: TargetState) -> bool:
     """Return whether operators or the target itself say that it is leaving."""
--- a/src/cedarchute/scheduling/target_state.py
+++ b/src/cedarchute/scheduling/target_state.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 if TYPE_CHECKING:
     from cedarchute.operators.site_file import TargetSection
     from cedarchute.targets.load_report import LoadReport
 
+LEARNING_RATE: Final = 0.05
+
 
 @dataclass
 class TargetState:
@@ -22,6 +24,12 @@
         The same at the time of the last report.
     sent_tokens_since : int
         Input tokens that this box sent after the last report.
+    priorities : list of int
+        Those of the requests of this box that are at the target now.
+    answer_tokens : float
+        Mean length of the answers that this box had from it lately.
+    uncached_share : float
+        Share of the prompts' tokens that it had to compute lately.
     """
 
     name: str
@@ -34,7 +42,9 @@
     failures: int = 0
     failing_until: float = 0.0
     probing: bool = False
-    prefixes: dict[str, float] = field(default_factory=dict)
+    priorities: list[int] = field(default_factory=list)
+    answer_tokens: float | None = None
+    uncached_share: float = 1.0
 
     @property
     def queued(self) -> int:
@@ -48,6 +58,26 @@
         reported = self.report.running + self.report.waiting
         return self.in_flight + max(0, reported - self.in_flight_at_report)
 
+    def share_ahead(self, priority: int) -> float:
+        """Return which share of the target's requests goes before a priority.
+
+        The requests of this box stand for those of the others, which it cannot see.
+        """
+        if not self.priorities:
+            return 0.5
+        ahead = sum(1 for other in self.priorities if other <= priority)
+        return ahead / len(self.priorities)
+
+    def learn(self, prompt_tokens: int, cached_tokens: int, answer_tokens: int) -> None:
+        """Take the counts of a finished answer into the means."""
+        uncached = 1.0 - cached_tokens / prompt_tokens if prompt_tokens else 1.0
+        self.uncached_share += LEARNING_RATE * (uncached - self.uncached_share)
+        known = self.answer_tokens
+        if known is None:
+            self.answer_tokens = float(answer_tokens)
+        else:
+            self.answer_tokens = known + LEARNING_RATE * (answer_tokens - known)
+
     def queued_tokens(self, now: float) -> float:
         """Return the input tokens that the target has yet to compute.
 
--- a/src/cedarchute/targets/engine_client.py
+++ b/src/cedarchute/targets/engine_client.py
@@ -76,6 +76,15 @@
         body = {"program": program}
         self._control("POST", f"http://{address}/cache/release", body)
 
+    def export_cache(self, address: Address, program: str) -> dict[str, Any]:
+        """Return what an engine has cached of `program`, for another one to take."""
+        body = {"program": program}
+        return self._control("POST", f"http://{address}/cache/export", body)
+
+    def import_cache(self, address: Address, exported: dict[str, Any]) -> None:
+        """Give an engine what another one has exported."""
+        self._control("POST", f"http://{address}/cache/import", exported)
+
     def read_held(self, address: Address) -> list[str]:
         """Return the programs that the engine holds cache for."""
         return list(self._control("GET", f"http://{address}/cache/held")["programs"])
--- a/src/cedarchute/targets/generate_request.py
+++ b/src/cedarchute/targets/generate_request.py
@@ -16,8 +16,7 @@
 class GenerateRequest:
     """One answer asked of an engine, in the chat-completions form.
 
-    `priority` is lower for what goes first. `pause_seconds` is how long the
-    program is expected to pause afterwards, a hint for the engine's cache.
+    `priority` is lower for what goes first.
     """
 
     request_id: str
@@ -26,7 +25,6 @@
     messages: Sequence[ChatMessage]
     max_tokens: int
     priority: int
-    pause_seconds: float | None = None
 
     def to_bytes(self) -> bytes:
         """Return the body of the request."""
@@ -40,7 +38,6 @@
                 ],
                 "max_tokens": self.max_tokens,
                 "priority": self.priority,
-                "pause_seconds": self.pause_seconds,
                 "stream": True,
             }
         ).encode()
--- a/src/cedarchute/targets/load_report.py
+++ b/src/cedarchute/targets/load_report.py
@@ -6,7 +6,11 @@
 
 
 class LoadReport(BaseModel):
-    """The load of an engine some moments ago."""
+    """The load of an engine some moments ago.
+
+    `import_tokens_per_second` is how fast it takes in cache that another engine
+    has exported; 0 when it cannot.
+    """
 
     model_config = ConfigDict(extra="ignore", frozen=True)
 
@@ -15,6 +19,7 @@
     max_running: int
     waiting_tokens: int = 0
     prefill_tokens_per_second: float = 20_000.0
+    import_tokens_per_second: float = 0.0
     step_seconds: float = 0.005
     cache_tokens: int = 0
     cache_used_tokens: int = 0
--- a/src/cedarchute/targets/orders/order_keeper.py
+++ b/src/cedarchute/targets/orders/order_keeper.py
@@ -71,12 +71,14 @@
         while True:
             eventlet.sleep(self.seconds)
             site = self.configuration.site
-            if site is None or not self.is_ordering(site.site.loads_at_once):
+            if site is None:
+                continue
+            ordering = self.find_ordering(site.site.loads_at_once)
+            if self.keeper.record.name not in ordering:
                 continue
             for name, target in site.targets.items():
                 service = site.services[target.service]
-                is_engine = service.kind is ServiceKind.MODEL
-                if is_engine and self.is_mine(name, site.site.loads_at_once):
+                if service.kind is ServiceKind.MODEL and self.is_mine(name, ordering):
                     self.look_after(name, target, service)
 
     def find_ordering(self, count: int) -> list[str]:
@@ -84,14 +86,9 @@
         names = [box.name for box in self.view.entries]
         return sorted(names, key=lambda name: rank("orders", name))[:count]
 
-    def is_ordering(self, count: int) -> bool:
-        """Return whether this box is one of those that order."""
-        return self.keeper.record.name in self.find_ordering(count)
-
-    def is_mine(self, target: str, count: int) -> bool:
-        """Return whether this box orders `target`."""
-        names = self.find_ordering(count)
-        chosen = max(names, key=lambda name: rank(name, target), default=None)
+    def is_mine(self, target: str, ordering: list[str]) -> bool:
+        """Return whether this box orders `target`, of those that order."""
+        chosen = max(ordering, key=lambda name: rank(name, target))
         return chosen == self.keeper.record.name
 
     def look_after(
--- a/tests/programs/test_program.py
+++ b/tests/programs/test_program.py
@@ -31,7 +31,7 @@
         seen.append((found.left_tokens, request.max_tokens))
         yield from type(engines).generate(engines, address, request, seconds)
 
-    engines = world.boxes[0].runner.dispatcher.engines
+    engines = world.boxes[0].runner.dispatcher.models.engines
     engines.generate = generate
     messages = [{"role": "user", "content": "x" * 40}]
     request = {"service": "agent", "messages": messages, "max_tokens": 500}
--- a/tests/stateful/fake_box.py
+++ b/tests/stateful/fake_box.py
@@ -25,12 +25,17 @@
 from cedarchute.ownership.takeover import Takeover
 from cedarchute.platform.store_client import StoreUnavailableError
 from cedarchute.programs.adopter import Adopter
+from cedarchute.programs.cache_mover import CacheMover
 from cedarchute.programs.call_runner import CallRunner
 from cedarchute.programs.dispatcher import Dispatcher
 from cedarchute.programs.home import ProgramHome
+from cedarchute.programs.model_caller import ModelCaller
 from cedarchute.programs.releaser import Releaser
+from cedarchute.programs.target_chooser import TargetChooser
 from cedarchute.scheduling.admission import Admission
+from cedarchute.scheduling.prefix_index import PrefixIndex
 from cedarchute.scheduling.program_aware import ProgramAware
+from cedarchute.scheduling.shared_holds import SharedHolds
 from cedarchute.scheduling.target_book import TargetBook
 from cedarchute.settings.box_settings import CopiesSection, ServingSection
 
@@ -122,19 +127,22 @@
             metrics,
         )
         engines = world.engines.client(self.port)
-        policy = ProgramAware(0.5, clock)
+        index = PrefixIndex(clock)
+        policy = ProgramAware(0.5, index, clock)
+        chooser = TargetChooser(
+            book, lambda: policy, configuration, "a", clock, random.Random(1)
+        )
+        holds = SharedHolds(engines, index, lambda: 0, clock, metrics)
         dispatcher = Dispatcher(
             book,
-            lambda: policy,
-            engines,
+            chooser,
+            ModelCaller(engines, index, holds, configuration, clock, metrics),
+            CacheMover(engines, book, index, configuration, metrics),
             world.service.client(self.port),
             self.replicator,
             self.home.append,
             RetryAllowance(1.0),
-            configuration,
-            "a",
             clock,
-            random.Random(1),
             metrics,
         )
         self.runner = CallRunner(
