--- a/src/cedarchute/border/caller_app.py
+++ b/src/cedarchute/border/caller_app.py
@@ -27,10 +27,13 @@
     from werkzeug.wrappers import Request, Response
 
     from cedarchute.border.call_border import CallBorder
+    from cedarchute.border.forwarder import Forwarder
+    from cedarchute.border.home_follower import HomeFollower
     from cedarchute.membership.box_record import BoxRecord
     from cedarchute.membership.lease_keeper import LeaseKeeper
     from cedarchute.membership.view import View
     from cedarchute.metrics import Metrics
+    from cedarchute.programs.call_runner import CallRunner
     from cedarchute.programs.home import ProgramHome
     from cedarchute.settings.box_settings import ServingSection
 
@@ -45,6 +48,9 @@
     def __init__(
         self,
         calls: CallBorder,
+        follower: HomeFollower,
+        forwarder: Forwarder,
+        runner: CallRunner,
         home: ProgramHome,
         view: View,
         keeper: LeaseKeeper,
@@ -54,6 +60,9 @@
     ) -> None:
         super().__init__(settings.max_body_bytes, metrics)
         self.calls = calls
+        self.follower = follower
+        self.forwarder = forwarder
+        self.runner = runner
         self.home = home
         self.view = view
         self.keeper = keeper
@@ -133,7 +142,7 @@
         program = self.home.find(program_id)
         program.is_ending = True
         for key in list(program.runs):
-            self.calls.runner.cancel(program, key)
+            self.runner.cancel(program, key)
         self.home.end(program, "ended by its caller")
         return make_json_response({"program": program_id, "state": "ended"})
 
@@ -164,7 +173,7 @@
 
     def cancel(self, program_id: str, key: str) -> Response:
         """Stop a call of a program whose home is here."""
-        self.calls.runner.cancel(self.home.find(program_id), key)
+        self.runner.cancel(self.home.find(program_id), key)
         return make_json_response({"program": program_id, "key": key})
 
     def make_exchange(self, request: Request, program: str, key: str) -> CallExchange:
@@ -208,7 +217,7 @@
         exchange = self.make_exchange(request, program, "none")
         exchange.seconds = SHORT_SECONDS
         try:
-            return self.calls.follow(
+            return self.follower.follow(
                 exchange,
                 here,  # type: ignore[arg-type]
                 lambda box: self.forward(request, box, exchange.partition),
@@ -226,7 +235,7 @@
             the unused program ends by itself.
         """
         try:
-            return self.calls.forwarder.fetch(
+            return self.forwarder.fetch(
                 partition,
                 box,
                 request.method,
--- /dev/null
+++ b/src/cedarchute/border/run_finder.py
@@ -0,0 +1,33 @@
+"""Finds the run of a call on the box that is its home."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from cedarchute.problem import Problem
+
+if TYPE_CHECKING:
+    from cedarchute.border.call_exchange import CallExchange
+    from cedarchute.programs.call_run import CallRun
+    from cedarchute.programs.call_runner import CallRunner
+    from cedarchute.programs.home import ProgramHome
+
+
+class RunFinder:
+    """Starts the run of a new call, and finds that of a known key."""
+
+    def __init__(self, home: ProgramHome, runner: CallRunner) -> None:
+        self.home = home
+        self.runner = runner
+
+    def find(self, exchange: CallExchange) -> CallRun:
+        """Return the run that a request asks for, started if it is new."""
+        program = self.home.find(exchange.program)
+        if exchange.request is not None:
+            return self.runner.start(program, exchange.key, exchange.request)
+        run = self.runner.find(program, exchange.key)
+        if run is None:
+            raise Problem(
+                "unknown_key", f"No call has the key {exchange.key}.", status=404
+            )
+        return run
--- a/src/cedarchute/daemon/composition.py
+++ b/src/cedarchute/daemon/composition.py
@@ -12,8 +12,11 @@
 from cedarchute.border.call_border import CallBorder
 from cedarchute.border.caller_app import CallerApp
 from cedarchute.border.forwarder import Forwarder
+from cedarchute.border.home_follower import HomeFollower
 from cedarchute.border.home_locator import HomeLocator
 from cedarchute.border.owner_watch import OwnerWatch
+from cedarchute.border.run_finder import RunFinder
+from cedarchute.border.stream_relay import StreamRelay
 from cedarchute.clock import SystemClock
 from cedarchute.copies.disk_storage import DiskStorage
 from cedarchute.copies.holder import Holder
@@ -225,17 +228,28 @@
 
     locator = HomeLocator(view, replicator, keeper, takeover_seconds)
     forwarder = Forwarder(view, OwnerWatch(view), metrics)
-    calls = CallBorder(
-        home,
-        runner,
-        locator,
+    finder = RunFinder(home, runner)
+    follower = HomeFollower(locator, clock, metrics)
+    relay = StreamRelay(
+        finder,
+        follower,
         forwarder,
         settings.serving.coalesce_seconds,
         clock,
         metrics,
     )
+    calls = CallBorder(finder, follower, forwarder, relay, clock)
     callers = CallerApp(
-        calls, home, view, keeper, settings.serving, random_source, metrics
+        calls,
+        follower,
+        forwarder,
+        runner,
+        home,
+        view,
+        keeper,
+        settings.serving,
+        random_source,
+        metrics,
     )
     applier = Applier(store, keys.configuration, configuration, clock, metrics)
     peers = PeerApp(callers, settings.serving.max_body_bytes * 2, metrics)
--- a/src/cedarchute/ownership/recovery.py
+++ b/src/cedarchute/ownership/recovery.py
@@ -85,7 +85,7 @@
         for program in programs:
             pool.spawn_n(self.adopter.adopt, program)
         pool.waitall()
-        self.home.return_parts(partition)
+        self.home.parts.give_all_back(partition)
 
     def read_all(
         self, partition: OwnedPartition, sealed: dict[str, SealReply]
--- a/src/cedarchute/programs/home.py
+++ b/src/cedarchute/programs/home.py
@@ -13,13 +13,11 @@
 )
 from cedarchute.copies.program_log import ProgramLog
 from cedarchute.problem import Problem
-from cedarchute.programs.budget import Budget
 from cedarchute.programs.budget_split import make_budget
+from cedarchute.programs.part_keeper import PartKeeper
 from cedarchute.programs.program import Program
 from cedarchute.programs.program_id import mint_program_id, parse_partition
 from cedarchute.programs.records import (
-    PartReserved,
-    PartReturned,
     ProgramEnded,
     ProgramOpened,
 )
@@ -67,6 +65,7 @@
         self.clock = clock
         self.metrics = metrics
         self.programs: dict[str, Program] = {}
+        self.parts = PartKeeper(self, metrics)
         self.ended_listeners: list[Callable[[Program], None]] = []
 
     def append(self, program: Program, records: Sequence[ProgramRecord]) -> None:
@@ -144,7 +143,7 @@
         )
         budget = make_budget(request, section)
         if parent is not None:
-            budget = self._split_budget(parent, program_id, request, budget)
+            budget = self.parts.reserve(parent, program_id, request, budget)
         now = self.clock.wall()
         deadline = now + budget.seconds
         root_opened_at = now
@@ -185,23 +184,6 @@
         self.check_open(parent)
         return self._open_in(parent.partition, request, section, parent)
 
-    def _split_budget(
-        self, parent: Program, child: str, request: OpenRequest, budget: Budget
-    ) -> Budget:
-        """Reserve the child's part on the parent's log before the child exists."""
-        tokens = request.budget.tokens or max(1, parent.left_tokens // 2)
-        calls = request.budget.calls or max(1, parent.left_calls // 2)
-        if tokens > parent.left_tokens or calls > parent.left_calls:
-            self.metrics.count_refusal("budget_spent")
-            raise Problem(
-                "budget_spent",
-                f"The parent has {parent.left_tokens} tokens and {parent.left_calls} "
-                f"calls left, less than the {tokens} and {calls} asked for.",
-                status=403,
-            )
-        self.append(parent, [PartReserved(child=child, tokens=tokens, calls=calls)])
-        return Budget(tokens=tokens, calls=calls, seconds=budget.seconds)
-
     def find(self, program_id: str) -> Program:
         """Return a program whose home is here.
 
@@ -254,42 +236,10 @@
             now = self.clock.wall()
             self.append(program, [ProgramEnded(reason=reason, ended_at=now)])
         self.metrics.count("programs.ended")
-        self.return_part(program)
+        self.parts.give_back(program)
         for listener in self.ended_listeners:
             listener(program)
 
-    def return_part(self, program: Program) -> None:
-        """Give what a sub-agent has left back to its parent."""
-        assert program.opened is not None
-        parent = self.programs.get(program.opened.parent or "")
-        if parent is None or program.id not in parent.parts:
-            return
-        returned = PartReturned(
-            child=program.id,
-            spent_tokens=program.spent_tokens,
-            spent_calls=program.spent_calls,
-        )
-        self.append(parent, [returned])
-
-    def return_parts(self, partition: OwnedPartition) -> None:
-        """Give back the parts of sub-agents that never came to be or have ended.
-
-        A box may be lost between the two records of a part; whoever takes over
-        makes them agree.
-        """
-        for program in list(self.programs.values()):
-            if program.partition is not partition:
-                continue
-            for child_id in list(program.parts):
-                child = self.programs.get(child_id)
-                if child is None:
-                    returned = PartReturned(
-                        child=child_id, spent_tokens=0, spent_calls=0
-                    )
-                    self.append_surely(program, [returned])
-                elif child.ended is not None:
-                    self.return_part(child)
-
     def drop_partition(self, partition: OwnedPartition) -> None:
         """Forget the programs of a partition that another box owns now."""
         for program_id, program in list(self.programs.items()):
--- a/src/cedarchute/scheduling/prefix_entry.py
+++ b/src/cedarchute/scheduling/prefix_entry.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 
-@dataclass
+@dataclass(slots=True)
 class PrefixEntry:
     """Who used one beginning of prompts, and where.
 
--- a/src/cedarchute/scheduling/prefix_index.py
+++ b/src/cedarchute/scheduling/prefix_index.py
@@ -15,7 +15,7 @@
     from cedarchute.clock import Clock
     from cedarchute.scheduling.target_state import TargetState
 
-MOST_ENTRIES: Final = 8192
+MOST_ENTRIES: Final = 4096
 BELIEVED_SECONDS: Final = 60.0
 
 
--- a/src/experiments/slopes.py
+++ b/src/experiments/slopes.py
@@ -13,22 +13,23 @@
 import threading
 import time
 from collections import defaultdict
-from dataclasses import asdict, dataclass, field
+from dataclasses import asdict
 from pathlib import Path
-from typing import TYPE_CHECKING, Any, Final
+from typing import Any, Final
 
 import numpy as np
 
 from experiments.caller import Caller, StreamResult, take_event
 from experiments.local_site import BoxTiming, LocalSite
+from experiments.repeated_load import RepeatedLoad
+from experiments.slope import Slope
 from experiments.slope_plots import write_plots
 
-if TYPE_CHECKING:
-    from collections.abc import Callable
-
 FIGURES: Final = Path(__file__).parents[2] / "docs" / "figures"
 MEASURE_SECONDS: Final = 3.0
 SETTLE_SECONDS: Final = 1.0
+# Processor time is counted in steps of 10 ms; control uses one of them a second.
+CONTROL_SECONDS: Final = 20.0
 # The plan's mean answer: 4.4 million tokens over 13,000 requests.
 ANSWER_TOKENS: Final = 338
 SLOW_TIMING: Final = BoxTiming(
@@ -45,36 +46,6 @@
 )
 
 
-@dataclass
-class Slope:
-    """Points of one figure against one quantity, and the line through them."""
-
-    name: str
-    quantity: str
-    figure: str
-    points: list[tuple[float, float]] = field(default_factory=list)
-
-    def fit(self, runs: int) -> dict[str, object]:
-        """Return the line and the spread of the slope over the runs."""
-        x = np.array([point[0] for point in self.points])
-        y = np.array([point[1] for point in self.points])
-        slope, base = np.polyfit(x, y, 1)
-        residual = y - (slope * x + base)
-        per_run = []
-        count = len(x) // runs
-        for run in range(runs):
-            part = slice(run * count, (run + 1) * count)
-            per_run.append(float(np.polyfit(x[part], y[part], 1)[0]))
-        return {
-            **asdict(self),
-            "slope": float(slope),
-            "base": float(base),
-            "slope_least": min(per_run),
-            "slope_most": max(per_run),
-            "residual": float(np.sqrt(np.mean(residual**2))),
-        }
-
-
 class Slopes:
     """Every slope, filled by runs that each start a site of their own."""
 
@@ -128,40 +99,6 @@
     ]
 
 
-class Load:
-    """Threads that repeat something until they are stopped."""
-
-    def __init__(self, work: Callable[[int], None], threads: int, rate: float) -> None:
-        self.stop = threading.Event()
-        self.count = 0
-        self.lock = threading.Lock()
-        self.rate = rate
-        self.threads = [
-            threading.Thread(target=self.run, args=(work, number, threads))
-            for number in range(threads)
-        ]
-
-    def run(self, work: Callable[[int], None], number: int, threads: int) -> None:
-        """Repeat at this thread's share of the rate."""
-        due = time.monotonic()
-        while not self.stop.is_set():
-            work(number)
-            with self.lock:
-                self.count += 1
-            due += threads / self.rate
-            time.sleep(max(0.0, due - time.monotonic()))
-
-    def __enter__(self) -> Load:
-        for thread in self.threads:
-            thread.start()
-        return self
-
-    def __exit__(self, *_: object) -> None:
-        self.stop.set()
-        for thread in self.threads:
-            thread.join()
-
-
 def measure_requests(slopes: Slopes) -> None:
     """Small plain calls: at the home, through another entry, at a holder."""
     with slopes.site() as site:
@@ -184,7 +121,7 @@
                         body={"n": 1},
                     )
 
-                with Load(work, 8, rate) as load:
+                with RepeatedLoad(work, 8, rate) as load:
                     time.sleep(SETTLE_SECONDS)
                     before, started = load.count, time.monotonic()
                     cpu = measure_cpu(site, "box-0", "box-1", "box-2")
@@ -227,7 +164,7 @@
                         with lock:  # noqa: B023
                             tokens[0] += len(result.text) // 4  # noqa: B023
 
-                with Load(work, streams, 10**6):
+                with RepeatedLoad(work, streams, 10**6):
                     time.sleep(SETTLE_SECONDS * 2)
                     before, started = tokens[0], time.monotonic()
                     cpu = measure_cpu(site, "box-0", "box-1")
@@ -306,12 +243,11 @@
 
 def measure_control(slopes: Slopes, site: LocalSite, quantity: str, x: float) -> None:
     """Add the control figures of one box and the calls of the store."""
-    seconds = 6.0
     counters = ("control.bytes",)
     calls = site.http.get(site.store, "/calls")
     before = [site.counter("box-1", name) for name in counters]
     started = time.monotonic()
-    cpu = measure_cpu(site, "box-1", seconds=seconds)
+    cpu = measure_cpu(site, "box-1", seconds=CONTROL_SECONDS)
     passed = time.monotonic() - started
     after = [site.counter("box-1", name) for name in counters]
     later = site.http.get(site.store, "/calls")
