Tell a raced apply from a store that went back

Cause: an apply read the store, and compared what it read with the revision in force after the read. When another operator's file came into force in between, the store looked older than the box, and the loser was told `store_went_back` with 503 instead of `apply_raced` with who had won.

Change: the revision in force is taken before the read; the store must have at least that one. A unit test brings the race about, red before; another keeps the true case. The client of the store uses the pools of one host, without urllib3's general look-up.

Conclusion: mended.

--- a/src/cedarchute/operators/applier.py
+++ b/src/cedarchute/operators/applier.py
@@ -84,6 +84,8 @@
             ) from error
 
     def _swap(self, request: ApplyRequest) -> ApplyResult:
+        # Taken before the read: what is in force by then, the store must have.
+        in_force = self.configuration.revision
         entry = self.store.get(self.key)
         stored = AcceptedFile.model_validate_json(entry.value) if entry else None
         earlier = stored.find_operation(request.operation) if stored else None
@@ -94,11 +96,11 @@
                 already_applied=True,
             )
         revision = stored.revision if stored else 0
-        if revision < self.configuration.revision:
+        if revision < in_force:
             raise Problem(
                 "store_went_back",
                 f"The store holds revision {revision} but "
-                f"{self.configuration.revision} is in force; it is being repaired.",
+                f"{in_force} is in force; it is being repaired.",
                 status=503,
                 retry_after=STORE_RETRY_SECONDS,
             )
--- a/src/cedarchute/platform/store_client.py
+++ b/src/cedarchute/platform/store_client.py
@@ -14,6 +14,7 @@
 
 import urllib3
 
+from cedarchute.host_pools import HostPools
 from cedarchute.platform.store_entry import (
     StoreChange,
     StoreEntry,
@@ -30,6 +31,8 @@
 log = logging.getLogger("cedarchute.store")
 
 SWAP_ATTEMPTS: Final = 3
+CONNECTIONS: Final = 8
+JSON_HEADERS: Final = {"content-type": "application/json"}
 WATCH_SILENCE_SECONDS: Final = 30.0
 
 
@@ -67,7 +70,7 @@
         self.address = address
         self.metrics = metrics
         self.timeout = timeout
-        self.pool = urllib3.PoolManager(retries=False, maxsize=8)
+        self.pools = HostPools(CONNECTIONS, hosts=1)
 
     def get(self, key: str) -> StoreEntry | None:
         """Return the entry under `key`, or None."""
@@ -143,10 +146,12 @@
         response = None
         self.metrics.count("store.calls")
         try:
-            response = self.pool.request(
+            response = self.pools.request(
                 "POST",
-                f"http://{self.address}/v3/watch",
-                body=json.dumps({"create_request": create}),
+                self.address,
+                "/v3/watch",
+                body=json.dumps({"create_request": create}).encode(),
+                headers=JSON_HEADERS,
                 preload_content=False,
                 timeout=timeout,
             )
@@ -199,12 +204,14 @@
 
     def _call(self, path: str, body: dict[str, object]) -> dict[str, Any]:
         self.metrics.count("store.calls")
-        data = json.dumps(body)
+        data = json.dumps(body).encode()
         try:
-            response = self.pool.request(
+            response = self.pools.request(
                 "POST",
-                f"http://{self.address}{path}",
+                self.address,
+                path,
                 body=data,
+                headers=JSON_HEADERS,
                 timeout=self.timeout,
             )
         except (urllib3.exceptions.HTTPError, OSError) as error:
