Pass requests between boxes as one typed request

Cause: seven loose arguments stood twice in the forwarder and at each of its callers.

Ruled out: a subclass of the exchange (short requests have none).

Change: ForwardedRequest; an exchange makes its own.

Conclusion: reads better; nothing else changed.

--- a/src/cedarchute/border/call_border.py
+++ b/src/cedarchute/border/call_border.py
@@ -7,9 +7,10 @@
 from werkzeug.wrappers import Response
 
 from cedarchute.border.answers import make_answer
+from cedarchute.border.call_exchange import ANSWER_MARGIN_SECONDS
 from cedarchute.border.call_problems import make_late_problem, make_reroute_response
 from cedarchute.border.forwarder import make_response
-from cedarchute.border.stream_relay import ANSWER_MARGIN_SECONDS, STREAM_TYPE
+from cedarchute.border.stream_relay import STREAM_TYPE
 from cedarchute.border.web_app import make_json_response, make_problem_response
 from cedarchute.copies.owned_partition import PartitionMovedError
 
@@ -88,18 +89,9 @@
 
     def answer_there(self, exchange: CallExchange, box: BoxRecord) -> Response:
         """Answer from another box, which is the home."""
-        seconds = exchange.seconds + 2 * ANSWER_MARGIN_SECONDS
         if not exchange.is_stream:
-            return self.forwarder.fetch(
-                exchange.partition,
-                box,
-                exchange.method,
-                exchange.path,
-                exchange.body,
-                exchange.headers,
-                seconds,
-            )
-        answer = self.relay.open_there(exchange, box)
+            return self.forwarder.fetch(exchange.to(box))
+        answer = self.forwarder.open(exchange.to(box))
         if not answer.headers.get("Content-Type", "").startswith(STREAM_TYPE):
             data = answer.read()
             answer.release_conn()
--- a/src/cedarchute/border/call_exchange.py
+++ b/src/cedarchute/border/call_exchange.py
@@ -3,14 +3,18 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
+from cedarchute.border.forwarded_request import ForwardedRequest
 from cedarchute.programs.program_id import parse_partition
 from cedarchute.request_ids import REQUEST_ID_HEADER
 
 if TYPE_CHECKING:
+    from cedarchute.membership.box_record import BoxRecord
     from cedarchute.programs.requests import CallRequest
 
+ANSWER_MARGIN_SECONDS: Final = 5.0
+
 
 @dataclass
 class CallExchange:
@@ -64,6 +68,18 @@
             "Last-Event-ID": f"{self.attempt}.{self.offset}",
         }
 
+    def to(self, box: BoxRecord) -> ForwardedRequest:
+        """Return the same request as another box takes it."""
+        return ForwardedRequest(
+            partition=self.partition,
+            box=box,
+            method=self.method,
+            path=self.path,
+            body=self.body,
+            headers=self.headers,
+            seconds=self.seconds + 2 * ANSWER_MARGIN_SECONDS,
+        )
+
     def note_offset(self, data: bytes) -> None:
         """Note how much of the stream the caller has after some whole events."""
         position = data.rfind(b"id: ")
--- a/src/cedarchute/border/caller_app.py
+++ b/src/cedarchute/border/caller_app.py
@@ -8,6 +8,7 @@
 from cedarchute.border.answers import describe_program
 from cedarchute.border.call_exchange import CallExchange
 from cedarchute.border.call_problems import make_reroute_response
+from cedarchute.border.forwarded_request import ForwardedRequest
 from cedarchute.border.forwarder import HOPS_HEADER
 from cedarchute.border.reroute_error import RerouteError
 from cedarchute.border.web_app import WebApp, make_json_response
@@ -234,19 +235,20 @@
             ``answer_lost`` when an opening was sent and its answer did not come;
             the unused program ends by itself.
         """
+        forwarded = ForwardedRequest(
+            partition=partition,
+            box=box,
+            method=request.method,
+            path=request.full_path.rstrip("?"),
+            body=request.get_data() or None,
+            headers={
+                "Content-Type": "application/json",
+                REQUEST_ID_HEADER: current_request_id(),
+            },
+            seconds=SHORT_SECONDS,
+        )
         try:
-            return self.forwarder.fetch(
-                partition,
-                box,
-                request.method,
-                request.full_path.rstrip("?"),
-                request.get_data() or None,
-                {
-                    "Content-Type": "application/json",
-                    REQUEST_ID_HEADER: current_request_id(),
-                },
-                SHORT_SECONDS,
-            )
+            return self.forwarder.fetch(forwarded)
         except RerouteError as error:
             if not error.was_sent or request.method != "POST":
                 raise
--- a/src/cedarchute/border/forwarder.py
+++ b/src/cedarchute/border/forwarder.py
@@ -16,8 +16,8 @@
 
     from urllib3.response import BaseHTTPResponse
 
+    from cedarchute.border.forwarded_request import ForwardedRequest
     from cedarchute.border.owner_watch import OwnerWatch
-    from cedarchute.membership.box_record import BoxRecord
     from cedarchute.membership.view import View
     from cedarchute.metrics import Metrics
 
@@ -43,17 +43,8 @@
         self.metrics = metrics
         self.pools = HostPools(CONNECTIONS, HOSTS)
 
-    def open(
-        self,
-        partition: str,
-        box: BoxRecord,
-        method: str,
-        path: str,
-        body: bytes | None,
-        headers: dict[str, str],
-        seconds: float,
-    ) -> BaseHTTPResponse:
-        """Send a request to `box`; the response is not read yet.
+    def open(self, request: ForwardedRequest) -> BaseHTTPResponse:
+        """Send a request to another box; the response is not read yet.
 
         Raises
         ------
@@ -61,16 +52,19 @@
             When the box does not answer, or is not the home.
         """
         self.metrics.count("forwarded")
+        box = request.box
         try:
-            with self.watch.waiting(partition, box.identity):
+            with self.watch.waiting(request.partition, box.identity):
                 response = self.pools.request(
-                    method,
+                    request.method,
                     box.peer_address,
-                    path,
-                    body=body,
-                    headers={**headers, HOPS_HEADER: "1"},
+                    request.path,
+                    body=request.body,
+                    headers={**request.headers, HOPS_HEADER: "1"},
                     preload_content=False,
-                    timeout=urllib3.Timeout(connect=CONNECT_SECONDS, read=seconds),
+                    timeout=urllib3.Timeout(
+                        connect=CONNECT_SECONDS, read=request.seconds
+                    ),
                 )
         except (urllib3.exceptions.HTTPError, OSError) as error:
             refused = is_refused(error)
@@ -83,20 +77,12 @@
             raise RerouteError("not the home", was_sent=False)
         return response
 
-    def fetch(
-        self,
-        partition: str,
-        box: BoxRecord,
-        method: str,
-        path: str,
-        body: bytes | None,
-        headers: dict[str, str],
-        seconds: float,
-    ) -> Response:
-        """Send a request to `box` and return its whole response."""
-        answer = self.open(partition, box, method, path, body, headers, seconds)
+    def fetch(self, request: ForwardedRequest) -> Response:
+        """Send a request to another box and return its whole response."""
+        answer = self.open(request)
+        box = request.box
         try:
-            with self.watch.waiting(partition, box.identity):
+            with self.watch.waiting(request.partition, box.identity):
                 data = answer.read()
         except (urllib3.exceptions.HTTPError, OSError) as error:
             answer.close()
--- a/src/cedarchute/border/stream_relay.py
+++ b/src/cedarchute/border/stream_relay.py
@@ -16,6 +16,7 @@
     make_problem_event,
     make_restart_event,
 )
+from cedarchute.border.call_exchange import ANSWER_MARGIN_SECONDS
 from cedarchute.border.call_problems import make_late_problem
 from cedarchute.border.reroute_error import RerouteError
 from cedarchute.problem import Problem
@@ -35,7 +36,6 @@
 log = logging.getLogger("cedarchute.border")
 
 STREAM_TYPE: Final = "text/event-stream"
-ANSWER_MARGIN_SECONDS: Final = 5.0
 TAIL_BYTES: Final = 256
 
 
@@ -58,20 +58,6 @@
         self.clock = clock
         self.metrics = metrics
 
-    def open_there(
-        self, exchange: CallExchange, box: BoxRecord
-    ) -> urllib3.BaseHTTPResponse:
-        """Open a stream at another box, from where the caller has it."""
-        return self.forwarder.open(
-            exchange.partition,
-            box,
-            exchange.method,
-            exchange.path,
-            exchange.body,
-            exchange.headers,
-            exchange.seconds + 2 * ANSWER_MARGIN_SECONDS,
-        )
-
     def read(self, exchange: CallExchange, events: Iterator[bytes]) -> Iterator[bytes]:
         """Yield events to the end, from the next home when one is lost."""
         is_whole = yield from events
@@ -94,7 +80,7 @@
             return Response()
 
         def there(box: BoxRecord) -> Response:
-            answer = self.open_there(exchange, box)
+            answer = self.forwarder.open(exchange.to(box))
             if not answer.headers.get("Content-Type", "").startswith(STREAM_TYPE):
                 data = answer.read()
                 answer.release_conn()
