Pack the histories of idle programs at their home

Cause: by the slopes a home keeps 1.40 bytes for a byte of history, up to 2.9 GB a node at the two-year size, although a program there calls once in 22 s on average and is idle in between. Holders in memory pack long records already (0.84 bytes).

Ruled out: reading idle programs back from their holders (a call would wait for another box, and a takeover race would be new); packing each record at once (the next call reads it again, and 2.7 MB take tens of milliseconds between two tokens).

Change: after 5 s without a call a program's records are packed, the oldest first, at most 256,000 characters a second, which is twice what a node's programs add. A packed record is unpacked for one look and stays packed.

Conclusion: to be measured.

--- a/src/cedarchute/copies/holder_link.py
+++ b/src/cedarchute/copies/holder_link.py
@@ -177,7 +177,7 @@
             program=program,
             start=start,
             previous_epoch=previous,
-            records=tuple(program_log.records[start:]),
+            records=tuple(r.to_held() for r in program_log.records[start:]),
         )
 
     def put_back(self, request: AppendRequest) -> None:
--- a/src/cedarchute/copies/program_log.py
+++ b/src/cedarchute/copies/program_log.py
@@ -7,6 +7,8 @@
 import eventlet
 from eventlet.event import Event
 
+from cedarchute.copies.log_record import LogRecord
+
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
 
@@ -17,13 +19,37 @@
     """Records in order, with the length that each holder is known to have."""
 
     def __init__(self, records: Iterable[HeldRecord] = ()) -> None:
-        self.records: list[HeldRecord] = list(records)
+        self.records = [LogRecord(held.epoch, held.text) for held in records]
+        self.packed = 0
         self.matched: dict[str, int] = {}
         self.progress = Event()
 
     def __len__(self) -> int:
         return len(self.records)
 
+    def add(self, epoch: int, texts: Iterable[str]) -> None:
+        """Add records that the owner of `epoch` has written."""
+        self.records.extend(LogRecord(epoch, text) for text in texts)
+
+    def pack(self, most: int) -> int:
+        """Pack records that holders have, the oldest first.
+
+        Parameters
+        ----------
+        most : int
+            About how many characters to pack at once.
+
+        Returns
+        -------
+        int
+            How many characters were packed.
+        """
+        done = 0
+        while self.packed < len(self.records) and done < most:
+            done += self.records[self.packed].pack()
+            self.packed += 1
+        return done
+
     def on_matched(self, holder: str, length: int) -> None:
         """Note that `holder` has the first `length` records."""
         self.matched[holder] = length
--- a/src/cedarchute/copies/record_storage.py
+++ b/src/cedarchute/copies/record_storage.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-import zlib
-from typing import TYPE_CHECKING, Final, Protocol
+from typing import TYPE_CHECKING, Protocol
+
+from cedarchute.copies.packed_text import pack_text, unpack_text
 
 if TYPE_CHECKING:
     from cedarchute.copies.partition_copy import PartitionCopy
 
-COMPRESS_ABOVE: Final = 512
-
 
 class RecordStorage(Protocol):
     """Keeps the text of records; told of every change that must last."""
@@ -53,17 +52,12 @@
     ) -> object:
         """Keep `text` and return its handle."""
         del partition, program, index, epoch
-        raw = text.encode()
-        if len(raw) <= COMPRESS_ABOVE:
-            return raw
-        return (zlib.compress(raw, 1),)
+        return pack_text(text)
 
     def get(self, handle: object) -> str:
         """Return the text of `handle`."""
-        if isinstance(handle, tuple):
-            return zlib.decompress(handle[0]).decode()
-        assert isinstance(handle, bytes)
-        return handle.decode()
+        assert isinstance(handle, (bytes, tuple))
+        return unpack_text(handle)
 
     def note_epoch(self, partition: str, epoch: int) -> None:
         """Do nothing."""
--- a/src/cedarchute/copies/replicator.py
+++ b/src/cedarchute/copies/replicator.py
@@ -7,7 +7,6 @@
 
 import eventlet
 
-from cedarchute.copies.held_record import HeldRecord
 from cedarchute.copies.holder_link import HolderLink
 from cedarchute.copies.owned_partition import make_copies_problem
 from cedarchute.verdict import Verdict
@@ -98,10 +97,7 @@
             partition.check_owned()
             program_log = partition.logs[program]
             start = len(program_log)
-            program_log.records.extend(
-                HeldRecord(epoch=partition.epoch, text=record.to_json())
-                for record in records
-            )
+            program_log.add(partition.epoch, [r.to_json() for r in records])
             if not is_sent:
                 return start
             preferred = max(self.settings.wanted, partition.record.quorum)
--- a/src/cedarchute/programs/reaper.py
+++ b/src/cedarchute/programs/reaper.py
@@ -19,11 +19,15 @@
 log = logging.getLogger("cedarchute.programs")
 
 PERIOD_SECONDS: Final = 1.0
+PACK_AFTER_SECONDS: Final = 5.0
+# A few milliseconds of work: less than the time between two tokens.
+PACK_AT_ONCE: Final = 256_000
 
 
 class Reaper:
     """Looks at every program of the home in each period.
 
+    The history of a program that is idle is packed, a bounded part in each period.
     A program that loops without end is ended by its budget of calls or tokens, or
     here by its time.
     """
@@ -39,8 +43,16 @@
         """End programs that are out of time or idle; forget ended ones."""
         while True:
             eventlet.sleep(PERIOD_SECONDS)
+            left = PACK_AT_ONCE
             for program in list(self.home.programs.values()):
                 self.reap(program)
+                if left > 0 and self.is_idle(program):
+                    left -= program.log.pack(left)
+
+    def is_idle(self, program: Program) -> bool:
+        """Return whether a program has had no call for a while."""
+        idle = self.clock.monotonic() - program.touched_at
+        return not program.runs and idle > PACK_AFTER_SECONDS
 
     def reap(self, program: Program) -> None:
         """End or forget one program if it is due."""
--- a/src/experiments/slopes.py
+++ b/src/experiments/slopes.py
@@ -19,6 +19,7 @@
 
 import numpy as np
 
+from cedarchute.programs.reaper import PACK_AFTER_SECONDS, PACK_AT_ONCE
 from experiments.caller import Caller, StreamResult, take_event
 from experiments.local_site import BoxTiming, LocalSite
 from experiments.repeated_load import RepeatedLoad
@@ -224,6 +225,9 @@
             ):
                 memory = site.processes[box].memory_bytes
                 slopes.add(f"history_{role}", "bytes of history", "bytes", sent, memory)
+            time.sleep(PACK_AFTER_SECONDS + sent / PACK_AT_ONCE * 1.2 + 1.0)
+            memory = site.processes["box-0"].memory_bytes
+            slopes.add("history_home_idle", "bytes of history", "bytes", sent, memory)
 
 
 def measure_peers(slopes: Slopes) -> None:
