Leave an engine alone that does not move a cache; split the driver's site

Cause: a call whose cache was to be moved from a hung engine would wait 3 s for it, and the call of each further program again.

Ruled out: moves beside the call (the engine would compute meanwhile).

Change: a move has 1 s; the engine that does not answer rests as after a failed call. Times and targets of the driver's site are modules of their own.

Conclusion: a hung engine costs one call 1 s.

--- a/src/cedarchute/programs/cache_mover.py
+++ b/src/cedarchute/programs/cache_mover.py
@@ -54,12 +54,16 @@
         source, tokens = self.find_source(program, target)
         if source is None or not is_worth_moving(target, here, tokens):
             return
+        asked = source
         try:
             exported = self.engines.export_cache(source.section.address, program.id)
+            asked = target
             self.engines.import_cache(target.section.address, exported)
         except TargetError as error:
             self.metrics.count("cache.move_failed")
             log.info("Cache of %s not moved: %s.", program.id, error)
+            # Or the next program would wait for the same engine in vain.
+            self.book.rest(asked)
             return
         self.metrics.count("cache.moved")
 
--- a/src/cedarchute/scheduling/target_book.py
+++ b/src/cedarchute/scheduling/target_book.py
@@ -88,12 +88,16 @@
         target.probing = False
 
     def on_failed(self, target: TargetState, reason: str, priority: int = 0) -> None:
-        """Note a failure; the target rests for twice as long each time."""
+        """Note a failure; the target rests, unless it was only busy."""
         target.in_flight -= 1
         target.priorities.remove(priority)
         target.probing = False
         if reason in ("target_busy", "target_refused"):
             return
+        self.rest(target)
+
+    def rest(self, target: TargetState) -> None:
+        """Leave a target alone for a while; for twice as long each time."""
         target.failures += 1
         rest = min(FIRST_REST_SECONDS * 2**target.failures, LONGEST_REST_SECONDS)
         target.failing_until = self.clock.monotonic() + rest
--- a/src/cedarchute/targets/engine_client.py
+++ b/src/cedarchute/targets/engine_client.py
@@ -30,6 +30,8 @@
 
 CONNECT_SECONDS: Final = 2.0
 CONTROL_SECONDS: Final = 3.0
+# A call waits for a move, and can do without it.
+MOVE_SECONDS: Final = 1.0
 CONNECTIONS: Final = 64
 CONTROL_CONNECTIONS: Final = 4
 HOSTS: Final = 256
@@ -85,11 +87,11 @@
     def export_cache(self, address: Address, program: str) -> dict[str, Any]:
         """Return what an engine has cached of `program`, for another one to take."""
         body = {"program": program}
-        return self._control("POST", address, "/cache/export", body)
+        return self._control("POST", address, "/cache/export", body, MOVE_SECONDS)
 
     def import_cache(self, address: Address, exported: dict[str, Any]) -> None:
         """Give an engine what another one has exported."""
-        self._control("POST", address, "/cache/import", exported)
+        self._control("POST", address, "/cache/import", exported, MOVE_SECONDS)
 
     def read_held(self, address: Address) -> list[str]:
         """Return the programs that the engine holds cache for."""
@@ -170,6 +172,7 @@
         address: Address,
         path: str,
         body: dict[str, object] | None = None,
+        seconds: float = CONTROL_SECONDS,
     ) -> dict[str, Any]:
         data = None if body is None else json.dumps(body).encode()
         try:
@@ -179,7 +182,7 @@
                 path,
                 body=data,
                 headers=JSON_HEADERS,
-                timeout=CONTROL_SECONDS,
+                timeout=seconds,
             )
         except TRANSPORT_ERRORS as error:
             raise describe_transport_error(error) from error
--- a/src/experiments/bench.py
+++ b/src/experiments/bench.py
@@ -22,9 +22,10 @@
 
 from cedarchute.scheduling.shared_name import is_shared_name
 from experiments.bench_report import write_report
+from experiments.box_timing import BoxTiming
 from experiments.http_json import HttpJson
 from experiments.load_run import LoadRun
-from experiments.local_site import BoxTiming, LocalSite
+from experiments.local_site import LocalSite
 from experiments.marked_page import replace_marked
 from experiments.program_plan import plan_programs
 from experiments.scenario import load_scenario
--- a/src/experiments/demo.py
+++ b/src/experiments/demo.py
@@ -13,8 +13,9 @@
 
 from cedarchute.cli.output import format_table
 from cedarchute.scheduling.shared_name import is_shared_name
+from experiments.box_timing import BoxTiming
 from experiments.caller import Caller
-from experiments.local_site import BoxTiming, LocalSite
+from experiments.local_site import LocalSite
 
 PROGRAMS: Final = 36
 WORKERS: Final = 12
--- a/src/experiments/local_site.py
+++ b/src/experiments/local_site.py
@@ -5,12 +5,13 @@
 import base64
 import json
 import shutil
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any, Final
 
 import urllib3
 
+from experiments.box_timing import BoxTiming
 from experiments.http_json import HttpJson
+from experiments.local_target import LocalTarget
 from experiments.ports import find_free_port
 from experiments.process import Process
 from experiments.waiting import wait_until
@@ -22,38 +23,6 @@
 HOST: Final = "127.0.0.1"
 
 
-@dataclass
-class BoxTiming:
-    """Times of the daemons; short ones, so that failures show soon."""
-
-    lease_seconds: float = 2.0
-    heartbeat_seconds: float = 0.3
-    takeover_seconds: float = 1.5
-    entry_keep_seconds: float = 1.0
-    sweep_seconds: float = 1.0
-    order_seconds: float = 0.5
-    idle_program_seconds: float = 60.0
-    keep_answers_seconds: float = 60.0
-    load_seconds: float = 0.3
-    wanted: int = 2
-    spare: int = 1
-    subset_targets: int = 20
-    coalesce_seconds: float = 0.03
-    append_seconds: float = 3.0
-    drain_seconds: float = 20.0
-
-
-@dataclass
-class Target:
-    """A stand-in behind the system."""
-
-    name: str
-    service: str
-    port: int
-    failure_domain: str
-    options: dict[str, str] = field(default_factory=dict)
-
-
 class LocalSite:
     """Starts, breaks and stops the processes of a site.
 
@@ -72,7 +41,7 @@
         self.processes: dict[str, Process] = {}
         self.callers: dict[str, str] = {}
         self.peers: dict[str, str] = {}
-        self.targets: dict[str, Target] = {}
+        self.targets: dict[str, LocalTarget] = {}
         self.services: dict[str, dict[str, str]] = {}
         self.platform: dict[str, str] = {}
         self.links: dict[str, str] = {}
@@ -129,7 +98,7 @@
         """Start the stand-in of a model engine."""
         port = find_free_port()
         texts = {key: str(value) for key, value in options.items()}
-        self.targets[name] = Target(name, service, port, failure_domain, texts)
+        self.targets[name] = LocalTarget(name, service, port, failure_domain, texts)
         arguments = ["-m", "standins.engine", "--port", str(port)]
         for key, value in texts.items():
             arguments += [f"--{key}", value]
@@ -138,7 +107,7 @@
     def start_service(self, name: str, service: str, failure_domain: str) -> None:
         """Start the stand-in of a plain service or tool."""
         port = find_free_port()
-        self.targets[name] = Target(name, service, port, failure_domain)
+        self.targets[name] = LocalTarget(name, service, port, failure_domain)
         self.add(name, ["-m", "standins.service", "--port", str(port)])
 
     def target_address(self, name: str) -> str:
--- a/src/experiments/slopes.py
+++ b/src/experiments/slopes.py
@@ -20,8 +20,9 @@
 import numpy as np
 
 from cedarchute.programs.reaper import PACK_AFTER_SECONDS, PACK_AT_ONCE
+from experiments.box_timing import BoxTiming
 from experiments.caller import Caller, StreamResult, take_event
-from experiments.local_site import BoxTiming, LocalSite
+from experiments.local_site import LocalSite
 from experiments.repeated_load import RepeatedLoad
 from experiments.slope import Slope
 from experiments.slope_plots import write_plots
--- a/tests/failures/test_planned_stop.py
+++ b/tests/failures/test_planned_stop.py
@@ -11,8 +11,8 @@
     start_site,
 )
 
+from experiments.box_timing import BoxTiming
 from experiments.caller import Caller
-from experiments.local_site import BoxTiming
 from experiments.waiting import wait_until
 
 
