Read the roles of the capacity page from the slope of packed histories

Cause: a home keeps idle histories packed now; the page knew one slope only.

Ruled out: a mean of both (most programs are idle between two calls at that size).

Change: two rows for the home; the store's calls at rest are read off the line with its base, since the looks at an older store no longer grow with the boxes.

Conclusion: the tables follow with the slopes.

--- a/src/experiments/capacity.py
+++ b/src/experiments/capacity.py
@@ -75,16 +75,14 @@
         )
         home = self.requests * self.slope("request_home")
         home += self.tokens * self.slope("token_home")
-        texts = [
-            self.history_bytes(s) * self.slope("history_home") for s in (low, high)
-        ]
         records = self.programs * self.slope("program_home")
-        add(
-            "home of programs",
-            home,
-            format_range(records + texts[0], records + texts[1]),
-            "one log a program; partition a start",
-        )
+        for role, name, mechanism in (
+            ("home, just called", "history_home", "one log a program"),
+            ("home, idle in between", "history_home_idle", "the same, packed"),
+        ):
+            texts = [self.history_bytes(s) * self.slope(name) for s in (low, high)]
+            memory = format_range(records + texts[0], records + texts[1])
+            add(role, home, memory, mechanism)
         holder = plan.COPIES * self.requests * self.slope("request_holder")
         kept = [
             plan.COPIES
@@ -170,7 +168,7 @@
 
     def store_rows(self) -> list[list[str]]:
         """Return the calls of the store, at rest and when much happens at once."""
-        rest = self.slope("store_calls") * plan.NODES
+        rest = self.at("store_calls", plan.NODES)
         renewals = plan.NODES * 3 / plan.LEASE_SECONDS
         day = plan.FAILURES_A_DAY + plan.RESTARTS_A_DAY
         in_domain = plan.NODES / plan.DOMAINS
