--- a/src/cedarchute/daemon/composition.py
+++ b/src/cedarchute/daemon/composition.py
@@ -195,8 +195,7 @@
         box.name,
         view,
         home,
-        book,
-        poller,
+        configuration,
         engines,
         client,
         settings.serving.sweep_seconds,
@@ -286,6 +285,7 @@
         policies.on_configuration,
         on_configuration,
     ]
+    view.listeners.append(lambda: book.on_boxes(box.name for box in view.entries))
     stopper = Stopper(keeper, view, partitions, client, active, settings.serving, clock)
 
     def open_fronts() -> None:
--- a/src/cedarchute/programs/cache_mover.py
+++ b/src/cedarchute/programs/cache_mover.py
@@ -74,7 +74,7 @@
         best: TargetState | None = None
         most = 0
         for name, tokens in program.cached.items():
-            source = self.book.targets.get(name)
+            source = self.book.find(name)
             if source is None or source is target or source.failures:
                 continue
             if tokens > most:
--- a/src/cedarchute/programs/cache_sweeper.py
+++ b/src/cedarchute/programs/cache_sweeper.py
@@ -7,8 +7,9 @@
 
 import eventlet
 
-from cedarchute.membership.view import rank
+from cedarchute.membership.box_ring import BoxRing
 from cedarchute.message import Message
+from cedarchute.operators.site_file import ServiceKind
 from cedarchute.peers.peer_client import PeerError
 from cedarchute.problem import Problem
 from cedarchute.programs.program_id import parse_partition
@@ -19,11 +20,10 @@
     from cedarchute.clock import Clock
     from cedarchute.membership.view import View
     from cedarchute.metrics import Metrics
+    from cedarchute.operators.configuration import Configuration
+    from cedarchute.operators.site_file import TargetSection
     from cedarchute.peers.peer_client import PeerClient
     from cedarchute.programs.home import ProgramHome
-    from cedarchute.scheduling.load_poller import LoadPoller
-    from cedarchute.scheduling.target_book import TargetBook
-    from cedarchute.scheduling.target_state import TargetState
     from cedarchute.targets.engine_client import EngineClient
 
 log = logging.getLogger("cedarchute.release")
@@ -46,6 +46,9 @@
 class CacheSweeper:
     """Releases what no living program needs; one box sweeps each engine.
 
+    Every engine of the accepted file has its turn, also those that the box that
+    sweeps it sends no work to.
+
     This finds what the confirmed releases miss: a program whose records were lost
     or an engine that started work after its release.
     """
@@ -55,8 +58,7 @@
         box: str,
         view: View,
         home: ProgramHome,
-        book: TargetBook,
-        poller: LoadPoller,
+        configuration: Configuration,
         engines: EngineClient,
         client: PeerClient,
         seconds: float,
@@ -66,8 +68,7 @@
         self.box = box
         self.view = view
         self.home = home
-        self.book = book
-        self.poller = poller
+        self.configuration = configuration
         self.engines = engines
         self.client = client
         self.seconds = seconds
@@ -78,19 +79,23 @@
         """Sweep in each period."""
         while True:
             eventlet.sleep(self.seconds)
-            for target in list(self.book.targets.values()):
-                if self.poller.is_engine(target) and self.is_mine(target):
-                    self.sweep(target)
+            self.sweep_once()
 
-    def is_mine(self, target: TargetState) -> bool:
-        """Return whether this box is the one that sweeps `target`."""
-        names = [box.name for box in self.view.entries] or [self.box]
-        return max(names, key=lambda name: rank(name, target.name)) == self.box
+    def sweep_once(self) -> None:
+        """Sweep this box's share of the engines."""
+        site = self.configuration.site
+        if site is None:
+            return
+        ring = BoxRing([box.name for box in self.view.entries] or [self.box])
+        for name, target in site.targets.items():
+            is_engine = site.services[target.service].kind is ServiceKind.MODEL
+            if is_engine and ring.find_owner(name) == self.box:
+                self.sweep(target)
 
-    def sweep(self, target: TargetState) -> None:
+    def sweep(self, target: TargetSection) -> None:
         """Release on one engine what no program needs."""
         try:
-            held = self.engines.read_held(target.section.address)
+            held = self.engines.read_held(target.address)
         except TargetError:
             return
         by_partition: dict[str, list[str]] = {}
@@ -112,12 +117,12 @@
                 if program not in living:
                     self.release(target, program)
 
-    def release(self, target: TargetState, program: str) -> None:
+    def release(self, target: TargetSection, program: str) -> None:
         """Release one program; the next sweep tries again if that fails."""
         try:
-            self.engines.release(target.section.address, program)
+            self.engines.release(target.address, program)
             self.metrics.count("release.swept")
-            log.info("Swept %s on %s.", program, target.name)
+            log.info("Swept %s on %s.", program, target.address)
         except TargetError:
             self.metrics.count_retry("release_swept")
 
--- a/src/cedarchute/programs/dispatcher.py
+++ b/src/cedarchute/programs/dispatcher.py
@@ -140,13 +140,13 @@
         TargetError
             When the engine did not confirm it.
         """
-        state = self.book.targets.get(target)
+        state = self.book.find(target)
         if state is not None:
             self.models.engines.cancel(state.section.address, request_id)
 
     def attempt(self, call: Dispatch, *, is_resumed: bool) -> CallFinished:
         """Carry out one attempt at the target that the records name."""
-        target = self.book.targets.get(call.entry.target)
+        target = self.book.find(call.entry.target)
         if target is None:
             raise TargetError("target_unknown", call.entry.target, Verdict.NOT_RUN)
         seconds = call.intent.deadline - self.clock.wall()
--- a/src/cedarchute/programs/releaser.py
+++ b/src/cedarchute/programs/releaser.py
@@ -53,7 +53,7 @@
         """Release one program on one target, again until it is confirmed."""
         wait = FIRST_WAIT_SECONDS
         while not program.partition.is_lost and name in program.cached:
-            target = self.book.targets.get(name)
+            target = self.book.find(name)
             try:
                 if target is not None:
                     self.engines.release(target.section.address, program.id)
--- a/src/cedarchute/programs/target_chooser.py
+++ b/src/cedarchute/programs/target_chooser.py
@@ -70,7 +70,7 @@
         """Return what sound targets have cached, those that are leaving included."""
         found = {}
         for name, tokens in program.cached.items():
-            target = self.book.targets.get(name)
+            target = self.book.find(name)
             if target is not None and target.failures == 0:
                 found[name] = tokens
         return found
--- a/src/cedarchute/scheduling/target_book.py
+++ b/src/cedarchute/scheduling/target_book.py
@@ -4,14 +4,18 @@
 
 from typing import TYPE_CHECKING, Final
 
+from cedarchute.membership.box_ring import BoxRing
 from cedarchute.membership.view import rank
 from cedarchute.operators.site_file import TargetState as WantedState
 from cedarchute.scheduling.target_state import TargetState
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from cedarchute.clock import Clock
     from cedarchute.metrics import Metrics
     from cedarchute.operators.accepted_file import AcceptedFile
+    from cedarchute.operators.site_file import SiteFile, TargetSection
     from cedarchute.targets.load_report import LoadReport
 
 FIRST_REST_SECONDS: Final = 0.5
@@ -34,26 +38,64 @@
         self.subset = subset
         self.clock = clock
         self.metrics = metrics
+        self.site: SiteFile | None = None
+        self.ring = BoxRing(())
         self.targets: dict[str, TargetState] = {}
+        self.others: dict[str, TargetState] = {}
         self.by_service: dict[str, list[TargetState]] = {}
         self.platform_leaving: frozenset[str] = frozenset()
 
     def on_configuration(self, accepted: AcceptedFile) -> None:
         """Take in an accepted file; what is known of kept targets stays."""
-        targets = {}
-        by_service: dict[str, list[TargetState]] = {}
-        for service in accepted.site.services:
-            sections = accepted.site.targets_of(service)
-            names = sorted(sections, key=lambda name: rank(self.box, name))
-            for name in names[: self.subset]:
-                state = self.targets.get(name)
-                if state is None or state.section.address != sections[name].address:
-                    state = TargetState(name, sections[name])
-                state.section = sections[name]
-                targets[name] = state
-                by_service.setdefault(service, []).append(state)
-        self.targets = targets
-        self.by_service = by_service
+        self.site = accepted.site
+        self.choose_own()
+
+    def on_boxes(self, names: Iterable[str]) -> None:
+        """Take in which boxes there are."""
+        ring = BoxRing(names)
+        if ring.names != self.ring.names:
+            self.ring = ring
+            self.choose_own()
+
+    def choose_own(self) -> None:
+        """Choose the targets that this box works with.
+
+        It takes a few of each service by rank, and those that the ring of boxes
+        gives to it, so that each target is some box's.
+        """
+        known = {**self.others, **self.targets}
+        self.targets = {}
+        self.others = {}
+        self.by_service = {}
+        if self.site is None:
+            return
+        for service in self.site.services:
+            sections = self.site.targets_of(service)
+            ranked = sorted(sections, key=lambda name: rank(self.box, name))
+            own = [
+                name
+                for position, name in enumerate(ranked)
+                if position < self.subset or self.ring.find_owner(name) == self.box
+            ]
+            for name in own:
+                state = keep_state(known.get(name), name, sections[name])
+                self.targets[name] = state
+                self.by_service.setdefault(service, []).append(state)
+        for name, section in self.site.targets.items():
+            if name in known and name not in self.targets:
+                self.others[name] = keep_state(known[name], name, section)
+
+    def find(self, name: str) -> TargetState | None:
+        """Return any target of the accepted file.
+
+        One that other boxes work with is found too: a program that this box has
+        taken over may have its answer or its cache there.
+        """
+        state = self.targets.get(name) or self.others.get(name)
+        if state is not None or self.site is None or name not in self.site.targets:
+            return state
+        state = self.others[name] = TargetState(name, self.site.targets[name])
+        return state
 
     def usable(self, service: str, excluded: set[str]) -> list[TargetState]:
         """Return the targets of `service` that may get new work now."""
@@ -111,6 +153,16 @@
         target.sent_tokens_since = 0
 
 
+def keep_state(
+    state: TargetState | None, name: str, section: TargetSection
+) -> TargetState:
+    """Return what is known of a target, or a new state when its address changed."""
+    if state is None or state.section.address != section.address:
+        return TargetState(name, section)
+    state.section = section
+    return state
+
+
 def is_leaving(target: TargetState) -> bool:
     """Return whether operators or the target itself say that it is leaving."""
     reported = target.report is not None and target.report.leaving
--- a/src/experiments/capacity.py
+++ b/src/experiments/capacity.py
@@ -130,7 +130,8 @@
                 self.at("control_bytes_peers", peers),
             ),
             (
-                "load reports of 10 targets, each 1.5 s",
+                f"load reports of {plan.POLLED_TARGETS:.0f} targets, "
+                f"each {plan.LOAD_SECONDS:g} s",
                 self.slope("control_cpu_polls") * polls,
                 self.slope("control_memory_polls") * polls,
                 self.slope("control_bytes_polls") * polls,
--- a/src/experiments/mutations.py
+++ b/src/experiments/mutations.py
@@ -265,4 +265,25 @@
         "pass",
         MOVES + "test_the_cache_of_a_leaving_engine_moves_with_the_program",
     ),
+    Mutation(
+        "a target that other boxes work with is found for what it still owes",
+        "scheduling/target_book.py",
+        "if state is not None or self.site is None or name not in self.site.targets:",
+        "if True:",
+        "tests/failures/test_subsets.py",
+    ),
+    Mutation(
+        "each target is worked with by some box",
+        "scheduling/target_book.py",
+        "if position < self.subset or self.ring.find_owner(name) == self.box",
+        "if position < self.subset",
+        "tests/scheduling/test_target_book.py",
+    ),
+    Mutation(
+        "each engine is swept by one box",
+        "programs/cache_sweeper.py",
+        "if is_engine and ring.find_owner(name) == self.box:",
+        "if is_engine and len(name) % 2:",
+        "tests/programs/test_cache_sweeper.py",
+    ),
 )
--- a/src/experiments/two_year_plan.py
+++ b/src/experiments/two_year_plan.py
@@ -22,7 +22,13 @@
 
 BYTES_A_TOKEN: Final = 4
 COPIES: Final = 2
-POLLS_A_SECOND: Final = 10 / 1.5
+MODELS: Final = 14
+# `subset_targets` and `load_seconds` for that many models; each box also polls its
+# share of all runners.
+SUBSET_TARGETS: Final = 2
+LOAD_SECONDS: Final = 4.0
+POLLED_TARGETS: Final = MODELS * SUBSET_TARGETS + RUNNERS / NODES
+POLLS_A_SECOND: Final = POLLED_TARGETS / LOAD_SECONDS
 STORE_WRITES: Final = 300.0
 STORE_READS: Final = 2_000.0
 LEASE_SECONDS: Final = 15.0
--- /dev/null
+++ b/tests/scheduling/test_target_book.py
@@ -0,0 +1,55 @@
+from __future__ import annotations
+
+import pytest
+from fakes import StillClock
+
+from cedarchute.metrics import Metrics
+from cedarchute.operators.accepted_file import AcceptedFile
+from cedarchute.scheduling.target_book import TargetBook
+
+
+def make_file(targets, moved=""):
+    lines = ["[site]", "name = large", "[service agent]", "kind = model", "model = m"]
+    for number in range(targets):
+        name = f"e{number}"
+        port = 2000 + number if name == moved else 1000 + number
+        lines += [f"[target {name}]", "service = agent", "failure_domain = a"]
+        lines.append(f"address = 127.0.0.1:{port}")
+    text = "\n".join(lines) + "\n"
+    return AcceptedFile(
+        revision=1, operation="o", operator="x", applied_at=0.0, text=text
+    )
+
+
+def make_books(boxes, targets, subset):
+    books = [TargetBook(f"b{n}", subset, StillClock(), Metrics()) for n in range(boxes)]
+    for book in books:
+        book.on_configuration(make_file(targets))
+        book.on_boxes([other.box for other in books])
+    return books
+
+
+@pytest.mark.parametrize(("boxes", "targets"), [(3, 30), (40, 120), (120, 350)])
+def test_each_target_is_worked_with_by_some_box(boxes, targets):
+    books = make_books(boxes, targets, subset=2)
+    covered = {name for book in books for name in book.targets}
+    assert len(covered) == targets
+
+
+def test_a_target_of_other_boxes_is_found_and_given_no_new_work():
+    (book, *_) = make_books(40, 120, subset=2)
+    other = next(f"e{n}" for n in range(120) if f"e{n}" not in book.targets)
+    assert book.find(other).name == other
+    assert book.find(other) is book.find(other)
+    assert other not in [target.name for target in book.usable("agent", set())]
+    assert book.find("unknown") is None
+
+
+def test_what_is_known_of_a_target_stays_unless_its_address_changes():
+    book = TargetBook("b0", 10, StillClock(), Metrics())
+    book.on_configuration(make_file(3))
+    first, second = book.find("e0"), book.find("e1")
+    book.on_boxes(["b0", "b1"])
+    book.on_configuration(make_file(3, moved="e1"))
+    assert book.find("e0") is first
+    assert book.find("e1") is not second
