Lend half of a workspace's rate on demand

Cause: a workspace's rate was divided evenly among the boxes. At 380 boxes a workspace of 100 calls a second had 0.26 on each, and a program that makes one call a second at its home was refused while the site was idle. Found by reading the limits against the two-year size.

Ruled out: a counter in the store, larger bursts on each box (docs/design/7-limits.md).

Change: half is dealt out evenly; the ring names a keeper that lends the other half in bulk. A box asks before its calls run out, in a task of its own, so a request neither waits nor yields between the look for its key and its run. The digest by which boxes agree has a module of its own.

Conclusion: the limit follows demand; two keepers may lend while boxes disagree about the ring.

--- a/src/cedarchute/daemon/composition.py
+++ b/src/cedarchute/daemon/composition.py
@@ -27,6 +27,9 @@
 from cedarchute.daemon.daemon import Daemon
 from cedarchute.daemon.starting_app import StartingApp
 from cedarchute.daemon.stopper import Stopper
+from cedarchute.limits.borrow import BorrowRequest
+from cedarchute.limits.limit_borrower import LimitBorrower
+from cedarchute.limits.limit_lender import LimitLender
 from cedarchute.limits.retry_allowance import RetryAllowance
 from cedarchute.limits.workspace_limits import WorkspaceLimits
 from cedarchute.membership.box_record import BoxRecord
@@ -155,8 +158,14 @@
         metrics,
     )
     allowance = RetryAllowance(0.1)
+    lender = LimitLender(configuration, clock)
     limits = WorkspaceLimits(
-        configuration, lambda: len(view.entries), clock, random_source, metrics
+        configuration,
+        lambda: len(view.entries),
+        LimitBorrower(box.name, view, lender, client).borrow,
+        clock,
+        random_source,
+        metrics,
     )
 
     home = ProgramHome(
@@ -263,6 +272,7 @@
     peers.add_message("suspect", Suspicion, check.on_suspicion)
     peers.add_message("hand-over", HandOver, takeover.on_hand_over)
     peers.add_message("lives", LivesRequest, sweeper.on_lives)
+    peers.add_message("borrow", BorrowRequest, lender.on_borrow)
     OperatorApi(
         applier,
         configuration,
@@ -282,10 +292,11 @@
     configuration.listeners += [
         book.on_configuration,
         limits.on_configuration,
+        lender.on_configuration,
         policies.on_configuration,
         on_configuration,
     ]
-    view.listeners.append(lambda: book.on_boxes(box.name for box in view.entries))
+    view.listeners.append(lambda: book.on_ring(view.ring))
     stopper = Stopper(keeper, view, partitions, client, active, settings.serving, clock)
 
     def open_fronts() -> None:
--- a/src/cedarchute/limits/token_bucket.py
+++ b/src/cedarchute/limits/token_bucket.py
@@ -32,6 +32,13 @@
         self.level -= amount
         return True
 
+    def take_most(self, amount: int) -> int:
+        """Take as many whole units as are there, up to `amount`; return how many."""
+        self.refill()
+        taken = max(0, min(amount, int(self.level)))
+        self.level -= taken
+        return taken
+
     def seconds_until(self, amount: float = 1.0) -> float:
         """Return how long it takes until `amount` is there."""
         self.refill()
--- a/src/cedarchute/membership/box_ring.py
+++ b/src/cedarchute/membership/box_ring.py
@@ -5,7 +5,7 @@
 from bisect import bisect_left
 from typing import TYPE_CHECKING
 
-from cedarchute.membership.view import rank
+from cedarchute.membership.rank import rank
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/src/cedarchute/membership/heartbeats.py
+++ b/src/cedarchute/membership/heartbeats.py
@@ -7,7 +7,7 @@
 
 import eventlet
 
-from cedarchute.membership.view import rank
+from cedarchute.membership.rank import rank
 from cedarchute.peers.heartbeat import (
     ConfigurationReply,
     ConfigurationRequest,
--- a/src/cedarchute/membership/view.py
+++ b/src/cedarchute/membership/view.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-import hashlib
-from functools import lru_cache
 from typing import TYPE_CHECKING, Final
 
+from cedarchute.membership.box_ring import BoxRing
 from cedarchute.membership.partition_record import PartitionRecord
 
 if TYPE_CHECKING:
@@ -15,14 +14,6 @@
     from cedarchute.platform.store_entry import StoreEntry
 
 REFUSALS_NEEDED: Final = 2
-RANKS_KEPT: Final = 2048
-
-
-@lru_cache(maxsize=RANKS_KEPT)
-def rank(*parts: str) -> int:
-    """Return a number that every box computes alike for the same parts."""
-    digest = hashlib.blake2b("|".join(parts).encode(), digest_size=8).digest()
-    return int.from_bytes(digest, "big")
 
 
 class View:
@@ -40,6 +31,7 @@
         self.platform_leaving: frozenset[str] = frozenset()
         self.refusals: dict[str, int] = {}
         self.listeners: list[Callable[[], None]] = []
+        self._ring = BoxRing(())
 
     def put_box(self, record: BoxRecord) -> None:
         """Take in the record of a box."""
@@ -131,6 +123,14 @@
             and not self.is_refusing(record.identity)
         ]
 
+    @property
+    def ring(self) -> BoxRing:
+        """The entries as a ring, which deals things out to them."""
+        names = {record.name for record in self.entries}
+        if names != set(self._ring.names):
+            self._ring = BoxRing(names)
+        return self._ring
+
     def _changed(self) -> None:
         for listener in self.listeners:
             listener()
--- a/src/cedarchute/ownership/holder_choice.py
+++ b/src/cedarchute/ownership/holder_choice.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from cedarchute.membership.view import rank
+from cedarchute.membership.rank import rank
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/src/cedarchute/programs/cache_sweeper.py
+++ b/src/cedarchute/programs/cache_sweeper.py
@@ -7,7 +7,6 @@
 
 import eventlet
 
-from cedarchute.membership.box_ring import BoxRing
 from cedarchute.message import Message
 from cedarchute.operators.site_file import ServiceKind
 from cedarchute.peers.peer_client import PeerError
@@ -86,7 +85,7 @@
         site = self.configuration.site
         if site is None:
             return
-        ring = BoxRing([box.name for box in self.view.entries] or [self.box])
+        ring = self.view.ring
         for name, target in site.targets.items():
             is_engine = site.services[target.service].kind is ServiceKind.MODEL
             if is_engine and ring.find_owner(name) == self.box:
--- a/src/cedarchute/scheduling/prefix_index.py
+++ b/src/cedarchute/scheduling/prefix_index.py
@@ -5,7 +5,7 @@
 from collections import OrderedDict
 from typing import TYPE_CHECKING, Final
 
-from cedarchute.membership.view import rank
+from cedarchute.membership.rank import rank
 from cedarchute.scheduling.prefix_digests import CHUNK_TOKENS
 from cedarchute.scheduling.prefix_entry import PrefixEntry
 
--- a/src/cedarchute/scheduling/target_book.py
+++ b/src/cedarchute/scheduling/target_book.py
@@ -5,13 +5,11 @@
 from typing import TYPE_CHECKING, Final
 
 from cedarchute.membership.box_ring import BoxRing
-from cedarchute.membership.view import rank
+from cedarchute.membership.rank import rank
 from cedarchute.operators.site_file import TargetState as WantedState
 from cedarchute.scheduling.target_state import TargetState
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
     from cedarchute.clock import Clock
     from cedarchute.metrics import Metrics
     from cedarchute.operators.accepted_file import AcceptedFile
@@ -50,9 +48,8 @@
         self.site = accepted.site
         self.choose_own()
 
-    def on_boxes(self, names: Iterable[str]) -> None:
+    def on_ring(self, ring: BoxRing) -> None:
         """Take in which boxes there are."""
-        ring = BoxRing(names)
         if ring.names != self.ring.names:
             self.ring = ring
             self.choose_own()
--- a/src/cedarchute/targets/orders/order_keeper.py
+++ b/src/cedarchute/targets/orders/order_keeper.py
@@ -8,7 +8,7 @@
 
 import eventlet
 
-from cedarchute.membership.view import rank
+from cedarchute.membership.rank import rank
 from cedarchute.operators.site_file import ServiceKind
 from cedarchute.platform.store_client import StoreUnavailableError
 from cedarchute.targets.orders.order_term import OrderTerm
--- a/src/experiments/mutations.py
+++ b/src/experiments/mutations.py
@@ -286,4 +286,11 @@
         "if is_engine and len(name) % 2:",
         "tests/programs/test_cache_sweeper.py",
     ),
+    Mutation(
+        "a busy box uses what it has borrowed",
+        "limits/workspace_limits.py",
+        "bucket.take() or loan.take(now)",
+        "bucket.take()",
+        "tests/limits/test_workspace_limits.py",
+    ),
 )
--- a/tests/scheduling/test_target_book.py
+++ b/tests/scheduling/test_target_book.py
@@ -3,6 +3,7 @@
 import pytest
 from fakes import StillClock
 
+from cedarchute.membership.box_ring import BoxRing
 from cedarchute.metrics import Metrics
 from cedarchute.operators.accepted_file import AcceptedFile
 from cedarchute.scheduling.target_book import TargetBook
@@ -25,7 +26,7 @@
     books = [TargetBook(f"b{n}", subset, StillClock(), Metrics()) for n in range(boxes)]
     for book in books:
         book.on_configuration(make_file(targets))
-        book.on_boxes([other.box for other in books])
+        book.on_ring(BoxRing(other.box for other in books))
     return books
 
 
@@ -49,7 +50,7 @@
     book = TargetBook("b0", 10, StillClock(), Metrics())
     book.on_configuration(make_file(3))
     first, second = book.find("e0"), book.find("e1")
-    book.on_boxes(["b0", "b1"])
+    book.on_ring(BoxRing(["b0", "b1"]))
     book.on_configuration(make_file(3, moved="e1"))
     assert book.find("e0") is first
     assert book.find("e1") is not second
--- a/tests/stateful/fake_box.py
+++ b/tests/stateful/fake_box.py
@@ -8,6 +8,7 @@
 from cedarchute.copies.holder import Holder
 from cedarchute.copies.record_storage import MemoryStorage
 from cedarchute.copies.replicator import Replicator
+from cedarchute.limits.limit_lender import LimitLender
 from cedarchute.limits.retry_allowance import RetryAllowance
 from cedarchute.limits.workspace_limits import WorkspaceLimits
 from cedarchute.membership.box_record import BoxRecord
@@ -103,8 +104,14 @@
             self.holder, self.view, client, copies, TAKEOVER_SECONDS, clock, metrics
         )
         book = TargetBook(name, 20, clock, metrics)
+        lender = LimitLender(configuration, clock)
         limits = WorkspaceLimits(
-            configuration, lambda: 1, clock, random.Random(1), metrics
+            configuration,
+            lambda: 1,
+            lender.on_borrow,
+            clock,
+            random.Random(1),
+            metrics,
         )
         self.home = ProgramHome(
             self.replicator,
