Bound the answer about entries; find a holder without a walk over all boxes

Cause: reading for the two-year size: an answer about entries named all 380 boxes of 7 regions (over 20 KB by the length of an entry), so most callers were sent far from the region in which their program's copies stay; each append walked over all boxes twice to find a holder; an entry closed its connections to homes beyond 32 boxes.

Ruled out: a list a region kept by operators.

Change: at most 16 entries, the asked box's region first, and the caller's failure domain if it says so; a map of holders; connections to 128 homes.

Conclusion: nothing changes on sites of up to 16 boxes.

--- a/src/cedarchute/border/caller_app.py
+++ b/src/cedarchute/border/caller_app.py
@@ -8,6 +8,7 @@
 from cedarchute.border.answers import describe_program
 from cedarchute.border.call_exchange import CallExchange
 from cedarchute.border.call_problems import make_reroute_response
+from cedarchute.border.entry_choice import choose_entries
 from cedarchute.border.forwarded_request import ForwardedRequest
 from cedarchute.border.forwarder import HOPS_HEADER
 from cedarchute.border.reroute_error import RerouteError
@@ -81,9 +82,12 @@
 
     def on_entries(self, request: Request) -> Response:
         """Tell which addresses to use, and for how long to keep the answer."""
-        del request
-        boxes = list(self.view.entries)
-        self.random_source.shuffle(boxes)
+        boxes = choose_entries(
+            self.keeper.record.region,
+            request.args.get("failure_domain", ""),
+            self.view.entries,
+            self.random_source,
+        )
         entries = [
             {"address": str(b.caller_address), "failure_domain": b.failure_domain}
             for b in boxes
--- a/src/cedarchute/border/forwarder.py
+++ b/src/cedarchute/border/forwarder.py
@@ -24,7 +24,7 @@
 HOPS_HEADER: Final = "Cedarchute-Hops"
 REROUTE_HEADER: Final = "Cedarchute-Reroute"
 CONNECTIONS: Final = 128
-HOSTS: Final = 32
+HOSTS: Final = 128
 CONNECT_SECONDS: Final = 1.0
 PASSED_HEADERS: Final = (
     "Content-Type",
--- a/src/cedarchute/membership/view.py
+++ b/src/cedarchute/membership/view.py
@@ -26,6 +26,7 @@
     def __init__(self) -> None:
         self.boxes: dict[str, BoxRecord] = {}
         self.absent: dict[str, tuple[BoxRecord, float]] = {}
+        self.by_holder: dict[str, BoxRecord] = {}
         self.partitions: dict[str, PartitionRecord] = {}
         self.partition_versions: dict[str, int] = {}
         self.platform_leaving: frozenset[str] = frozenset()
@@ -42,7 +43,11 @@
         if is_same and known.is_leaving and not record.is_leaving:
             return
         self.boxes[record.name] = record
-        self.absent.pop(record.name, None)
+        absent, _ = self.absent.pop(record.name, (None, 0.0))
+        for earlier in (known, absent):
+            if earlier is not None and earlier.holder != record.holder:
+                self._forget_holder(earlier)
+        self.by_holder[record.holder] = record
         self._changed()
 
     def drop_box(self, name: str, now: float) -> None:
@@ -54,7 +59,14 @@
 
     def forget_box(self, name: str) -> None:
         """Take in that an absent box is proved gone."""
-        self.absent.pop(name, None)
+        found = self.absent.pop(name, None)
+        if found is not None:
+            self._forget_holder(found[0])
+
+    def _forget_holder(self, record: BoxRecord) -> None:
+        known = self.by_holder.get(record.holder)
+        if known is not None and known.name == record.name:
+            del self.by_holder[record.holder]
 
     def put_partition(self, entry: StoreEntry) -> None:
         """Take in the record of a partition, unless a higher epoch is known."""
@@ -102,10 +114,7 @@
 
     def find_holder(self, holder: str) -> BoxRecord | None:
         """Return the box that keeps the copies of `holder`."""
-        for record in self.all_boxes:
-            if record.holder == holder:
-                return record
-        return None
+        return self.by_holder.get(holder)
 
     @property
     def all_boxes(self) -> Iterable[BoxRecord]:
