Watch each box from its own region

Cause: the ring of heartbeats ran over all regions: with 7 of them six of seven boxes were watched from another one. While regions are cut off from each other nobody would have noticed their dead boxes by a refused connection, only by the store's leases, which may be out of reach too; a takeover then waited for the longer silence.

Ruled out: heartbeats to two successors (twice the messages).

Change: the ring is that of the box's region; the boxes chosen by chance come from all, because a new file has to reach every region.

Conclusion: a parted region looks after itself.

--- a/src/cedarchute/membership/heartbeats.py
+++ b/src/cedarchute/membership/heartbeats.py
@@ -60,23 +60,37 @@
     def beat_forever(self) -> None:
         """Beat once in each period."""
         while True:
-            # Only the next box on the ring, which comes first, is the same each time.
-            for number, peer in enumerate(self.choose_peers()):
-                eventlet.spawn_n(self.beat, peer, is_kept=number == 0)
+            successor = self.find_successor()
+            if successor is not None:
+                eventlet.spawn_n(self.beat, successor)
+            for peer in self.choose_others(successor):
+                eventlet.spawn_n(self.beat, peer, is_kept=False)
             eventlet.sleep(self.seconds * self.random_source.uniform(0.9, 1.1))
 
-    def choose_peers(self) -> list[BoxRecord]:
-        """Return the next box on the ring and some others by chance."""
+    def find_successor(self) -> BoxRecord | None:
+        """Return the next box on the ring of this region, if there is one.
+
+        A region that is cut off from the others notices its own dead boxes.
+        """
         me = self.keeper.record
-        others = [b for b in self.view.all_boxes if b.name != me.name]
-        if not others:
-            return []
-        ring = sorted([*others, me], key=lambda box: rank("ring", box.name))
-        names = [box.name for box in ring]
-        successor = ring[(names.index(me.name) + 1) % len(ring)]
-        rest = [box for box in others if box.name != successor.name]
+        near = [box for box in self.others if box.region == me.region]
+        if not near:
+            return None
+        ring = sorted([*near, me], key=lambda box: rank("ring", box.name))
+        position = next(n for n, box in enumerate(ring) if box.name == me.name)
+        return ring[(position + 1) % len(ring)]
+
+    def choose_others(self, successor: BoxRecord | None) -> list[BoxRecord]:
+        """Return some boxes of any region by chance."""
+        rest = [box for box in self.others if box is not successor]
         count = min(len(rest), self.peers - 1)
-        return [successor, *self.random_source.sample(rest, count)]
+        return self.random_source.sample(rest, count)
+
+    @property
+    def others(self) -> list[BoxRecord]:
+        """Every other box that is not proved gone."""
+        name = self.keeper.record.name
+        return [box for box in self.view.all_boxes if box.name != name]
 
     def beat(self, peer: BoxRecord, *, is_kept: bool = True) -> None:
         """Exchange one heartbeat with `peer`."""
