Use the targets of the own region first

Cause: a box chose its share of the targets by rank over all regions, so at the two-year size six of seven targets were in another region; an engine was swept by a box of any region, which a parted region cannot reach.

Ruled out: weighing the way to another region like any delay (the share would still be mostly far, and lost when regions part).

The view keeps the rings until the entries change.

--- a/src/cedarchute/daemon/composition.py
+++ b/src/cedarchute/daemon/composition.py
@@ -143,7 +143,9 @@
         holder, view, client, settings.copies, takeover_seconds, clock, metrics
     )
 
-    book = TargetBook(box.name, settings.serving.subset_targets, clock, metrics)
+    book = TargetBook(
+        box.name, box.region, settings.serving.subset_targets, clock, metrics
+    )
     engines = EngineClient(metrics)
     poller = LoadPoller(
         book, configuration, engines, settings.serving.load_seconds, random_source
@@ -296,7 +298,7 @@
         policies.on_configuration,
         on_configuration,
     ]
-    view.listeners.append(lambda: book.on_ring(view.ring))
+    view.listeners.append(lambda: book.on_ring(view.ring_of(box.region)))
     stopper = Stopper(keeper, view, partitions, client, active, settings.serving, clock)
 
     def open_fronts() -> None:
--- a/src/cedarchute/membership/view.py
+++ b/src/cedarchute/membership/view.py
@@ -32,7 +32,7 @@
         self.platform_leaving: frozenset[str] = frozenset()
         self.refusals: dict[str, int] = {}
         self.listeners: list[Callable[[], None]] = []
-        self._ring = BoxRing(())
+        self._rings: dict[str | None, BoxRing] = {}
 
     def put_box(self, record: BoxRecord) -> None:
         """Take in the record of a box."""
@@ -100,13 +100,22 @@
         record = self.boxes.get(name)
         return record is not None and record.incarnation > int(incarnation)
 
+    def set_platform_leaving(self, names: Iterable[str]) -> None:
+        """Take in which boxes the platform's list calls leaving."""
+        leaving = frozenset(names)
+        if leaving != self.platform_leaving:
+            self.platform_leaving = leaving
+            self._changed()
+
     def on_refused(self, identity: str) -> None:
         """Note that nothing listened at the port of a box."""
         self.refusals[identity] = self.refusals.get(identity, 0) + 1
+        self._rings.clear()
 
     def on_heard(self, identity: str) -> None:
         """Note that a box has answered."""
-        self.refusals.pop(identity, None)
+        if self.refusals.pop(identity, None) is not None:
+            self._rings.clear()
 
     def is_refusing(self, identity: str) -> bool:
         """Return whether nothing listens at a box: its process is gone."""
@@ -135,11 +144,22 @@
     @property
     def ring(self) -> BoxRing:
         """The entries as a ring, which deals things out to them."""
-        names = {record.name for record in self.entries}
-        if names != set(self._ring.names):
-            self._ring = BoxRing(names)
-        return self._ring
+        return self._find_ring(None)
+
+    def ring_of(self, region: str) -> BoxRing:
+        """Return the entries of a region as a ring; all when it has none."""
+        ring = self._find_ring(region)
+        return ring if ring.names else self.ring
+
+    def _find_ring(self, region: str | None) -> BoxRing:
+        ring = self._rings.get(region)
+        if ring is None:
+            boxes = self.entries
+            ring = BoxRing(b.name for b in boxes if region in (None, b.region))
+            self._rings[region] = ring
+        return ring
 
     def _changed(self) -> None:
+        self._rings.clear()
         for listener in self.listeners:
             listener()
--- a/src/cedarchute/operators/site_file.py
+++ b/src/cedarchute/operators/site_file.py
@@ -72,6 +72,7 @@
     service: Name
     address: AddressField
     failure_domain: Name
+    region: Name = "region"
     checks_fence: bool = False
     state: TargetState = TargetState.SERVING
 
--- a/src/cedarchute/platform/box_list.py
+++ b/src/cedarchute/platform/box_list.py
@@ -78,7 +78,7 @@
             log.debug("Box list not read: %s", error)
             return
         leaving = frozenset(b.name for b in listing.boxes if b.state == "leaving")
-        self.view.platform_leaving = leaving
+        self.view.set_platform_leaving(leaving)
         self.book.platform_leaving = leaving
         if self.box in leaving:
             log.info("The platform says that this box is leaving.")
--- a/src/cedarchute/programs/cache_sweeper.py
+++ b/src/cedarchute/programs/cache_sweeper.py
@@ -85,9 +85,9 @@
         site = self.configuration.site
         if site is None:
             return
-        ring = self.view.ring
         for name, target in site.targets.items():
             is_engine = site.services[target.service].kind is ServiceKind.MODEL
+            ring = self.view.ring_of(target.region)
             if is_engine and ring.find_owner(name) == self.box:
                 self.sweep(target)
 
--- a/src/cedarchute/scheduling/target_book.py
+++ b/src/cedarchute/scheduling/target_book.py
@@ -31,8 +31,11 @@
         fleet.
     """
 
-    def __init__(self, box: str, subset: int, clock: Clock, metrics: Metrics) -> None:
+    def __init__(
+        self, box: str, region: str, subset: int, clock: Clock, metrics: Metrics
+    ) -> None:
         self.box = box
+        self.region = region
         self.subset = subset
         self.clock = clock
         self.metrics = metrics
@@ -58,7 +61,8 @@
         """Choose the targets that this box works with.
 
         It takes a few of each service by rank, and those that the ring of boxes
-        gives to it, so that each target is some box's.
+        gives to it, so that each target is some box's. Targets of other regions
+        serve only where its own has none.
         """
         known = {**self.others, **self.targets}
         self.targets = {}
@@ -68,7 +72,8 @@
             return
         for service in self.site.services:
             sections = self.site.targets_of(service)
-            ranked = sorted(sections, key=lambda name: rank(self.box, name))
+            near = [n for n, s in sections.items() if s.region == self.region]
+            ranked = sorted(near or sections, key=lambda name: rank(self.box, name))
             own = [
                 name
                 for position, name in enumerate(ranked)
--- a/tests/membership/test_view.py
+++ b/tests/membership/test_view.py
@@ -5,14 +5,14 @@
 from cedarchute.membership.view import View
 
 
-def make_record(name, incarnation, holder=""):
+def make_record(name, incarnation, holder="", region="r"):
     return BoxRecord(
         name=name,
         incarnation=incarnation,
         caller_address=Address("127.0.0.1", 7000),
         peer_address=Address("127.0.0.1", 8000),
         failure_domain="a",
-        region="r",
+        region=region,
         holder=holder or f"{name}.{incarnation}",
     )
 
@@ -55,3 +55,18 @@
     assert set(view.ring.names) == {"b0", "b1", "b2", "b3"}
     view.drop_box("b2", 0.0)
     assert set(view.ring.names) == {"b0", "b1", "b3"}
+
+
+def test_a_region_has_a_ring_of_its_own_and_borrows_when_it_is_empty():
+    view = View()
+    for number in range(6):
+        view.put_box(make_record(f"b{number}", 1, region=f"r{number % 2}"))
+    assert set(view.ring_of("r0").names) == {"b0", "b2", "b4"}
+    assert set(view.ring_of("r9").names) == set(view.ring.names)
+    view.set_platform_leaving({"b2"})
+    assert set(view.ring_of("r0").names) == {"b0", "b4"}
+    for _ in range(2):
+        view.on_refused("b4.1")
+    assert set(view.ring_of("r0").names) == {"b0"}
+    view.on_heard("b4.1")
+    assert set(view.ring_of("r0").names) == {"b0", "b4"}
--- a/tests/programs/test_cache_mover.py
+++ b/tests/programs/test_cache_mover.py
@@ -40,7 +40,7 @@
     def __init__(self, importing=200_000.0, is_program_aware=True):
         clock = StillClock()
         self.metrics = Metrics()
-        self.book = TargetBook("box", 20, clock, self.metrics)
+        self.book = TargetBook("box", "region", 20, clock, self.metrics)
         for number in range(3):
             section = TargetSection(
                 service="s", address=f"127.0.0.1:{number + 1}", failure_domain="a"
--- a/tests/scheduling/test_placement.py
+++ b/tests/scheduling/test_placement.py
@@ -81,7 +81,7 @@
 
 
 def test_what_was_sent_since_the_report_counts():
-    book = TargetBook("box", 20, StillClock(), Metrics())
+    book = TargetBook("box", "region", 20, StillClock(), Metrics())
     first, second = make_target(0), make_target(1)
     policy = make_policy()
     chosen = []
@@ -94,7 +94,7 @@
 
 def test_a_failing_target_rests_and_is_then_tried_by_one_request():
     clock = StillClock()
-    book = TargetBook("box", 20, clock, Metrics())
+    book = TargetBook("box", "region", 20, clock, Metrics())
     target = make_target(0)
     book.by_service["s"] = [target]
     book.on_sent(target, 1)
--- a/tests/scheduling/test_target_book.py
+++ b/tests/scheduling/test_target_book.py
@@ -9,13 +9,15 @@
 from cedarchute.scheduling.target_book import TargetBook
 
 
-def make_file(targets, moved=""):
+def make_file(targets, moved="", regions=1):
     lines = ["[site]", "name = large", "[service agent]", "kind = model", "model = m"]
     for number in range(targets):
         name = f"e{number}"
         port = 2000 + number if name == moved else 1000 + number
         lines += [f"[target {name}]", "service = agent", "failure_domain = a"]
         lines.append(f"address = 127.0.0.1:{port}")
+        if regions > 1:
+            lines.append(f"region = r{number % regions}")
     text = "\n".join(lines) + "\n"
     return AcceptedFile(
         revision=1, operation="o", operator="x", applied_at=0.0, text=text
@@ -23,7 +25,10 @@
 
 
 def make_books(boxes, targets, subset):
-    books = [TargetBook(f"b{n}", subset, StillClock(), Metrics()) for n in range(boxes)]
+    books = [
+        TargetBook(f"b{n}", "region", subset, StillClock(), Metrics())
+        for n in range(boxes)
+    ]
     for book in books:
         book.on_configuration(make_file(targets))
         book.on_ring(BoxRing(other.box for other in books))
@@ -47,10 +52,21 @@
 
 
 def test_what_is_known_of_a_target_stays_unless_its_address_changes():
-    book = TargetBook("b0", 10, StillClock(), Metrics())
+    book = TargetBook("b0", "region", 10, StillClock(), Metrics())
     book.on_configuration(make_file(3))
     first, second = book.find("e0"), book.find("e1")
     book.on_ring(BoxRing(["b0", "b1"]))
     book.on_configuration(make_file(3, moved="e1"))
     assert book.find("e0") is first
     assert book.find("e1") is not second
+
+
+def test_targets_of_the_own_region_are_used_while_there_are_any():
+    book = TargetBook("b0", "r1", 5, StillClock(), Metrics())
+    book.on_configuration(make_file(40, regions=4))
+    book.on_ring(BoxRing(["b0", "b1"]))
+    assert {target.section.region for target in book.targets.values()} == {"r1"}
+    assert len(book.targets) >= 5
+    far = TargetBook("b0", "r9", 5, StillClock(), Metrics())
+    far.on_configuration(make_file(40, regions=4))
+    assert len(far.targets) == 5
--- a/tests/stateful/fake_box.py
+++ b/tests/stateful/fake_box.py
@@ -103,7 +103,7 @@
         self.replicator = Replicator(
             self.holder, self.view, client, copies, TAKEOVER_SECONDS, clock, metrics
         )
-        book = TargetBook(name, 20, clock, metrics)
+        book = TargetBook(name, "region", 20, clock, metrics)
         lender = LimitLender(configuration, clock)
         limits = WorkspaceLimits(
             configuration,
