Write each cell of the comparison when it is done

Cause: a run of half an hour wrote its figures at the end only; one that was stopped left nothing.

Ruled out: appending lines (the report reads one document a mix).

Change: one file a mix, written anew after each cell; the faults come before further seeds; capacities of an earlier run may be given.

Conclusion: a stopped run can be reported as far as it came.

--- a/src/experiments/bench.py
+++ b/src/experiments/bench.py
@@ -21,7 +21,7 @@
 from hdrh.histogram import HdrHistogram
 
 from cedarchute.scheduling.shared_name import is_shared_name
-from experiments.bench_report import write_report
+from experiments.bench_report import OURS, write_report
 from experiments.box_timing import BoxTiming
 from experiments.http_json import HttpJson
 from experiments.load_run import LoadRun
@@ -50,10 +50,13 @@
 class Bench:
     """One scenario on one site that stays up for all its cells."""
 
-    def __init__(self, scenario: Scenario, folder: Path, seconds: float) -> None:
+    def __init__(
+        self, scenario: Scenario, folder: Path, seconds: float, path: Path
+    ) -> None:
         self.scenario = scenario
         self.seconds = seconds
         self.folder = folder
+        self.path = path
         self.revision = 0
         self.cells: list[dict[str, Any]] = []
         self.capacity = 0.0
@@ -145,6 +148,12 @@
             **summarise_cache(site, before),
         }
         self.cells.append(cell)
+        document = {
+            "seconds": self.seconds,
+            "capacity": self.capacity,
+            "cells": self.cells,
+        }
+        self.path.write_text(json.dumps(document, indent=1) + "\n")
         print(
             f"{self.scenario.name} {policy} load {load} seed {seed} {fault}: "
             f"p50 {cell['p50']:.2f} p95 {cell['p95']:.2f} idle {cell['idle_p95']:.2f} "
@@ -238,34 +247,49 @@
     }
 
 
-def run_scenario(name: str, arguments: argparse.Namespace) -> list[dict[str, Any]]:
-    """Run every cell of one scenario."""
+def run_scenario(name: str, arguments: argparse.Namespace) -> None:
+    """Run the cells of one scenario; each is written when it is done."""
     folder = Path(tempfile.mkdtemp(prefix="cedarchute-bench-")) / "run"
-    bench = Bench(load_scenario(name), folder, arguments.seconds)
+    path = Path(arguments.folder) / f"bench-{name}.json"
+    bench = Bench(load_scenario(name), folder, arguments.seconds, path)
     policies = arguments.policies.split(",")
-    bench.capacity = arguments.capacity
+    bench.capacity = parse_capacities(arguments.capacity).get(name, 0.0)
     with bench.start() as site:
         if not bench.capacity:
             bench.measure_capacity(site, policies)
-        for seed in range(1, arguments.seeds + 1):
-            for load in map(float, arguments.loads.split(",")):
-                for policy in policies:
-                    bench.run_cell(site, policy, load, seed)
+        for load in map(float, arguments.loads.split(",")):
+            for policy in policies:
+                bench.run_cell(site, policy, load, 1)
     if not arguments.no_faults:
         for fault in FAULTS:
             with bench.start() as site:
-                bench.run_cell(site, "program_aware", 0.8, 1, fault)
-    return [{**cell, "capacity": bench.capacity} for cell in bench.cells]
+                bench.run_cell(site, OURS, 0.8, 1, fault)
+    with bench.start() as site:
+        for seed in range(2, arguments.seeds + 1):
+            for load in map(float, arguments.loads.split(",")):
+                for policy in policies:
+                    bench.run_cell(site, policy, load, seed)
+
 
+def parse_capacities(text: str) -> dict[str, float]:
+    """Read ``NAME=PROGRAMS_A_SECOND,...``; nothing means that they are measured."""
+    pairs = [pair.partition("=") for pair in text.split(",") if pair]
+    return {name: float(value) for name, _, value in pairs}
 
-def run_all(arguments: argparse.Namespace) -> list[dict[str, Any]]:
-    """Run every scenario; return the cells of all."""
+
+def run_all(arguments: argparse.Namespace) -> None:
+    """Run every scenario."""
     names = arguments.scenarios.split(",")
     # One process a scenario: their threads must not share one interpreter lock.
     context = multiprocessing.get_context("spawn")
     with ProcessPoolExecutor(len(names), context) as pool:
-        found = pool.map(run_scenario, names, [arguments] * len(names))
-        return [cell for cells in found for cell in cells]
+        list(pool.map(run_scenario, names, [arguments] * len(names)))
+
+
+def read_cells(folder: Path, names: Sequence[str]) -> list[dict[str, Any]]:
+    """Return the cells of all scenarios that were written."""
+    documents = [json.loads((folder / f"bench-{n}.json").read_text()) for n in names]
+    return [cell for document in documents for cell in document["cells"]]
 
 
 def main() -> None:
@@ -277,21 +301,20 @@
     parser.add_argument("--loads", default="0.5,0.8,1.0,1.2")
     parser.add_argument("--seconds", type=float, default=40.0)
     parser.add_argument(
-        "--capacity", type=float, default=0.0, help="programs a second; 0: measured"
+        "--capacity", default="", help="NAME=PROGRAMS_A_SECOND,...; empty: measured"
     )
     parser.add_argument(
-        "--report_only", action="store_true", help="make the page from the output"
+        "--report_only", action="store_true", help="make the page from the figures"
     )
     parser.add_argument("--no_faults", action="store_true")
-    parser.add_argument("--output", default=str(FIGURES / "bench.json"))
+    parser.add_argument("--folder", default=str(FIGURES), help="for the figures")
     arguments = parser.parse_args()
-    path = Path(arguments.output)
+    folder = Path(arguments.folder)
+    folder.mkdir(parents=True, exist_ok=True)
     if not arguments.report_only:
-        document = {"seconds": arguments.seconds, "cells": run_all(arguments)}
-        path.parent.mkdir(parents=True, exist_ok=True)
-        path.write_text(json.dumps(document, indent=1) + "\n")
-    write_report(json.loads(path.read_text())["cells"], path.parent)
-    if path.parent == FIGURES:
+        run_all(arguments)
+    write_report(read_cells(folder, arguments.scenarios.split(",")), folder)
+    if folder == FIGURES:
         for name in ("bench", "bench-ratios"):
             replace_marked(PAGE, name, (FIGURES / f"{name}.md").read_text().strip())
 
