Ask a busy engine to hold a shared beginning once in five seconds

Cause: reading: a hold that failed was tried again with each call that ended at the engine, so an engine that refuses under overload got a request more for each answer.

Ruled out: no second try in the span (a source text would be freed for half a minute because of one refusal).

Conclusion: an overload is not fed by it.

--- a/src/cedarchute/scheduling/shared_holds.py
+++ b/src/cedarchute/scheduling/shared_holds.py
@@ -27,6 +27,8 @@
 LEAST_TOKENS: Final = 128
 LAST_PRIORITY: Final = 2**31 - 1
 SECONDS_ALLOWED: Final = 10.0
+# A busy engine is not asked again with each call that ends there.
+RETRY_SECONDS: Final = 5.0
 MOST_REMEMBERED: Final = 4096
 
 
@@ -58,7 +60,7 @@
         self.find_seconds = find_seconds
         self.clock = clock
         self.metrics = metrics
-        self.made: dict[tuple[str, str], None] = {}
+        self.not_before: dict[tuple[str, str], float] = {}
 
     def on_finished(
         self,
@@ -77,11 +79,13 @@
             return
         digest = prefixes[tokens // CHUNK_TOKENS - 1]
         name = make_shared_name(self.clock.wall(), seconds, digest)
-        if (target.name, name) in self.made:
+        now = self.clock.monotonic()
+        if now < self.not_before.get((target.name, name), now):
             return
-        self.made[(target.name, name)] = None
-        if len(self.made) > MOST_REMEMBERED:
-            del self.made[next(iter(self.made))]
+        # Once in its span; sooner only when it fails.
+        self.not_before[(target.name, name)] = float("inf")
+        if len(self.not_before) > MOST_REMEMBERED:
+            del self.not_before[next(iter(self.not_before))]
         beginning = cut_messages(read_messages(), tokens * 4)
         eventlet.spawn_n(self.hold, target, model, name, beginning)
 
@@ -109,7 +113,8 @@
         except TargetError as error:
             self.metrics.count("shared.failed")
             log.info("Shared beginning not held on %s: %s.", target.name, error)
-            self.made.pop((target.name, name), None)
+            again = self.clock.monotonic() + RETRY_SECONDS
+            self.not_before[(target.name, name)] = again
             return
         self.metrics.count("shared.held")
 
