--- a/src/cedarchute/programs/reaper.py
+++ b/src/cedarchute/programs/reaper.py
@@ -9,6 +9,7 @@
 
 from cedarchute.copies.owned_partition import PartitionMovedError
 from cedarchute.problem import Problem
+from cedarchute.programs.pack_limits import PACK_AFTER_SECONDS, PACK_AT_ONCE
 
 if TYPE_CHECKING:
     from cedarchute.clock import Clock
@@ -19,9 +20,6 @@
 log = logging.getLogger("cedarchute.programs")
 
 PERIOD_SECONDS: Final = 1.0
-PACK_AFTER_SECONDS: Final = 5.0
-# A few milliseconds of work: less than the time between two tokens.
-PACK_AT_ONCE: Final = 256_000
 
 
 class Reaper:
--- a/src/experiments/bench.py
+++ b/src/experiments/bench.py
@@ -12,16 +12,14 @@
 import tempfile
 import threading
 import time
-from collections import Counter
 from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, Final
 
 import numpy as np
-from hdrh.histogram import HdrHistogram
 
-from cedarchute.scheduling.shared_name import is_shared_name
 from experiments.bench_report import OURS, write_report
+from experiments.bench_summary import read_counts, summarise, summarise_cache
 from experiments.box_timing import BoxTiming
 from experiments.http_json import HttpJson
 from experiments.load_run import LoadRun
@@ -33,7 +31,6 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from experiments.load_run import LoadResult
     from experiments.program_plan import ProgramPlan
     from experiments.scenario import Scenario
 
@@ -42,9 +39,7 @@
 POLICIES: Final = ("program_aware", "round_robin", "least_load", "sticky")
 FAULTS: Final = ("box", "domain", "target", "store")
 UNDER_WAY: Final = 2
-BLOCK_TOKENS: Final = 16
 SETTLED_SHARE: Final = 0.4
-HISTOGRAM_MOST: Final = 600_000
 
 
 class Bench:
@@ -185,68 +180,6 @@
     return (site.folder / f"{box}.ini").read_text()
 
 
-def read_counts(site: LocalSite) -> dict[str, dict[str, int]]:
-    """Return the counters of every engine that runs."""
-    return {
-        name: site.http.get(site.target_address(name), "/counts")
-        for name in site.targets
-        if site.processes[name].is_running
-    }
-
-
-def summarise(result: LoadResult, seconds: float) -> dict[str, Any]:
-    """Return the figures of the programs."""
-    histogram = HdrHistogram(1, HISTOGRAM_MOST, 3)
-    for latency in result.latencies:
-        histogram.record_value(max(1, int(latency * 1000)))
-    in_time = [at for at in result.finished_at if at <= seconds]
-    return {
-        "finished": len(result.latencies),
-        "p50": histogram.get_value_at_percentile(50) / 1000,
-        "p95": histogram.get_value_at_percentile(95) / 1000,
-        "p99": histogram.get_value_at_percentile(99) / 1000,
-        "slowdown_p50": float(np.percentile(result.slowdowns, 50)),
-        "slowdown_p95": float(np.percentile(result.slowdowns, 95)),
-        "goodput": len(in_time) / seconds,
-        "refusals": dict(result.refusals),
-        "lost": result.lost,
-        "doubled": result.doubled,
-        "out_of_order": result.out_of_order,
-        "failed": len(result.failed),
-        "failures": result.failed[:3],
-        "unfinished": result.unfinished,
-    }
-
-
-def summarise_cache(
-    site: LocalSite, before: dict[str, dict[str, int]]
-) -> dict[str, Any]:
-    """Return the figures of the engines' caches."""
-    computed = 0
-    distinct: set[str] = set()
-    made: set[str] = set()
-    held: Counter[str] = Counter()
-    after = read_counts(site)
-    for name, counts in after.items():
-        earlier = before.get(name, {}).get("computed_tokens", 0)
-        computed += counts.get("computed_tokens", 0) - earlier
-        address = site.target_address(name)
-        blocks = site.http.get(address, "/cache/seen")
-        distinct.update(blocks["blocks"])
-        made.update(blocks["made"])
-        tokens = site.http.get(address, "/cache/held")["tokens"]
-        for holder, count in tokens.items():
-            held["shared" if is_shared_name(holder) else "programs"] += count
-    needed = len(distinct - made) * BLOCK_TOKENS
-    again = max(0, computed - needed) / computed if computed else 0.0
-    return {
-        "computed_tokens": computed,
-        "computed_again": again,
-        "held_after": held["programs"],
-        "held_shared": held["shared"],
-    }
-
-
 def run_scenario(name: str, arguments: argparse.Namespace) -> None:
     """Run the cells of one scenario; each is written when it is done."""
     folder = Path(tempfile.mkdtemp(prefix="cedarchute-bench-")) / "run"
