Let the test of loans not depend on how fast calls are

Cause: reading: at 12 calls a second a slice of 1.5 refills between calls that take 0.7 s each on a loaded machine, and nothing would be borrowed.

Ruled out: more calls at once (the calls of a program run in order).

Change: 4 calls a second.

Conclusion: as strict, on slow machines too.

--- a/tests/failures/test_limits.py
+++ b/tests/failures/test_limits.py
@@ -6,7 +6,7 @@
 
 
 def apply_limit(site, revision):
-    text = site.site_text().replace("calls_per_second = 10000", "calls_per_second = 12")
+    text = site.site_text().replace("calls_per_second = 10000", "calls_per_second = 4")
     assert site.apply(text, f"limit-{revision}", revision).status == 200
     site.wait_in_force(revision + 1)
 
