--- a/src/experiments/bench_report.py
+++ b/src/experiments/bench_report.py
@@ -37,6 +37,8 @@
 def spread(cells: Sequence[Cell], figure: str) -> str:
     """Return the median of a figure and its least and most over seeds."""
     values = [cell[figure] for cell in cells]
+    if len(values) == 1:
+        return f"{values[0]:.2f}"
     return f"{np.median(values):.2f} ({min(values):.2f} to {max(values):.2f})"
 
 
