Measure control anew; say what stands behind its lines

Ruled out: a line for bytes that falls with the boxes (it went below zero at 380; the least that was measured stands instead).

--- a/src/experiments/capacity.py
+++ b/src/experiments/capacity.py
@@ -39,6 +39,14 @@
         fit = self.slopes[name]
         return float(fit["slope"]) * x + float(fit["base"])
 
+    def at_least(self, name: str, x: float) -> float:
+        """Return the value of a line at `x`, not below what was ever measured.
+
+        For a figure that falls at first: no line carries that on.
+        """
+        least = min(point[1] for point in self.slopes[name]["points"])
+        return max(self.at(name, x), float(least))
+
     def history_bytes(self, share: float) -> float:
         """Return the history of a node's programs, at a share of the longest."""
         each = plan.HISTORY_TOKENS * plan.BYTES_A_TOKEN * share
@@ -129,7 +137,7 @@
                 "membership, leases, heartbeats",
                 self.at("control_cpu_peers", peers),
                 self.at("control_memory_peers", peers),
-                self.at("control_bytes_peers", peers),
+                self.at_least("control_bytes_peers", peers),
             ),
             (
                 f"load reports of {plan.POLLED_TARGETS:.0f} targets, "
