--- a/src/cedarchute/border/call_exchange.py
+++ b/src/cedarchute/border/call_exchange.py
@@ -38,7 +38,6 @@
     request_id: str
     attempt: int = 0
     offset: int = 0
-    has_sent: bool = False
 
     @property
     def partition(self) -> str:
