--- a/src/experiments/mutations.py
+++ b/src/experiments/mutations.py
@@ -222,10 +222,10 @@
         "tests/limits/test_retry_allowance.py",
     ),
     Mutation(
-        "a lapsed lease is no sign that a box is gone",
+        "a box whose lease lapsed is gone only if nobody hears it",
         "ownership/owner_check.py",
-        "return known is None or not self.answers(known)",
-        "return True",
+        "        owner = record.owner\n        name = owner",
+        "        return True\n        owner = record.owner\n        name = owner",
         LINKS + "test_a_box_cut_from_the_store_keeps_its_programs_and_hears_of_files",
     ),
     Mutation(
