Change a bucket's rate in one place

Cause: the lender and the borrower of limits set a bucket's rate and burst each by themselves, and the lender worked its burst out twice.

Ruled out: one class for both (one divides, the other lends).

Change: TokenBucket.change.

Conclusion: nothing else changed.

--- a/src/cedarchute/limits/limit_lender.py
+++ b/src/cedarchute/limits/limit_lender.py
@@ -35,12 +35,12 @@
         if section is None:
             return BorrowReply(calls=0)
         rate = section.calls_per_second * (1.0 - EVEN_SHARE)
+        burst = max(1.0, rate * BURST_SECONDS)
         bucket = self.buckets.get(request.workspace)
         if bucket is None:
-            bucket = TokenBucket(rate, max(1.0, rate * BURST_SECONDS), self.clock)
+            bucket = TokenBucket(rate, burst, self.clock)
             self.buckets[request.workspace] = bucket
-        bucket.rate = rate
-        bucket.burst = max(1.0, rate * BURST_SECONDS)
+        bucket.change(rate, burst)
         return BorrowReply(calls=bucket.take_most(request.calls))
 
     def on_configuration(self, accepted: AcceptedFile) -> None:
--- a/src/cedarchute/limits/token_bucket.py
+++ b/src/cedarchute/limits/token_bucket.py
@@ -18,6 +18,11 @@
         self.level = burst
         self.updated_at = clock.monotonic()
 
+    def change(self, rate: float, burst: float) -> None:
+        """Go on at another rate; what is there stays."""
+        self.rate = rate
+        self.burst = burst
+
     def refill(self) -> None:
         """Add what the time since the last call brought."""
         now = self.clock.monotonic()
--- a/src/cedarchute/limits/workspace_limits.py
+++ b/src/cedarchute/limits/workspace_limits.py
@@ -148,8 +148,7 @@
         bucket = self.buckets.get(workspace)
         if bucket is None:
             bucket = self.buckets[workspace] = TokenBucket(rate, burst, self.clock)
-        bucket.rate = rate
-        bucket.burst = burst
+        bucket.change(rate, burst)
         return bucket
 
     def on_configuration(self, accepted: AcceptedFile) -> None:
