Speak the platform's published form to its store

Cause: the client spoke the JSON form of etcd, which the users' platform does not have. The interface of the client stays, so every caller of it does. A lease that the store forgot between grant and write is now an error of its own, taken again at the next renewal. Ruled out: a second client beside the old one, which would leave two copies of the read-back rule.

--- a/src/cedarchute/membership/lease_keeper.py
+++ b/src/cedarchute/membership/lease_keeper.py
@@ -87,7 +87,7 @@
         self.view.put_box(self.record)
         try:
             self.write()
-        except StoreUnavailableError:
+        except (StoreUnavailableError, LeaseGoneError):
             log.warning("Store unavailable, leaving is told by heartbeats only.")
 
     def end(self) -> None:
@@ -103,7 +103,7 @@
             eventlet.sleep(self.seconds / 3)
             try:
                 self.renew_once()
-            except StoreUnavailableError as error:
+            except (StoreUnavailableError, LeaseGoneError) as error:
                 self.metrics.count("membership.renewal_failed")
                 log.warning("Lease not renewed: %s", error)
 
--- a/src/cedarchute/platform/store_client.py
+++ b/src/cedarchute/platform/store_client.py
@@ -1,8 +1,9 @@
 """A client of the platform's key-value service.
 
-It speaks the JSON form of the etcd v3 API: range, txn, lease and watch. Each
-value that Cedarchute writes carries an operation id, so a swap whose reply was
-lost is settled by reading back.
+The service speaks HTTP with JSON: ranges in pages, transactions under expected
+revisions, leases and watches that wait. Each value that Cedarchute writes carries
+something that no other writer writes, so a swap whose reply was lost is settled by
+reading back.
 """
 
 from __future__ import annotations
@@ -11,6 +12,7 @@
 import json
 import logging
 from typing import TYPE_CHECKING, Any, Final
+from urllib.parse import urlencode
 
 import urllib3
 
@@ -32,8 +34,18 @@
 
 SWAP_ATTEMPTS: Final = 3
 CONNECTIONS: Final = 8
-JSON_HEADERS: Final = {"content-type": "application/json"}
-WATCH_SILENCE_SECONDS: Final = 30.0
+JSON_HEADERS: Final = {"Content-Type": "application/json"}
+
+# A watch is asked again after this long: an answer that was lost on the way leaves
+# its connection silent, and only a new call shows it. Each call costs money.
+WATCH_WAIT_SECONDS: Final = 5.0
+# Beyond the wait: the service's own delay on a slow day.
+WATCH_GRACE_SECONDS: Final = 1.0
+
+OK: Final = 200
+NOT_FOUND: Final = 404
+HISTORY_GONE: Final = 410
+CONFLICT: Final = 412
 
 
 class StoreUnavailableError(Exception):
@@ -42,6 +54,12 @@
     code = "store_unavailable"
 
 
+class HistoryGoneError(StoreUnavailableError):
+    """The store forgot the changes since a revision; all has to be read again."""
+
+    code = "history_gone"
+
+
 class LeaseGoneError(Exception):
     """The store no longer knows the lease."""
 
@@ -56,9 +74,8 @@
     return base64.b64decode(text).decode()
 
 
-def _prefix_end(prefix: str) -> str:
-    raw = prefix.encode()
-    return base64.b64encode(raw[:-1] + bytes([raw[-1] + 1])).decode()
+def _entry(item: dict[str, Any]) -> StoreEntry:
+    return StoreEntry(item["PrivateKey"], _decode(item["Value"]), int(item["Revision"]))
 
 
 class StoreClient:
@@ -74,32 +91,47 @@
 
     def get(self, key: str) -> StoreEntry | None:
         """Return the entry under `key`, or None."""
-        answer = self._call("/v3/kv/range", {"key": _encode(key)})
-        entries = self._entries(answer.get("kvs", []))
-        return entries[0] if entries else None
+        status, answer = self._call("GET", "/kv-key", {"PrivateKey": key})
+        return _entry(answer) if status == OK else None
 
     def list(self, prefix: str) -> StoreListing:
-        """Return every entry whose key starts with `prefix`."""
-        body = {"key": _encode(prefix), "range_end": _prefix_end(prefix)}
-        answer = self._call("/v3/kv/range", body)
-        entries = tuple(self._entries(answer.get("kvs", [])))
-        return StoreListing(entries, int(answer["header"]["revision"]))
+        """Return every entry whose key starts with `prefix`.
+
+        The pages are no snapshot: the revision returned is that of the first page,
+        so that a watch from there sees what changed while the rest was read.
+        """
+        entries: list[StoreEntry] = []
+        query = {"PathPrefix": prefix}
+        revision = 0
+        while True:
+            _, answer = self._call("GET", "/kv-range", query)
+            revision = revision or int(answer["StoreRevision"])
+            entries.extend(_entry(item) for item in answer["items"])
+            if not answer.get("HasMore") or not answer["items"]:
+                return StoreListing(tuple(entries), revision)
+            query = {"PathPrefix": prefix, "after": entries[-1].key}
 
     def swap(self, key: str, value: str, expected: int, lease: int = 0) -> SwapResult:
         """Set `key` to `value` if its version is `expected` (0: no such key).
 
         A lost reply is settled by reading back: `value` must hold something
-        that no other writer writes, such as an operation id.
+        that no other writer writes, such as an operation id. A write that takes
+        effect late finds its condition broken by the one that was tried after it.
 
         Raises
         ------
         StoreUnavailableError
             When the effect is still unknown after reading back.
+        LeaseGoneError
+            When the store no longer knows `lease`.
         """
-        put = {"key": _encode(key), "value": _encode(value), "lease": str(lease)}
+        write = {"PrivateKey": key, "Value": _encode(value), "Lease": lease}
         for attempt in range(SWAP_ATTEMPTS):
             try:
-                return self._compare(key, expected, {"request_put": put})
+                won, current = self._change(key, expected, [write], [])
+                if won is not None:
+                    return SwapResult(True, StoreEntry(key, value, won))
+                return SwapResult(False, current)
             except StoreUnavailableError:
                 if attempt == SWAP_ATTEMPTS - 1:
                     raise
@@ -113,112 +145,108 @@
 
     def delete(self, key: str, expected: int) -> SwapResult:
         """Remove `key` if its version is `expected`."""
-        body = {"request_delete_range": {"key": _encode(key)}}
-        return self._compare(key, expected, body)
+        won, current = self._change(key, expected, [], [key])
+        return SwapResult(won is not None, current)
 
     def grant_lease(self, seconds: float) -> int:
-        """Return the id of a new lease of whole `seconds`."""
-        answer = self._call("/v3/lease/grant", {"TTL": str(max(1, round(seconds)))})
-        return int(answer["ID"])
+        """Return the id of a new lease of `seconds`."""
+        _, answer = self._call("POST", "/kv-lease", body={"TtlMs": int(seconds * 1000)})
+        return int(answer["Lease"])
 
     def renew_lease(self, lease: int) -> None:
         """Renew `lease`; raise `LeaseGoneError` when the store forgot it."""
-        answer = self._call("/v3/lease/keepalive", {"ID": str(lease)})
-        if int(answer.get("result", {}).get("TTL", 0)) <= 0:
+        status, _ = self._call("POST", f"/kv-keep/{lease}", body={})
+        if status == NOT_FOUND:
             raise LeaseGoneError(f"lease {lease} is gone")
 
     def revoke_lease(self, lease: int) -> None:
         """End `lease` and remove the keys attached to it."""
-        self._call("/v3/lease/revoke", {"ID": str(lease)})
+        self._call("DELETE", f"/kv-lease-end/{lease}")
 
     def watch(self, prefix: str, after: int) -> Iterator[StoreChange]:
         """Yield the changes under `prefix` that follow revision `after`.
 
-        The stream ends when the store stays silent for long or goes away; the
-        reader then lists again.
+        Raises
+        ------
+        HistoryGoneError
+            When the store no longer has the changes; the reader lists again.
         """
-        create = {
-            "key": _encode(prefix),
-            "range_end": _prefix_end(prefix),
-            "start_revision": str(after + 1),
+        while True:
+            changes, after = self.wait_changes(prefix, after)
+            yield from changes
+
+    def wait_changes(self, prefix: str, after: int) -> tuple[list[StoreChange], int]:
+        """Wait once for changes; return them and the revision to go on from."""
+        query = {
+            "PathPrefix": prefix,
+            "after": str(after),
+            "WaitMs": str(int(WATCH_WAIT_SECONDS * 1000)),
         }
-        timeout = urllib3.Timeout(connect=self.timeout, read=WATCH_SILENCE_SECONDS)
-        response = None
-        self.metrics.count("store.calls")
-        try:
-            response = self.pools.request(
-                "POST",
-                self.address,
-                "/v3/watch",
-                body=json.dumps({"create_request": create}).encode(),
-                headers=JSON_HEADERS,
-                preload_content=False,
-                timeout=timeout,
-            )
-            buffer = b""
-            while chunk := response.read1():
-                buffer += chunk
-                *lines, buffer = buffer.split(b"\n")
-                for line in lines:
-                    yield from self._changes(json.loads(line))
-        except (urllib3.exceptions.HTTPError, ValueError, OSError) as error:
-            raise StoreUnavailableError(f"watch ended: {error}") from error
-        finally:
-            if response is not None:
-                response.close()
-
-    def _changes(self, message: dict[str, Any]) -> Iterator[StoreChange]:
-        result = message.get("result", {})
-        revision = int(result["header"]["revision"])
-        for event in result.get("events", []):
-            key = _decode(event["kv"]["key"])
-            if event.get("type") == "DELETE":
-                yield StoreChange(key, None, revision)
-            else:
-                yield StoreChange(key, self._entries([event["kv"]])[0], revision)
-
-    def _compare(
-        self, key: str, expected: int, success: dict[str, object]
-    ) -> SwapResult:
-        compare = {
-            "key": _encode(key),
-            "target": "MOD",
-            "result": "EQUAL",
-            "mod_revision": str(expected),
+        timeout = WATCH_WAIT_SECONDS + WATCH_GRACE_SECONDS
+        status, answer = self._call("GET", "/kv-watch", query, timeout=timeout)
+        if status == HISTORY_GONE:
+            raise HistoryGoneError(f"changes since {after} are gone")
+        changes = [self._read_change(event) for event in answer["events"]]
+        return changes, max(after, int(answer["StoreRevision"]))
+
+    def _read_change(self, event: dict[str, Any]) -> StoreChange:
+        revision = int(event["Revision"])
+        if event.get("Tombstone"):
+            return StoreChange(event["PrivateKey"], None, revision)
+        return StoreChange(event["PrivateKey"], _entry(event), revision)
+
+    def _change(
+        self,
+        key: str,
+        expected: int,
+        writes: list[dict[str, Any]],
+        removed: list[str],
+    ) -> tuple[int | None, StoreEntry | None]:
+        """Return the revision of the change, or None and what stands there."""
+        body = {
+            "ExpectedRev": [{"PrivateKey": key, "Revision": expected}],
+            "Writes": writes,
+            "Remove": removed,
         }
-        read = {"request_range": {"key": _encode(key)}}
-        body = {"compare": [compare], "success": [success, read], "failure": [read]}
-        answer = self._call("/v3/kv/txn", body)
-        found = answer["responses"][-1]["response_range"].get("kvs", [])
-        entries = self._entries(found)
-        current = entries[0] if entries else None
-        return SwapResult(bool(answer.get("succeeded")), current)
-
-    def _entries(self, found: list[dict[str, str]]) -> list[StoreEntry]:
-        return [
-            StoreEntry(
-                _decode(kv["key"]), _decode(kv["value"]), int(kv["mod_revision"])
-            )
-            for kv in found
-        ]
-
-    def _call(self, path: str, body: dict[str, object]) -> dict[str, Any]:
+        status, answer = self._call("POST", "/kv-txn", body=body)
+        if status == OK:
+            return int(answer["Revision"]), None
+        if status == NOT_FOUND:
+            raise LeaseGoneError(f"the lease of {key} is gone")
+        found = [item for item in answer["items"] if item.get("Revision")]
+        return None, _entry(found[0]) if found else None
+
+    def _call(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str] | None = None,
+        body: dict[str, object] | None = None,
+        timeout: float | None = None,
+    ) -> tuple[int, dict[str, Any]]:
         self.metrics.count("store.calls")
-        data = json.dumps(body).encode()
+        data = None if body is None else json.dumps(body).encode()
+        target = f"{path}?{urlencode(query)}" if query else path
         try:
             response = self.pools.request(
-                "POST",
+                method,
                 self.address,
-                path,
+                target,
                 body=data,
                 headers=JSON_HEADERS,
-                timeout=self.timeout,
+                timeout=urllib3.Timeout(
+                    connect=self.timeout, read=timeout or self.timeout
+                ),
             )
+            received = response.data
         except (urllib3.exceptions.HTTPError, OSError) as error:
             self.metrics.count("store.failures")
             raise StoreUnavailableError(f"{path}: {error}") from error
-        self.metrics.count_exchange("control", len(data), len(response.data))
-        if response.status != 200:
+        self.metrics.count_exchange("control", len(data or b""), len(received))
+        if response.status not in (OK, NOT_FOUND, HISTORY_GONE, CONFLICT):
             self.metrics.count("store.failures")
             raise StoreUnavailableError(f"{path}: status {response.status}")
-        return response.json()
+        try:
+            return response.status, json.loads(received) if received else {}
+        except ValueError as error:
+            raise StoreUnavailableError(f"{path}: {error}") from error
--- a/src/experiments/local_site.py
+++ b/src/experiments/local_site.py
@@ -277,11 +277,9 @@
 
     def read_partitions(self) -> list[dict[str, Any]]:
         """Return the records of the partitions, as the store has them."""
-        first = base64.b64encode(b"cedarchute/partitions/").decode()
-        end = base64.b64encode(b"cedarchute/partitions0").decode()
-        body = {"key": first, "range_end": end}
-        found = self.http.post(self.store, "/v3/kv/range", body).document["kvs"]
-        return [json.loads(base64.b64decode(kv["value"])) for kv in found]
+        path = "/kv-range?PathPrefix=cedarchute/partitions/"
+        found = self.http.get(self.store, path)["items"]
+        return [json.loads(base64.b64decode(item["Value"])) for item in found]
 
     def switch_store(self, **switch: object) -> None:
         """Bring about an outage of the store, or end it."""
--- a/tests/failures/test_links.py
+++ b/tests/failures/test_links.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import base64
-
 import pytest
 from support import Background, count_ran, make_messages, open_at, start_site
 
@@ -27,15 +25,13 @@
     site = linked_site
     program, caller = open_at(site, "box-1")
     site.switch_link("box-1-store", cut=True)
-    first = base64.b64encode(b"cedarchute/boxes/").decode()
-    end = base64.b64encode(b"cedarchute/boxes0").decode()
-    registered = base64.b64encode(b"cedarchute/boxes/box-1").decode()
+    path = "/kv-range?PathPrefix=cedarchute/boxes/"
+    registered = "cedarchute/boxes/box-1"
 
     def is_lapsed():
         # In the store: boxes that hear it by heartbeats go on to count it.
-        body = {"key": first, "range_end": end}
-        found = site.http.post(site.store, "/v3/kv/range", body).document
-        return registered not in [entry["key"] for entry in found["kvs"]]
+        found = site.http.get(site.store, path)["items"]
+        return registered not in [item["PrivateKey"] for item in found]
 
     wait_until(is_lapsed, "its lease has lapsed")
     text = site.site_text(latency_weight=0.9)
