--- /dev/null
+++ b/src/cedarchute/calls/attempts.py
@@ -0,0 +1,127 @@
+"""Tries a call at one target after another, as far as it may be tried."""
+
+from __future__ import annotations
+
+import logging
+import time
+from typing import TYPE_CHECKING, Final
+
+import eventlet
+
+from cedarchute.calls.call_errors import CallRefusedError
+from cedarchute.relay.target_failure import TargetFailureError
+from cedarchute.routing.route import Repeatability
+from cedarchute.verdict import Verdict
+
+if TYPE_CHECKING:
+    from cedarchute.calls.call import Call
+    from cedarchute.calls.target_exchange import OpenAnswer, TargetExchange
+    from cedarchute.metrics import Metrics
+    from cedarchute.relay.caller_request import CallerRequest
+    from cedarchute.routing.route import Route
+    from cedarchute.routing.target_entry import TargetEntry
+
+log = logging.getLogger("cedarchute.calls")
+
+# When all targets are full, one of them has room again within about this.
+FULL_WAIT_SECONDS: Final = 0.03
+# A call that found no room for this share of its objective is given up: the caller
+# may find room elsewhere.
+FULL_SHARE: Final = 0.25
+RETRY_AFTER_SECONDS: Final = 0.15
+
+
+class Attempts:
+    """The tries of one call.
+
+    A call that may have run is sent again only if it is repeatable, and runs on no
+    more targets than its route allows.
+    """
+
+    def __init__(
+        self,
+        exchange: TargetExchange,
+        metrics: Metrics,
+        request: CallerRequest,
+        call: Call,
+        route: Route,
+        service: str,
+        body: bytes,
+        preferred: str = "",
+    ) -> None:
+        self.exchange = exchange
+        self.metrics = metrics
+        self.request = request
+        self.call = call
+        self.route = route
+        self.service = service
+        self.body = body
+        self.preferred = preferred
+        self.tried: set[str] = set()
+        self.runs = 0
+        self.until = request.read_at + route.timeout_seconds
+        if call.patience_seconds is not None:
+            patience = request.read_at + call.patience_seconds
+            self.until = min(self.until, patience)
+        full_seconds = FULL_SHARE * route.objective_seconds
+        self.full_until = time.monotonic() + full_seconds
+
+    def open(self) -> OpenAnswer:
+        """Return the first answer of a target that took the call.
+
+        Raises
+        ------
+        CallRefusedError
+            When no target is left to try, or no time.
+        """
+        while True:
+            target = self.next_target()
+            self.tried.add(target.id)
+            try:
+                opened = self.exchange.open(
+                    self.request, self.call, target, self.body, self.until
+                )
+            except TargetFailureError as error:
+                self.note_failure(error)
+                continue
+            self.runs += 1
+            return opened
+
+    def next_target(self) -> TargetEntry:
+        """Return the target to try next; wait a moment when all are full."""
+        while True:
+            if time.monotonic() >= self.until:
+                raise self.give_up("no time left")
+            choice = self.exchange.choice
+            target = choice.choose(self.service, self.tried, self.preferred)
+            if target is not None:
+                return target
+            if time.monotonic() >= self.full_until:
+                raise self.give_up("no target takes it")
+            eventlet.sleep(FULL_WAIT_SECONDS)
+            self.tried.clear()
+
+    def note_failure(self, error: TargetFailureError) -> None:
+        """Take in a failed try; raise when there must not be another."""
+        if error.verdict is Verdict.NOT_RUN:
+            self.metrics.count_retry("not_run")
+            return
+        self.runs += 1
+        self.check_repeatable(error.reason)
+        self.metrics.count_retry("may_have_run")
+
+    def check_repeatable(self, reason: str) -> None:
+        """Raise unless a call that may have run may be sent again."""
+        if self.route.repeatability is not Repeatability.REPEATABLE:
+            raise self.give_up(reason)
+        if self.runs >= self.route.max_targets:
+            raise self.give_up(reason)
+
+    def give_up(self, reason: str) -> CallRefusedError:
+        """Return the final answer: what is known of the call decides it."""
+        self.metrics.count_refusal("ran" if self.runs else "not_run")
+        if not self.runs:
+            return CallRefusedError(503, reason, RETRY_AFTER_SECONDS)
+        if time.monotonic() >= self.until:
+            return CallRefusedError(504, reason)
+        return CallRefusedError(502, reason)
--- /dev/null
+++ b/src/cedarchute/calls/target_exchange.py
@@ -0,0 +1,154 @@
+"""Sends a call to one target and reads the head of its answer."""
+
+from __future__ import annotations
+
+import logging
+import time
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from cedarchute.platform.call_headers import (
+    ANSWER_ID,
+    says_not_run,
+    write_target_headers,
+)
+from cedarchute.relay.target_failure import TargetFailureError
+from cedarchute.verdict import Verdict
+
+if TYPE_CHECKING:
+    from cedarchute.calls.call import Call
+    from cedarchute.metrics import Metrics
+    from cedarchute.relay.caller_request import CallerRequest
+    from cedarchute.relay.target_answer import TargetAnswer
+    from cedarchute.relay.target_connection import TargetConnection
+    from cedarchute.relay.target_pool import TargetPool
+    from cedarchute.routing.target_choice import TargetChoice
+    from cedarchute.routing.target_entry import TargetEntry
+
+log = logging.getLogger("cedarchute.calls")
+
+METHODS_WITHOUT_BODY = frozenset((b"GET", b"HEAD", b"DELETE", b"OPTIONS", b"TRACE"))
+# A target that is full has room again once one of its requests ends.
+FULL_PAUSE_SECONDS = 0.05
+
+
+@dataclass
+class OpenAnswer:
+    """An answer whose head is read, on the connection that brings the rest."""
+
+    target: TargetEntry
+    connection: TargetConnection
+    answer: TargetAnswer
+    sent_at: float
+
+
+class TargetExchange:
+    """What every call needs of targets; keeps the books on each of them."""
+
+    def __init__(
+        self, pool: TargetPool, choice: TargetChoice, metrics: Metrics
+    ) -> None:
+        self.pool = pool
+        self.choice = choice
+        self.metrics = metrics
+
+    def open(
+        self,
+        request: CallerRequest,
+        call: Call,
+        target: TargetEntry,
+        body: bytes,
+        until: float,
+    ) -> OpenAnswer:
+        """Send a call to `target` and wait for the head of its answer.
+
+        Raises
+        ------
+        TargetFailureError
+            With the verdict that the failure allows.
+        """
+        load = self.choice.loads[target.id]
+        load.active += 1
+        sent_at = time.monotonic()
+        connection = None
+        try:
+            connection = self.pool.take(target.address, until - sent_at)
+            head = build_request(request, target, body, until - time.monotonic())
+            connection.send(head + body, until - time.monotonic())
+            call_id = call.id.encode("latin-1")
+            answer = connection.read_answer(call_id, ANSWER_ID, until)
+            if says_not_run(answer):
+                self.finish_refusal(connection, answer, until)
+                load.record_full(FULL_PAUSE_SECONDS)
+                reason = f"refused with {answer.status}"
+                raise TargetFailureError(reason, Verdict.NOT_RUN)
+        except BaseException as error:
+            load.active -= 1
+            if connection is not None and not connection.is_fresh:
+                connection.close()
+            if isinstance(error, TargetFailureError):
+                self.note_failure(target, call, error)
+            raise
+        return OpenAnswer(target, connection, answer, sent_at)
+
+    def finish_refusal(
+        self, connection: TargetConnection, answer: TargetAnswer, until: float
+    ) -> None:
+        """Read a refusal to its end, so that its connection can be kept."""
+        try:
+            while not answer.is_complete:
+                connection.receive(until - time.monotonic())
+            connection.finish(answer)
+            self.pool.give_back(connection)
+        except TargetFailureError:
+            connection.close()
+
+    def note_failure(
+        self, target: TargetEntry, call: Call, error: TargetFailureError
+    ) -> None:
+        """Count a failure, and leave a target alone that does not answer."""
+        self.metrics.count("targets.failures")
+        if not error.reason.startswith("refused"):
+            self.choice.loads[target.id].record_failure()
+        log.info(
+            "Target failed.",
+            extra={
+                "target": target.id,
+                "why": error.reason,
+                "verdict": error.verdict,
+            },
+        )
+
+    def read_rest(self, opened: OpenAnswer, until: float) -> bytes:
+        """Return the whole body of an answer."""
+        answer = opened.answer
+        parts = [answer.take_parts()]
+        while not answer.is_complete:
+            opened.connection.receive(until - time.monotonic())
+            parts.append(answer.take_parts())
+        return b"".join(parts)
+
+    def finish(self, opened: OpenAnswer) -> None:
+        """Keep the connection of an answer that was read whole."""
+        seconds = time.monotonic() - opened.sent_at
+        load = self.choice.loads[opened.target.id]
+        load.active -= 1
+        load.record_answer(seconds)
+        opened.connection.finish(opened.answer)
+        self.pool.give_back(opened.connection)
+
+    def abandon(self, opened: OpenAnswer) -> None:
+        """Close the connection of an answer that nobody waits for."""
+        self.choice.loads[opened.target.id].active -= 1
+        opened.connection.close()
+
+
+def build_request(
+    request: CallerRequest, target: TargetEntry, body: bytes, seconds_left: float
+) -> bytes:
+    """Return the head of a request to a target."""
+    headers = write_target_headers(request, target, seconds_left)
+    line = b"%s %s HTTP/1.1\r\n" % (request.method, request.target)
+    if body or request.method not in METHODS_WITHOUT_BODY:
+        headers = headers.extend((b"Content-Length", b"%d" % len(body)))
+    return line + headers.encode() + b"\r\n"
--- /dev/null
+++ b/src/cedarchute/calls/turn_call.py
@@ -0,0 +1,220 @@
+"""A call whose answer is a stream of events; a turn of a program, if it says so."""
+
+from __future__ import annotations
+
+import logging
+import time
+from typing import TYPE_CHECKING
+
+from cedarchute.calls.attempts import Attempts
+from cedarchute.calls.call_errors import CallRefusedError
+from cedarchute.relay.event_splitter import EventSplitter, read_data
+from cedarchute.relay.target_failure import TargetFailureError
+from cedarchute.turns.records import Turn
+from cedarchute.turns.turn_quorum import (
+    BudgetSpentError,
+    NoQuorumError,
+    NoSuchTurnError,
+    TurnAdmission,
+)
+
+if TYPE_CHECKING:
+    from cedarchute.calls.call import Call
+    from cedarchute.calls.target_exchange import OpenAnswer, TargetExchange
+    from cedarchute.metrics import Metrics
+    from cedarchute.relay.caller_request import CallerRequest
+    from cedarchute.relay.reply_writer import ReplyWriter
+    from cedarchute.routing.route import Route
+    from cedarchute.routing.route_book import RouteBook
+    from cedarchute.turns.turn_quorum import TurnQuorum
+
+log = logging.getLogger("cedarchute.calls")
+
+OK = 200
+RETRY_AFTER_SECONDS = 0.25
+
+
+class TurnCall:
+    """Relays turns: admitted by a quorum, completed from their chain, kept whole."""
+
+    def __init__(
+        self,
+        exchange: TargetExchange,
+        quorum: TurnQuorum,
+        routes: RouteBook,
+        metrics: Metrics,
+    ) -> None:
+        self.exchange = exchange
+        self.quorum = quorum
+        self.routes = routes
+        self.metrics = metrics
+
+    def run(
+        self, request: CallerRequest, writer: ReplyWriter, call: Call, route: Route
+    ) -> None:
+        """Answer one call; raise `CallRefusedError` when it is given up."""
+        admission = TurnAdmission(b"", "")
+        if route.keeps_turns:
+            admission = self.admit(call)
+        relay = TurnRelay(self, request, writer, call, route, admission)
+        try:
+            relay.run()
+        finally:
+            if route.keeps_turns and not relay.kept:
+                self.quorum.settle(call.program.program, call.id, relay.tokens)
+
+    def admit(self, call: Call) -> TurnAdmission:
+        """Reserve the turn's tokens and read what it goes on from."""
+        terms = call.program
+        if not terms.program:
+            raise CallRefusedError(400, "a turn names its program")
+        try:
+            return self.quorum.begin(
+                terms.program, call.id, terms.most_tokens, terms.previous, terms.budget
+            )
+        except NoQuorumError as error:
+            self.metrics.count_refusal("no_quorum")
+            raise CallRefusedError(503, str(error), RETRY_AFTER_SECONDS) from None
+        except NoSuchTurnError as error:
+            self.metrics.count_refusal("no_such_turn")
+            raise CallRefusedError(404, str(error)) from None
+        except BudgetSpentError as error:
+            self.metrics.count_refusal("budget_spent")
+            raise CallRefusedError(402, str(error)) from None
+
+    def event_tokens(self, service: str) -> int:
+        """Return how many tokens one event of a service carries."""
+        table = self.routes.table
+        found = table.services.get(service) if table else None
+        return found.engine.event_tokens if found and found.engine else 1
+
+
+class TurnRelay:
+    """One turn on its way from a target to its caller.
+
+    Attributes
+    ----------
+    tokens : int
+        Tokens handed to the caller so far.
+    kept : bool
+        Whether the turn stands on a quorum, with its tokens.
+    """
+
+    def __init__(
+        self,
+        desk: TurnCall,
+        request: CallerRequest,
+        writer: ReplyWriter,
+        call: Call,
+        route: Route,
+        admission: TurnAdmission,
+    ) -> None:
+        self.desk = desk
+        self.request = request
+        self.writer = writer
+        self.call = call
+        self.route = route
+        self.service = desk.exchange.choice.choose_service(route)
+        self.tokens = 0
+        self.kept = False
+        self.output: list[bytes] = []
+        body = admission.text + request.body
+        self.attempts = Attempts(
+            desk.exchange,
+            desk.metrics,
+            request,
+            call,
+            route,
+            self.service,
+            body,
+            admission.target,
+        )
+
+    def run(self) -> None:
+        """Relay the turn to its end."""
+        opened = self.attempts.open()
+        finished = False
+        try:
+            if opened.answer.status == OK:
+                self.relay_events(opened)
+            else:
+                self.relay_failure(opened)
+            self.desk.exchange.finish(opened)
+            finished = True
+        except TargetFailureError as error:
+            self.note_broken(opened, error)
+        finally:
+            if not finished:
+                self.desk.exchange.abandon(opened)
+        if opened.answer.status == OK:
+            self.end(opened)
+
+    def relay_failure(self, opened: OpenAnswer) -> None:
+        """Pass a target's own failure on."""
+        body = self.desk.exchange.read_rest(opened, self.attempts.until)
+        headers = opened.answer.headers.select_end_to_end()
+        self.writer.write_whole(opened.answer.status, headers, body)
+
+    def relay_events(self, opened: OpenAnswer) -> None:
+        """Pass events on as they come, until the target's answer is whole."""
+        splitter = EventSplitter()
+        answer = opened.answer
+        event_tokens = self.desk.event_tokens(self.service)
+        while True:
+            for event in splitter.feed(answer.take_parts()):
+                self.pass_on(opened, event, event_tokens)
+            if answer.is_complete:
+                break
+            opened.connection.receive(self.attempts.until - time.monotonic())
+        if splitter.rest.strip():
+            raise TargetFailureError("ended within an event", "may have run")
+
+    def pass_on(self, opened: OpenAnswer, event: bytes, event_tokens: int) -> None:
+        """Pass one event on."""
+        if not self.writer.started:
+            headers = opened.answer.headers.select_end_to_end()
+            self.writer.start_stream(opened.answer.status, headers)
+        data = read_data(event)
+        if data is not None:
+            self.tokens += event_tokens
+            self.output.append(data + b"\n")
+        self.writer.write_part(event)
+
+    def note_broken(self, opened: OpenAnswer, error: TargetFailureError) -> None:
+        """Give up a turn whose stream broke; it ran, so it is not tried again."""
+        self.desk.exchange.note_failure(opened.target, self.call, error)
+        if self.writer.started:
+            self.desk.metrics.count("turns.broken")
+            raise CallRefusedError(502, error.reason)
+        raise self.attempts.give_up(error.reason)
+
+    def end(self, opened: OpenAnswer) -> None:
+        """Keep the turn, then tell the caller that it is whole.
+
+        Until a quorum holds it, the next turn could not go on from it.
+        """
+        if not self.writer.started:
+            headers = opened.answer.headers.select_end_to_end()
+            self.writer.start_stream(opened.answer.status, headers)
+        if self.route.keeps_turns:
+            self.keep(opened)
+        self.writer.end_stream()
+
+    def keep(self, opened: OpenAnswer) -> None:
+        """Write the turn down at a quorum."""
+        terms = self.call.program
+        turn = Turn(
+            program=terms.program,
+            turn=self.call.id,
+            previous=terms.previous,
+            input=self.request.body,
+            output=b"".join(self.output),
+            tokens=self.tokens,
+            target=opened.target.id,
+            keep_seconds=self.route.keep_seconds,
+        )
+        try:
+            self.desk.quorum.take(turn)
+        except NoQuorumError as error:
+            raise CallRefusedError(503, str(error)) from None
+        self.kept = True
--- /dev/null
+++ b/src/cedarchute/daemon/entry_box.py
@@ -0,0 +1,134 @@
+"""Wires the parts of an entry box: callers on one side, targets on the other."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+import eventlet
+import eventlet.wsgi
+
+from cedarchute.address import Address
+from cedarchute.calls.call_desk import CallDesk
+from cedarchute.calls.plain_call import PlainCall
+from cedarchute.calls.target_exchange import TargetExchange
+from cedarchute.calls.turn_call import TurnCall
+from cedarchute.daemon.entry_stop import EntryStop
+from cedarchute.daemon.listeners import open_listener
+from cedarchute.daemon.node_parts import NodeParts
+from cedarchute.fleet.box_entry import BoxEntry, Role
+from cedarchute.fleet.peer_server import PeerServer
+from cedarchute.platform.directory_app import DirectoryApp
+from cedarchute.platform.followers import ConfigurationFollower, TargetFollower
+from cedarchute.platform.keys import CONFIGURATION, TARGETS
+from cedarchute.relay.caller_server import CallerServer
+from cedarchute.relay.input_limits import InputLimits
+from cedarchute.relay.target_pool import TargetPool
+from cedarchute.routing.route_book import RouteBook
+from cedarchute.routing.target_choice import TargetChoice
+from cedarchute.routing.target_registry import TargetRegistry
+from cedarchute.turns.holder_client import HolderClient
+from cedarchute.turns.turn_quorum import TurnQuorum
+
+if TYPE_CHECKING:
+    from cedarchute.metrics import Metrics
+    from cedarchute.routing.target_entry import TargetEntry
+    from cedarchute.settings.node_settings import NodeSettings
+
+# Targets and boxes whose entries lapsed are looked for this often.
+EXPIRE_SECONDS = 0.5
+
+
+class EntryBox:
+    """A box that callers connect to; it keeps nothing."""
+
+    def __init__(self, settings: NodeSettings, file: str, metrics: Metrics) -> None:
+        box = settings.box
+        listen = settings.listen
+        peers = listen.exchange or str(settings.peers)
+        self.settings = settings
+        self.metrics = metrics
+        self.routes = RouteBook(metrics)
+        self.pool = TargetPool(metrics)
+        self.registry = TargetRegistry(self.drop_target)
+        me = BoxEntry(
+            box.name,
+            Role.ENTRY,
+            box.failure_domain,
+            box.region,
+            listen.callers,
+            peers,
+        )
+        followers = {
+            CONFIGURATION: ConfigurationFollower(self.routes),
+            TARGETS: TargetFollower(self.registry),
+        }
+        self.parts = NodeParts(settings, me, followers, metrics)
+        chance = random.Random()
+        choice = TargetChoice(self.registry, box.failure_domain, chance)
+        exchange = TargetExchange(self.pool, choice, metrics)
+        holders = HolderClient(metrics)
+        quorum = TurnQuorum(self.parts.seats, holders, box.failure_domain, metrics)
+        turns = TurnCall(exchange, quorum, self.routes, metrics)
+        desk = CallDesk(self.routes, PlainCall(exchange, metrics), turns, metrics)
+        self.server = CallerServer(
+            self.listen(listen.callers, file, "callers"),
+            desk.handle,
+            self.read_limits,
+            metrics,
+        )
+        self.stop = EntryStop(
+            self.server, self.parts.registration, settings.stop.grace_seconds
+        )
+        directory = DirectoryApp(
+            self.parts.directory, self.is_ready, box.failure_domain, box.region
+        )
+        self.apps = [
+            (self.listen(listen.ready, file, "ready"), directory),
+            (self.listen(listen.directory, file, "directory"), directory),
+            (
+                self.listen(peers, file, "exchange"),
+                PeerServer(self.parts.mirror, metrics),
+            ),
+        ]
+
+    def listen(self, address: str, file: str, key: str) -> object:
+        """Open one listener; None when the key is not set."""
+        if not address:
+            return None
+        return open_listener(Address.parse(address), f"{file}: [listen] {key}")
+
+    def drop_target(self, target: TargetEntry) -> None:
+        """Close what is kept towards a target that is gone."""
+        self.pool.drop(target.address)
+
+    def read_limits(self) -> InputLimits:
+        """Return the bounds on callers' input that are in force."""
+        return self.routes.table.limits if self.routes.table else InputLimits()
+
+    def is_ready(self) -> bool:
+        """Whether callers should come here."""
+        return self.routes.table is not None and not self.stop.asked
+
+    def run(self) -> None:
+        """Serve until a planned stop is done."""
+        for listener, app in self.apps:
+            if listener is not None:
+                eventlet.spawn_n(serve_app, listener, app)
+        self.parts.start()
+        eventlet.spawn_n(self.expire_forever)
+        eventlet.spawn_n(self.server.serve_forever)
+        self.stop.wait()
+
+    def expire_forever(self) -> None:
+        """Drop the targets whose entries did not come back."""
+        while True:
+            eventlet.sleep(EXPIRE_SECONDS)
+            self.registry.known.expire()
+
+
+def serve_app(listener: object, app: object) -> None:
+    """Serve a WSGI application for other boxes and the platform."""
+    eventlet.wsgi.server(
+        listener, app, log_output=False, max_size=1024, keepalive=60, debug=False
+    )
--- /dev/null
+++ b/src/cedarchute/daemon/entry_stop.py
@@ -0,0 +1,71 @@
+"""The planned stop of an entry box: nothing under way is cut off."""
+
+from __future__ import annotations
+
+import logging
+import time
+from typing import TYPE_CHECKING, Final
+
+import eventlet
+from eventlet.event import Event
+
+if TYPE_CHECKING:
+    from cedarchute.fleet.registration import Registration
+    from cedarchute.relay.caller_server import CallerServer
+
+log = logging.getLogger("cedarchute.daemon")
+
+# Callers with a fresh answer come here no more after this; their idle connections
+# can be closed.
+CLOSE_IDLE_SECONDS: Final = 2.5
+# Some callers keep an answer three times as long as it says, so connections are taken
+# until this much of the grace is left: enough for what came in last.
+LAST_CALLS_SECONDS: Final = 1.6
+# The process is gone this long before it would be killed.
+EXIT_MARGIN_SECONDS: Final = 0.4
+STEP_SECONDS: Final = 0.1
+
+
+class EntryStop:
+    """Not ready at once, then no idle connections, no new ones, and the end."""
+
+    def __init__(
+        self, server: CallerServer, registration: Registration, grace_seconds: float
+    ) -> None:
+        self.server = server
+        self.registration = registration
+        self.grace_seconds = grace_seconds
+        self.asked = False
+        self.done = Event()
+
+    def ask(self) -> None:
+        """Begin the stop, once."""
+        if self.asked:
+            return
+        self.asked = True
+        eventlet.spawn_n(self.run)
+
+    def wait(self) -> None:
+        """Return when the stop is done."""
+        self.done.wait()
+
+    def run(self) -> None:
+        """Carry the stop out."""
+        started = time.monotonic()
+        log.info("Planned stop.", extra={"grace_seconds": self.grace_seconds})
+        self.server.begin_closing()
+        eventlet.spawn_n(self.registration.leave)
+        last_calls = started + max(0.0, self.grace_seconds - LAST_CALLS_SECONDS)
+        while time.monotonic() < last_calls:
+            eventlet.sleep(STEP_SECONDS)
+            if time.monotonic() - started > CLOSE_IDLE_SECONDS:
+                self.server.close_idle()
+        self.server.stop_accepting()
+        end = started + self.grace_seconds - EXIT_MARGIN_SECONDS
+        while self.server.is_busy and time.monotonic() < end:
+            self.server.close_idle()
+            eventlet.sleep(STEP_SECONDS)
+        self.registration.end()
+        seconds = round(time.monotonic() - started, 3)
+        log.info("Stopped.", extra={"seconds": seconds, "cut": self.server.is_busy})
+        self.done.send(None)
--- /dev/null
+++ b/src/cedarchute/daemon/holder_box.py
@@ -0,0 +1,132 @@
+"""Wires the parts of a holder: records of programs on its disk."""
+
+from __future__ import annotations
+
+import logging
+import time
+from pathlib import Path
+from typing import TYPE_CHECKING, Final
+
+import eventlet
+from eventlet.event import Event
+
+from cedarchute.daemon.entry_box import serve_app
+from cedarchute.daemon.listeners import open_listener
+from cedarchute.daemon.node_parts import NodeParts
+from cedarchute.fleet.box_entry import BoxEntry, Role
+from cedarchute.fleet.peer_server import PeerServer
+from cedarchute.platform.keys import RETIRE
+from cedarchute.platform.retirements import Retirements
+from cedarchute.turns.catch_up import CatchUp
+from cedarchute.turns.disk_identity import DiskIdentity
+from cedarchute.turns.evacuation import Evacuation
+from cedarchute.turns.holder import Holder
+from cedarchute.turns.holder_app import HolderApp
+from cedarchute.turns.holder_client import HolderClient
+from cedarchute.turns.seat_keeper import SeatKeeper
+from cedarchute.turns.seat_table import Seat
+from cedarchute.turns.turn_book import TurnBook
+from cedarchute.turns.turn_journal import TurnJournal
+from cedarchute.turns.turn_writer import TurnWriter
+
+if TYPE_CHECKING:
+    from cedarchute.metrics import Metrics
+    from cedarchute.settings.node_settings import NodeSettings
+
+log = logging.getLogger("cedarchute.daemon")
+
+# Programs that are over are forgotten this often.
+TIDY_SECONDS: Final = 5.0
+# The journal is written anew once this much was appended: a part of a small disk.
+COMPACT_BYTES: Final = 64_000_000
+# Boxes hear within this long that a holder leaves, and others answer in its place.
+STOP_SECONDS: Final = 1.0
+
+
+class HolderBox:
+    """A box with a disk; only other boxes connect to it."""
+
+    def __init__(self, settings: NodeSettings, file: str, metrics: Metrics) -> None:
+        box = settings.box
+        self.metrics = metrics
+        self.folder = Path(box.data_folder)
+        self.folder.mkdir(parents=True, exist_ok=True)
+        identity = DiskIdentity.load(self.folder)
+        self.journal = TurnJournal(self.folder)
+        self.book = TurnBook(TurnWriter(self.journal, metrics))
+        peers = str(settings.peers)
+        me = BoxEntry(
+            box.name,
+            Role.HOLDER,
+            box.failure_domain,
+            box.region,
+            "",
+            peers,
+            identity.disk,
+        )
+        followers = {}
+        self.parts = NodeParts(settings, me, followers, metrics)
+        retirements = Retirements(self.parts.store)
+        self.parts.mirror.followers[RETIRE] = retirements
+        seats = self.parts.seats
+        self.holder = Holder(self.book, seats, identity.disk)
+        client = HolderClient(metrics)
+        self.keeper = SeatKeeper(
+            self.parts.store,
+            seats,
+            self.holder,
+            identity,
+            self.folder,
+            Seat(box.name, peers, identity.disk, box.failure_domain),
+            settings.losses.holders,
+            CatchUp(client, self.book, seats),
+            self.parts.directory,
+            retirements,
+            Evacuation(client, self.book, seats),
+        )
+        self.listener = open_listener(settings.peers, f"{file}: [box] peer_port")
+        self.app = PeerServer(self.parts.mirror, metrics, HolderApp(self.holder))
+        self.done = Event()
+        self.asked = False
+
+    def ask_stop(self) -> None:
+        """Begin a planned stop, once."""
+        if not self.asked:
+            self.asked = True
+            eventlet.spawn_n(self.finish)
+
+    def finish(self) -> None:
+        """Answer a moment longer, then end; the disk keeps everything."""
+        log.info("Planned stop.")
+        self.parts.registration.leave()
+        eventlet.sleep(STOP_SECONDS)
+        self.parts.registration.end()
+        log.info("Stopped.")
+        self.done.send(None)
+
+    def run(self) -> None:
+        """Serve until a planned stop is done."""
+        started = time.monotonic()
+        count = self.book.load()
+        seconds = round(time.monotonic() - started, 3)
+        log.info("Disk read.", extra={"records": count, "seconds": seconds})
+        eventlet.spawn_n(serve_app, self.listener, self.app)
+        self.parts.start()
+        eventlet.spawn_n(self.keeper.run_forever)
+        eventlet.spawn_n(self.tidy_forever)
+        self.done.wait()
+
+    def tidy_forever(self) -> None:
+        """Forget programs that are over, and keep the journal short."""
+        while True:
+            eventlet.sleep(TIDY_SECONDS)
+            self.book.drop_over()
+            if self.journal.since_compaction > COMPACT_BYTES:
+                self.compact()
+
+    def compact(self) -> None:
+        """Write the journal anew; one that fails is tried again later."""
+        try:
+            self.book.compact()
+        except OSError as error:
+            log.error("Journal not compacted.", extra={"why": str(error)})
--- a/src/cedarchute/daemon/logs.py
+++ b/src/cedarchute/daemon/logs.py
@@ -10,6 +10,15 @@
 from cedarchute.request_ids import RequestIdFilter
 
 PREFIX: Final = "cedarchute."
+# What every record has; the rest are the fields of this line.
+STANDARD_FIELDS: Final = frozenset(
+    (*vars(logging.makeLogRecord({})), "message", "asctime", "part", "request_id")
+)
+
+
+def read_fields(record: logging.LogRecord) -> dict[str, object]:
+    """Return the fields that a line was given beside its sentence."""
+    return {k: v for k, v in vars(record).items() if k not in STANDARD_FIELDS}
 
 
 class TextFormatter(logging.Formatter):
@@ -22,6 +31,8 @@
         """Return one line."""
         record.part = record.name.removeprefix(PREFIX)
         line = super().format(record)
+        for name, value in read_fields(record).items():
+            line += f" {name}={value}"
         request_id = getattr(record, "request_id", "")
         return f"{line} [request {request_id}]" if request_id else line
 
@@ -39,9 +50,10 @@
         }
         if request_id := getattr(record, "request_id", ""):
             document["request_id"] = request_id
+        document.update(read_fields(record))
         if record.exc_info:
             document["exception"] = self.formatException(record.exc_info)
-        return json.dumps(document)
+        return json.dumps(document, default=str)
 
 
 def set_up_logs(form: str, level: str) -> None:
--- a/src/cedarchute/daemon/main.py
+++ b/src/cedarchute/daemon/main.py
@@ -21,18 +21,21 @@
 
 from absl import app, flags
 
-from cedarchute.copies.disk_storage import FolderInUseError
-from cedarchute.daemon.composition import compose
 from cedarchute.daemon.listeners import PortInUseError, open_listeners
 from cedarchute.daemon.logs import set_up_logs
-from cedarchute.ini import IniError
-from cedarchute.settings.loader import load_settings
+from cedarchute.daemon.node_main import run_node
+from cedarchute.ini import IniError, read_sections
 
 log = logging.getLogger("cedarchute.daemon")
 
 EXIT_BAD_SETTINGS: Final = 2
 
-SETTINGS = flags.DEFINE_string("settings", None, "The settings file of this box.")
+# Names the settings file when no flag does.
+SETTINGS_VARIABLE: Final = "CEDARCHUTE_SETTINGS"
+
+SETTINGS = flags.DEFINE_string(
+    "settings", os.environ.get(SETTINGS_VARIABLE), "The settings file of this box."
+)
 LOG_FORMAT = flags.DEFINE_enum("log_format", "text", ["text", "json"], "Form of logs.")
 LOG_LEVEL = flags.DEFINE_enum(
     "log_level", "info", ["debug", "info", "warning"], "Least level of logs."
@@ -49,15 +52,29 @@
         return EXIT_BAD_SETTINGS
     set_up_logs(LOG_FORMAT.value, LOG_LEVEL.value)
     try:
-        settings = load_settings(SETTINGS.value)
-        listeners = open_listeners(settings.box, SETTINGS.value)
+        if "role" in read_sections(SETTINGS.value).get("box", {}):
+            return run_node(SETTINGS.value)
+        return run_peer(SETTINGS.value)
     except (IniError, PortInUseError) as error:
         sys.stderr.write(f"{error}\n")
         return EXIT_BAD_SETTINGS
+
+
+def run_peer(file: str) -> int:
+    """Serve as one of many like boxes; return the exit code.
+
+    What this takes is imported here, so that boxes of one role need not load it.
+    """
+    from cedarchute.copies.disk_storage import FolderInUseError
+    from cedarchute.daemon.composition import compose
+    from cedarchute.settings.loader import load_settings
+
+    settings = load_settings(file)
+    listeners = open_listeners(settings.box, file)
     try:
         daemon = compose(settings, listeners)
     except FolderInUseError as error:
-        sys.stderr.write(f"{SETTINGS.value}: {error}\n")
+        sys.stderr.write(f"{file}: {error}\n")
         return EXIT_BAD_SETTINGS
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: daemon.stopper.ask())
--- /dev/null
+++ b/src/cedarchute/daemon/node_main.py
@@ -0,0 +1,69 @@
+"""Runs a box of the users' platform: an entry box or a holder."""
+
+from __future__ import annotations
+
+import logging
+import signal
+import sys
+from typing import TYPE_CHECKING, Final
+
+import eventlet
+
+from cedarchute.daemon.signals import Signals
+from cedarchute.fleet.box_entry import Role
+from cedarchute.metrics import Metrics
+from cedarchute.settings.node_settings import load_node_settings
+
+if TYPE_CHECKING:
+    from cedarchute.settings.node_settings import NodeSettings
+
+log = logging.getLogger("cedarchute.daemon")
+
+OK: Final = 0
+
+
+def run_node(file: str) -> int:
+    """Serve until a planned stop; return the exit code.
+
+    Raises
+    ------
+    IniError, PortInUseError
+        When the settings cannot be used.
+    """
+    settings = load_node_settings(file)
+    metrics = Metrics()
+    box, ask_stop = build_box(settings, file, metrics)
+
+    def reload() -> None:
+        log.info("Settings changed; they apply from the next start.")
+
+    signals = Signals(
+        {
+            signal.SIGTERM: ask_stop,
+            signal.SIGINT: ask_stop,
+            signal.SIGHUP: reload,
+        }
+    )
+    eventlet.spawn_n(signals.run_forever)
+    log.info(
+        "Started.", extra={"box": settings.box.name, "role": settings.box.role.value}
+    )
+    box.run()
+    sys.stdout.flush()
+    return OK
+
+
+def build_box(settings: NodeSettings, file: str, metrics: Metrics) -> tuple:
+    """Return the box that the role asks for, and what asks it to stop.
+
+    Each role imports only its own parts: memory is dear on small boxes.
+    """
+    if settings.box.role is Role.HOLDER:
+        from cedarchute.daemon.holder_box import HolderBox
+
+        holder = HolderBox(settings, file, metrics)
+        return holder, holder.ask_stop
+    from cedarchute.daemon.entry_box import EntryBox
+
+    entry = EntryBox(settings, file, metrics)
+    return entry, entry.stop.ask
--- /dev/null
+++ b/src/cedarchute/daemon/node_parts.py
@@ -0,0 +1,67 @@
+"""What every box on the users' platform has: its view of the store and the fleet."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+import eventlet
+
+from cedarchute.address import Address
+from cedarchute.fleet.box_directory import BoxDirectory
+from cedarchute.fleet.followers import SEATS_KEY, BoxFollower, SeatFollower
+from cedarchute.fleet.registration import BOXES_PREFIX, Registration
+from cedarchute.fleet.state_puller import StatePuller
+from cedarchute.fleet.store_mirror import StoreMirror
+from cedarchute.fleet.store_reader import StoreReader
+from cedarchute.platform.store_client import StoreClient
+from cedarchute.turns.seat_book import SeatBook
+
+if TYPE_CHECKING:
+    from cedarchute.fleet.box_entry import BoxEntry
+    from cedarchute.fleet.store_follower import StoreFollower
+    from cedarchute.metrics import Metrics
+    from cedarchute.settings.node_settings import NodeSettings
+
+STORE_SECONDS = 1.5
+EXPIRE_SECONDS = 0.5
+
+
+class NodeParts:
+    """The store's client and mirror, the list of boxes and this box's entry in it."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        me: BoxEntry,
+        followers: dict[str, StoreFollower],
+        metrics: Metrics,
+    ) -> None:
+        address = Address.parse(settings.platform.store)
+        self.store = StoreClient(address, metrics, STORE_SECONDS)
+        self.seats = SeatBook()
+        self.directory = BoxDirectory()
+        own: dict[str, StoreFollower] = {
+            BOXES_PREFIX: BoxFollower(self.directory),
+            SEATS_KEY: SeatFollower(self.seats),
+        }
+        self.mirror = StoreMirror({**own, **followers})
+        self.reader = StoreReader(self.store, self.mirror, metrics)
+        chance = random.Random()
+        self.puller = StatePuller(
+            self.mirror, self.directory, settings.seeds, me.name, chance, metrics
+        )
+        self.registration = Registration(self.store, me, metrics)
+
+    def start(self) -> None:
+        """Start the tasks."""
+        eventlet.spawn_n(self.reader.run_forever)
+        eventlet.spawn_n(self.registration.run_forever)
+        eventlet.spawn_n(self.puller.run_forever)
+        eventlet.spawn_n(self.expire_forever)
+
+    def expire_forever(self) -> None:
+        """Drop the boxes whose entries did not come back."""
+        while True:
+            eventlet.sleep(EXPIRE_SECONDS)
+            self.directory.known.expire()
--- /dev/null
+++ b/src/cedarchute/fleet/box_directory.py
@@ -0,0 +1,52 @@
+"""The boxes that are there now, and which of them callers should use."""
+
+from __future__ import annotations
+
+import logging
+from typing import Final
+
+from cedarchute.fleet.box_entry import BoxEntry, Role
+from cedarchute.fleet.lapsing_entries import LapsingEntries
+
+log = logging.getLogger("cedarchute.fleet")
+
+# With fewer entry boxes than this in a caller's own failure domain, one lost box
+# would leave it no other: it is told of all domains then.
+OWN_DOMAIN_LEAST: Final = 2
+MOST_ADDRESSES: Final = 64
+
+
+class BoxDirectory:
+    """Follows the entries of boxes."""
+
+    def __init__(self) -> None:
+        self.known: LapsingEntries[BoxEntry] = LapsingEntries(self.note_gone)
+
+    def put(self, entry: BoxEntry) -> None:
+        """Take in a box."""
+        before = self.known.put(entry.name, entry)
+        if before != entry:
+            text = "Box is leaving." if entry.leaving else "Box is there."
+            log.info(text, extra={"box": entry.name, "role": entry.role})
+
+    def remove(self, name: str) -> None:
+        """Take in that a box's entry is gone."""
+        if not self.known.remove(name):
+            log.info("Box's entry lapsed.", extra={"box": name})
+
+    def note_gone(self, entry: BoxEntry) -> None:
+        """Log that a box is gone."""
+        log.info("Box is gone.", extra={"box": entry.name})
+
+    def list_boxes(self, role: Role) -> list[BoxEntry]:
+        """Return the boxes of a role that are not leaving."""
+        entries = self.known.entries.values()
+        return [box for box in entries if box.role is role and not box.leaving]
+
+    def list_caller_addresses(self, failure_domain: str, region: str) -> list[str]:
+        """Return where a caller should connect: its own domain, if enough serve it."""
+        boxes = self.list_boxes(Role.ENTRY)
+        near = [box for box in boxes if box.failure_domain == failure_domain]
+        if len(near) < OWN_DOMAIN_LEAST:
+            near = [box for box in boxes if box.region == region] or boxes
+        return sorted(box.callers for box in near)[:MOST_ADDRESSES]
--- /dev/null
+++ b/src/cedarchute/fleet/peer_server.py
@@ -0,0 +1,70 @@
+"""What a box answers to other boxes and to whoever reads its metrics."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, Final
+
+import msgspec
+
+from cedarchute.fleet.state_messages import AskState
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from cedarchute.fleet.store_mirror import StoreMirror
+    from cedarchute.metrics import Metrics
+    from cedarchute.turns.holder_app import HolderApp
+
+STATE_PATH: Final = "/fleet/state"
+METRICS_PATH: Final = "/metrics"
+JSON_TYPE: Final = "application/json"
+TEXT_TYPE: Final = "text/plain; version=0.0.4"
+
+
+class PeerServer:
+    """A WSGI application; holders answer about their records too."""
+
+    def __init__(
+        self, mirror: StoreMirror, metrics: Metrics, holder: HolderApp | None = None
+    ) -> None:
+        self.mirror = mirror
+        self.metrics = metrics
+        self.holder = holder
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        """Answer one request."""
+        path = environ["PATH_INFO"]
+        if path == STATE_PATH:
+            return self.answer_state(environ, start_response)
+        if path == METRICS_PATH:
+            text = self.metrics.render_text().encode()
+            return self.reply(start_response, "200 OK", TEXT_TYPE, text)
+        if self.holder is not None:
+            return self.holder(environ, start_response)
+        return self.reply(start_response, "404 Not Found", JSON_TYPE, b"{}")
+
+    def answer_state(
+        self, environ: dict[str, Any], start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        """Tell what this box knows of the store."""
+        body = environ["wsgi.input"].read()
+        try:
+            asked = msgspec.json.decode(body, type=AskState)
+        except msgspec.MsgspecError:
+            return self.reply(start_response, "400 Bad Request", JSON_TYPE, b"{}")
+        state = msgspec.json.encode(self.mirror.tell(asked.after))
+        return self.reply(start_response, "200 OK", JSON_TYPE, state)
+
+    def reply(
+        self,
+        start_response: Callable[..., Any],
+        status: str,
+        content_type: str,
+        body: bytes,
+    ) -> list[bytes]:
+        """Start an answer and return its body."""
+        fields = [("Content-Type", content_type), ("Content-Length", str(len(body)))]
+        start_response(status, fields)
+        return [body]
--- /dev/null
+++ b/src/cedarchute/fleet/state_messages.py
@@ -0,0 +1,43 @@
+"""How boxes tell each other what they know of the store."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class MirroredEntry(msgspec.Struct, frozen=True):
+    """An entry of the store at the revision of its last change."""
+
+    key: str
+    value: str
+    revision: int
+
+
+class Removal(msgspec.Struct, frozen=True):
+    """A key that went away."""
+
+    key: str
+    revision: int
+
+
+class AskState(msgspec.Struct, frozen=True):
+    """Tell what changed after a revision; None asks for all."""
+
+    after: int | None = None
+
+
+class State(msgspec.Struct, frozen=True):
+    """What a box knows of the store.
+
+    Attributes
+    ----------
+    revision : int
+        Up to which changes are known; 0 when none are.
+    is_whole : bool
+        Whether `entries` is everything, not only what changed.
+    """
+
+    revision: int
+    is_whole: bool
+    entries: tuple[MirroredEntry, ...] = ()
+    removals: tuple[Removal, ...] = ()
--- /dev/null
+++ b/src/cedarchute/fleet/state_puller.py
@@ -0,0 +1,97 @@
+"""Asks another box what changed in the store while the store does not tell."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING, Final
+
+import eventlet
+import msgspec
+import urllib3
+
+from cedarchute.address import Address
+from cedarchute.fleet.state_messages import AskState, State
+from cedarchute.host_pools import HostPools
+
+if TYPE_CHECKING:
+    import random
+
+    from cedarchute.fleet.box_directory import BoxDirectory
+    from cedarchute.fleet.store_mirror import StoreMirror
+    from cedarchute.metrics import Metrics
+
+log = logging.getLogger("cedarchute.fleet")
+
+PERIOD_SECONDS: Final = 0.4
+# A watch that was cut is back at once; boxes are asked only when it is not.
+LOST_SECONDS: Final = 0.6
+ANSWER_SECONDS: Final = 0.5
+KEPT_HOSTS: Final = 4
+JSON_HEADERS: Final = {"Content-Type": "application/json"}
+PATH: Final = "/fleet/state"
+
+
+class StatePuller:
+    """Asks one box, drawn by chance, in each period; nothing while the store answers.
+
+    The store may turn some boxes away and serve the others: what one box knows
+    reaches all within a few periods, whatever their number.
+    """
+
+    def __init__(
+        self,
+        mirror: StoreMirror,
+        directory: BoxDirectory,
+        seeds: list[Address],
+        me: str,
+        chance: random.Random,
+        metrics: Metrics,
+    ) -> None:
+        self.mirror = mirror
+        self.directory = directory
+        self.seeds = seeds
+        self.me = me
+        self.chance = chance
+        self.metrics = metrics
+        self.pools = HostPools(1, hosts=KEPT_HOSTS)
+
+    def run_forever(self) -> None:
+        """Look after the mirror for the life of the process."""
+        while True:
+            eventlet.sleep(PERIOD_SECONDS)
+            if self.mirror.lost_seconds > LOST_SECONDS:
+                self.pull_once()
+
+    def pull_once(self) -> None:
+        """Ask one box."""
+        address = self.choose_box()
+        if address is None:
+            return
+        after = self.mirror.revision or None
+        try:
+            response = self.pools.request(
+                "POST",
+                address,
+                PATH,
+                body=msgspec.json.encode(AskState(after)),
+                headers=JSON_HEADERS,
+                timeout=ANSWER_SECONDS,
+            )
+            state = msgspec.json.decode(response.data, type=State)
+        except (urllib3.exceptions.HTTPError, OSError, msgspec.MsgspecError) as error:
+            self.metrics.count("state.failures")
+            log.debug("Box not asked: %s", error)
+            return
+        if self.mirror.take_state(state):
+            self.metrics.count("state.taken")
+            log.info(
+                "State taken from a box.",
+                extra={"box": str(address), "revision": state.revision},
+            )
+
+    def choose_box(self) -> Address | None:
+        """Return a box to ask: any that is known, or a seed."""
+        entries = self.directory.known.entries.values()
+        known = [Address.parse(e.peers) for e in entries if e.name != self.me]
+        candidates = known or self.seeds
+        return self.chance.choice(candidates) if candidates else None
--- /dev/null
+++ b/src/cedarchute/fleet/store_mirror.py
@@ -0,0 +1,129 @@
+"""What this box knows of the store, from the store itself or from another box."""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections import deque
+from typing import TYPE_CHECKING, Final
+
+from cedarchute.fleet.state_messages import MirroredEntry, Removal, State
+
+if TYPE_CHECKING:
+    from cedarchute.fleet.store_follower import StoreFollower
+    from cedarchute.platform.store_entry import StoreChange, StoreListing
+
+log = logging.getLogger("cedarchute.fleet")
+
+# Removals remembered for boxes that ask what changed; one that asks for more is told
+# everything.
+KEPT_REMOVALS: Final = 512
+
+
+class StoreMirror:
+    """Hands every entry to the follower of its prefix; never goes back.
+
+    While the store is away everything stays as it was: its silence says nothing
+    about anyone else.
+    """
+
+    def __init__(self, followers: dict[str, StoreFollower]) -> None:
+        self.followers = followers
+        self.entries: dict[str, MirroredEntry] = {}
+        self.removals: deque[Removal] = deque(maxlen=KEPT_REMOVALS)
+        self.revision = 0
+        self.complete_after = 0
+        self.lost_since: float | None = time.monotonic()
+
+    @property
+    def lost_seconds(self) -> float:
+        """For how long the store has not answered, 0 when it does."""
+        return 0.0 if self.lost_since is None else time.monotonic() - self.lost_since
+
+    def take_listing(self, listing: StoreListing) -> None:
+        """Take in everything, as the store listed it."""
+        entries = [MirroredEntry(e.key, e.value, e.version) for e in listing.entries]
+        self.replace_all(entries, listing.revision)
+
+    def replace_all(self, entries: list[MirroredEntry], revision: int) -> None:
+        """Take in every entry, and what is no longer there."""
+        keys = {entry.key for entry in entries}
+        for entry in entries:
+            self.take_entry(entry)
+        for key in [known for known in self.entries if known not in keys]:
+            self.take_removal(Removal(key, revision))
+        self.removals.clear()
+        self.complete_after = revision
+        self.revision = max(self.revision, revision)
+
+    def take_changes(self, changes: list[StoreChange], revision: int) -> None:
+        """Take in changes, as the store told them."""
+        for change in changes:
+            if change.entry is None:
+                self.take_removal(Removal(change.key, change.revision))
+            else:
+                entry = change.entry
+                self.take_entry(MirroredEntry(entry.key, entry.value, entry.version))
+        self.revision = max(self.revision, revision)
+
+    def take_state(self, state: State) -> bool:
+        """Take in what another box knows; return whether it was newer."""
+        if state.revision <= self.revision:
+            return False
+        if state.is_whole:
+            self.replace_all(list(state.entries), state.revision)
+            return True
+        for entry in state.entries:
+            self.take_entry(entry)
+        for removal in state.removals:
+            self.take_removal(removal)
+        self.revision = state.revision
+        return True
+
+    def take_entry(self, entry: MirroredEntry) -> None:
+        """Hand over an entry, unless a newer state of it is known."""
+        known = self.entries.get(entry.key)
+        if known is not None and known.revision >= entry.revision:
+            return
+        self.entries[entry.key] = entry
+        for prefix, follower in self.followers.items():
+            if entry.key.startswith(prefix):
+                follower.put(entry.key.removeprefix(prefix), entry.value)
+
+    def take_removal(self, removal: Removal) -> None:
+        """Hand over that an entry is gone, unless it came back since."""
+        known = self.entries.get(removal.key)
+        if known is None or known.revision > removal.revision:
+            return
+        del self.entries[removal.key]
+        if len(self.removals) == KEPT_REMOVALS:
+            self.complete_after = self.removals[0].revision
+        self.removals.append(removal)
+        for prefix, follower in self.followers.items():
+            if removal.key.startswith(prefix):
+                follower.remove(removal.key.removeprefix(prefix))
+
+    def tell(self, after: int | None) -> State:
+        """Return what is known beyond `after`, or everything."""
+        if after is None or after < self.complete_after:
+            entries = tuple(self.entries.values())
+            return State(self.revision, True, entries)
+        entries = tuple(e for e in self.entries.values() if e.revision > after)
+        removals = tuple(r for r in self.removals if r.revision > after)
+        return State(self.revision, False, entries, removals)
+
+    def note_lost(self, why: str) -> None:
+        """Log once that the store does not answer."""
+        if self.lost_since is None:
+            self.lost_since = time.monotonic()
+            log.warning("Store lost.", extra={"why": why, "revision": self.revision})
+
+    def note_back(self) -> None:
+        """Log once that the store answers again."""
+        if self.lost_since is None:
+            return
+        seconds = round(self.lost_seconds, 3)
+        self.lost_since = None
+        log.info("Store answers.", extra={"after_seconds": seconds})
+        for follower in self.followers.values():
+            follower.note_store_back()
--- /dev/null
+++ b/src/cedarchute/fleet/store_reader.py
@@ -0,0 +1,60 @@
+"""Keeps the mirror at what the store says: one listing, then one watch."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING, Final
+
+import eventlet
+
+from cedarchute.platform.store_client import HistoryGoneError, StoreUnavailableError
+
+if TYPE_CHECKING:
+    from cedarchute.fleet.store_mirror import StoreMirror
+    from cedarchute.metrics import Metrics
+    from cedarchute.platform.store_client import StoreClient
+
+log = logging.getLogger("cedarchute.fleet")
+
+# Between two tries of a store that does not answer. Each try costs money, and other
+# boxes tell what changes meanwhile.
+RETRY_SECONDS: Final = 0.5
+EVERYTHING: Final = ""
+
+
+class StoreReader:
+    """Reads all at first and when history is gone; waits for changes otherwise."""
+
+    def __init__(
+        self, store: StoreClient, mirror: StoreMirror, metrics: Metrics
+    ) -> None:
+        self.store = store
+        self.mirror = mirror
+        self.metrics = metrics
+        self.must_list = True
+
+    def run_forever(self) -> None:
+        """Follow the store for the life of the process."""
+        while True:
+            try:
+                self.read_once()
+            except HistoryGoneError as error:
+                self.metrics.count("store.history_gone")
+                log.warning("Changes are gone, reading all.", extra={"why": str(error)})
+                self.must_list = True
+            except StoreUnavailableError as error:
+                self.mirror.note_lost(str(error))
+                eventlet.sleep(RETRY_SECONDS)
+
+    def read_once(self) -> None:
+        """Read all, if need be, or wait once for changes."""
+        if self.must_list:
+            listing = self.store.list(EVERYTHING)
+            self.mirror.note_back()
+            self.mirror.take_listing(listing)
+            self.must_list = False
+            return
+        after = self.mirror.revision
+        changes, revision = self.store.wait_changes(EVERYTHING, after)
+        self.mirror.note_back()
+        self.mirror.take_changes(changes, revision)
--- a/src/cedarchute/ini.py
+++ b/src/cedarchute/ini.py
@@ -1,16 +1,9 @@
-"""Reading INI files into checked models, with errors that name the place."""
+"""Reading INI files, with errors that name the place."""
 
 from __future__ import annotations
 
 import configparser
-from typing import TYPE_CHECKING, TypeVar
-
-from pydantic import BaseModel, ValidationError
-
-if TYPE_CHECKING:
-    from collections.abc import Mapping
-
-ModelT = TypeVar("ModelT", bound=BaseModel)
+from pathlib import Path
 
 
 class IniError(Exception):
@@ -24,6 +17,23 @@
         self.faults = faults
 
 
+def read_sections(file: str) -> dict[str, dict[str, str]]:
+    """Return the sections of an INI file.
+
+    Raises
+    ------
+    IniError
+        When the file cannot be read or is not INI.
+    """
+    try:
+        text = Path(file).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise IniError(
+            file, [f"cannot be read: {error}; give --settings FILE"]
+        ) from None
+    return parse_sections(text, file)
+
+
 def parse_sections(text: str, file: str) -> dict[str, dict[str, str]]:
     """Return the sections of an INI text.
 
@@ -43,39 +53,6 @@
     return {name: dict(parser[name]) for name in parser.sections()}
 
 
-def build_model(
-    model: type[ModelT], values: Mapping[str, object], file: str, section: str
-) -> ModelT:
-    """Check `values` against `model`.
-
-    Raises
-    ------
-    IniError
-        Names the section and every key at fault, with what to write instead.
-    """
-    try:
-        return model.model_validate(values)
-    except ValidationError as error:
-        raise IniError(file, describe_faults(model, error, section)) from None
-
-
-def describe_faults(
-    model: type[BaseModel], error: ValidationError, section: str
-) -> list[str]:
-    """Return one sentence for each fault of a section."""
-    faults = []
-    for fault in error.errors():
-        key = ".".join(str(part) for part in fault["loc"]) or "(section)"
-        if fault["type"] == "extra_forbidden":
-            known = ", ".join(sorted(model.model_fields))
-            faults.append(f"[{section}] {key}: unknown key; known keys are {known}")
-        elif fault["type"] == "missing":
-            faults.append(f"[{section}] {key}: missing; add '{key} = ...'")
-        else:
-            faults.append(f"[{section}] {key}: {fault['msg']}, got {fault['input']!r}")
-    return faults
-
-
 def split_words(value: object) -> object:
     """Split a comma-separated text into a tuple; leave anything else alone."""
     if isinstance(value, str):
--- a/src/cedarchute/metrics.py
+++ b/src/cedarchute/metrics.py
@@ -10,9 +10,22 @@
 HEADER_BYTES: Final = 350
 
 if TYPE_CHECKING:
+    from prometheus_client.core import Metric
+
     from cedarchute.address import Address
 
 
+class _OneFamily:
+    """Hands one family of counters to the renderer."""
+
+    def __init__(self, family: Metric) -> None:
+        self.family = family
+
+    def collect(self) -> list[Metric]:
+        """Return the family."""
+        return [self.family]
+
+
 class Metrics:
     """Counts what happens; every refusal and retry has a counter of its own.
 
@@ -58,3 +71,18 @@
         """Record one duration."""
         if self.client is not None:
             self.client.timing(name, seconds * 1000.0)
+
+    def render_text(self) -> str:
+        """Return the counters in the text form that scrapers read."""
+        # Imported when first asked for: it takes memory that few boxes need.
+        from prometheus_client import CollectorRegistry, generate_latest
+        from prometheus_client.core import CounterMetricFamily
+
+        family = CounterMetricFamily(
+            "cedarchute_events", "What happened, by its name.", labels=["name"]
+        )
+        for name, total in sorted(self.totals.items()):
+            family.add_metric([name], total)
+        registry = CollectorRegistry()
+        registry.register(_OneFamily(family))
+        return generate_latest(registry).decode()
--- a/src/cedarchute/operators/parser.py
+++ b/src/cedarchute/operators/parser.py
@@ -4,7 +4,8 @@
 
 from typing import TYPE_CHECKING, Final
 
-from cedarchute.ini import IniError, build_model, parse_sections
+from cedarchute.ini import IniError, parse_sections
+from cedarchute.ini_models import build_model
 from cedarchute.operators.site_file import (
     ServiceKind,
     ServiceSection,
--- /dev/null
+++ b/src/cedarchute/platform/followers.py
@@ -0,0 +1,65 @@
+"""Takes what the platform says in its store into the books of this box."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from cedarchute.platform.routing_document import (
+    DocumentError,
+    read_route_table,
+    read_target,
+)
+
+if TYPE_CHECKING:
+    from cedarchute.routing.route_book import RouteBook
+    from cedarchute.routing.target_registry import TargetRegistry
+
+log = logging.getLogger("cedarchute.platform")
+
+
+class ConfigurationFollower:
+    """Puts the operators' configuration in force."""
+
+    def __init__(self, book: RouteBook) -> None:
+        self.book = book
+
+    def put(self, key: str, value: str) -> None:
+        """Take in a configuration."""
+        self.offer(value, "store")
+
+    def offer(self, text: str, source: str) -> None:
+        """Take in a configuration from anywhere; one that is not valid is left."""
+        try:
+            self.book.offer(read_route_table(text), source)
+        except DocumentError as error:
+            log.error("Configuration not read.", extra={"why": str(error)})
+
+    def remove(self, key: str) -> None:
+        """Keep what is in force."""
+        log.warning("Configuration removed from the store; the last one stays.")
+
+    def note_store_back(self) -> None:
+        """Nothing of it lapses."""
+
+
+class TargetFollower:
+    """Keeps the registry of targets."""
+
+    def __init__(self, registry: TargetRegistry) -> None:
+        self.registry = registry
+
+    def put(self, key: str, value: str) -> None:
+        """Take in a target."""
+        try:
+            self.registry.put(read_target(key, value))
+        except DocumentError as error:
+            log.error("Target not read.", extra={"target": key, "why": str(error)})
+
+    def remove(self, key: str) -> None:
+        """Take in that a target's entry is gone."""
+        self.registry.remove(key)
+
+    def note_store_back(self) -> None:
+        """Give targets time to come back."""
+        self.registry.known.note_store_back()
--- a/src/cedarchute/platform/store_client.py
+++ b/src/cedarchute/platform/store_client.py
@@ -143,6 +143,11 @@
                     return SwapResult(False, current)
         raise AssertionError("unreachable")
 
+    def put(self, key: str, value: str, lease: int = 0) -> None:
+        """Set `key` to `value`, whatever stands there: for keys of one writer."""
+        write = {"PrivateKey": key, "Value": _encode(value), "Lease": lease}
+        self._commit([], [write], [], key)
+
     def delete(self, key: str, expected: int) -> SwapResult:
         """Remove `key` if its version is `expected`."""
         won, current = self._change(key, expected, [], [key])
@@ -203,11 +208,17 @@
         removed: list[str],
     ) -> tuple[int | None, StoreEntry | None]:
         """Return the revision of the change, or None and what stands there."""
-        body = {
-            "ExpectedRev": [{"PrivateKey": key, "Revision": expected}],
-            "Writes": writes,
-            "Remove": removed,
-        }
+        rows = [{"PrivateKey": key, "Revision": expected}]
+        return self._commit(rows, writes, removed, key)
+
+    def _commit(
+        self,
+        expected: list[dict[str, Any]],
+        writes: list[dict[str, Any]],
+        removed: list[str],
+        key: str,
+    ) -> tuple[int | None, StoreEntry | None]:
+        body = {"ExpectedRev": expected, "Writes": writes, "Remove": removed}
         status, answer = self._call("POST", "/kv-txn", body=body)
         if status == OK:
             return int(answer["Revision"]), None
--- /dev/null
+++ b/src/cedarchute/relay/request_reader.py
@@ -0,0 +1,120 @@
+"""Cuts the bytes of a caller's connection into requests."""
+
+from __future__ import annotations
+
+import time
+from collections import deque
+from typing import TYPE_CHECKING
+
+import httptools
+
+from cedarchute.relay.caller_request import CallerRequest
+from cedarchute.relay.headers import Headers
+from cedarchute.relay.request_error import RequestError
+
+if TYPE_CHECKING:
+    from cedarchute.relay.input_limits import InputLimits
+
+
+class RequestReader:
+    """Collects whole requests; strict about lengths, as the parser is.
+
+    The parser refuses two lengths, a length beside chunks, folded lines and bare
+    line feeds, so no request can hide inside another.
+    """
+
+    def __init__(self, limits: InputLimits) -> None:
+        self.limits = limits
+        self.parser = httptools.HttpRequestParser(self)
+        self.ready: deque[CallerRequest] = deque()
+        self.in_message = False
+        self.in_body = False
+        self.expects_continue = False
+        self.start()
+
+    def start(self) -> None:
+        """Forget the message that was read."""
+        self.target = b""
+        self.fields: list[tuple[bytes, bytes]] = []
+        self.parts: list[bytes] = []
+        self.header_bytes = 0
+        self.body_bytes = 0
+
+    def feed(self, data: bytes) -> None:
+        """Take in bytes; whole requests are put into `ready`.
+
+        Raises
+        ------
+        RequestError
+            When the bytes are no request, or one over the limits.
+        """
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            raise RequestError(400, "protocol upgrades are not supported") from None
+        except httptools.HttpParserError as error:
+            cause = error.__context__
+            if isinstance(cause, RequestError):
+                raise cause from None
+            raise RequestError(400, f"malformed request: {error}") from None
+        if self.in_message and not self.in_body:
+            self.header_bytes += len(data)
+            self.check_header_bytes()
+
+    def check_header_bytes(self) -> None:
+        """Refuse a head that is too large."""
+        if self.header_bytes > self.limits.header_bytes:
+            raise RequestError(431, "request head too large")
+
+    def on_message_begin(self) -> None:
+        """Begin a request."""
+        self.start()
+        self.in_message = True
+        self.in_body = False
+
+    def on_url(self, url: bytes) -> None:
+        """Take a part of the target."""
+        self.target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take one header; trailers are dropped."""
+        if not self.in_body:
+            self.fields.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Check the head."""
+        size = len(self.target) + sum(len(n) + len(v) + 4 for n, v in self.fields)
+        self.header_bytes = size
+        self.check_header_bytes()
+        self.in_body = True
+        headers = Headers(tuple(self.fields))
+        if len(headers.get_all(b"host")) != 1:
+            raise RequestError(400, "exactly one Host header is needed")
+        length = headers.get(b"content-length")
+        if length is not None and int(length) > self.limits.body_bytes:
+            raise RequestError(413, "request body too large")
+        expectation = headers.get_text(b"expect").lower()
+        self.expects_continue = expectation == "100-continue"
+
+    def on_body(self, body: bytes) -> None:
+        """Take a part of the body."""
+        self.body_bytes += len(body)
+        if self.body_bytes > self.limits.body_bytes:
+            raise RequestError(413, "request body too large")
+        self.parts.append(body)
+
+    def on_message_complete(self) -> None:
+        """Put the request into `ready`."""
+        request = CallerRequest(
+            method=self.parser.get_method(),
+            target=self.target,
+            headers=Headers(tuple(self.fields)),
+            body=b"".join(self.parts),
+            keep_alive=self.parser.should_keep_alive(),
+            read_at=time.monotonic(),
+        )
+        self.start()
+        self.in_message = False
+        self.in_body = False
+        self.expects_continue = False
+        self.ready.append(request)
--- /dev/null
+++ b/src/cedarchute/relay/target_failure.py
@@ -0,0 +1,19 @@
+"""Why no whole answer came from a target."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from cedarchute.verdict import Verdict
+
+
+class TargetFailureError(Exception):
+    """An exchange with a target failed; the verdict says whether it may have run."""
+
+    code = "target_failure"
+
+    def __init__(self, reason: str, verdict: Verdict) -> None:
+        super().__init__(reason)
+        self.reason = reason
+        self.verdict = verdict
--- /dev/null
+++ b/src/cedarchute/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Routes, services and targets: where a call may go, and where it goes."""
--- /dev/null
+++ b/src/cedarchute/routing/route_book.py
@@ -0,0 +1,38 @@
+"""Holds the newest configuration; it never goes back."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from cedarchute.metrics import Metrics
+    from cedarchute.routing.route_table import RouteTable
+
+log = logging.getLogger("cedarchute.routing")
+
+
+class RouteBook:
+    """The configuration in force at this box, None before the first."""
+
+    def __init__(self, metrics: Metrics) -> None:
+        self.metrics = metrics
+        self.table: RouteTable | None = None
+
+    @property
+    def version(self) -> int:
+        """The version in force, 0 before the first."""
+        return self.table.version if self.table else 0
+
+    def offer(self, table: RouteTable, source: str) -> bool:
+        """Put a configuration in force if it is newer; return whether it was."""
+        if table.version <= self.version:
+            return False
+        before = self.version
+        self.table = table
+        self.metrics.count("configuration.in_force")
+        log.info(
+            "Configuration in force.",
+            extra={"version": table.version, "before": before, "source": source},
+        )
+        return True
--- /dev/null
+++ b/src/cedarchute/routing/route_table.py
@@ -0,0 +1,40 @@
+"""The configuration that calls are routed by."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from cedarchute.relay.input_limits import InputLimits
+    from cedarchute.routing.route import Route
+    from cedarchute.routing.service import Service
+
+
+@dataclass(frozen=True)
+class RouteTable:
+    """Routes and services of one version, whole.
+
+    Attributes
+    ----------
+    text : str
+        The document that it was read from, to hand to boxes that lack it.
+    """
+
+    version: int
+    routes: tuple[Route, ...]
+    services: dict[str, Service]
+    limits: InputLimits
+    text: str
+    by_host: dict[str, list[Route]] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        for route in sorted(self.routes, key=lambda route: -len(route.prefix)):
+            self.by_host.setdefault(route.host.lower(), []).append(route)
+
+    def find(self, host: str, path: bytes) -> Route | None:
+        """Return the route with the longest prefix of `path`, or None."""
+        for route in self.by_host.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
--- /dev/null
+++ b/src/cedarchute/routing/target_choice.py
@@ -0,0 +1,63 @@
+"""Chooses the target of a call."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from typing import TYPE_CHECKING
+
+from cedarchute.routing.target_load import TargetLoad
+
+if TYPE_CHECKING:
+    import random
+
+    from cedarchute.routing.route import Route
+    from cedarchute.routing.target_entry import TargetEntry
+    from cedarchute.routing.target_registry import TargetRegistry
+
+
+class TargetChoice:
+    """Least expected wait, from what this box has under way and has seen."""
+
+    def __init__(
+        self, registry: TargetRegistry, failure_domain: str, chance: random.Random
+    ) -> None:
+        self.registry = registry
+        self.failure_domain = failure_domain
+        self.chance = chance
+        self.loads: defaultdict[str, TargetLoad] = defaultdict(TargetLoad)
+
+    def choose_service(self, route: Route) -> str:
+        """Return a service of a route, by chance in proportion to the shares."""
+        if len(route.shares) == 1:
+            return route.shares[0].service
+        weights = [share.weight for share in route.shares]
+        return self.chance.choices(route.shares, weights)[0].service
+
+    def choose(
+        self, service: str, tried: set[str], preferred: str = ""
+    ) -> TargetEntry | None:
+        """Return a target that was not tried yet, or None when there is none.
+
+        Parameters
+        ----------
+        preferred : str
+            The target that holds what the call goes on from, if any.
+        """
+        ready = [e for e in self.registry.list_ready(service) if e.id not in tried]
+        sound = [e for e in ready if not self.loads[e.id].is_paused]
+        for entry in sound:
+            if entry.id == preferred and self.has_room(entry):
+                return entry
+        if not (sound or ready):
+            return None
+        return min(sound or ready, key=self.estimate)
+
+    def has_room(self, entry: TargetEntry) -> bool:
+        """Whether a target has slots left, as far as this box's own calls tell."""
+        return self.loads[entry.id].active < entry.slots
+
+    def estimate(self, entry: TargetEntry) -> tuple[float, float]:
+        """Return the expected wait at a target, ties broken by chance."""
+        load = self.loads[entry.id]
+        seconds = load.seconds or 0.0
+        return (load.active + 1) / entry.slots * (0.01 + seconds), self.chance.random()
--- a/src/cedarchute/settings/loader.py
+++ b/src/cedarchute/settings/loader.py
@@ -5,7 +5,8 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
-from cedarchute.ini import IniError, build_model, parse_sections
+from cedarchute.ini import IniError, parse_sections
+from cedarchute.ini_models import build_model
 from cedarchute.settings.box_settings import BoxSettings
 
 if TYPE_CHECKING:
--- /dev/null
+++ b/src/cedarchute/settings/node_settings.py
@@ -0,0 +1,131 @@
+"""The checked settings of a box that serves or holds on the users' platform."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import msgspec
+
+from cedarchute.address import Address
+from cedarchute.fleet.box_entry import Role
+from cedarchute.ini import IniError, parse_sections
+
+
+class NodeSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """``[box]``: who this box is, and where others reach it.
+
+    Attributes
+    ----------
+    peer_port : int
+        Where other boxes connect, on `ip`.
+    """
+
+    role: Role
+    name: str
+    failure_domain: str
+    region: str
+    ip: str
+    peer_port: int
+    data_folder: str = ""
+
+
+class ListenSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """``[listen]``: what an entry box serves to others than boxes."""
+
+    callers: str = ""
+    ready: str = ""
+    directory: str = ""
+    exchange: str = ""
+
+
+class StoreSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """``[platform]``: the platform's store, and boxes to ask without it."""
+
+    store: str
+    seeds: str = ""
+
+
+class LossesSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """``[losses]``: what may be lost at once."""
+
+    holders: int = 1
+
+
+class StopSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """``[stop]``: how long a planned stop may take before the process is killed."""
+
+    grace_seconds: float = 8.0
+
+
+class NodeSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Every setting of one box."""
+
+    box: NodeSection
+    platform: StoreSection
+    listen: ListenSection = ListenSection()
+    losses: LossesSection = LossesSection()
+    stop: StopSection = StopSection()
+
+    @property
+    def peers(self) -> Address:
+        """Where other boxes connect."""
+        return Address(self.box.ip, self.box.peer_port)
+
+    @property
+    def seeds(self) -> list[Address]:
+        """Boxes to ask for the configuration when the store does not answer."""
+        words = (word.strip() for word in self.platform.seeds.split(","))
+        return [Address.parse(word) for word in words if word]
+
+
+def load_node_settings(file: str) -> NodeSettings:
+    """Return the settings in `file`.
+
+    Raises
+    ------
+    IniError
+        When the file cannot be read, or a section, key or value is wrong.
+    """
+    try:
+        text = Path(file).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise IniError(file, [f"cannot be read: {error}"]) from None
+    return parse_node_settings(text, file)
+
+
+def parse_node_settings(text: str, file: str) -> NodeSettings:
+    """Return the settings in `text`; `file` is used in errors."""
+    sections = parse_sections(text, file)
+    try:
+        settings = msgspec.convert(sections, NodeSettings, strict=False)
+    except msgspec.ValidationError as error:
+        raise IniError(file, [str(error)]) from None
+    faults = find_faults(settings)
+    if faults:
+        raise IniError(file, faults)
+    return settings
+
+
+def find_faults(settings: NodeSettings) -> list[str]:
+    """Return the faults that show only when keys are seen together."""
+    faults = []
+    addresses = {
+        "[platform] store": settings.platform.store,
+        "[listen] callers": settings.listen.callers,
+        "[listen] ready": settings.listen.ready,
+        "[listen] directory": settings.listen.directory,
+        "[listen] exchange": settings.listen.exchange,
+    }
+    for place, address in addresses.items():
+        try:
+            if address:
+                Address.parse(address)
+        except ValueError as error:
+            faults.append(f"{place}: {error}")
+    if settings.box.role is Role.ENTRY and not settings.listen.callers:
+        faults.append("[listen] callers: missing; an entry box serves callers")
+    if settings.box.role is Role.HOLDER and not settings.box.data_folder:
+        faults.append("[box] data_folder: missing; a holder keeps records there")
+    if settings.losses.holders < 0:
+        faults.append("[losses] holders: must not be negative")
+    return faults
--- /dev/null
+++ b/src/cedarchute/turns/__init__.py
@@ -0,0 +1,1 @@
+"""Turns of programs: their histories and budgets on a quorum of holders."""
--- /dev/null
+++ b/src/cedarchute/turns/holder.py
@@ -0,0 +1,124 @@
+"""One holder: answers about the programs whose records stand on its disk."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from cedarchute.turns.messages import (
+    Account,
+    Chain,
+    CopiedRecords,
+    RecordsTaken,
+    TurnBegun,
+)
+from cedarchute.turns.records import Reserved
+
+if TYPE_CHECKING:
+    from cedarchute.turns.messages import (
+        Addressed,
+        BeginTurn,
+        CopyRecords,
+        ReadAccount,
+        ReadChain,
+        TakeRecords,
+    )
+    from cedarchute.turns.records import Record, Turn
+    from cedarchute.turns.seat_book import SeatBook
+    from cedarchute.turns.seat_table import SeatTable
+    from cedarchute.turns.turn_book import TurnBook
+
+PAGE_BYTES: Final = 1_000_000
+
+
+class HolderError(Exception):
+    """The holder cannot answer; the table is set when the asker's is old."""
+
+    code = "holder_error"
+
+    def __init__(
+        self, reason: str, table: SeatTable | None = None, is_empty: bool = False
+    ) -> None:
+        super().__init__(reason)
+        self.reason = reason
+        self.table = table
+        self.is_empty = is_empty
+
+
+class Holder:
+    """Answers by the newest table; says nothing before it has caught up."""
+
+    def __init__(self, book: TurnBook, seats: SeatBook, disk: str) -> None:
+        self.book = book
+        self.seats = seats
+        self.disk = disk
+        self.caught_up = False
+
+    def check(self, message: Addressed) -> None:
+        """Refuse what was meant for another disk, or by an older table."""
+        table = self.seats.table
+        if message.disk != self.disk:
+            raise HolderError("another disk holds this seat", table)
+        if message.table_version < table.version:
+            raise HolderError("the table of seats is old", table)
+        if not self.caught_up:
+            raise HolderError("catching up", is_empty=True)
+
+    def begin_turn(self, message: BeginTurn) -> TurnBegun:
+        """Write a reservation down; tell what is spent and what came before."""
+        self.check(message)
+        reserved = Reserved(message.program, message.turn, message.tokens)
+        self.book.take([reserved])
+        turns = self.book.find(message.program)
+        if not message.previous:
+            return TurnBegun(turns.spent)
+        chain, missing = turns.collect_chain(message.previous)
+        target = chain[-1].target if chain else ""
+        text = join_chain(chain) if message.wants_text else b""
+        return TurnBegun(turns.spent, missing, text, target)
+
+    def take_records(self, message: TakeRecords) -> RecordsTaken:
+        """Write records down."""
+        self.check(message)
+        self.book.take(list(message.records))
+        return RecordsTaken()
+
+    def read_account(self, message: ReadAccount) -> Account:
+        """Tell what a program has spent."""
+        self.check(message)
+        turns = self.book.find(message.program)
+        return Account(dict(turns.open), dict(turns.settled))
+
+    def read_chain(self, message: ReadChain) -> Chain:
+        """Tell a chain of turns."""
+        self.check(message)
+        chain, missing = self.book.find(message.program).collect_chain(message.turn)
+        return Chain(tuple(chain), missing)
+
+    def copy_records(self, message: CopyRecords) -> CopiedRecords:
+        """Hand a page of the records of one seat to its new holder."""
+        self.seats.offer(message.table, "holder")
+        if message.table.version < self.seats.table.version:
+            raise HolderError("the table of seats is old", self.seats.table)
+        if not self.caught_up:
+            raise HolderError("catching up", is_empty=True)
+        records: list[Record] = []
+        size = 0
+        for program in sorted(p for p in self.book.programs if p > message.after):
+            if message.seat not in message.table.find_seats(program):
+                continue
+            found = self.book.programs[program].list_records(program)
+            records.extend(found)
+            size += sum(estimate_bytes(record) for record in found)
+            if size > PAGE_BYTES:
+                return CopiedRecords(tuple(records), program)
+        return CopiedRecords(tuple(records))
+
+
+def join_chain(chain: list[Turn]) -> bytes:
+    """Return what a prompt holds of a chain: each input, then its answer."""
+    return b"".join(turn.input + turn.output for turn in chain)
+
+
+def estimate_bytes(record: Record) -> int:
+    """Return about how many bytes a record takes on the wire."""
+    return len(getattr(record, "input", b"")) + len(getattr(record, "output", b"")) + 99
--- /dev/null
+++ b/src/cedarchute/turns/holder_app.py
@@ -0,0 +1,66 @@
+"""What a holder answers to other boxes, as a WSGI application."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING, Any, Final
+
+import msgspec
+
+from cedarchute.turns.holder import Holder, HolderError
+from cedarchute.turns.messages import (
+    BeginTurn,
+    CopyRecords,
+    ReadAccount,
+    ReadChain,
+    Refused,
+    TakeRecords,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+log = logging.getLogger("cedarchute.turns")
+
+MAX_BODY_BYTES: Final = 64_000_000
+JSON: Final = [("Content-Type", "application/json")]
+
+
+class HolderApp:
+    """Reads a message, lets the holder answer it, writes the answer."""
+
+    def __init__(self, holder: Holder) -> None:
+        self.handlers: dict[str, tuple[type, Callable[[Any], object]]] = {
+            "/turns/begin": (BeginTurn, holder.begin_turn),
+            "/turns/take": (TakeRecords, holder.take_records),
+            "/turns/account": (ReadAccount, holder.read_account),
+            "/turns/chain": (ReadChain, holder.read_chain),
+            "/turns/copy": (CopyRecords, holder.copy_records),
+        }
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        """Answer one request."""
+        body = environ["wsgi.input"].read()
+        status, answer = self.answer(environ["PATH_INFO"], body)
+        encoded = msgspec.json.encode(answer)
+        length = ("Content-Length", str(len(encoded)))
+        start_response(status, [*JSON, length])
+        return [encoded]
+
+    def answer(self, path: str, body: bytes) -> tuple[str, object]:
+        """Return the status line and the answer to one message."""
+        if path not in self.handlers:
+            return "404 Not Found", Refused(f"no such call: {path}")
+        model, handle = self.handlers[path]
+        try:
+            message = msgspec.json.decode(body, type=model)
+        except msgspec.MsgspecError as error:
+            return "400 Bad Request", Refused(f"not a {model.__name__}: {error}")
+        try:
+            return "200 OK", handle(message)
+        except HolderError as error:
+            return "409 Conflict", Refused(error.reason, error.table, error.is_empty)
+        except OSError as error:
+            return "503 Service Unavailable", Refused(f"disk: {error}")
--- /dev/null
+++ b/src/cedarchute/turns/messages.py
@@ -0,0 +1,124 @@
+"""What boxes say to holders, and what holders answer."""
+
+from __future__ import annotations
+
+import msgspec
+
+from cedarchute.turns.records import Record, Turn
+from cedarchute.turns.seat_table import SeatTable
+
+
+class Addressed(msgspec.Struct, frozen=True, kw_only=True):
+    """Said to the holder of one disk, by the table of one version."""
+
+    table_version: int
+    disk: str
+
+
+class BeginTurn(Addressed, frozen=True, kw_only=True):
+    """Reserve the tokens of a turn, and tell what it goes on from.
+
+    Attributes
+    ----------
+    wants_text : bool
+        Whether the answer brings the text of the chain; one holder is enough.
+    """
+
+    program: str
+    turn: str
+    tokens: int
+    previous: str = ""
+    wants_text: bool = False
+
+
+class TurnBegun(msgspec.Struct, frozen=True):
+    """A reservation stands on the disk.
+
+    Attributes
+    ----------
+    spent : int
+        Tokens of the whole program, those of this turn included.
+    missing : str
+        The newest turn of the chain that this holder lacks; empty if none.
+    text : bytes
+        The chain behind `missing`, oldest first.
+    target : str
+        The target that ran the previous turn.
+    """
+
+    spent: int
+    missing: str = ""
+    text: bytes = b""
+    target: str = ""
+
+
+class TakeRecords(Addressed, frozen=True, kw_only=True):
+    """Write records down."""
+
+    records: tuple[Record, ...]
+
+
+class RecordsTaken(msgspec.Struct, frozen=True):
+    """The records stand on the disk."""
+
+
+class ReadAccount(Addressed, frozen=True, kw_only=True):
+    """Tell what a program has spent, turn by turn."""
+
+    program: str
+
+
+class Account(msgspec.Struct, frozen=True):
+    """Tokens by turn: `open` may still grow up to theirs, `settled` is final."""
+
+    open: dict[str, int]
+    settled: dict[str, int]
+
+
+class ReadChain(Addressed, frozen=True, kw_only=True):
+    """Tell a chain from `turn` back to its start."""
+
+    program: str
+    turn: str
+
+
+class Chain(msgspec.Struct, frozen=True):
+    """Turns, oldest first, and the one that lacks before them."""
+
+    turns: tuple[Turn, ...]
+    missing: str = ""
+
+
+class CopyRecords(msgspec.Struct, frozen=True):
+    """Hand over what a seat holds, in pages by program.
+
+    The table goes with it: who answers has taken it over first, and takes no
+    record by an older one after that.
+    """
+
+    table: SeatTable
+    seat: int
+    after: str = ""
+
+
+class CopiedRecords(msgspec.Struct, frozen=True):
+    """One page; `next` is empty at the end."""
+
+    records: tuple[Record, ...]
+    next: str = ""
+
+
+class Refused(msgspec.Struct, frozen=True):
+    """A holder cannot answer.
+
+    Attributes
+    ----------
+    table : SeatTable or None
+        The newer table, when the asker's is old.
+    is_empty : bool
+        Whether it has nothing to tell because it is catching up itself.
+    """
+
+    reason: str
+    table: SeatTable | None = None
+    is_empty: bool = False
--- /dev/null
+++ b/src/cedarchute/turns/program_turns.py
@@ -0,0 +1,83 @@
+"""The turns and the spent tokens of one program, as one holder knows them."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING, Final
+
+from cedarchute.turns.records import Reserved, Settled, Turn
+
+if TYPE_CHECKING:
+    from cedarchute.turns.records import Record
+
+# Until the first whole turn says how long it is kept: the longest that a program
+# that has only begun may stay away between two tries.
+KEEP_DEFAULT_SECONDS: Final = 60.0
+
+
+class ProgramTurns:
+    """Applies records in any order, each any number of times.
+
+    A turn is open while it is only reserved. Once it is settled, whole or not, a
+    reservation that arrives late does not open it again.
+    """
+
+    def __init__(self) -> None:
+        self.open: dict[str, int] = {}
+        self.settled: dict[str, int] = {}
+        self.whole: dict[str, Turn] = {}
+        self.keep_seconds = KEEP_DEFAULT_SECONDS
+        self.used_at = time.monotonic()
+
+    def apply(self, record: Record) -> bool:
+        """Take in a record; return whether it told anything new."""
+        self.used_at = time.monotonic()
+        if isinstance(record, Reserved):
+            if record.turn in self.settled or record.turn in self.open:
+                return False
+            self.open[record.turn] = record.tokens
+            return True
+        is_new = record.turn not in self.settled
+        if isinstance(record, Turn):
+            is_new = record.turn not in self.whole
+            self.whole[record.turn] = record
+            self.keep_seconds = max(self.keep_seconds, record.keep_seconds)
+        self.open.pop(record.turn, None)
+        if isinstance(record, Turn) or record.turn not in self.settled:
+            self.settled[record.turn] = record.tokens
+        return is_new
+
+    @property
+    def spent(self) -> int:
+        """Tokens generated or reserved."""
+        return sum(self.settled.values()) + sum(self.open.values())
+
+    def collect_chain(self, turn: str) -> tuple[list[Turn], str]:
+        """Return the turns up to `turn`, oldest first, and the first that lacks.
+
+        The second is empty when the chain is all here.
+        """
+        chain: list[Turn] = []
+        seen: set[str] = set()
+        while turn and turn not in seen:
+            seen.add(turn)
+            found = self.whole.get(turn)
+            if found is None:
+                return chain[::-1], turn
+            chain.append(found)
+            turn = found.previous
+        return chain[::-1], ""
+
+    def list_records(self, program: str) -> list[Record]:
+        """Return records that build this state again."""
+        records: list[Record] = list(self.whole.values())
+        for turn, tokens in self.settled.items():
+            if turn not in self.whole:
+                records.append(Settled(program, turn, tokens))
+        for turn, tokens in self.open.items():
+            records.append(Reserved(program, turn, tokens))
+        return records
+
+    def is_over(self, now: float) -> bool:
+        """Whether nobody may ask for this program any more."""
+        return now - self.used_at > self.keep_seconds
--- /dev/null
+++ b/src/cedarchute/turns/seat_keeper.py
@@ -0,0 +1,187 @@
+"""Takes a seat for this holder, fills its disk, and gives the seat up again."""
+
+from __future__ import annotations
+
+import logging
+import time
+from typing import TYPE_CHECKING, Final
+
+import eventlet
+import msgspec
+
+from cedarchute.fleet.box_entry import Role
+from cedarchute.fleet.followers import SEATS_KEY
+from cedarchute.platform.store_client import StoreUnavailableError
+from cedarchute.turns.seat_table import EMPTY, Seat, SeatTable
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from cedarchute.fleet.box_directory import BoxDirectory
+    from cedarchute.platform.retirements import Retirements
+    from cedarchute.platform.store_client import StoreClient
+    from cedarchute.turns.catch_up import CatchUp
+    from cedarchute.turns.disk_identity import DiskIdentity
+    from cedarchute.turns.evacuation import Evacuation
+    from cedarchute.turns.holder import Holder
+    from cedarchute.turns.seat_book import SeatBook
+
+log = logging.getLogger("cedarchute.turns")
+
+STEP_SECONDS: Final = 0.25
+# All holders of a new system start within a second; whoever comes later than this
+# after the first waits for a seat that comes free.
+OPEN_SECONDS: Final = 3.0
+# A box whose entry is gone for this long, while the store is sound, is not restarting.
+ABSENT_SECONDS: Final = 2.5
+
+# A holder that is to be emptied waits this long for a spare to take its seat.
+SUCCESSOR_SECONDS: Final = 2.0
+
+
+class SeatKeeper:
+    """Decides about this holder's seat only; the store decides between holders."""
+
+    def __init__(
+        self,
+        store: StoreClient,
+        seats: SeatBook,
+        holder: Holder,
+        identity: DiskIdentity,
+        folder: Path,
+        me: Seat,
+        losses: int,
+        catch_up: CatchUp,
+        directory: BoxDirectory,
+        retirements: Retirements,
+        evacuation: Evacuation,
+    ) -> None:
+        self.store = store
+        self.seats = seats
+        self.holder = holder
+        self.identity = identity
+        self.folder = folder
+        self.me = me
+        self.losses = losses
+        self.catch_up = catch_up
+        self.directory = directory
+        self.retirements = retirements
+        self.evacuation = evacuation
+        self.absent_since: dict[str, float] = {}
+        self.opened_at: float | None = None
+        self.retiring_since: float | None = None
+        self.retired = False
+
+    def run_forever(self) -> None:
+        """Look after the seat for the life of the process."""
+        while True:
+            try:
+                self.step()
+            except StoreUnavailableError as error:
+                log.info("Seat not changed.", extra={"why": str(error)})
+            eventlet.sleep(STEP_SECONDS)
+
+    def step(self) -> None:
+        """Do what is next for this holder."""
+        table = self.seats.table
+        if self.me.box in self.retirements.asked:
+            self.retire(table)
+            return
+        number = table.find_disk(self.me.disk)
+        if number is None:
+            self.take_seat(table)
+        elif not table.closed:
+            self.close_table(table)
+        elif not self.holder.caught_up:
+            self.fill(number)
+
+    def fill(self, number: int) -> None:
+        """Catch up, and answer from then on."""
+        if not self.identity.complete:
+            started = time.monotonic()
+            if not self.catch_up.run_once(number):
+                return
+            self.identity = self.identity.mark_complete(self.folder)
+            seconds = round(time.monotonic() - started, 3)
+            log.info("Caught up.", extra={"seat": number, "seconds": seconds})
+        self.holder.caught_up = True
+
+    def take_seat(self, table: SeatTable) -> None:
+        """Take the own seat with a new disk, a new seat, or one that is free."""
+        if table.version == 0:
+            empty = msgspec.structs.replace(EMPTY, losses=self.losses)
+            self.change(empty.add_seat(self.me))
+            return
+        number = table.find_box(self.me.box)
+        if number is not None:
+            self.change(table.replace_seat(number, self.me))
+        elif not table.closed:
+            self.change(table.add_seat(self.me))
+        else:
+            number = self.find_free(table)
+            if number is not None:
+                self.change(table.replace_seat(number, self.me))
+
+    def close_table(self, table: SeatTable) -> None:
+        """Make the number of seats final once every holder had time to take one."""
+        self.opened_at = self.opened_at or time.monotonic()
+        enough = len(table.seats) >= 2 * self.losses + 1
+        if enough and time.monotonic() - self.opened_at > OPEN_SECONDS:
+            self.change(table.close())
+
+    def find_free(self, table: SeatTable) -> int | None:
+        """Return a seat that is vacant, being emptied, or whose holder is gone."""
+        present = {box.name for box in self.directory.list_boxes(Role.HOLDER)}
+        now = time.monotonic()
+        for number, seat in enumerate(table.seats):
+            if seat.is_vacant or seat.box in self.retirements.asked:
+                return number
+            if seat.box in present:
+                self.absent_since.pop(seat.box, None)
+                continue
+            since = self.absent_since.setdefault(seat.box, now)
+            if now - since > ABSENT_SECONDS:
+                return number
+        return None
+
+    def change(self, table: SeatTable) -> None:
+        """Write the next table; whoever was faster wins, and is read instead."""
+        current = self.store.get(SEATS_KEY)
+        if current is not None:
+            stored = msgspec.json.decode(current.value, type=SeatTable)
+            if stored.version != table.version - 1:
+                self.seats.offer(stored, "store")
+                return
+        elif table.version != 1:
+            return
+        text = msgspec.json.encode(table).decode()
+        result = self.store.swap(SEATS_KEY, text, current.version if current else 0)
+        if result.won:
+            self.seats.offer(table, "own change")
+        elif result.current is not None:
+            stored = msgspec.json.decode(result.current.value, type=SeatTable)
+            self.seats.offer(stored, "store")
+
+    def retire(self, table: SeatTable) -> None:
+        """Give the seat up; the box is empty once all it had stands elsewhere."""
+        if self.retired:
+            return
+        self.retirements.tell_started(self.me.box)
+        number = table.find_box(self.me.box)
+        if number is None:
+            self.retired = self.evacuation.run_once()
+            if self.retired:
+                self.retirements.tell_completed(self.me.box)
+            return
+        self.retiring_since = self.retiring_since or time.monotonic()
+        waited = time.monotonic() - self.retiring_since
+        if waited > SUCCESSOR_SECONDS or not self.has_spare(table):
+            self.change(table.replace_seat(number, Seat()))
+
+    def has_spare(self, table: SeatTable) -> bool:
+        """Whether a holder without a seat is there to take one over."""
+        spares = (box.name for box in self.directory.list_boxes(Role.HOLDER))
+        return any(
+            table.find_box(name) is None and name not in self.retirements.asked
+            for name in spares
+        )
--- /dev/null
+++ b/src/cedarchute/turns/turn_quorum.py
@@ -0,0 +1,366 @@
+"""Asks the holders of a program, and counts on what a quorum of them says."""
+
+from __future__ import annotations
+
+import logging
+import time
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final, TypeVar
+
+import eventlet
+from eventlet.queue import Empty, LightQueue
+
+from cedarchute.turns.holder import join_chain
+from cedarchute.turns.holder_client import (
+    HolderRefusedError,
+    HolderUnavailableError,
+)
+from cedarchute.turns.messages import (
+    Account,
+    BeginTurn,
+    Chain,
+    ReadAccount,
+    ReadChain,
+    RecordsTaken,
+    TakeRecords,
+    TurnBegun,
+)
+from cedarchute.turns.records import Settled
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from cedarchute.metrics import Metrics
+    from cedarchute.turns.holder_client import HolderClient
+    from cedarchute.turns.records import Record
+    from cedarchute.turns.seat_book import SeatBook
+    from cedarchute.turns.seat_table import Seat, SeatTable
+
+log = logging.getLogger("cedarchute.turns")
+
+AnswerT = TypeVar("AnswerT")
+
+# An answer that refuses an old table brings the new one: ask again this often.
+TABLE_TRIES: Final = 3
+# How long a quorum may take to answer; a holder that was cut off says nothing, and
+# the others answer within milliseconds.
+ANSWER_SECONDS: Final = 1.5
+# A record of a turn's end is worth more patience: without it the turn is lost.
+FINISH_SECONDS: Final = 3.0
+PAUSE_SECONDS: Final = 0.1
+
+
+class NoQuorumError(Exception):
+    """Too few holders answered; nothing is known."""
+
+    code = "no_quorum"
+
+
+class NoSuchTurnError(Exception):
+    """A quorum of the holders says that a turn was never finished."""
+
+    code = "no_such_turn"
+
+
+class BudgetSpentError(Exception):
+    """The program's budget does not hold another turn."""
+
+    code = "budget_spent"
+
+
+@dataclass(frozen=True)
+class TurnAdmission:
+    """A turn may run: what its prompt goes on from, and who ran the last one."""
+
+    text: bytes
+    target: str
+
+
+@dataclass(frozen=True)
+class HolderAnswer:
+    """What one holder said; `value` is None when it said nothing that counts."""
+
+    seat: int
+    value: object | None
+    newer: bool = False
+
+
+class TurnQuorum:
+    """Reserves, reads and finishes turns on a quorum of their holders.
+
+    Any two quorums of a program share a holder. So of two turns that reserve at
+    the same time at least one sees the other, and a turn that was finished is
+    known to at least one of any quorum that is asked for it.
+    """
+
+    def __init__(
+        self,
+        seats: SeatBook,
+        client: HolderClient,
+        failure_domain: str,
+        metrics: Metrics,
+    ) -> None:
+        self.seats = seats
+        self.client = client
+        self.failure_domain = failure_domain
+        self.metrics = metrics
+
+    def begin(
+        self, program: str, turn: str, tokens: int, previous: str, budget: int | None
+    ) -> TurnAdmission:
+        """Reserve the tokens of a turn and read what it goes on from.
+
+        Raises
+        ------
+        NoQuorumError, NoSuchTurnError, BudgetSpentError
+            The reservation is withdrawn, or was never complete.
+        """
+        begun = self.reserve(program, turn, tokens, previous)
+        try:
+            if budget is not None:
+                self.check_budget(program, turn, tokens, budget, begun)
+            return self.read_previous(program, previous, begun)
+        except Exception:
+            self.withdraw(program, turn)
+            raise
+
+    def reserve(
+        self, program: str, turn: str, tokens: int, previous: str
+    ) -> dict[int, TurnBegun]:
+        """Write the reservation down at a quorum; return what each said."""
+        nearest = self.find_nearest(program)
+
+        def build(table: SeatTable, number: int) -> BeginTurn:
+            return BeginTurn(
+                table_version=table.version,
+                disk=table.seats[number].disk,
+                program=program,
+                turn=turn,
+                tokens=tokens,
+                previous=previous,
+                wants_text=number == nearest,
+            )
+
+        return self.ask(
+            program, "/turns/begin", build, TurnBegun, ANSWER_SECONDS, nearest
+        )
+
+    def check_budget(
+        self,
+        program: str,
+        turn: str,
+        tokens: int,
+        budget: int,
+        begun: dict[int, TurnBegun],
+    ) -> None:
+        """Raise `BudgetSpentError` when the turn does not fit.
+
+        The sum of what the holders know is never less than what all know together:
+        only when that is too much are their accounts read and joined.
+        """
+        most = tokens + sum(answer.spent - tokens for answer in begun.values())
+        if most <= budget:
+            return
+        accounts = self.read_accounts(program)
+        spent = sum_accounts(list(accounts.values()), turn)
+        log.info(
+            "Budget read.",
+            extra={"program": program, "spent": spent, "tokens": tokens},
+        )
+        if spent + tokens > budget:
+            raise BudgetSpentError(f"{spent} of {budget} tokens spent, {tokens} asked")
+
+    def read_accounts(self, program: str) -> dict[int, Account]:
+        """Read a program's account at a quorum."""
+
+        def build(table: SeatTable, number: int) -> ReadAccount:
+            disk = table.seats[number].disk
+            return ReadAccount(table_version=table.version, disk=disk, program=program)
+
+        return self.ask(program, "/turns/account", build, Account, ANSWER_SECONDS)
+
+    def read_previous(
+        self, program: str, previous: str, begun: dict[int, TurnBegun]
+    ) -> TurnAdmission:
+        """Return the chain up to `previous`, joined from several holders if need be."""
+        if not previous:
+            return TurnAdmission(b"", "")
+        for answer in begun.values():
+            if answer.text and not answer.missing:
+                return TurnAdmission(answer.text, answer.target)
+        text = b""
+        target = ""
+        missing = previous
+        while missing:
+            chain = self.read_chain(program, missing)
+            target = target or chain.turns[-1].target
+            text = join_chain(list(chain.turns)) + text
+            missing = chain.missing
+        return TurnAdmission(text, target)
+
+    def read_chain(self, program: str, turn: str) -> Chain:
+        """Return the longest piece of a chain that any holder of a quorum has."""
+
+        def build(table: SeatTable, number: int) -> ReadChain:
+            return ReadChain(
+                table_version=table.version,
+                disk=table.seats[number].disk,
+                program=program,
+                turn=turn,
+            )
+
+        answers = self.ask(program, "/turns/chain", build, Chain, ANSWER_SECONDS)
+        longest = max(answers.values(), key=lambda chain: len(chain.turns))
+        if not longest.turns:
+            raise NoSuchTurnError(f"no turn {turn}")
+        return longest
+
+    def withdraw(self, program: str, turn: str) -> None:
+        """Give a reservation back, without waiting."""
+        self.settle(program, turn, 0)
+
+    def settle(self, program: str, turn: str, tokens: int) -> None:
+        """Record what a turn that did not end whole has generated; do not wait."""
+        eventlet.spawn_n(self.try_settle, Settled(program, turn, tokens))
+
+    def try_settle(self, record: Settled) -> None:
+        """Settle a turn; a reservation that stays counts as spent."""
+        try:
+            self.take(record)
+        except NoQuorumError:
+            self.metrics.count("turns.not_settled")
+            log.warning("Reservation stays.", extra={"turn": record.turn})
+
+    def take(self, record: Record) -> None:
+        """Write a record down at a quorum; raise `NoQuorumError` if it failed."""
+
+        def build(table: SeatTable, number: int) -> TakeRecords:
+            return TakeRecords(
+                table_version=table.version,
+                disk=table.seats[number].disk,
+                records=(record,),
+            )
+
+        path = "/turns/take"
+        self.ask(record.program, path, build, RecordsTaken, FINISH_SECONDS)
+
+    def find_nearest(self, program: str) -> int | None:
+        """Return the holder that is asked for texts: one in the own domain, if any."""
+        table = self.seats.table
+        numbers = [n for n in table.find_seats(program) if not table.seats[n].is_vacant]
+        own = [
+            n for n in numbers if table.seats[n].failure_domain == self.failure_domain
+        ]
+        return (own or numbers or [None])[0]
+
+    def ask(
+        self,
+        program: str,
+        path: str,
+        build: Callable[[SeatTable, int], object],
+        answer: type[AnswerT],
+        seconds: float,
+        wanted: int | None = None,
+    ) -> dict[int, AnswerT]:
+        """Ask every holder of a program; return once a quorum has answered.
+
+        Parameters
+        ----------
+        wanted : int or None
+            A holder whose answer is waited for a little longer than the quorum.
+        """
+        deadline = time.monotonic() + seconds
+        while True:
+            table = self.seats.table
+            if not table.closed:
+                raise NoQuorumError("no table of seats yet")
+            answers, is_old = self.ask_once(
+                table, program, path, build, answer, deadline, wanted
+            )
+            if len(answers) >= table.quorum:
+                return answers
+            if not is_old and time.monotonic() + PAUSE_SECONDS > deadline:
+                raise NoQuorumError(f"{len(answers)} of {table.quorum} holders answer")
+            eventlet.sleep(0 if is_old else PAUSE_SECONDS)
+
+    def ask_once(
+        self,
+        table: SeatTable,
+        program: str,
+        path: str,
+        build: Callable[[SeatTable, int], object],
+        answer: type[AnswerT],
+        deadline: float,
+        wanted: int | None,
+    ) -> tuple[dict[int, AnswerT], bool]:
+        """Ask by one table; return the answers, and whether the table is old."""
+        results: LightQueue = LightQueue()
+        numbers = [n for n in table.find_seats(program) if not table.seats[n].is_vacant]
+        for number in numbers:
+            message = build(table, number)
+            eventlet.spawn_n(
+                self.ask_one,
+                results,
+                table.seats[number],
+                number,
+                path,
+                message,
+                answer,
+            )
+        answers: dict[int, AnswerT] = {}
+        is_old = False
+        for _ in numbers:
+            try:
+                result = results.get(timeout=max(0.001, deadline - time.monotonic()))
+            except Empty:
+                break
+            is_old = is_old or result.newer
+            if result.value is not None:
+                answers[result.seat] = result.value
+            if len(answers) >= table.quorum and (wanted is None or wanted in answers):
+                break
+            if len(answers) >= table.quorum:
+                deadline = min(deadline, time.monotonic() + WANTED_SECONDS)
+        return answers, is_old
+
+    def ask_one(
+        self,
+        results: LightQueue,
+        seat: Seat,
+        number: int,
+        path: str,
+        message: object,
+        answer: type[AnswerT],
+    ) -> None:
+        """Ask one holder and hand its answer over."""
+        newer = False
+        value = None
+        try:
+            value = self.client.ask(seat.address, path, message, answer)
+        except HolderRefusedError as error:
+            table = error.refusal.table
+            newer = table is not None and self.seats.offer(table, seat.box)
+            log.info("Holder refused.", extra={"box": seat.box, "why": str(error)})
+        except HolderUnavailableError as error:
+            log.info("Holder is silent.", extra={"box": seat.box, "why": str(error)})
+        results.put(HolderAnswer(number, value, newer))
+
+
+# An answer with the text of a chain is worth this wait beyond the quorum's: about
+# what asking for it separately takes.
+WANTED_SECONDS: Final = 0.01
+
+
+def sum_accounts(accounts: list[Account], turn: str) -> int:
+    """Return the tokens of a program but for one turn, joined from accounts.
+
+    What one holder says is settled goes before what another still holds as open.
+    """
+    joined: dict[str, int] = {}
+    for account in accounts:
+        for known, tokens in account.open.items():
+            joined[known] = max(tokens, joined.get(known, 0))
+    for account in accounts:
+        joined.update(account.settled)
+    joined.pop(turn, None)
+    return sum(joined.values())
