Find a turn by its own id, whatever program goes on from it

Change: holders index turns by their id, a chain may cross programs, and a turn that a program's own holders lack is asked of all seats; 404 only once all but the seats that may be lost say that they lack it. Ruled out: lost records (the turn stood on all three).

--- a/src/cedarchute/calls/turn_call.py
+++ b/src/cedarchute/calls/turn_call.py
@@ -10,10 +10,10 @@
 from cedarchute.calls.call_errors import CallRefusedError
 from cedarchute.relay.event_splitter import EventSplitter, read_data
 from cedarchute.relay.target_failure import TargetFailureError
+from cedarchute.turns.holder_fanout import NoQuorumError
 from cedarchute.turns.records import Turn
 from cedarchute.turns.turn_quorum import (
     BudgetSpentError,
-    NoQuorumError,
     NoSuchTurnError,
     TurnAdmission,
 )
--- a/src/cedarchute/turns/holder.py
+++ b/src/cedarchute/turns/holder.py
@@ -71,7 +71,7 @@
         turns = self.book.find(message.program)
         if not message.previous:
             return TurnBegun(turns.spent)
-        chain, missing = turns.collect_chain(message.previous)
+        chain, missing = self.book.collect_chain(message.previous)
         target = chain[-1].target if chain else ""
         text = join_chain(chain) if message.wants_text else b""
         return TurnBegun(turns.spent, missing, text, target)
@@ -91,7 +91,7 @@
     def read_chain(self, message: ReadChain) -> Chain:
         """Tell a chain of turns."""
         self.check(message)
-        chain, missing = self.book.find(message.program).collect_chain(message.turn)
+        chain, missing = self.book.collect_chain(message.turn)
         return Chain(tuple(chain), missing)
 
     def copy_records(self, message: CopyRecords) -> CopiedRecords:
--- a/src/cedarchute/turns/messages.py
+++ b/src/cedarchute/turns/messages.py
@@ -78,7 +78,6 @@
 class ReadChain(Addressed, frozen=True, kw_only=True):
     """Tell a chain from `turn` back to its start."""
 
-    program: str
     turn: str
 
 
--- a/src/cedarchute/turns/program_turns.py
+++ b/src/cedarchute/turns/program_turns.py
@@ -52,22 +52,6 @@
         """Tokens generated or reserved."""
         return sum(self.settled.values()) + sum(self.open.values())
 
-    def collect_chain(self, turn: str) -> tuple[list[Turn], str]:
-        """Return the turns up to `turn`, oldest first, and the first that lacks.
-
-        The second is empty when the chain is all here.
-        """
-        chain: list[Turn] = []
-        seen: set[str] = set()
-        while turn and turn not in seen:
-            seen.add(turn)
-            found = self.whole.get(turn)
-            if found is None:
-                return chain[::-1], turn
-            chain.append(found)
-            turn = found.previous
-        return chain[::-1], ""
-
     def list_records(self, program: str) -> list[Record]:
         """Return records that build this state again."""
         records: list[Record] = list(self.whole.values())
--- a/src/cedarchute/turns/seat_table.py
+++ b/src/cedarchute/turns/seat_table.py
@@ -61,6 +61,10 @@
             ranks.append((blake2b(key, digest_size=8).digest(), number))
         return [number for _, number in sorted(ranks)[: self.copies]]
 
+    def list_occupied(self) -> list[int]:
+        """Return the numbers of the seats that a box holds."""
+        return [n for n, seat in enumerate(self.seats) if not seat.is_vacant]
+
     def find_disk(self, disk: str) -> int | None:
         """Return the seat of a disk, or None."""
         for number, seat in enumerate(self.seats):
--- a/src/cedarchute/turns/turn_book.py
+++ b/src/cedarchute/turns/turn_book.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from cedarchute.turns.program_turns import ProgramTurns
+from cedarchute.turns.records import Turn
 
 if TYPE_CHECKING:
     from cedarchute.turns.records import Record
@@ -18,15 +19,40 @@
     def __init__(self, writer: TurnWriter) -> None:
         self.writer = writer
         self.programs: dict[str, ProgramTurns] = {}
+        self.program_of: dict[str, str] = {}
 
     def load(self) -> int:
         """Read the disk; return how many records it held."""
         count = 0
         for record in self.writer.journal.read_all():
-            self.find(record.program).apply(record)
+            self.apply(record)
             count += 1
         return count
 
+    def apply(self, record: Record) -> None:
+        """Take a record into memory."""
+        self.find(record.program).apply(record)
+        if isinstance(record, Turn):
+            self.program_of[record.turn] = record.program
+
+    def collect_chain(self, turn: str) -> tuple[list[Turn], str]:
+        """Return the turns up to `turn`, oldest first, and the first that lacks.
+
+        A program may go on from a turn of another. The second is empty when the
+        chain is all here. Every program on the way counts as used.
+        """
+        chain: list[Turn] = []
+        seen: set[str] = set()
+        while turn and turn not in seen:
+            seen.add(turn)
+            turns = self.programs.get(self.program_of.get(turn, ""))
+            if turns is None:
+                return chain[::-1], turn
+            turns.used_at = time.monotonic()
+            chain.append(turns.whole[turn])
+            turn = chain[-1].previous
+        return chain[::-1], ""
+
     def find(self, program: str) -> ProgramTurns:
         """Return the state of a program, made on first use."""
         found = self.programs.get(program)
@@ -40,7 +66,7 @@
         Records known already are written again: the first write may have failed.
         """
         for record in records:
-            self.find(record.program).apply(record)
+            self.apply(record)
         self.writer.write(records)
 
     def drop_over(self) -> int:
@@ -48,7 +74,8 @@
         now = time.monotonic()
         over = [p for p, turns in self.programs.items() if turns.is_over(now)]
         for program in over:
-            del self.programs[program]
+            for turn in self.programs.pop(program).whole:
+                self.program_of.pop(turn, None)
         return len(over)
 
     def compact(self) -> None:
--- a/src/cedarchute/turns/turn_quorum.py
+++ b/src/cedarchute/turns/turn_quorum.py
@@ -3,18 +3,13 @@
 from __future__ import annotations
 
 import logging
-import time
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final, TypeVar
 
 import eventlet
-from eventlet.queue import Empty, LightQueue
 
 from cedarchute.turns.holder import join_chain
-from cedarchute.turns.holder_client import (
-    HolderRefusedError,
-    HolderUnavailableError,
-)
+from cedarchute.turns.holder_fanout import HolderFanout, NoQuorumError, Question
 from cedarchute.turns.messages import (
     Account,
     BeginTurn,
@@ -26,6 +21,7 @@
     TurnBegun,
 )
 from cedarchute.turns.records import Settled
+from cedarchute.turns.seat_table import SeatTable
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -34,26 +30,16 @@
     from cedarchute.turns.holder_client import HolderClient
     from cedarchute.turns.records import Record
     from cedarchute.turns.seat_book import SeatBook
-    from cedarchute.turns.seat_table import Seat, SeatTable
 
 log = logging.getLogger("cedarchute.turns")
 
 AnswerT = TypeVar("AnswerT")
 
-# An answer that refuses an old table brings the new one: ask again this often.
-TABLE_TRIES: Final = 3
 # How long a quorum may take to answer; a holder that was cut off says nothing, and
 # the others answer within milliseconds.
 ANSWER_SECONDS: Final = 1.5
 # A record of a turn's end is worth more patience: without it the turn is lost.
 FINISH_SECONDS: Final = 3.0
-PAUSE_SECONDS: Final = 0.1
-
-
-class NoQuorumError(Exception):
-    """Too few holders answered; nothing is known."""
-
-    code = "no_quorum"
 
 
 class NoSuchTurnError(Exception):
@@ -76,15 +62,6 @@
     target: str
 
 
-@dataclass(frozen=True)
-class HolderAnswer:
-    """What one holder said; `value` is None when it said nothing that counts."""
-
-    seat: int
-    value: object | None
-    newer: bool = False
-
-
 class TurnQuorum:
     """Reserves, reads and finishes turns on a quorum of their holders.
 
@@ -101,7 +78,7 @@
         metrics: Metrics,
     ) -> None:
         self.seats = seats
-        self.client = client
+        self.fanout = HolderFanout(seats, client)
         self.failure_domain = failure_domain
         self.metrics = metrics
 
@@ -119,7 +96,7 @@
         try:
             if budget is not None:
                 self.check_budget(program, turn, tokens, budget, begun)
-            return self.read_previous(program, previous, begun)
+            return self.read_previous(previous, begun)
         except Exception:
             self.withdraw(program, turn)
             raise
@@ -141,9 +118,8 @@
                 wants_text=number == nearest,
             )
 
-        return self.ask(
-            program, "/turns/begin", build, TurnBegun, ANSWER_SECONDS, nearest
-        )
+        path = "/turns/begin"
+        return self.ask(program, path, TurnBegun, build, ANSWER_SECONDS, nearest)
 
     def check_budget(
         self,
@@ -177,10 +153,10 @@
             disk = table.seats[number].disk
             return ReadAccount(table_version=table.version, disk=disk, program=program)
 
-        return self.ask(program, "/turns/account", build, Account, ANSWER_SECONDS)
+        return self.ask(program, "/turns/account", Account, build, ANSWER_SECONDS)
 
     def read_previous(
-        self, program: str, previous: str, begun: dict[int, TurnBegun]
+        self, previous: str, begun: dict[int, TurnBegun]
     ) -> TurnAdmission:
         """Return the chain up to `previous`, joined from several holders if need be."""
         if not previous:
@@ -192,24 +168,38 @@
         target = ""
         missing = previous
         while missing:
-            chain = self.read_chain(program, missing)
+            chain = self.read_chain(missing)
             target = target or chain.turns[-1].target
             text = join_chain(list(chain.turns)) + text
             missing = chain.missing
         return TurnAdmission(text, target)
 
-    def read_chain(self, program: str, turn: str) -> Chain:
-        """Return the longest piece of a chain that any holder of a quorum has."""
+    def read_chain(self, turn: str) -> Chain:
+        """Return the longest piece of a chain that any holder has.
 
-        def build(table: SeatTable, number: int) -> ReadChain:
-            return ReadChain(
-                table_version=table.version,
-                disk=table.seats[number].disk,
-                program=program,
-                turn=turn,
-            )
+        The turn may be one of another program, on holders that its own hash names:
+        all are asked. A quorum wrote it down, so when all but the holders that may
+        be lost say that they lack it, nobody has it.
+        """
 
-        answers = self.ask(program, "/turns/chain", build, Chain, ANSWER_SECONDS)
+        def build(table: SeatTable, number: int) -> ReadChain:
+            disk = table.seats[number].disk
+            return ReadChain(table_version=table.version, disk=disk, turn=turn)
+
+        def is_enough(table: SeatTable, answers: dict[int, Chain]) -> bool:
+            if any(chain.turns for chain in answers.values()):
+                return True
+            return len(answers) >= len(table.list_occupied()) - table.losses
+
+        question = Question(
+            path="/turns/chain",
+            answer=Chain,
+            find=SeatTable.list_occupied,
+            build=build,
+            is_enough=is_enough,
+            seconds=ANSWER_SECONDS,
+        )
+        answers = self.fanout.ask(question)
         longest = max(answers.values(), key=lambda chain: len(chain.turns))
         if not longest.turns:
             raise NoSuchTurnError(f"no turn {turn}")
@@ -242,7 +232,7 @@
             )
 
         path = "/turns/take"
-        self.ask(record.program, path, build, RecordsTaken, FINISH_SECONDS)
+        self.ask(record.program, path, RecordsTaken, build, FINISH_SECONDS)
 
     def find_nearest(self, program: str) -> int | None:
         """Return the holder that is asked for texts: one in the own domain, if any."""
@@ -257,98 +247,22 @@
         self,
         program: str,
         path: str,
-        build: Callable[[SeatTable, int], object],
         answer: type[AnswerT],
+        build: Callable[[SeatTable, int], object],
         seconds: float,
         wanted: int | None = None,
     ) -> dict[int, AnswerT]:
-        """Ask every holder of a program; return once a quorum has answered.
+        """Ask the holders of a program; return once a quorum has answered."""
 
-        Parameters
-        ----------
-        wanted : int or None
-            A holder whose answer is waited for a little longer than the quorum.
-        """
-        deadline = time.monotonic() + seconds
-        while True:
-            table = self.seats.table
-            if not table.closed:
-                raise NoQuorumError("no table of seats yet")
-            answers, is_old = self.ask_once(
-                table, program, path, build, answer, deadline, wanted
-            )
-            if len(answers) >= table.quorum:
-                return answers
-            if not is_old and time.monotonic() + PAUSE_SECONDS > deadline:
-                raise NoQuorumError(f"{len(answers)} of {table.quorum} holders answer")
-            eventlet.sleep(0 if is_old else PAUSE_SECONDS)
+        def find(table: SeatTable) -> list[int]:
+            return table.find_seats(program)
 
-    def ask_once(
-        self,
-        table: SeatTable,
-        program: str,
-        path: str,
-        build: Callable[[SeatTable, int], object],
-        answer: type[AnswerT],
-        deadline: float,
-        wanted: int | None,
-    ) -> tuple[dict[int, AnswerT], bool]:
-        """Ask by one table; return the answers, and whether the table is old."""
-        results: LightQueue = LightQueue()
-        numbers = [n for n in table.find_seats(program) if not table.seats[n].is_vacant]
-        for number in numbers:
-            message = build(table, number)
-            eventlet.spawn_n(
-                self.ask_one,
-                results,
-                table.seats[number],
-                number,
-                path,
-                message,
-                answer,
-            )
-        answers: dict[int, AnswerT] = {}
-        is_old = False
-        for _ in numbers:
-            try:
-                result = results.get(timeout=max(0.001, deadline - time.monotonic()))
-            except Empty:
-                break
-            is_old = is_old or result.newer
-            if result.value is not None:
-                answers[result.seat] = result.value
-            if len(answers) >= table.quorum and (wanted is None or wanted in answers):
-                break
-            if len(answers) >= table.quorum:
-                deadline = min(deadline, time.monotonic() + WANTED_SECONDS)
-        return answers, is_old
-
-    def ask_one(
-        self,
-        results: LightQueue,
-        seat: Seat,
-        number: int,
-        path: str,
-        message: object,
-        answer: type[AnswerT],
-    ) -> None:
-        """Ask one holder and hand its answer over."""
-        newer = False
-        value = None
-        try:
-            value = self.client.ask(seat.address, path, message, answer)
-        except HolderRefusedError as error:
-            table = error.refusal.table
-            newer = table is not None and self.seats.offer(table, seat.box)
-            log.info("Holder refused.", extra={"box": seat.box, "why": str(error)})
-        except HolderUnavailableError as error:
-            log.info("Holder is silent.", extra={"box": seat.box, "why": str(error)})
-        results.put(HolderAnswer(number, value, newer))
-
-
-# An answer with the text of a chain is worth this wait beyond the quorum's: about
-# what asking for it separately takes.
-WANTED_SECONDS: Final = 0.01
+        def is_enough(table: SeatTable, answers: dict[int, AnswerT]) -> bool:
+            return len(answers) >= table.quorum
+
+        return self.fanout.ask(
+            Question(path, answer, find, build, is_enough, seconds, wanted)
+        )
 
 
 def sum_accounts(accounts: list[Account], turn: str) -> int:
