Log each call: where it was sent, how it ended, who left

Cause: a program that failed could not be traced from the logs alone. Change: a line for each send, each answer, each refusal and each caller that left, with route, program and time.

--- a/src/cedarchute/calls/attempts.py
+++ b/src/cedarchute/calls/attempts.py
@@ -77,6 +77,16 @@
         while True:
             target = self.next_target()
             self.tried.add(target.id)
+            log.info(
+                "Call sent.",
+                extra={
+                    "target": target.id,
+                    "service": self.service,
+                    "active": self.exchange.choice.loads[target.id].active,
+                    "preferred": target.id == self.preferred,
+                    "ms_left": round((self.until - time.monotonic()) * 1000),
+                },
+            )
             try:
                 opened = self.exchange.open(
                     self.request, self.call, target, self.body, self.until
--- a/src/cedarchute/calls/call_desk.py
+++ b/src/cedarchute/calls/call_desk.py
@@ -6,8 +6,15 @@
 import time
 from typing import TYPE_CHECKING
 
+from greenlet import GreenletExit
+
 from cedarchute.calls.call_errors import CallRefusedError
-from cedarchute.platform.call_headers import read_call, write_refusal_headers
+from cedarchute.platform.call_headers import (
+    ANSWER_ID,
+    read_call,
+    read_program,
+    write_refusal_headers,
+)
 from cedarchute.relay.request_error import RequestError
 from cedarchute.request_ids import set_request_id
 
@@ -38,20 +45,23 @@
 
     def handle(self, request: CallerRequest, writer: ReplyWriter) -> None:
         """Answer one request."""
-        started = time.monotonic()
-        call_id = ""
+        call_id = request.headers.get_text(ANSWER_ID)
+        set_request_id(call_id)
         try:
             call = read_call(request)
-            call_id = call.id
-            set_request_id(call_id)
             self.answer(request, writer, call)
-            self.metrics.count("calls.answered")
         except CallRefusedError as error:
-            self.refuse(writer, call_id, error)
+            self.refuse(request, writer, call_id, error)
         except RequestError as error:
-            self.refuse(writer, call_id, CallRefusedError(error.status, error.reason))
-        finally:
-            self.metrics.time("calls.seconds", time.monotonic() - started)
+            refusal = CallRefusedError(error.status, error.reason)
+            self.refuse(request, writer, call_id, refusal)
+        except (OSError, GreenletExit):
+            self.note_caller_left(request)
+            raise
+        except Exception as error:
+            log.exception("A call failed within the box.")
+            refusal = CallRefusedError(502, f"fault of this box: {error}")
+            self.refuse(request, writer, call_id, refusal)
 
     def answer(self, request: CallerRequest, writer: ReplyWriter, call: Call) -> None:
         """Answer one call by the route that it takes."""
@@ -66,17 +76,50 @@
             self.turns.run(request, writer, call, route)
         else:
             self.plain.run(request, writer, call, route)
+        seconds = time.monotonic() - request.read_at
+        self.metrics.count("calls.answered")
+        self.metrics.time("calls.seconds", seconds)
+        log.info(
+            "Call answered.",
+            extra={
+                "status": writer.status,
+                "route": route.name,
+                "program": call.program.program,
+                "ms": round(seconds * 1000, 1),
+            },
+        )
+
+    def note_caller_left(self, request: CallerRequest) -> None:
+        """Log that the caller closed its connection before its answer was whole."""
+        self.metrics.count("calls.caller_left")
+        seconds = time.monotonic() - request.read_at
+        log.info(
+            "Caller left.",
+            extra={
+                "path": request.path.decode("latin-1"),
+                "program": read_program(request),
+                "ms": round(seconds * 1000, 1),
+            },
+        )
 
     def refuse(
-        self, writer: ReplyWriter, call_id: str, error: CallRefusedError
+        self,
+        request: CallerRequest,
+        writer: ReplyWriter,
+        call_id: str,
+        error: CallRefusedError,
     ) -> None:
         """Answer with a status of our own; an answer under way is broken off."""
         self.metrics.count_refusal(f"status_{error.status}")
+        seconds = time.monotonic() - request.read_at
         log.info(
             "Call given up.",
             extra={
                 "status": error.status,
                 "why": error.reason,
+                "path": request.path.decode("latin-1"),
+                "program": read_program(request),
+                "ms": round(seconds * 1000, 1),
                 "version": self.routes.version,
                 "broken_off": writer.started,
             },
--- a/src/cedarchute/platform/call_headers.py
+++ b/src/cedarchute/platform/call_headers.py
@@ -52,6 +52,11 @@
     return Call(call_id, seconds, terms)
 
 
+def read_program(request: CallerRequest) -> str:
+    """Return the program that a request names, if any; for logs."""
+    return request.headers.get_text(names.PROGRAM)
+
+
 def write_target_headers(
     request: CallerRequest, target: TargetEntry, seconds_left: float
 ) -> Headers:
--- a/src/cedarchute/relay/reply_writer.py
+++ b/src/cedarchute/relay/reply_writer.py
@@ -39,6 +39,7 @@
         self.started = False
         self.finished = False
         self.closes = False
+        self.status = 0
 
     def write_whole(self, status: int, headers: Headers, body: bytes) -> None:
         """Write an answer whose body is all there."""
@@ -81,6 +82,7 @@
             phrase = HTTPStatus(status).phrase.encode()
         except ValueError:
             phrase = b"Status"
+        self.status = status
         self.closes = not self.request.keep_alive or self.must_close()
         if self.closes:
             headers = headers.extend((b"Connection", b"close"))
