Send a repeatable call elsewhere when its target is silent

Ruled out: the targets that broke off calls which may not be repeated, which programs survive. Change: silence for 1.25 of the objective, or four usual answers of that target, sends a repeatable call to another, within its route's bound on targets.

--- a/src/cedarchute/calls/attempts.py
+++ b/src/cedarchute/calls/attempts.py
@@ -29,6 +29,11 @@
 # may find room elsewhere.
 FULL_SHARE: Final = 0.25
 RETRY_AFTER_SECONDS: Final = 0.15
+# A repeatable call is sent to another target when the first is silent for this many
+# times its route's objective, or this many times what that target usually takes:
+# longer than nearly every answer, short enough for the other to be in time.
+SILENT_OBJECTIVES: Final = 1.25
+SILENT_MEANS: Final = 4.0
 
 
 class Attempts:
@@ -89,7 +94,12 @@
             )
             try:
                 opened = self.exchange.open(
-                    self.request, self.call, target, self.body, self.until
+                    self.request,
+                    self.call,
+                    target,
+                    self.body,
+                    self.until,
+                    self.find_patience(target),
                 )
             except TargetFailureError as error:
                 self.note_failure(error)
@@ -97,6 +107,17 @@
             self.runs += 1
             return opened
 
+    def find_patience(self, target: TargetEntry) -> float:
+        """Return until when this target may be silent."""
+        if self.route.repeatability is not Repeatability.REPEATABLE:
+            return self.until
+        if self.runs + 1 >= self.route.max_targets:
+            return self.until
+        seconds = SILENT_OBJECTIVES * self.route.objective_seconds
+        usual = self.exchange.choice.loads[target.id].seconds or 0.0
+        patience = max(seconds, SILENT_MEANS * usual)
+        return min(self.until, time.monotonic() + patience)
+
     def next_target(self) -> TargetEntry:
         """Return the target to try next; wait a moment when all are full."""
         while True:
--- a/src/cedarchute/calls/plain_call.py
+++ b/src/cedarchute/calls/plain_call.py
@@ -54,7 +54,7 @@
         """Return the whole body, or None when another target is to be tried."""
         finished = False
         try:
-            body = self.exchange.read_rest(opened, attempts.until)
+            body = self.exchange.read_rest(opened)
             self.exchange.finish(opened)
             finished = True
         except TargetFailureError as error:
--- a/src/cedarchute/calls/target_exchange.py
+++ b/src/cedarchute/calls/target_exchange.py
@@ -40,6 +40,7 @@
     connection: TargetConnection
     answer: TargetAnswer
     sent_at: float
+    silent_until: float
 
 
 class TargetExchange:
@@ -59,9 +60,17 @@
         target: TargetEntry,
         body: bytes,
         until: float,
+        silent_until: float,
     ) -> OpenAnswer:
         """Send a call to `target` and wait for the head of its answer.
 
+        Parameters
+        ----------
+        until : float
+            When the call is over; the target is told.
+        silent_until : float
+            How long the target may be silent; another is tried then.
+
         Raises
         ------
         TargetFailureError
@@ -76,7 +85,7 @@
             head = build_request(request, target, body, until - time.monotonic())
             connection.send(head + body, until - time.monotonic())
             call_id = call.id.encode("latin-1")
-            answer = connection.read_answer(call_id, ANSWER_ID, until)
+            answer = connection.read_answer(call_id, ANSWER_ID, silent_until)
             if says_not_run(answer):
                 self.finish_refusal(connection, answer, until)
                 load.record_full(FULL_PAUSE_SECONDS)
@@ -89,7 +98,7 @@
             if isinstance(error, TargetFailureError):
                 self.note_failure(target, call, error)
             raise
-        return OpenAnswer(target, connection, answer, sent_at)
+        return OpenAnswer(target, connection, answer, sent_at, silent_until)
 
     def finish_refusal(
         self, connection: TargetConnection, answer: TargetAnswer, until: float
@@ -119,12 +128,12 @@
             },
         )
 
-    def read_rest(self, opened: OpenAnswer, until: float) -> bytes:
+    def read_rest(self, opened: OpenAnswer) -> bytes:
         """Return the whole body of an answer."""
         answer = opened.answer
         parts = [answer.take_parts()]
         while not answer.is_complete:
-            opened.connection.receive(until - time.monotonic())
+            opened.connection.receive(opened.silent_until - time.monotonic())
             parts.append(answer.take_parts())
         return b"".join(parts)
 
--- a/src/cedarchute/calls/turn_call.py
+++ b/src/cedarchute/calls/turn_call.py
@@ -151,7 +151,7 @@
 
     def relay_failure(self, opened: OpenAnswer) -> None:
         """Pass a target's own failure on."""
-        body = self.desk.exchange.read_rest(opened, self.attempts.until)
+        body = self.desk.exchange.read_rest(opened)
         headers = opened.answer.headers.select_end_to_end()
         self.writer.write_whole(opened.answer.status, headers, body)
 
