Let callers keep an address for a second; close idle connections later in a stop

Cause: some callers use an open connection three times as long as they keep an answer; at 2 s answers and idle connections closed at 2.5 s the close could cross a request. Change: 1 s and 3.6 s.

--- a/src/cedarchute/daemon/entry_stop.py
+++ b/src/cedarchute/daemon/entry_stop.py
@@ -15,9 +15,9 @@
 
 log = logging.getLogger("cedarchute.daemon")
 
-# Callers with a fresh answer come here no more after this; their idle connections
-# can be closed.
-CLOSE_IDLE_SECONDS: Final = 2.5
+# Callers keep an answer for a second, some three times as long, and use their open
+# connections until then: one closed earlier may cross a request.
+CLOSE_IDLE_SECONDS: Final = 3.6
 # Some callers keep an answer three times as long as it says, so connections are taken
 # until this much of the grace is left: enough for what came in last.
 LAST_CALLS_SECONDS: Final = 1.6
--- a/src/cedarchute/platform/directory_app.py
+++ b/src/cedarchute/platform/directory_app.py
@@ -13,7 +13,7 @@
 
 # Callers keep an answer this long, some three times as long: a box that stops has
 # to serve for that time. Shorter answers cost more questions.
-KEEP_SECONDS: Final = 2
+KEEP_SECONDS: Final = 1
 
 
 class DirectoryApp:
