Send callers elsewhere while a box is cut off from the holders

Change: after half a second without a decided answer it leaves the list and refuses after 0.1 s; it probes only then.

--- a/src/cedarchute/daemon/entry_box.py
+++ b/src/cedarchute/daemon/entry_box.py
@@ -17,6 +17,7 @@
 from cedarchute.daemon.listeners import open_listener
 from cedarchute.daemon.node_parts import NodeParts
 from cedarchute.fleet.box_entry import BoxEntry, Role
+from cedarchute.fleet.holder_contact import HolderContact
 from cedarchute.fleet.peer_server import PeerServer
 from cedarchute.platform.directory_app import DirectoryApp
 from cedarchute.platform.followers import ConfigurationFollower, TargetFollower
@@ -80,6 +81,9 @@
         self.stop = EntryStop(
             self.server, self.parts.registration, settings.stop.grace_seconds
         )
+        self.contact = HolderContact(
+            quorum, self.parts.registration, lambda: self.stop.asked
+        )
         directory = DirectoryApp(
             self.parts.directory, self.is_ready, box.failure_domain, box.region
         )
@@ -116,6 +120,7 @@
             if listener is not None:
                 eventlet.spawn_n(serve_app, listener, app)
         self.parts.start()
+        eventlet.spawn_n(self.contact.run_forever)
         eventlet.spawn_n(self.expire_forever)
         eventlet.spawn_n(self.server.serve_forever)
         self.stop.wait()
--- a/src/cedarchute/fleet/registration.py
+++ b/src/cedarchute/fleet/registration.py
@@ -19,9 +19,9 @@
 
 BOXES_PREFIX: Final = "cedarchute/boxes/"
 # How long a box that dies is still named to callers, who skip what does not answer.
-LEASE_SECONDS: Final = 4.5
+LEASE_SECONDS: Final = 2.7
 # Two renewals may be lost before the lease runs out.
-RENEW_SECONDS: Final = 1.5
+RENEW_SECONDS: Final = 0.9
 RETRY_SECONDS: Final = 0.5
 
 
@@ -65,7 +65,11 @@
 
     def leave(self) -> None:
         """Tell everyone that this box takes nothing new."""
-        self.entry = msgspec.structs.replace(self.entry, leaving=True)
+        self.tell_leaving(True)
+
+    def tell_leaving(self, leaving: bool) -> None:
+        """Tell everyone whether this box takes anything new."""
+        self.entry = msgspec.structs.replace(self.entry, leaving=leaving)
         if self.lease is None:
             return
         try:
--- a/src/cedarchute/turns/holder.py
+++ b/src/cedarchute/turns/holder.py
@@ -85,7 +85,9 @@
     def read_account(self, message: ReadAccount) -> Account:
         """Tell what a program has spent."""
         self.check(message)
-        turns = self.book.find(message.program)
+        turns = self.book.programs.get(message.program)
+        if turns is None:
+            return Account({}, {})
         return Account(dict(turns.open), dict(turns.settled))
 
     def read_chain(self, message: ReadChain) -> Chain:
--- a/src/cedarchute/turns/holder_app.py
+++ b/src/cedarchute/turns/holder_app.py
@@ -64,3 +64,6 @@
             return "409 Conflict", Refused(error.reason, error.table, error.is_empty)
         except OSError as error:
             return "503 Service Unavailable", Refused(f"disk: {error}")
+        except Exception as error:
+            log.exception("A message failed within the holder.")
+            return "500 Internal Server Error", Refused(f"fault: {error}")
--- a/src/cedarchute/turns/holder_fanout.py
+++ b/src/cedarchute/turns/holder_fanout.py
@@ -31,6 +31,12 @@
 # An answer with the text of a chain is worth this wait beyond the quorum's: about
 # what asking for it separately takes.
 WANTED_SECONDS: Final = 0.01
+# After this long without one answer that decides, this box is cut off from the
+# holders: callers are served better elsewhere.
+CUT_OFF_SECONDS: Final = 0.5
+# Then a question is given up after this long, so that a caller can go elsewhere; it
+# is enough for holders that answer again.
+HOPELESS_SECONDS: Final = 0.1
 
 
 class NoQuorumError(Exception):
@@ -79,6 +85,14 @@
     def __init__(self, seats: SeatBook, client: HolderClient) -> None:
         self.seats = seats
         self.client = client
+        self.failing_since: float | None = None
+
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether no question has been decided for a while."""
+        if self.failing_since is None:
+            return False
+        return time.monotonic() - self.failing_since > CUT_OFF_SECONDS
 
     def ask(self, question: Question[AnswerT]) -> dict[int, AnswerT]:
         """Return the answers by seat, once they decide.
@@ -88,14 +102,18 @@
         NoQuorumError
             When they do not within the time of the question.
         """
-        deadline = time.monotonic() + question.seconds
+        started = time.monotonic()
+        seconds = HOPELESS_SECONDS if self.is_cut_off else question.seconds
+        deadline = started + seconds
         while True:
             table = self.seats.table
             if not table.closed:
                 raise NoQuorumError("no table of seats yet")
             answers, is_old = self.ask_once(table, question, deadline)
             if question.is_enough(table, answers):
+                self.failing_since = None
                 return answers
+            self.failing_since = self.failing_since or started
             if not is_old and time.monotonic() + PAUSE_SECONDS > deadline:
                 raise NoQuorumError(f"only {len(answers)} holders answer")
             eventlet.sleep(0 if is_old else PAUSE_SECONDS)
--- a/src/cedarchute/turns/turn_book.py
+++ b/src/cedarchute/turns/turn_book.py
@@ -45,9 +45,9 @@
         seen: set[str] = set()
         while turn and turn not in seen:
             seen.add(turn)
-            turns = self.programs.get(self.program_of.get(turn, ""))
-            if turns is None:
+            if turn not in self.program_of:
                 return chain[::-1], turn
+            turns = self.programs[self.program_of[turn]]
             turns.used_at = time.monotonic()
             chain.append(turns.whole[turn])
             turn = chain[-1].previous
--- a/src/cedarchute/turns/turn_quorum.py
+++ b/src/cedarchute/turns/turn_quorum.py
@@ -121,6 +121,10 @@
         path = "/turns/begin"
         return self.ask(program, path, TurnBegun, build, ANSWER_SECONDS, nearest)
 
+    def probe(self) -> None:
+        """Ask a quorum about nothing; raise `NoQuorumError` when none answers."""
+        self.read_accounts("")
+
     def check_budget(
         self,
         program: str,
--- /dev/null
+++ b/tests/turns/test_holder.py
@@ -0,0 +1,68 @@
+from __future__ import annotations
+
+import pytest
+from test_turn_book import make_book, make_turn
+
+from cedarchute.turns.holder import Holder, HolderError
+from cedarchute.turns.messages import BeginTurn, ReadAccount, ReadChain
+from cedarchute.turns.seat_book import SeatBook
+from cedarchute.turns.seat_table import Seat, SeatTable
+
+
+def make_holder(folder, version=3):
+    seats = SeatBook()
+    seat = Seat("box-1", "127.0.0.1:1", "disk-1", "a")
+    seats.offer(SeatTable(version, True, 0, (seat,)), "test")
+    holder = Holder(make_book(folder), seats, "disk-1")
+    holder.caught_up = True
+    return holder
+
+
+def begin(holder, turn="t", previous="", version=3, disk="disk-1", text=True):
+    message = BeginTurn(
+        table_version=version,
+        disk=disk,
+        program="p",
+        turn=turn,
+        tokens=10,
+        previous=previous,
+        wants_text=text,
+    )
+    return holder.begin_turn(message)
+
+
+def test_a_turn_goes_on_from_what_was_said_before(tmp_path):
+    holder = make_holder(tmp_path)
+    holder.book.take([make_turn("a"), make_turn("b", "a")])
+    begun = begin(holder, "c", "b")
+    assert begun.text == b"in-aout-ain-bout-b"
+    assert begun.target == "t"
+    assert begun.spent == 16
+
+
+def test_reading_the_account_of_nobody_leaves_no_trace(tmp_path):
+    holder = make_holder(tmp_path)
+    holder.read_account(ReadAccount(table_version=3, disk="disk-1", program=""))
+    assert holder.book.programs == {}
+    chain = holder.read_chain(ReadChain(table_version=3, disk="disk-1", turn="none"))
+    assert chain.turns == ()
+    assert chain.missing == "none"
+
+
+def test_an_older_table_and_another_disk_are_refused_with_the_newer_table(tmp_path):
+    holder = make_holder(tmp_path)
+    with pytest.raises(HolderError) as older:
+        begin(holder, version=2)
+    assert older.value.table.version == 3
+    with pytest.raises(HolderError) as other:
+        begin(holder, disk="disk-0")
+    assert other.value.table.version == 3
+    assert holder.book.programs == {}
+
+
+def test_nothing_is_answered_before_the_disk_has_caught_up(tmp_path):
+    holder = make_holder(tmp_path)
+    holder.caught_up = False
+    with pytest.raises(HolderError) as refused:
+        begin(holder)
+    assert refused.value.is_empty
