Wait 25 s in one watch, gather what changes at once, ask anew after an outage

Change: a watch waits 25 s; after changes 0.2 s pass before the next; a renewal that fails marks the store as lost, and one that then succeeds asks a watch that may be silent anew.

--- a/src/cedarchute/daemon/node_parts.py
+++ b/src/cedarchute/daemon/node_parts.py
@@ -51,11 +51,13 @@
         self.puller = StatePuller(
             self.mirror, self.directory, settings.seeds, me.name, chance, metrics
         )
-        self.registration = Registration(self.store, me, metrics)
+        self.registration = Registration(
+            self.store, me, self.reader.note_reachable, metrics
+        )
 
     def start(self) -> None:
         """Start the tasks."""
-        eventlet.spawn_n(self.reader.run_forever)
+        self.reader.start()
         eventlet.spawn_n(self.registration.run_forever)
         eventlet.spawn_n(self.puller.run_forever)
         eventlet.spawn_n(self.expire_forever)
--- a/src/cedarchute/fleet/registration.py
+++ b/src/cedarchute/fleet/registration.py
@@ -11,6 +11,8 @@
 from cedarchute.platform.store_client import LeaseGoneError, StoreUnavailableError
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from cedarchute.fleet.box_entry import BoxEntry
     from cedarchute.metrics import Metrics
     from cedarchute.platform.store_client import StoreClient
@@ -28,7 +30,14 @@
 class Registration:
     """Writes the entry, renews its lease, writes it again when it was lost."""
 
-    def __init__(self, store: StoreClient, entry: BoxEntry, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        store: StoreClient,
+        entry: BoxEntry,
+        note_reachable: Callable[[bool], None],
+        metrics: Metrics,
+    ) -> None:
+        self.note_reachable = note_reachable
         self.store = store
         self.entry = entry
         self.metrics = metrics
@@ -39,6 +48,7 @@
         while True:
             try:
                 self.renew_once()
+                self.note_reachable(True)
                 eventlet.sleep(RENEW_SECONDS)
             except (StoreUnavailableError, LeaseGoneError) as error:
                 self.metrics.count("registration.failures")
@@ -46,6 +56,7 @@
                 if isinstance(error, LeaseGoneError):
                     self.lease = None
                 else:
+                    self.note_reachable(False)
                     eventlet.sleep(RETRY_SECONDS)
 
     def renew_once(self) -> None:
--- a/src/cedarchute/fleet/store_reader.py
+++ b/src/cedarchute/fleet/store_reader.py
@@ -19,6 +19,9 @@
 # Between two tries of a store that does not answer. Each try costs money, and other
 # boxes tell what changes meanwhile.
 RETRY_SECONDS: Final = 0.5
+# After changes, what follows them closely comes with the next answer: each costs
+# money. A tenth of the time in which a configuration has to be in force.
+GATHER_SECONDS: Final = 0.2
 EVERYTHING: Final = ""
 
 
@@ -32,6 +35,24 @@
         self.mirror = mirror
         self.metrics = metrics
         self.must_list = True
+        self.task: eventlet.greenthread.GreenThread | None = None
+
+    def start(self) -> None:
+        """Start reading, anew if it was under way."""
+        if self.task is not None:
+            self.task.kill()
+        self.task = eventlet.spawn(self.run_forever)
+
+    def note_reachable(self, reachable: bool) -> None:
+        """Take in whether another call to the store was answered.
+
+        A watch whose answer was lost stays silent; once the store answers again,
+        it is asked anew.
+        """
+        if not reachable:
+            self.mirror.note_lost("a renewal was not answered")
+        elif self.mirror.lost_since is not None:
+            self.start()
 
     def run_forever(self) -> None:
         """Follow the store for the life of the process."""
@@ -58,3 +79,5 @@
         changes, revision = self.store.wait_changes(EVERYTHING, after)
         self.mirror.note_back()
         self.mirror.take_changes(changes, revision)
+        if changes:
+            eventlet.sleep(GATHER_SECONDS)
--- a/src/cedarchute/platform/store_client.py
+++ b/src/cedarchute/platform/store_client.py
@@ -36,9 +36,9 @@
 CONNECTIONS: Final = 8
 JSON_HEADERS: Final = {"Content-Type": "application/json"}
 
-# A watch is asked again after this long: an answer that was lost on the way leaves
-# its connection silent, and only a new call shows it. Each call costs money.
-WATCH_WAIT_SECONDS: Final = 5.0
+# A watch is asked again after this long. Each call costs money; the platform lets a
+# watch wait 30 s.
+WATCH_WAIT_SECONDS: Final = 25.0
 # Beyond the wait: the service's own delay on a slow day.
 WATCH_GRACE_SECONDS: Final = 1.0
 
