Ask a quorum of holders first, the others only when it is late

Cause: each record went to all three holders, two of them in other failure domains, where two are enough. Change: the holders nearest to the entry are asked first, as many as have to answer; another after 40 ms or a refusal; one that was late is asked last for 2 s. Any two quorums still share a holder.

--- a/src/cedarchute/turns/holder_fanout.py
+++ b/src/cedarchute/turns/holder_fanout.py
@@ -31,6 +31,11 @@
 # An answer with the text of a chain is worth this wait beyond the quorum's: about
 # what asking for it separately takes.
 WANTED_SECONDS: Final = 0.01
+# Another holder is asked when those asked first take this long: several times what an
+# answer with a synced write takes.
+HEDGE_SECONDS: Final = 0.04
+# A holder that was late is asked last for this long.
+LATE_SECONDS: Final = 2.0
 # After this long without one answer that decides, this box is cut off from the
 # holders: callers are served better elsewhere.
 CUT_OFF_SECONDS: Final = 0.5
@@ -57,6 +62,9 @@
         Returns the message to one seat.
     is_enough : Callable
         Tells whether the answers that are there decide.
+    count_first : Callable
+        Returns how many of the seats are asked at once, in the order of `find`; the
+        others only if those are late.
     wanted : int or None
         A seat whose answer is waited for a moment longer.
     """
@@ -66,6 +74,7 @@
     find: Callable[[SeatTable], list[int]]
     build: Callable[[SeatTable, int], object]
     is_enough: Callable[[SeatTable, dict[int, AnswerT]], bool]
+    count_first: Callable[[SeatTable], int]
     seconds: float
     wanted: int | None = None
 
@@ -86,6 +95,7 @@
         self.seats = seats
         self.client = client
         self.failing_since: float | None = None
+        self.late: dict[str, float] = {}
 
     @property
     def is_cut_off(self) -> bool:
@@ -122,18 +132,13 @@
         self, table: SeatTable, question: Question[AnswerT], deadline: float
     ) -> tuple[dict[int, AnswerT], bool]:
         """Ask by one table; return the answers, and whether the table is old."""
-        results: LightQueue = LightQueue()
-        numbers = [n for n in question.find(table) if not table.seats[n].is_vacant]
-        for number in numbers:
-            message = question.build(table, number)
-            seat = table.seats[number]
-            eventlet.spawn_n(self.ask_one, results, number, seat, message, question)
+        round_ = FanoutRound(self, table, question)
         answers: dict[int, AnswerT] = {}
         is_old = False
-        for _ in numbers:
-            try:
-                result = results.get(timeout=max(0.001, deadline - time.monotonic()))
-            except Empty:
+        round_.ask_first()
+        while round_.asked > round_.heard or round_.waiting:
+            result = round_.wait(deadline)
+            if result is None:
                 break
             is_old = is_old or result.has_newer_table
             if result.value is not None:
@@ -145,6 +150,17 @@
             deadline = min(deadline, time.monotonic() + WANTED_SECONDS)
         return answers, is_old
 
+    def order_seats(self, numbers: list[int], table: SeatTable) -> list[int]:
+        """Return seats in order, those that were late a moment ago last."""
+        now = time.monotonic()
+        return sorted(
+            numbers, key=lambda n: self.late.get(table.seats[n].disk, 0) > now
+        )
+
+    def note_late(self, seat: Seat) -> None:
+        """Take in that a holder did not answer in time."""
+        self.late[seat.disk] = time.monotonic() + LATE_SECONDS
+
     def ask_one(
         self,
         results: LightQueue,
@@ -156,6 +172,7 @@
         """Ask one holder and hand its answer over."""
         newer = False
         value = None
+        started = time.monotonic()
         try:
             value = self.client.ask(
                 seat.address, question.path, message, question.answer
@@ -163,7 +180,67 @@
         except HolderRefusedError as error:
             table = error.refusal.table
             newer = table is not None and self.seats.offer(table, seat.box)
+            self.note_late(seat)
             log.info("Holder refused.", extra={"box": seat.box, "why": str(error)})
         except HolderUnavailableError as error:
+            self.note_late(seat)
             log.info("Holder is silent.", extra={"box": seat.box, "why": str(error)})
+        if time.monotonic() - started > HEDGE_SECONDS:
+            self.note_late(seat)
         results.put(SeatAnswer(number, value, newer))
+
+
+class FanoutRound(Generic[AnswerT]):
+    """One round of questions: a few holders first, the rest if they are late."""
+
+    def __init__(
+        self, fanout: HolderFanout, table: SeatTable, question: Question[AnswerT]
+    ) -> None:
+        self.fanout = fanout
+        self.table = table
+        self.question = question
+        self.results: LightQueue = LightQueue()
+        occupied = [n for n in question.find(table) if not table.seats[n].is_vacant]
+        self.waiting = fanout.order_seats(occupied, table)
+        self.asked = 0
+        self.heard = 0
+
+    def ask_first(self) -> None:
+        """Ask as many holders as have to answer."""
+        first = self.question.count_first(self.table)
+        for _ in range(min(first, len(self.waiting))):
+            self.ask_next()
+
+    def ask_next(self) -> None:
+        """Ask one more holder, if one is left."""
+        if not self.waiting:
+            return
+        number = self.waiting.pop(0)
+        self.asked += 1
+        message = self.question.build(self.table, number)
+        seat = self.table.seats[number]
+        eventlet.spawn_n(
+            self.fanout.ask_one, self.results, number, seat, message, self.question
+        )
+
+    def wait(self, deadline: float) -> SeatAnswer | None:
+        """Return the next answer, or None at the deadline.
+
+        When holders are late, or one says nothing that counts, another is asked.
+        """
+        while True:
+            left = deadline - time.monotonic()
+            hedge = bool(self.waiting) and left > HEDGE_SECONDS
+            try:
+                result = self.results.get(
+                    timeout=HEDGE_SECONDS if hedge else max(0.001, left)
+                )
+            except Empty:
+                if not hedge:
+                    return None
+                self.ask_next()
+                continue
+            self.heard += 1
+            if result.value is None:
+                self.ask_next()
+            return result
--- a/src/cedarchute/turns/turn_quorum.py
+++ b/src/cedarchute/turns/turn_quorum.py
@@ -201,6 +201,7 @@
             find=SeatTable.list_occupied,
             build=build,
             is_enough=is_enough,
+            count_first=lambda table: len(table.seats),
             seconds=ANSWER_SECONDS,
         )
         answers = self.fanout.ask(question)
@@ -241,11 +242,20 @@
     def find_nearest(self, program: str) -> int | None:
         """Return the holder that is asked for texts: one in the own domain, if any."""
         table = self.seats.table
-        numbers = [n for n in table.find_seats(program) if not table.seats[n].is_vacant]
-        own = [
-            n for n in numbers if table.seats[n].failure_domain == self.failure_domain
-        ]
-        return (own or numbers or [None])[0]
+        numbers = self.order_near(table, program)
+        occupied = [n for n in numbers if not table.seats[n].is_vacant]
+        return next(iter(self.fanout.order_seats(occupied, table)), None)
+
+    def order_near(self, table: SeatTable, program: str) -> list[int]:
+        """Return the seats of a program, those in the own failure domain first.
+
+        All its turns come in where its caller is, so they meet the same holders.
+        """
+        seats = table.seats
+        return sorted(
+            table.find_seats(program),
+            key=lambda n: seats[n].failure_domain != self.failure_domain,
+        )
 
     def ask(
         self,
@@ -259,14 +269,22 @@
         """Ask the holders of a program; return once a quorum has answered."""
 
         def find(table: SeatTable) -> list[int]:
-            return table.find_seats(program)
+            return self.order_near(table, program)
 
         def is_enough(table: SeatTable, answers: dict[int, AnswerT]) -> bool:
             return len(answers) >= table.quorum
 
-        return self.fanout.ask(
-            Question(path, answer, find, build, is_enough, seconds, wanted)
+        question = Question(
+            path=path,
+            answer=answer,
+            find=find,
+            build=build,
+            is_enough=is_enough,
+            count_first=lambda table: table.quorum,
+            seconds=seconds,
+            wanted=wanted,
         )
+        return self.fanout.ask(question)
 
 
 def sum_accounts(accounts: list[Account], turn: str) -> int:
