Test plain calls against targets that misbehave; mend two faults that show

Cause 1: the green socket tells a reset as an orderly close, so an answer without a length that was cut passed as whole. Cause 2: a target's connection was closed on a failure only when it looked used up, so a caller who left while its target was silent left that target working. Change: resets are read from the socket itself; every failed exchange closes its connection.

--- a/src/cedarchute/calls/target_exchange.py
+++ b/src/cedarchute/calls/target_exchange.py
@@ -87,13 +87,14 @@
             call_id = call.id.encode("latin-1")
             answer = connection.read_answer(call_id, ANSWER_ID, silent_until)
             if says_not_run(answer):
-                self.finish_refusal(connection, answer, until)
+                refused, connection = connection, None
+                self.finish_refusal(refused, answer, until)
                 load.record_full(FULL_PAUSE_SECONDS)
                 reason = f"refused with {answer.status}"
                 raise TargetFailureError(reason, Verdict.NOT_RUN)
         except BaseException as error:
             load.active -= 1
-            if connection is not None and not connection.is_fresh:
+            if connection is not None:
                 connection.close()
             if isinstance(error, TargetFailureError):
                 self.note_failure(target, call, error)
--- a/src/cedarchute/relay/target_connection.py
+++ b/src/cedarchute/relay/target_connection.py
@@ -8,6 +8,7 @@
 
 import eventlet
 import httptools
+from eventlet.hubs import trampoline
 
 from cedarchute.relay.answer_reader import AnswerReader
 from cedarchute.relay.target_failure import TargetFailureError
@@ -63,9 +64,8 @@
 
     def is_readable(self) -> bool:
         """Whether bytes, a close or an error wait to be read."""
-        raw = getattr(self.sock, "fd", self.sock)
         try:
-            raw.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+            self.sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
         except BlockingIOError:
             return False
         except OSError:
@@ -91,7 +91,7 @@
         """
         try:
             with eventlet.Timeout(max(0.0, seconds), TimeoutError("silent")):
-                data = self.sock.recv(READ_BYTES)
+                data = read_socket(self.sock)
         except OSError as error:
             raise TargetFailureError(f"{error}", Verdict.MAY_HAVE_RUN) from None
         if not data:
@@ -147,6 +147,20 @@
         self.sock.close()
 
 
+def read_socket(sock: socket.socket) -> bytes:
+    """Return what comes next; a reset raises.
+
+    The green socket's own ``recv`` tells a reset as an orderly close, and an answer
+    that was cut would look whole.
+    """
+    raw = sock.fd
+    while True:
+        try:
+            return raw.recv(READ_BYTES)
+        except BlockingIOError:
+            trampoline(raw, read=True)
+
+
 def _read_keep_alive(text: str) -> float | None:
     """Return the seconds that a ``Keep-Alive`` header names, if any."""
     for word in text.split(","):
--- /dev/null
+++ b/tests/raw_target.py
@@ -0,0 +1,132 @@
+"""A target that answers with scripted bytes, and keeps what it was sent."""
+
+from __future__ import annotations
+
+import select
+import socket
+import struct
+import threading
+import time
+from dataclasses import dataclass, field
+
+
+@dataclass
+class RawRequest:
+    """One request as it came in, byte for byte."""
+
+    head: bytes
+    body: bytes
+    closed: threading.Event = field(default_factory=threading.Event)
+
+    @property
+    def line(self):
+        return self.head.split(b"\r\n")[0]
+
+    def header(self, name):
+        for line in self.head.split(b"\r\n")[1:]:
+            key, _, value = line.partition(b":")
+            if key.strip().lower() == name.lower().encode():
+                return value.strip().decode("latin-1")
+        return None
+
+
+def answer(request, body=b"done", status=b"200 OK", extra=b""):
+    """Return a whole answer that belongs to `request`."""
+    attempt = request.header("Attempt-Id").encode()
+    return (
+        b"HTTP/1.1 %s\r\nAttempt-Id: %s\r\nServer-Seal: seal-%s\r\n%s"
+        b"Content-Length: %d\r\n\r\n%s"
+        % (status, attempt, attempt, extra, len(body), body)
+    )
+
+
+def refusal(request):
+    """Return the answer of a target that is full."""
+    return answer(request, b"", b"503 Service Unavailable", b"Not-Executed: 1\r\n")
+
+
+def stream_head(request):
+    attempt = request.header("Attempt-Id").encode()
+    return (
+        b"HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Seal: seal\r\n"
+        b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+        % attempt
+    )
+
+
+def chunk(data):
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def event(number, data):
+    return b"id: %d\ndata: %s\n\n" % (number, data)
+
+
+LAST_CHUNK = b"0\r\n\r\n"
+
+
+class RawTarget:
+    """Calls `script(request, connection)` for each request; it writes what it likes."""
+
+    def __init__(self, script):
+        self.script = script
+        self.requests = []
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        threading.Thread(target=self.accept_forever, daemon=True).start()
+
+    def close(self):
+        self.listener.close()
+
+    def accept_forever(self):
+        while True:
+            try:
+                connection, _ = self.listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self.serve, args=(connection,), daemon=True).start()
+
+    def serve(self, connection):
+        data = b""
+        try:
+            while True:
+                while b"\r\n\r\n" not in data:
+                    received = connection.recv(65536)
+                    if not received:
+                        return
+                    data += received
+                head, _, data = data.partition(b"\r\n\r\n")
+                request = RawRequest(head, b"")
+                length = int(request.header("Content-Length") or 0)
+                while len(data) < length:
+                    data += connection.recv(65536)
+                request.body, data = data[:length], data[length:]
+                self.requests.append(request)
+                threading.Thread(
+                    target=self.watch_close, args=(connection, request), daemon=True
+                ).start()
+                self.script(request, connection)
+        except OSError:
+            pass
+        finally:
+            connection.close()
+
+    def watch_close(self, connection, request):
+        """Notice that the other side closes while its request is worked on."""
+        # A blocked read would keep the socket open beyond the script's own close.
+        try:
+            while True:
+                readable, _, _ = select.select([connection], [], [], 0.02)
+                if readable and not connection.recv(1, socket.MSG_PEEK):
+                    break
+                time.sleep(0.01)
+        except (OSError, ValueError):
+            pass
+        request.closed.set()
+
+
+def reset(connection):
+    """Close a connection so that the other side sees a reset."""
+    linger = struct.pack("ii", 1, 0)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    connection.close()
