--- a/tests/platform_site/test_plain_calls.py
+++ b/tests/platform_site/test_plain_calls.py
@@ -10,7 +10,6 @@
 
 from experiments.waiting import wait_until
 
-
 LONG = b"x" * 5000
 
 
