Count empty holders when a new disk is filled; test quorums against an oracle

Cause, found by reasoning over the stateful test: with two disks lost at once and a third holder silent, a new holder took its disk for complete though the only copy left might stand on the silent one.

--- a/src/cedarchute/turns/catch_up.py
+++ b/src/cedarchute/turns/catch_up.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from enum import StrEnum
 from typing import TYPE_CHECKING
 
 from cedarchute.turns.holder_client import (
@@ -20,6 +21,14 @@
 log = logging.getLogger("cedarchute.turns")
 
 
+class CopyOutcome(StrEnum):
+    """How far another holder was read."""
+
+    WHOLE = "whole"
+    EMPTY = "empty"
+    SILENT = "silent"
+
+
 class CatchUp:
     """Reads what a seat has to hold from every other seat.
 
@@ -42,14 +51,17 @@
             for other, seat in enumerate(table.seats)
             if other != number and not seat.is_vacant
         ]
-        missing = [seat for seat in others if not self.copy_from(seat, table, number)]
+        outcomes = [self.copy_from(seat, table, number) for seat in others]
         if self.seats.table.version != table.version:
             return False
-        # Of the holders that may be lost at once, this one is lost already.
-        return len(missing) <= max(0, table.losses - 1)
+        silent = outcomes.count(CopyOutcome.SILENT)
+        empty = outcomes.count(CopyOutcome.EMPTY)
+        # Of the holders whose disks may be lost at once, this one is lost already. Once
+        # every other one has answered there is nothing more to be learnt.
+        return silent == 0 or silent + empty <= table.losses - 1
 
-    def copy_from(self, seat: Seat, table: SeatTable, number: int) -> bool:
-        """Read one holder; return whether all that it has was read."""
+    def copy_from(self, seat: Seat, table: SeatTable, number: int) -> CopyOutcome:
+        """Read one holder as far as it answers."""
         after = ""
         count = 0
         while True:
@@ -61,15 +73,16 @@
             except HolderRefusedError as error:
                 if error.refusal.table is not None:
                     self.seats.offer(error.refusal.table, seat.box)
-                    return False
-                return error.refusal.is_empty
+                if error.refusal.is_empty:
+                    return CopyOutcome.EMPTY
+                return CopyOutcome.SILENT
             except HolderUnavailableError as error:
                 log.info("Not copied.", extra={"box": seat.box, "why": str(error)})
-                return False
+                return CopyOutcome.SILENT
             if page.records:
                 self.book.take(list(page.records))
             count += len(page.records)
             after = page.next
             if not after:
                 log.info("Copied.", extra={"box": seat.box, "records": count})
-                return True
+                return CopyOutcome.WHOLE
--- /dev/null
+++ b/tests/stateful/test_quorum_machine.py
@@ -0,0 +1,278 @@
+"""Turns and budgets on quorums, against an oracle, while holders are lost.
+
+The holders, their journals and the quorum are the real ones; only the calls between
+them go through a table here, which loses some of them before or after their effect.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import tempfile
+from pathlib import Path
+
+import eventlet
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from cedarchute.metrics import Metrics
+from cedarchute.turns import holder_fanout, turn_quorum
+from cedarchute.turns.catch_up import CatchUp
+from cedarchute.turns.holder import Holder, HolderError
+from cedarchute.turns.holder_client import HolderRefusedError, HolderUnavailableError
+from cedarchute.turns.holder_fanout import NoQuorumError
+from cedarchute.turns.messages import Refused
+from cedarchute.turns.records import Settled, Turn
+from cedarchute.turns.seat_book import SeatBook
+from cedarchute.turns.seat_table import Seat, SeatTable
+from cedarchute.turns.turn_book import TurnBook
+from cedarchute.turns.turn_journal import TurnJournal
+from cedarchute.turns.turn_quorum import BudgetSpentError, NoSuchTurnError, TurnQuorum
+from cedarchute.turns.turn_writer import TurnWriter
+
+BUDGET = 100
+MOST = 30
+PROGRAMS = ("p", "q")
+MODES = st.sampled_from(("up", "down", "lost_before", "lost_after"))
+
+
+@pytest.fixture(scope="module", autouse=True)
+def no_waiting():
+    """Holders here answer at once or not at all: one round tells everything."""
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(turn_quorum, "ANSWER_SECONDS", 0.002)
+        patch.setattr(turn_quorum, "FINISH_SECONDS", 0.002)
+        patch.setattr(holder_fanout, "PAUSE_SECONDS", 0.005)
+        patch.setattr(holder_fanout, "HEDGE_SECONDS", 0.001)
+        yield
+
+
+class DirectJournal(TurnJournal):
+    """Writes in the calling thread: no other thread runs in this test."""
+
+    def append(self, lines):
+        self.write(b"".join(lines))
+
+
+class FakeHolder:
+    """A holder with a disk that can be lost, and a process that can be killed."""
+
+    def __init__(self, folder, box, number):
+        self.folder = folder
+        self.box = box
+        self.disks = number * 1000
+        self.mode = "up"
+        self.seats = SeatBook()
+        self.new_disk()
+        self.holder.caught_up = True
+
+    def new_disk(self):
+        self.disks += 1
+        self.disk = f"{self.box}-{self.disks}"
+        (self.folder / self.disk).mkdir()
+        self.start()
+
+    def start(self):
+        journal = DirectJournal(self.folder / self.disk)
+        self.book = TurnBook(TurnWriter(journal, Metrics()))
+        self.book.load()
+        self.holder = Holder(self.book, self.seats, self.disk)
+
+    def restart(self):
+        caught_up = self.holder.caught_up
+        self.start()
+        self.holder.caught_up = caught_up
+
+    @property
+    def seat(self):
+        return Seat(self.box, self.box, self.disk, self.box)
+
+
+class FakeClient:
+    """Carries messages to the holders, as far as they can be reached."""
+
+    def __init__(self, holders):
+        self.holders = holders
+
+    def ask(self, address, path, message, answer):
+        target = self.holders[address]
+        if target.mode in ("down", "lost_before"):
+            raise HolderUnavailableError(address)
+        name = {
+            "/turns/begin": "begin_turn",
+            "/turns/take": "take_records",
+            "/turns/account": "read_account",
+            "/turns/chain": "read_chain",
+            "/turns/copy": "copy_records",
+        }[path]
+        try:
+            result = getattr(target.holder, name)(message)
+        except HolderError as error:
+            refusal = Refused(error.reason, error.table, error.is_empty)
+            raise HolderRefusedError(refusal) from None
+        if target.mode == "lost_after":
+            raise HolderUnavailableError(address)
+        return result
+
+
+class QuorumMachine(RuleBasedStateMachine):
+    """Two entries, three to five holders, one or two losses at once."""
+
+    @initialize(losses=st.integers(1, 2))
+    def set_up(self, losses):
+        self.scratch = tempfile.TemporaryDirectory()
+        folder = Path(self.scratch.name)
+        self.losses = losses
+        boxes = [f"box-{n}" for n in range(2 * losses + 1)]
+        self.holders = {b: FakeHolder(folder, b, n) for n, b in enumerate(boxes)}
+        seats = tuple(h.seat for h in self.holders.values())
+        self.table = SeatTable(1, True, losses, seats)
+        client = FakeClient(self.holders)
+        self.entries = []
+        for box in boxes[:2]:
+            book = SeatBook()
+            book.offer(self.table, "test")
+            self.entries.append(TurnQuorum(book, client, box, Metrics()))
+        for holder in self.holders.values():
+            holder.seats.offer(self.table, "test")
+        self.client = client
+        self.count = 0
+        self.handed = dict.fromkeys(PROGRAMS, 0)
+        self.running = {}
+        self.kept = {}
+
+    def teardown(self):
+        if hasattr(self, "scratch"):
+            self.scratch.cleanup()
+
+    def may_lose_disk(self, box):
+        """Disks are lost only as many at once as the table says; boxes at will."""
+        lost = {b for b, h in self.holders.items() if not h.holder.caught_up}
+        return len(lost | {box}) <= self.losses
+
+    def begin(self, entry, program, previous):
+        self.count += 1
+        name = f"t{self.count}"
+        quorum = self.entries[entry]
+        quorum.fanout.failing_since = None
+        try:
+            admission = quorum.begin(program, name, MOST, previous, BUDGET)
+        except BudgetSpentError:
+            return
+        finally:
+            eventlet.sleep(0)
+        text = self.kept[previous][1] if previous else b""
+        assert admission.text == text
+        self.running[name] = (program, previous, MOST)
+
+    @rule(entry=st.integers(0, 1), program=st.sampled_from(PROGRAMS), data=st.data())
+    def begin_turn(self, entry, program, data):
+        previous = data.draw(st.sampled_from(["", *sorted(self.kept)]))
+        with contextlib.suppress(NoQuorumError):
+            self.begin(entry, program, previous)
+
+    @precondition(lambda self: self.running)
+    @rule(entry=st.integers(0, 1), tokens=st.integers(1, MOST), data=st.data())
+    def finish_turn(self, entry, tokens, data):
+        name = data.draw(st.sampled_from(sorted(self.running)))
+        program, previous, _ = self.running.pop(name)
+        self.handed[program] += tokens
+        body = f"[{name}]".encode()
+        turn = Turn(program, name, previous, body, b"out", tokens, "t", 60.0)
+        quorum = self.entries[entry]
+        quorum.fanout.failing_since = None
+        try:
+            quorum.take(turn)
+        except NoQuorumError:
+            return
+        before = self.kept[previous][1] if previous else b""
+        self.kept[name] = (program, before + body + b"out")
+
+    @precondition(lambda self: self.running)
+    @rule(entry=st.integers(0, 1), tokens=st.integers(0, MOST), data=st.data())
+    def break_turn(self, entry, tokens, data):
+        name = data.draw(st.sampled_from(sorted(self.running)))
+        program, _, _ = self.running.pop(name)
+        self.handed[program] += tokens
+        self.entries[entry].try_settle(Settled(program, name, tokens))
+
+    @rule(entry=st.integers(0, 1))
+    def ask_for_a_turn_that_never_was(self, entry):
+        quorum = self.entries[entry]
+        quorum.fanout.failing_since = None
+        try:
+            quorum.read_chain("never")
+        except (NoSuchTurnError, NoQuorumError):
+            return
+        raise AssertionError("a turn that never was is known")
+
+    @rule(data=st.data(), mode=MODES)
+    def disturb(self, data, mode):
+        box = data.draw(st.sampled_from(sorted(self.holders)))
+        self.holders[box].mode = mode
+
+    @rule()
+    def heal_all(self):
+        for holder in self.holders.values():
+            holder.mode = "up"
+
+    @rule(data=st.data())
+    def restart_holder(self, data):
+        self.holders[data.draw(st.sampled_from(sorted(self.holders)))].restart()
+
+    @rule(data=st.data())
+    def lose_disk(self, data):
+        box = data.draw(st.sampled_from(sorted(self.holders)))
+        if not self.may_lose_disk(box):
+            return
+        holder = self.holders[box]
+        holder.new_disk()
+        number = self.table.find_box(box)
+        self.table = self.table.replace_seat(number, holder.seat)
+        holder.seats.offer(self.table, "test")
+
+    @rule(data=st.data())
+    def catch_up(self, data):
+        box = data.draw(st.sampled_from(sorted(self.holders)))
+        holder = self.holders[box]
+        if holder.holder.caught_up or holder.mode != "up":
+            return
+        number = holder.seats.table.find_disk(holder.disk)
+        copier = CatchUp(self.client, holder.book, holder.seats)
+        if copier.run_once(number):
+            holder.holder.caught_up = True
+
+    @rule(entry=st.integers(0, 1))
+    def hear_of_the_table(self, entry):
+        self.entries[entry].seats.offer(self.table, "test")
+
+    @invariant()
+    def the_budget_holds(self):
+        for program, tokens in getattr(self, "handed", {}).items():
+            running = sum(m for p, _, m in self.running.values() if p == program)
+            assert tokens + running <= BUDGET
+
+    @precondition(lambda self: self.kept)
+    @rule(entry=st.integers(0, 1), data=st.data())
+    def read_a_kept_turn(self, entry, data):
+        name = data.draw(st.sampled_from(sorted(self.kept)))
+        quorum = self.entries[entry]
+        quorum.fanout.failing_since = None
+        try:
+            admission = quorum.read_previous(name, {})
+        except NoQuorumError:
+            return
+        assert admission.text == self.kept[name][1]
+
+
+QuorumMachine.TestCase.settings = settings(
+    max_examples=250, stateful_step_count=60, deadline=None, derandomize=True
+)
+TestQuorums = QuorumMachine.TestCase
