Bound the logs, write them to standard output without waiting; time what is slow

Cause: lines went to standard error through a handler that blocks when nobody reads, without a bound. Latency histograms of calls, targets and holders stand beside the counters at /metrics. Tests show both bounds.

--- a/src/cedarchute/calls/target_exchange.py
+++ b/src/cedarchute/calls/target_exchange.py
@@ -144,6 +144,7 @@
         load = self.choice.loads[opened.target.id]
         load.active -= 1
         load.record_answer(seconds)
+        self.metrics.time("targets.seconds", seconds)
         opened.connection.finish(opened.answer)
         self.pool.give_back(opened.connection)
 
--- a/src/cedarchute/daemon/logs.py
+++ b/src/cedarchute/daemon/logs.py
@@ -7,6 +7,7 @@
 import sys
 from typing import Final
 
+from cedarchute.daemon.bounded_log import BoundedHandler
 from cedarchute.request_ids import RequestIdFilter
 
 PREFIX: Final = "cedarchute."
@@ -58,7 +59,16 @@
 
 def set_up_logs(form: str, level: str) -> None:
     """Send logs to standard error in the given form."""
-    handler = logging.StreamHandler(sys.stderr)
+    attach_handler(logging.StreamHandler(sys.stderr), form, level)
+
+
+def set_up_bounded_logs(form: str, level: str) -> None:
+    """Send logs to standard output; writing them never waits for a reader."""
+    attach_handler(BoundedHandler(sys.stdout.fileno()), form, level)
+
+
+def attach_handler(handler: logging.Handler, form: str, level: str) -> None:
+    """Let one handler write every log of the program."""
     handler.addFilter(RequestIdFilter())
     handler.setFormatter(JsonFormatter() if form == "json" else TextFormatter())
     root = logging.getLogger("cedarchute")
--- a/src/cedarchute/daemon/main.py
+++ b/src/cedarchute/daemon/main.py
@@ -25,7 +25,7 @@
 from absl import app, flags
 
 from cedarchute.daemon.listeners import PortInUseError, open_listeners
-from cedarchute.daemon.logs import set_up_logs
+from cedarchute.daemon.logs import set_up_bounded_logs, set_up_logs
 from cedarchute.daemon.node_main import run_node
 from cedarchute.ini import IniError, read_sections
 
@@ -56,6 +56,7 @@
     set_up_logs(LOG_FORMAT.value, LOG_LEVEL.value)
     try:
         if "role" in read_sections(SETTINGS.value).get("box", {}):
+            set_up_bounded_logs(LOG_FORMAT.value, LOG_LEVEL.value)
             return run_node(SETTINGS.value)
         return run_peer(SETTINGS.value)
     except (IniError, PortInUseError) as error:
--- a/src/cedarchute/metrics.py
+++ b/src/cedarchute/metrics.py
@@ -2,12 +2,29 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left
 from collections import Counter
+from itertools import accumulate
 from typing import TYPE_CHECKING, Final
 
 import statsd
 
 HEADER_BYTES: Final = 350
+# From a hop within a failure domain to a turn that takes its whole deadline.
+BUCKET_SECONDS: Final = (
+    0.002,
+    0.005,
+    0.01,
+    0.02,
+    0.05,
+    0.1,
+    0.2,
+    0.5,
+    1.0,
+    2.0,
+    5.0,
+    10.0,
+)
 
 if TYPE_CHECKING:
     from prometheus_client.core import Metric
@@ -15,15 +32,15 @@
     from cedarchute.address import Address
 
 
-class _OneFamily:
-    """Hands one family of counters to the renderer."""
+class _Families:
+    """Hands what was counted and timed to the renderer."""
 
-    def __init__(self, family: Metric) -> None:
-        self.family = family
+    def __init__(self, families: list[Metric]) -> None:
+        self.families = families
 
     def collect(self) -> list[Metric]:
-        """Return the family."""
-        return [self.family]
+        """Return the families."""
+        return self.families
 
 
 class Metrics:
@@ -37,6 +54,8 @@
         self, address: Address | None = None, prefix: str = "cedarchute"
     ) -> None:
         self.totals: Counter[str] = Counter()
+        self.durations: dict[str, list[int]] = {}
+        self.sums: Counter[str] = Counter()
         self.client = None
         if address is not None:
             self.client = statsd.StatsClient(address.host, address.port, prefix=prefix)
@@ -69,6 +88,9 @@
 
     def time(self, name: str, seconds: float) -> None:
         """Record one duration."""
+        histogram = self.durations.setdefault(name, [0] * (len(BUCKET_SECONDS) + 1))
+        histogram[bisect_left(BUCKET_SECONDS, seconds)] += 1
+        self.sums[name] += seconds
         if self.client is not None:
             self.client.timing(name, seconds * 1000.0)
 
@@ -76,13 +98,23 @@
         """Return the counters in the text form that scrapers read."""
         # Imported when first asked for: it takes memory that few boxes need.
         from prometheus_client import CollectorRegistry, generate_latest
-        from prometheus_client.core import CounterMetricFamily
+        from prometheus_client.core import (
+            CounterMetricFamily,
+            HistogramMetricFamily,
+        )
 
         family = CounterMetricFamily(
             "cedarchute_events", "What happened, by its name.", labels=["name"]
         )
         for name, total in sorted(self.totals.items()):
             family.add_metric([name], total)
+        latencies = HistogramMetricFamily(
+            "cedarchute_seconds", "How long things took, by name.", labels=["name"]
+        )
+        bounds = [str(bound) for bound in BUCKET_SECONDS] + ["+Inf"]
+        for name, counts in sorted(self.durations.items()):
+            buckets = list(zip(bounds, accumulate(counts), strict=True))
+            latencies.add_metric([name], buckets, self.sums[name])
         registry = CollectorRegistry()
-        registry.register(_OneFamily(family))
+        registry.register(_Families([family, latencies]))
         return generate_latest(registry).decode()
--- a/src/cedarchute/turns/holder_client.py
+++ b/src/cedarchute/turns/holder_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from typing import TYPE_CHECKING, Final, TypeVar
 
 import msgspec
@@ -62,6 +63,7 @@
             When no answer came.
         """
         self.metrics.count("holders.calls")
+        started = time.monotonic()
         try:
             response = self.pools.request(
                 "POST",
@@ -77,5 +79,7 @@
         except (urllib3.exceptions.HTTPError, OSError, msgspec.MsgspecError) as error:
             self.metrics.count("holders.failures")
             raise HolderUnavailableError(f"{path} at {address}: {error}") from error
+        finally:
+            self.metrics.time("holders.seconds", time.monotonic() - started)
         self.metrics.count("holders.refusals")
         raise HolderRefusedError(refusal)
--- /dev/null
+++ b/tests/daemon/test_bounded_log.py
@@ -0,0 +1,93 @@
+from __future__ import annotations
+
+import json
+import logging
+import os
+
+import pytest
+
+from cedarchute.daemon.bounded_log import KEPT_BYTES, LINES_PER_SECOND, BoundedHandler
+from cedarchute.daemon.logs import JsonFormatter
+
+
+class Clock:
+    now = 1.0
+
+    def __call__(self):
+        return self.now
+
+
+@pytest.fixture
+def pipe():
+    reader, writer = os.pipe()
+    yield reader, writer
+    os.close(reader)
+    os.close(writer)
+
+
+def make_handler(writer, clock):
+    handler = BoundedHandler(writer, clock)
+    handler.setFormatter(JsonFormatter())
+    return handler
+
+
+def say(handler, message, **fields):
+    record = logging.LogRecord("cedarchute.calls", 20, "", 0, message, None, None)
+    vars(record).update(fields)
+    handler.emit(record)
+
+
+def read_lines(reader):
+    os.set_blocking(reader, False)
+    data = b""
+    try:
+        while received := os.read(reader, 1 << 20):
+            data += received
+    except BlockingIOError:
+        pass
+    return [json.loads(line) for line in data.split(b"\n") if line]
+
+
+def test_lines_go_out_with_their_fields(pipe):
+    reader, writer = pipe
+    say(make_handler(writer, Clock()), "Call sent.", target="t-1", active=3)
+    (line,) = read_lines(reader)
+    assert (line["message"], line["target"], line["active"]) == ("Call sent.", "t-1", 3)
+    assert line["part"] == "calls"
+
+
+def test_each_event_has_its_budget_and_what_is_dropped_is_told(pipe):
+    reader, writer = pipe
+    clock = Clock()
+    handler = make_handler(writer, clock)
+    for _ in range(LINES_PER_SECOND + 50):
+        say(handler, "Call sent.")
+    say(handler, "Store lost.")
+    lines = read_lines(reader)
+    assert len([x for x in lines if x["message"] == "Call sent."]) == LINES_PER_SECOND
+    assert lines[-1]["message"] == "Store lost."
+    clock.now += 1
+    say(handler, "Call sent.")
+    told, last = read_lines(reader)
+    assert (told["message"], told["count"]) == ("Lines dropped.", 50)
+    assert told["event"].endswith("Call sent.")
+    assert last["message"] == "Call sent."
+
+
+def test_nobody_reading_blocks_nothing_and_memory_stays_bounded(pipe):
+    reader, writer = pipe
+    clock = Clock()
+    handler = make_handler(writer, clock)
+    for _ in range(60):
+        clock.now += 1
+        for _ in range(100):
+            say(handler, "Call sent.", text="x" * 200)
+    assert handler.kept_bytes <= KEPT_BYTES
+    assert sum(handler.dropped.values()) > 0
+    while read_lines(reader):
+        handler.flush_kept()
+    clock.now += 1
+    say(handler, "Call answered.")
+    messages = [line["message"] for line in read_lines(reader)]
+    assert messages[-1] == "Call answered."
+    assert "Lines dropped." in messages
