Take the seat only of a holder that is silent, the first that went first

Change: of the holders without an entry the one that went first is replaced, and only when it does not answer the spare itself. Ruled out: the rule on when a new disk is complete, which held.

--- a/src/cedarchute/daemon/holder_box.py
+++ b/src/cedarchute/daemon/holder_box.py
@@ -83,6 +83,7 @@
             self.parts.directory,
             retirements,
             Evacuation(client, self.book, seats),
+            client,
         )
         self.listener = open_listener(settings.peers, f"{file}: [box] peer_port")
         self.app = PeerServer(self.parts.mirror, metrics, HolderApp(self.holder))
--- a/src/cedarchute/turns/seat_keeper.py
+++ b/src/cedarchute/turns/seat_keeper.py
@@ -12,6 +12,11 @@
 from cedarchute.fleet.box_entry import Role
 from cedarchute.fleet.followers import SEATS_KEY
 from cedarchute.platform.store_client import StoreUnavailableError
+from cedarchute.turns.holder_client import (
+    HolderRefusedError,
+    HolderUnavailableError,
+)
+from cedarchute.turns.messages import Account, ReadAccount
 from cedarchute.turns.seat_table import EMPTY, Seat, SeatTable
 
 if TYPE_CHECKING:
@@ -24,6 +29,7 @@
     from cedarchute.turns.disk_identity import DiskIdentity
     from cedarchute.turns.evacuation import Evacuation
     from cedarchute.turns.holder import Holder
+    from cedarchute.turns.holder_client import HolderClient
     from cedarchute.turns.seat_book import SeatBook
 
 log = logging.getLogger("cedarchute.turns")
@@ -57,6 +63,7 @@
         directory: BoxDirectory,
         retirements: Retirements,
         evacuation: Evacuation,
+        client: HolderClient,
     ) -> None:
         self.store = store
         self.seats = seats
@@ -69,6 +76,7 @@
         self.directory = directory
         self.retirements = retirements
         self.evacuation = evacuation
+        self.client = client
         self.absent_since: dict[str, float] = {}
         self.opened_at: float | None = None
         self.retiring_since: float | None = None
@@ -133,20 +141,49 @@
             self.change(table.close())
 
     def find_free(self, table: SeatTable) -> int | None:
-        """Return a seat that is vacant, being emptied, or whose holder is gone."""
-        present = {box.name for box in self.directory.list_boxes(Role.HOLDER)}
-        now = time.monotonic()
+        """Return a seat that is vacant, being emptied, or whose holder is gone.
+
+        An entry may be gone because its writes are lost on the way to the store, so
+        its holder is asked before its seat is taken. Of several that are gone the
+        first that went is taken.
+        """
         for number, seat in enumerate(table.seats):
             if seat.is_vacant or seat.box in self.retirements.asked:
                 return number
-            if seat.box in present:
-                self.absent_since.pop(seat.box, None)
+        self.note_absent(table)
+        now = time.monotonic()
+        for box, since in sorted(self.absent_since.items(), key=lambda item: item[1]):
+            number = table.find_box(box)
+            if now - since < ABSENT_SECONDS or number is None:
                 continue
-            since = self.absent_since.setdefault(seat.box, now)
-            if now - since > ABSENT_SECONDS:
+            if self.is_silent(table.seats[number]):
                 return number
+            self.absent_since[box] = now
         return None
 
+    def note_absent(self, table: SeatTable) -> None:
+        """Keep since when each holder of a seat has had no entry."""
+        present = {box.name for box in self.directory.list_boxes(Role.HOLDER)}
+        seated = {seat.box for seat in table.seats}
+        now = time.monotonic()
+        for box in list(self.absent_since):
+            if box in present or box not in seated:
+                del self.absent_since[box]
+        for box in seated - present:
+            self.absent_since.setdefault(box, now)
+
+    def is_silent(self, seat: Seat) -> bool:
+        """Ask a holder whether it is there; any answer counts."""
+        message = ReadAccount(table_version=0, disk=seat.disk, program="")
+        try:
+            self.client.ask(seat.address, "/turns/account", message, Account)
+        except HolderRefusedError:
+            return False
+        except HolderUnavailableError as error:
+            log.info("Holder is gone.", extra={"box": seat.box, "why": str(error)})
+            return True
+        return False
+
     def change(self, table: SeatTable) -> None:
         """Write the next table; whoever was faster wins, and is read instead."""
         current = self.store.get(SEATS_KEY)
--- /dev/null
+++ b/tests/turns/test_seat_keeper.py
@@ -0,0 +1,92 @@
+from __future__ import annotations
+
+from types import SimpleNamespace
+
+import pytest
+
+from cedarchute.fleet.box_directory import BoxDirectory
+from cedarchute.fleet.box_entry import BoxEntry, Role
+from cedarchute.turns import seat_keeper
+from cedarchute.turns.holder_client import HolderRefusedError, HolderUnavailableError
+from cedarchute.turns.messages import Refused
+from cedarchute.turns.seat_book import SeatBook
+from cedarchute.turns.seat_keeper import SeatKeeper
+from cedarchute.turns.seat_table import Seat, SeatTable
+
+
+class ScriptedClient:
+    """Holders that answer, or do not."""
+
+    def __init__(self, alive):
+        self.alive = alive
+
+    def ask(self, address, path, message, answer):
+        if address in self.alive:
+            raise HolderRefusedError(Refused("another table"))
+        raise HolderUnavailableError(address)
+
+
+def make_keeper(registered, alive, asked=()):
+    seats = tuple(Seat(box, box, f"disk-{box}", "a") for box in ("a", "b", "c"))
+    table = SeatTable(4, True, 1, seats)
+    book = SeatBook()
+    book.offer(table, "test")
+    directory = BoxDirectory()
+    for box in registered:
+        directory.put(BoxEntry(box, Role.HOLDER, "a", "region", "", box))
+    keeper = SeatKeeper(
+        store=None,
+        seats=book,
+        holder=SimpleNamespace(caught_up=False),
+        identity=SimpleNamespace(complete=False),
+        folder=None,
+        me=Seat("new", "new", "disk-new", "a"),
+        losses=1,
+        catch_up=None,
+        directory=directory,
+        retirements=SimpleNamespace(asked=set(asked)),
+        evacuation=None,
+        client=ScriptedClient(alive),
+    )
+    return keeper, table
+
+
+@pytest.fixture
+def clock(monkeypatch):
+    clock = SimpleNamespace(now=100.0)
+    monkeypatch.setattr(seat_keeper.time, "monotonic", lambda: clock.now)
+    return clock
+
+
+def test_no_seat_is_taken_from_a_holder_that_is_registered(clock):
+    keeper, table = make_keeper(("a", "b", "c"), ())
+    keeper.find_free(table)
+    clock.now += 60
+    assert keeper.find_free(table) is None
+
+
+def test_a_holder_that_lost_its_entry_but_answers_keeps_its_seat(clock):
+    keeper, table = make_keeper(("a",), ("b",))
+    assert keeper.find_free(table) is None
+    clock.now += seat_keeper.ABSENT_SECONDS + 1
+    assert keeper.find_free(table) == 2
+
+
+def test_a_restart_is_waited_for(clock):
+    keeper, table = make_keeper(("a", "b"), ())
+    assert keeper.find_free(table) is None
+    clock.now += seat_keeper.ABSENT_SECONDS / 2
+    assert keeper.find_free(table) is None
+
+
+def test_the_first_that_went_is_replaced_first(clock):
+    keeper, table = make_keeper(("a", "b"), ())
+    keeper.find_free(table)
+    clock.now += seat_keeper.ABSENT_SECONDS + 1
+    keeper.directory.known.drop("a")
+    assert keeper.find_free(table) == 2
+
+
+def test_the_seat_of_a_holder_to_be_emptied_is_free(clock):
+    keeper, table = make_keeper(("a", "b", "c"), ("a", "b", "c"), asked=("b",))
+    assert keeper.find_free(table) == 1
