Count a vacated seat among those that may be lost before saying 404

Change: a vacant seat uses up one of the losses allowed for; 404 then needs all three. Test red before.

--- a/src/cedarchute/turns/seat_table.py
+++ b/src/cedarchute/turns/seat_table.py
@@ -65,6 +65,16 @@
         """Return the numbers of the seats that a box holds."""
         return [n for n, seat in enumerate(self.seats) if not seat.is_vacant]
 
+    def count_all_but_lost(self) -> int:
+        """Return how many holders have to lack a record for nobody to have it.
+
+        A seat that was just vacated may have had one of its copies, so it counts
+        among those that may be lost.
+        """
+        occupied = len(self.list_occupied())
+        vacant = len(self.seats) - occupied
+        return occupied - max(0, self.losses - vacant)
+
     def find_disk(self, disk: str) -> int | None:
         """Return the seat of a disk, or None."""
         for number, seat in enumerate(self.seats):
--- a/src/cedarchute/turns/turn_quorum.py
+++ b/src/cedarchute/turns/turn_quorum.py
@@ -193,7 +193,7 @@
         def is_enough(table: SeatTable, answers: dict[int, Chain]) -> bool:
             if any(chain.turns for chain in answers.values()):
                 return True
-            return len(answers) >= len(table.list_occupied()) - table.losses
+            return len(answers) >= table.count_all_but_lost()
 
         question = Question(
             path="/turns/chain",
--- /dev/null
+++ b/tests/turns/test_turn_quorum.py
@@ -0,0 +1,96 @@
+from __future__ import annotations
+
+import pytest
+from test_turn_book import make_turn
+
+from cedarchute.metrics import Metrics
+from cedarchute.turns import holder_fanout, turn_quorum
+from cedarchute.turns.holder_client import HolderUnavailableError
+from cedarchute.turns.holder_fanout import NoQuorumError
+from cedarchute.turns.messages import Account, Chain
+from cedarchute.turns.seat_book import SeatBook
+from cedarchute.turns.seat_table import Seat, SeatTable
+from cedarchute.turns.turn_quorum import NoSuchTurnError, TurnQuorum, sum_accounts
+
+
+@pytest.fixture(autouse=True)
+def no_waiting(monkeypatch):
+    monkeypatch.setattr(turn_quorum, "ANSWER_SECONDS", 0.01)
+    monkeypatch.setattr(holder_fanout, "PAUSE_SECONDS", 0.02)
+
+
+class ScriptedClient:
+    """Holders that have a turn, lack it, or are silent."""
+
+    def __init__(self, states):
+        self.states = states
+        self.asked = []
+
+    def ask(self, address, path, message, answer):
+        self.asked.append(address)
+        state = self.states[address]
+        if state == "silent":
+            raise HolderUnavailableError(address)
+        if state == "has":
+            return Chain((make_turn("t"),))
+        return Chain((), "t")
+
+
+def make_quorum(states, vacant=0, losses=1):
+    seats = tuple(Seat(name, name, f"disk-{name}", "a") for name in states)
+    book = SeatBook()
+    book.offer(SeatTable(2, True, losses, seats + (Seat(),) * vacant), "test")
+    client = ScriptedClient(states)
+    return TurnQuorum(book, client, "a", Metrics()), client
+
+
+def test_a_turn_is_found_on_any_holder():
+    quorum, _ = make_quorum({"a": "lacks", "b": "has", "c": "silent"})
+    assert quorum.read_chain("t").turns[0].turn == "t"
+
+
+def test_nobody_has_a_turn_when_all_but_those_that_may_be_lost_say_so():
+    quorum, _ = make_quorum({"a": "lacks", "b": "lacks", "c": "silent"})
+    with pytest.raises(NoSuchTurnError):
+        quorum.read_chain("t")
+
+
+def test_with_too_few_answers_nothing_is_said():
+    quorum, _ = make_quorum({"a": "lacks", "b": "silent", "c": "silent"})
+    with pytest.raises(NoQuorumError):
+        quorum.read_chain("t")
+
+
+def test_a_vacant_seat_is_one_of_those_that_may_be_lost():
+    # Its holder may have had one of the two copies; the silent one has the other.
+    states = {"a": "lacks", "b": "lacks", "c": "silent"}
+    quorum, _ = make_quorum(states, vacant=1)
+    with pytest.raises(NoQuorumError):
+        quorum.read_chain("t")
+    quorum, _ = make_quorum(dict.fromkeys(states, "lacks"), vacant=1)
+    with pytest.raises(NoSuchTurnError):
+        quorum.read_chain("t")
+
+
+def test_what_is_settled_at_one_holder_goes_before_what_is_open_at_another():
+    accounts = [
+        Account({"a": 30, "b": 30, "own": 30}, {}),
+        Account({"b": 30}, {"a": 7, "c": 5}),
+    ]
+    assert sum_accounts(accounts, "own") == 7 + 30 + 5
+
+
+def test_holders_in_the_own_domain_are_asked_first_and_no_more_than_needed():
+    seats = tuple(Seat(n, n, f"disk-{n}", d) for n, d in zip("abc", "xyz", strict=True))
+    book = SeatBook()
+    book.offer(SeatTable(2, True, 1, seats), "test")
+
+    class AccountClient(ScriptedClient):
+        def ask(self, address, path, message, answer):
+            self.asked.append(address)
+            return Account({}, {})
+
+    client = AccountClient({})
+    TurnQuorum(book, client, "z", Metrics()).read_accounts("p")
+    assert client.asked[0] == "c"
+    assert len(client.asked) == 2
