Tell the story of a request or program from logs; log admitted and kept turns

Change: 'cedarchute explain ID' reads logs and prints the lines of a request, or of all requests of a program, in order of time; entries log the admission of a turn with its inputs, and that it is kept.

--- a/src/cedarchute/calls/turn_call.py
+++ b/src/cedarchute/calls/turn_call.py
@@ -69,7 +69,7 @@
         if not terms.program:
             raise CallRefusedError(400, "a turn names its program")
         try:
-            return self.quorum.begin(
+            admission = self.quorum.begin(
                 terms.program, call.id, terms.most_tokens, terms.previous, terms.budget
             )
         except NoQuorumError as error:
@@ -81,6 +81,19 @@
         except BudgetSpentError as error:
             self.metrics.count_refusal("budget_spent")
             raise CallRefusedError(402, str(error)) from None
+        log.info(
+            "Turn admitted.",
+            extra={
+                "program": terms.program,
+                "previous": terms.previous,
+                "bytes_before": len(admission.text),
+                "ran_before_at": admission.target,
+                "reserved": terms.most_tokens,
+                "budget": terms.budget,
+                "seats_version": self.quorum.seats.table.version,
+            },
+        )
+        return admission
 
     def event_tokens(self, service: str) -> int:
         """Return how many tokens one event of a service carries."""
@@ -218,3 +231,4 @@
         except NoQuorumError as error:
             raise CallRefusedError(503, str(error)) from None
         self.kept = True
+        log.info("Turn kept.", extra={"program": terms.program, "tokens": self.tokens})
--- /dev/null
+++ b/src/cedarchute/cli/explain.py
@@ -0,0 +1,90 @@
+"""``cedarchute explain ID``."""
+
+from __future__ import annotations
+
+import json
+import sys
+from typing import TYPE_CHECKING, Any, Final
+
+from cedarchute.cli.command import Command
+from cedarchute.cli.exit_codes import ExitCode
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from cedarchute.cli.box_client import BoxClient
+    from cedarchute.cli.output import Output
+
+# Told first or not at all: the rest of a line are the inputs of its decision.
+KNOWN_FIELDS: Final = frozenset(("time", "level", "part", "message", "request_id"))
+
+
+def run(client: BoxClient, output: Output, words: list[str]) -> int:
+    """Print what the logs on standard input say of a request or program."""
+    del client
+    story = find_story(sys.stdin, words[0])
+    rows = [describe(line) for line in story]
+    output.show_table(story, ("time", "from", "request", "what", "inputs"), rows)
+    return ExitCode.OK if story else ExitCode.BAD_USE
+
+
+def find_story(texts: Iterable[str], wanted: str) -> list[dict[str, Any]]:
+    """Return the lines about a request, or about every request of a program.
+
+    A line may stand behind the name of its box and a time, as collectors print it.
+    """
+    lines = [line for text in texts if (line := read_line(text)) is not None]
+    requests = {wanted}
+    for line in lines:
+        if line.get("program") == wanted and "request_id" in line:
+            requests.add(line["request_id"])
+    story = [
+        line
+        for line in lines
+        if line.get("request_id") in requests or line.get("program") == wanted
+    ]
+    return sorted(story, key=lambda line: str(line["time"]))
+
+
+def read_line(text: str) -> dict[str, Any] | None:
+    """Return a log line as a document, with `from` for what stands before it."""
+    before, brace, rest = text.partition("{")
+    if not brace:
+        return None
+    try:
+        document = json.loads(brace + rest)
+    except ValueError:
+        return None
+    if not isinstance(document, dict) or "message" not in document:
+        return None
+    words = before.split()
+    return {**document, "from": words[-1] if words else ""}
+
+
+def describe(line: dict[str, Any]) -> tuple[str, ...]:
+    """Return the cells of one line."""
+    inputs = (
+        f"{name}={value}"
+        for name, value in line.items()
+        if name not in KNOWN_FIELDS and name != "from"
+    )
+    return (
+        str(line["time"]).partition(" ")[2],
+        str(line["from"]),
+        str(line.get("request_id", "")),
+        str(line["message"]),
+        " ".join(inputs),
+    )
+
+
+COMMAND = Command(
+    name="explain",
+    usage="explain ID",
+    summary="Tell the story of a request or program from logs on standard input",
+    details=(
+        "Prints every line about the request, or about all requests of the program,\n"
+        "in order of time: cat box-*.log | cedarchute explain 9c41d07be2a35f68\n"
+    ),
+    arguments=1,
+    run=run,
+)
