--- /dev/null
+++ b/tests/fleet/test_store_mirror.py
@@ -0,0 +1,103 @@
+from __future__ import annotations
+
+from cedarchute.fleet.store_mirror import KEPT_REMOVALS, StoreMirror
+from cedarchute.platform.store_entry import StoreChange, StoreEntry, StoreListing
+
+
+class Follower:
+    def __init__(self):
+        self.entries = {}
+        self.back = 0
+
+    def put(self, key, value):
+        self.entries[key] = value
+
+    def remove(self, key):
+        self.entries.pop(key, None)
+
+    def note_store_back(self):
+        self.back += 1
+
+
+def make_mirror():
+    follower = Follower()
+    return StoreMirror({"a/": follower}), follower
+
+
+def entry(key, value, version):
+    return StoreEntry(key, value, version)
+
+
+def change(key, value, version):
+    found = None if value is None else entry(key, value, version)
+    return StoreChange(key, found, version)
+
+
+def test_a_listing_brings_what_is_there_and_takes_what_is_not():
+    mirror, follower = make_mirror()
+    listing = StoreListing((entry("a/1", "x", 3), entry("b/1", "z", 4)), 5)
+    mirror.take_listing(listing)
+    assert follower.entries == {"1": "x"}
+    mirror.take_listing(StoreListing((entry("a/2", "y", 7),), 8))
+    assert follower.entries == {"2": "y"}
+    assert mirror.revision == 8
+
+
+def test_changes_that_come_again_change_nothing():
+    mirror, follower = make_mirror()
+    mirror.take_changes([change("a/1", "new", 9), change("a/1", "old", 6)], 9)
+    assert follower.entries == {"1": "new"}
+    mirror.take_changes([change("a/1", None, 7)], 9)
+    assert follower.entries == {"1": "new"}
+    mirror.take_changes([change("a/1", None, 10)], 10)
+    assert follower.entries == {}
+
+
+def test_what_another_box_knows_is_taken_only_if_it_is_newer():
+    ahead, _ = make_mirror()
+    ahead.take_listing(StoreListing((entry("a/1", "x", 3),), 4))
+    ahead.take_changes([change("a/2", "y", 6), change("a/1", None, 7)], 7)
+    behind, follower = make_mirror()
+    behind.take_listing(StoreListing((entry("a/1", "x", 3),), 4))
+    state = ahead.tell(behind.revision)
+    assert not state.is_whole
+    assert behind.take_state(state)
+    assert follower.entries == {"2": "y"}
+    assert not behind.take_state(state)
+    assert not ahead.take_state(behind.tell(3))
+
+
+def test_a_box_that_knows_nothing_is_told_everything():
+    ahead, _ = make_mirror()
+    ahead.take_listing(StoreListing((entry("a/1", "x", 3),), 4))
+    new, follower = make_mirror()
+    assert new.take_state(ahead.tell(None))
+    assert follower.entries == {"1": "x"}
+
+
+def test_removals_beyond_what_is_kept_are_told_by_a_whole_state():
+    ahead, _ = make_mirror()
+    count = KEPT_REMOVALS + 5
+    entries = tuple(entry(f"a/{n}", "x", 1) for n in range(count))
+    ahead.take_listing(StoreListing(entries, 1))
+    for number in range(count):
+        version = number + 2
+        ahead.take_changes([change(f"a/{number}", None, version)], version)
+    assert ahead.tell(1).is_whole
+    assert not ahead.tell(ahead.revision - 1).is_whole
+    behind, follower = make_mirror()
+    behind.take_listing(StoreListing(entries, 1))
+    behind.take_state(ahead.tell(1))
+    assert follower.entries == {}
+
+
+def test_followers_hear_once_that_the_store_is_back():
+    mirror, follower = make_mirror()
+    mirror.note_back()
+    mirror.note_back()
+    assert follower.back == 1
+    mirror.note_lost("silent")
+    mirror.note_lost("silent")
+    mirror.note_back()
+    assert follower.back == 2
+    assert mirror.tell(None).entries == ()
