Give fewer calls to targets that fail part of them

Cause: on the grown site 8 targets hung on 40 of 100 calls with good health; one answer cleared what a failure had told, and a caller that left a silent target told nothing. Change: the share of the last calls that failed weighs on the choice; a caller that leaves after 1.5 s of silence counts as a failure of its target.

--- a/src/cedarchute/calls/target_exchange.py
+++ b/src/cedarchute/calls/target_exchange.py
@@ -30,6 +30,9 @@
 METHODS_WITHOUT_BODY = frozenset((b"GET", b"HEAD", b"DELETE", b"OPTIONS", b"TRACE"))
 # A target that is full has room again once one of its requests ends.
 FULL_PAUSE_SECONDS = 0.05
+# A caller that left after its target said nothing for this long left because of that:
+# callers of streams wait at least two seconds for an event.
+SILENT_SECONDS = 1.5
 
 
 @dataclass
@@ -98,6 +101,8 @@
                 connection.close()
             if isinstance(error, TargetFailureError):
                 self.note_failure(target, call, error)
+            elif time.monotonic() - sent_at > SILENT_SECONDS:
+                load.record_failure()
             raise
         return OpenAnswer(target, connection, answer, sent_at, silent_until)
 
--- a/src/cedarchute/routing/target_choice.py
+++ b/src/cedarchute/routing/target_choice.py
@@ -18,6 +18,9 @@
 # A target in another failure domain has to be this much better: the way there costs
 # a few milliseconds, and bytes between domains cost money.
 OTHER_DOMAIN_FACTOR: Final = 1.5
+# A target that failed every second call lately is as good as one six times as slow: a
+# failed call costs a whole new try, or its program.
+FAILURE_WEIGHT: Final = 10.0
 # Counted on top of what answers take, so that a target not used yet is no better
 # than a fast one.
 LEAST_SECONDS: Final = 0.01
@@ -69,6 +72,7 @@
         load = self.loads[entry.id]
         seconds = LEAST_SECONDS + (load.seconds or 0.0)
         wait = (load.active + 1) / entry.slots * seconds
+        wait *= 1.0 + FAILURE_WEIGHT * load.failure_share
         if entry.failure_domain != self.failure_domain:
             wait *= OTHER_DOMAIN_FACTOR
         return wait, self.chance.random()
--- a/src/cedarchute/routing/target_load.py
+++ b/src/cedarchute/routing/target_load.py
@@ -14,12 +14,20 @@
 
 
 class TargetLoad:
-    """Calls under way, how long answers take, and failures in a row."""
+    """Calls under way, how long answers take, and how often they fail.
+
+    Attributes
+    ----------
+    failure_share : float
+        Share of the last ten calls or so that failed without an answer. A target may
+        fail part of its calls while its health is good.
+    """
 
     def __init__(self) -> None:
         self.active = 0
         self.seconds: float | None = None
         self.failures = 0
+        self.failure_share = 0.0
         self.paused_until = 0.0
 
     @property
@@ -31,6 +39,7 @@
         """Take in an answer and how long it took."""
         self.failures = 0
         self.paused_until = 0.0
+        self.failure_share -= NEWEST_WEIGHT * self.failure_share
         if self.seconds is None:
             self.seconds = seconds
         else:
@@ -40,6 +49,7 @@
         """Take in that the target failed without an answer."""
         pause = FIRST_PAUSE_SECONDS * 2**self.failures
         self.failures = min(self.failures + 1, 8)
+        self.failure_share += NEWEST_WEIGHT * (1.0 - self.failure_share)
         self.paused_until = time.monotonic() + min(pause, LONGEST_PAUSE_SECONDS)
 
     def record_full(self, seconds: float) -> None:
--- a/tests/routing/test_target_choice.py
+++ b/tests/routing/test_target_choice.py
@@ -64,3 +64,17 @@
     route = Route("r", "h", b"/", Repeatability.ONCE, shares, 1.0, 1.0)
     chosen = [choice.choose_service(route) for _ in range(1000)]
     assert 850 < chosen.count("x") < 950
+
+
+def test_a_target_that_fails_part_of_its_calls_gets_fewer():
+    choice = make_choice(make_entry("grey"), make_entry("sound"))
+    for _ in range(5):
+        choice.loads["grey"].record_failure()
+        choice.loads["grey"].record_answer(0.1)
+        choice.loads["sound"].record_answer(0.1)
+    assert not choice.loads["grey"].is_paused
+    choice.loads["sound"].active = 2
+    assert choice.choose("s", set()).id == "sound"
+    for _ in range(60):
+        choice.loads["grey"].record_answer(0.1)
+    assert choice.choose("s", set()).id == "grey"
