--- a/src/cedarchute/turns/turn_quorum.py
+++ b/src/cedarchute/turns/turn_quorum.py
@@ -8,6 +8,7 @@
 
 import eventlet
 
+from cedarchute.turns.account_sum import sum_accounts
 from cedarchute.turns.holder import join_chain
 from cedarchute.turns.holder_fanout import HolderFanout, NoQuorumError, Question
 from cedarchute.turns.messages import (
@@ -285,18 +286,3 @@
             wanted=wanted,
         )
         return self.fanout.ask(question)
-
-
-def sum_accounts(accounts: list[Account], turn: str) -> int:
-    """Return the tokens of a program but for one turn, joined from accounts.
-
-    What one holder says is settled goes before what another still holds as open.
-    """
-    joined: dict[str, int] = {}
-    for account in accounts:
-        for known, tokens in account.open.items():
-            joined[known] = max(tokens, joined.get(known, 0))
-    for account in accounts:
-        joined.update(account.settled)
-    joined.pop(turn, None)
-    return sum(joined.values())
--- a/tests/platform_site/conftest.py
+++ b/tests/platform_site/conftest.py
@@ -2,4 +2,4 @@
 
 from __future__ import annotations
 
-from conftest_nodes import entry, nodes, serve  # noqa: F401
+from conftest_nodes import entry, nodes, own_nodes, serve  # noqa: F401
--- a/tests/platform_site/conftest_nodes.py
+++ b/tests/platform_site/conftest_nodes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import itertools
 
 import pytest
@@ -38,9 +39,10 @@
 ]
 
 
-@pytest.fixture(scope="package")
-def nodes(tmp_path_factory):
-    with NodeSite(tmp_path_factory.mktemp("nodes")) as site:
+@contextlib.contextmanager
+def start_nodes(folder):
+    """Start three holders and two entries, and wait until they serve."""
+    with NodeSite(folder) as site:
         site.start_store()
         for number, domain in enumerate("abc", 1):
             site.start_holder(f"holder-{number}", domain)
@@ -52,6 +54,20 @@
         yield site
 
 
+@pytest.fixture(scope="package")
+def nodes(tmp_path_factory):
+    """The boxes that the tests of this folder share and leave as they are."""
+    with start_nodes(tmp_path_factory.mktemp("nodes")) as site:
+        yield site
+
+
+@pytest.fixture
+def own_nodes(tmp_path):
+    """Boxes that a test may break."""
+    with start_nodes(tmp_path / "nodes") as site:
+        yield site
+
+
 @pytest.fixture
 def serve(nodes):
     """Return a function that registers scripted targets for one test."""
--- a/tests/platform_site/test_fleet.py
+++ b/tests/platform_site/test_fleet.py
@@ -7,7 +7,6 @@
 import signal
 import threading
 
-import pytest
 from conftest_nodes import ROUTES, make_route, wait_known
 from raw_caller import RawCaller, build_request, call
 from raw_target import LAST_CHUNK, RawTarget, answer, chunk, event, stream_head
@@ -21,20 +20,6 @@
     connection.sendall(answer(request))
 
 
-@pytest.fixture
-def own_nodes(tmp_path):
-    with NodeSite(tmp_path / "nodes") as site:
-        site.start_store()
-        for number, domain in enumerate("abc", 1):
-            site.start_holder(f"holder-{number}", domain)
-        site.start_entry("entry-1", "a")
-        site.start_entry("entry-2", "b")
-        site.configure(ROUTES)
-        site.wait_ready()
-        site.wait_held(3)
-        yield site
-
-
 def add_target(site, script, service="plain", name="t-1"):
     target = RawTarget(script)
     target.id = name
--- a/tests/platform_site/test_turns.py
+++ b/tests/platform_site/test_turns.py
@@ -6,11 +6,10 @@
 import time
 
 import pytest
-from conftest_nodes import ROUTES, wait_known
+from conftest_nodes import wait_known
 from raw_caller import RawCaller, build_request, call
 from raw_target import LAST_CHUNK, RawTarget, chunk, event, reset, stream_head
 
-from experiments.node_site import NodeSite
 from experiments.waiting import wait_until
 
 EVENT_TOKENS = 3
@@ -200,22 +199,17 @@
 
 
 @pytest.fixture
-def own_nodes(tmp_path):
-    """Three holders and two entries that a test may break."""
-    with NodeSite(tmp_path / "nodes") as site:
-        site.start_store()
-        for number, domain in enumerate("abc", 1):
-            site.start_holder(f"holder-{number}", domain)
-        site.start_entry("entry-1", "a")
-        site.start_entry("entry-2", "b")
-        site.configure(ROUTES)
-        site.wait_ready()
-        site.wait_held(3)
-        site.target = RawTarget(say(b"one"))
-        site.target.id = "t-own"
-        site.add_target("t-own", "model", site.target.address)
-        wait_known(site, [site.target])
-        yield site
+def turn_nodes(own_nodes):
+    """Boxes that a test may break, before a target that says one word."""
+    own_nodes.target = RawTarget(say(b"one"))
+    own_nodes.target.id = "t-own"
+    own_nodes.add_target("t-own", "model", own_nodes.target.address)
+    wait_known(own_nodes, [own_nodes.target])
+    return own_nodes
+
+
+def count_caught_up(process):
+    return process.read_log().count('"Caught up."')
 
 
 def wait_served(site, turn, previous, program="p", **terms):
@@ -233,8 +227,8 @@
     return wait_until(take, f"{turn} is served", 40)
 
 
-def test_turns_go_on_while_one_holder_is_lost(own_nodes):
-    site = own_nodes
+def test_turns_go_on_while_one_holder_is_lost(turn_nodes):
+    site = turn_nodes
     assert take_turn(site.callers["entry-1"], "a", b"a", "p")[0] == 200
     for name in ("holder-1", "holder-2", "holder-3"):
         site.kill(name)
@@ -244,8 +238,8 @@
     assert site.target.requests[-1].body == b"aone\nb"
 
 
-def test_turns_outlast_the_loss_of_every_process(own_nodes):
-    site = own_nodes
+def test_turns_outlast_the_loss_of_every_process(turn_nodes):
+    site = turn_nodes
     assert take_turn(site.callers["entry-1"], "a", b"a", "p", budget=9)[0] == 402
     assert take_turn(site.callers["entry-1"], "b", b"a", "p", budget=30)[0] == 200
     names = [*site.peers]
@@ -258,8 +252,8 @@
     assert take_turn(site.callers["entry-2"], "d", b"a", "p", budget=33)[0] == 402
 
 
-def test_a_disk_that_was_lost_is_filled_again_before_another_goes(own_nodes):
-    site = own_nodes
+def test_a_disk_that_was_lost_is_filled_again_before_another_goes(turn_nodes):
+    site = turn_nodes
     assert take_turn(site.callers["entry-1"], "a", b"a", "p")[0] == 200
     for name in ("holder-1", "holder-2", "holder-3"):
         site.kill(name)
@@ -267,13 +261,14 @@
             path.unlink()
         site.restart(name)
         log = site.processes[name]
-        wait_until(lambda g=log: "Caught up." in g.read_log(), f"{name} caught up")
+        # The first line is of its first start, when all disks were empty.
+        wait_until(lambda g=log: count_caught_up(g) == 2, f"{name} caught up")
         wait_served(site, f"after-{name}", "a")
     assert site.target.requests[-1].body == b"aone\nb"
 
 
-def test_a_holder_at_another_address_takes_the_seat_of_one_that_is_gone(own_nodes):
-    site = own_nodes
+def test_a_holder_at_another_address_takes_the_seat_of_one_that_is_gone(turn_nodes):
+    site = turn_nodes
     assert take_turn(site.callers["entry-1"], "a", b"a", "p")[0] == 200
     site.kill("holder-2")
     site.start_holder("holder-4", "b")
@@ -284,8 +279,8 @@
     assert site.target.requests[-1].body == b"aone\nb"
 
 
-def test_a_holder_to_be_emptied_hands_over_what_it_has(own_nodes):
-    site = own_nodes
+def test_a_holder_to_be_emptied_hands_over_what_it_has(turn_nodes):
+    site = turn_nodes
     assert take_turn(site.callers["entry-1"], "a", b"a", "p")[0] == 200
     site.write("op/retire/holder-1", {"DurationS": 10})
     wait_until(
@@ -296,8 +291,8 @@
     wait_served(site, "b", "a")
 
 
-def test_turns_go_on_while_the_store_is_away(own_nodes):
-    site = own_nodes
+def test_turns_go_on_while_the_store_is_away(turn_nodes):
+    site = turn_nodes
     assert take_turn(site.callers["entry-1"], "a", b"a", "p")[0] == 200
     site.switch_store(down=True)
     wait_until(
--- a/tests/turns/test_turn_quorum.py
+++ b/tests/turns/test_turn_quorum.py
@@ -5,12 +5,13 @@
 
 from cedarchute.metrics import Metrics
 from cedarchute.turns import holder_fanout, turn_quorum
+from cedarchute.turns.account_sum import sum_accounts
 from cedarchute.turns.holder_client import HolderUnavailableError
 from cedarchute.turns.holder_fanout import NoQuorumError
 from cedarchute.turns.messages import Account, Chain
 from cedarchute.turns.seat_book import SeatBook
 from cedarchute.turns.seat_table import Seat, SeatTable
-from cedarchute.turns.turn_quorum import NoSuchTurnError, TurnQuorum, sum_accounts
+from cedarchute.turns.turn_quorum import NoSuchTurnError, TurnQuorum
 
 
 @pytest.fixture(autouse=True)
