Keep lapsed entries only through an outage of the store itself

Ruled out: a silent watch (it told the removal at once). Change: a box that asks others while it is cut off hears whether the store answered them all along; if so nothing lapsed. Only what goes within 1 s of a return can have lapsed, and it is kept 2.2 s. Tests in tests/fleet.

--- a/src/cedarchute/daemon/entry_box.py
+++ b/src/cedarchute/daemon/entry_box.py
@@ -37,7 +37,7 @@
     from cedarchute.settings.node_settings import NodeSettings
 
 # Targets and boxes whose entries lapsed are looked for this often.
-EXPIRE_SECONDS = 0.5
+EXPIRE_SECONDS = 0.2
 
 
 class EntryBox:
--- a/src/cedarchute/fleet/lapsing_entries.py
+++ b/src/cedarchute/fleet/lapsing_entries.py
@@ -11,8 +11,11 @@
 EntryT = TypeVar("EntryT")
 
 # Entries that lapsed while the store was away come back within two seconds of its
-# return if their owner lives; the rest is for the way and a slow clock.
-LAPSE_GRACE_SECONDS: Final = 2.4
+# return if their owner lives; the rest is for the way.
+LAPSE_GRACE_SECONDS: Final = 2.2
+# Leases run out while the store is away, so what lapsed is told at its return. What
+# goes later than this has left.
+LAPSE_SEEN_SECONDS: Final = 1.0
 
 
 class LapsingEntries(Generic[EntryT]):
@@ -39,8 +42,8 @@
         """Take in that an entry is gone; return whether it was dropped at once."""
         if name not in self.entries:
             return False
-        until = self.store_back_at + LAPSE_GRACE_SECONDS
-        if time.monotonic() < until:
+        if time.monotonic() < self.store_back_at + LAPSE_SEEN_SECONDS:
+            until = self.store_back_at + LAPSE_GRACE_SECONDS
             self.lapsed.setdefault(name, until)
             return False
         self.drop(name)
--- a/src/cedarchute/fleet/state_messages.py
+++ b/src/cedarchute/fleet/state_messages.py
@@ -35,9 +35,12 @@
         Up to which changes are known; 0 when none are.
     is_whole : bool
         Whether `entries` is everything, not only what changed.
+    steady_seconds : float
+        For how long the store has answered that box, 0 when it does not.
     """
 
     revision: int
     is_whole: bool
     entries: tuple[MirroredEntry, ...] = ()
     removals: tuple[Removal, ...] = ()
+    steady_seconds: float = 0.0
--- a/src/cedarchute/fleet/store_mirror.py
+++ b/src/cedarchute/fleet/store_mirror.py
@@ -18,6 +18,11 @@
 # Removals remembered for boxes that ask what changed; one that asks for more is told
 # everything.
 KEPT_REMOVALS: Final = 512
+# A box whose store has answered for this long has seen no outage that entries lapse
+# in and come back from.
+STEADY_SECONDS: Final = 3.0
+# What another box said of that holds for this long: some periods of asking.
+HEARSAY_SECONDS: Final = 1.5
 
 
 class StoreMirror:
@@ -34,6 +39,13 @@
         self.revision = 0
         self.complete_after = 0
         self.lost_since: float | None = time.monotonic()
+        self.back_at = time.monotonic()
+        self.others_steady_at = float("-inf")
+
+    @property
+    def steady_seconds(self) -> float:
+        """For how long the store has answered, 0 when it does not."""
+        return 0.0 if self.lost_since else time.monotonic() - self.back_at
 
     @property
     def lost_seconds(self) -> float:
@@ -68,6 +80,8 @@
 
     def take_state(self, state: State) -> bool:
         """Take in what another box knows; return whether it was newer."""
+        if state.steady_seconds > STEADY_SECONDS:
+            self.others_steady_at = time.monotonic()
         if state.revision <= self.revision:
             return False
         if state.is_whole:
@@ -107,10 +121,10 @@
         """Return what is known beyond `after`, or everything."""
         if after is None or after < self.complete_after:
             entries = tuple(self.entries.values())
-            return State(self.revision, True, entries)
+            return State(self.revision, True, entries, (), self.steady_seconds)
         entries = tuple(e for e in self.entries.values() if e.revision > after)
         removals = tuple(r for r in self.removals if r.revision > after)
-        return State(self.revision, False, entries, removals)
+        return State(self.revision, False, entries, removals, self.steady_seconds)
 
     def note_lost(self, why: str) -> None:
         """Log once that the store does not answer."""
@@ -119,11 +133,22 @@
             log.warning("Store lost.", extra={"why": why, "revision": self.revision})
 
     def note_back(self) -> None:
-        """Log once that the store answers again."""
+        """Log once that the store answers again.
+
+        Entries may have lapsed in an outage of the store, not while only this box was
+        cut off from it: then what is gone has left.
+        """
         if self.lost_since is None:
             return
         seconds = round(self.lost_seconds, 3)
+        now = time.monotonic()
         self.lost_since = None
-        log.info("Store answers.", extra={"after_seconds": seconds})
+        self.back_at = now
+        was_away = now - self.others_steady_at > HEARSAY_SECONDS
+        log.info(
+            "Store answers.", extra={"after_seconds": seconds, "was_away": was_away}
+        )
+        if not was_away:
+            return
         for follower in self.followers.values():
             follower.note_store_back()
--- a/tests/fleet/test_store_mirror.py
+++ b/tests/fleet/test_store_mirror.py
@@ -1,5 +1,10 @@
 from __future__ import annotations
 
+from types import SimpleNamespace
+
+import pytest
+
+from cedarchute.fleet import store_mirror
 from cedarchute.fleet.store_mirror import KEPT_REMOVALS, StoreMirror
 from cedarchute.platform.store_entry import StoreChange, StoreEntry, StoreListing
 
@@ -101,3 +106,39 @@
     mirror.note_back()
     assert follower.back == 2
     assert mirror.tell(None).entries == ()
+
+
+@pytest.fixture
+def clock(monkeypatch):
+    clock = SimpleNamespace(now=100.0)
+    monkeypatch.setattr(store_mirror.time, "monotonic", lambda: clock.now)
+    return clock
+
+
+@pytest.mark.parametrize(("others_lost_too", "backs"), [(False, 1), (True, 2)])
+def test_entries_lapse_with_the_store_not_with_the_way_of_one_box(
+    clock, others_lost_too, backs
+):
+    other, _ = make_mirror()
+    other.note_back()
+    mine, follower = make_mirror()
+    mine.note_back()
+    clock.now += 60
+    mine.note_lost("silent")
+    if others_lost_too:
+        other.note_lost("silent")
+    clock.now += 5
+    mine.take_state(other.tell(0))
+    clock.now += 0.5
+    mine.note_back()
+    assert follower.back == backs
+
+
+def test_a_box_that_is_back_a_moment_earlier_proves_nothing(clock):
+    other, _ = make_mirror()
+    mine, follower = make_mirror()
+    other.note_back()
+    clock.now += 1
+    mine.take_state(other.tell(0))
+    mine.note_back()
+    assert follower.back == 1
