--- a/src/cedarchute/calls/plain_call.py
+++ b/src/cedarchute/calls/plain_call.py
@@ -6,6 +6,7 @@
 
 from cedarchute.calls.attempts import Attempts
 from cedarchute.relay.target_failure import TargetFailureError
+from cedarchute.routing.route import Repeatability
 
 if TYPE_CHECKING:
     from cedarchute.calls.call import Call
@@ -15,6 +16,7 @@
     from cedarchute.relay.reply_writer import ReplyWriter
     from cedarchute.routing.route import Route
 
+# The first status that says that the target itself failed.
 SERVER_ERROR = 500
 
 
@@ -69,7 +71,9 @@
     def may_repeat(self, attempts: Attempts) -> bool:
         """Tell whether a target's own failure is tried once more elsewhere."""
         route = attempts.route
-        if route.repeatability != "repeatable" or attempts.runs >= route.max_targets:
+        if route.repeatability is not Repeatability.REPEATABLE:
+            return False
+        if attempts.runs >= route.max_targets:
             return False
         choice = self.exchange.choice
         return choice.choose(attempts.service, attempts.tried) is not None
--- a/src/cedarchute/calls/turn_call.py
+++ b/src/cedarchute/calls/turn_call.py
@@ -17,6 +17,7 @@
     NoSuchTurnError,
     TurnAdmission,
 )
+from cedarchute.verdict import Verdict
 
 if TYPE_CHECKING:
     from cedarchute.calls.call import Call
@@ -180,7 +181,7 @@
                 break
             opened.connection.receive(self.attempts.until - time.monotonic())
         if splitter.rest.strip():
-            raise TargetFailureError("ended within an event", "may have run")
+            raise TargetFailureError("ended within an event", Verdict.MAY_HAVE_RUN)
 
     def pass_on(self, opened: OpenAnswer, event: bytes, event_tokens: int) -> None:
         """Pass one event on."""
--- a/src/cedarchute/daemon/entry_box.py
+++ b/src/cedarchute/daemon/entry_box.py
@@ -116,6 +116,10 @@
         """Whether callers should come here."""
         return self.routes.table is not None and not self.stop.asked
 
+    def ask_stop(self) -> None:
+        """Begin a planned stop, once."""
+        self.stop.ask()
+
     def run(self) -> None:
         """Serve until a planned stop is done."""
         for listener, app in self.apps:
--- a/src/cedarchute/daemon/node_main.py
+++ b/src/cedarchute/daemon/node_main.py
@@ -5,7 +5,7 @@
 import logging
 import signal
 import sys
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Final, Protocol
 
 import eventlet
 
@@ -22,6 +22,18 @@
 OK: Final = 0
 
 
+class Box(Protocol):
+    """A process of one role."""
+
+    def run(self) -> None:
+        """Serve until a planned stop is done."""
+        ...
+
+    def ask_stop(self) -> None:
+        """Begin a planned stop, once."""
+        ...
+
+
 def run_node(file: str) -> int:
     """Serve until a planned stop; return the exit code.
 
@@ -32,15 +44,15 @@
     """
     settings = load_node_settings(file)
     metrics = Metrics()
-    box, ask_stop = build_box(settings, file, metrics)
+    box = build_box(settings, file, metrics)
 
     def reload() -> None:
         log.info("Settings changed; they apply from the next start.")
 
     signals = Signals(
         {
-            signal.SIGTERM: ask_stop,
-            signal.SIGINT: ask_stop,
+            signal.SIGTERM: box.ask_stop,
+            signal.SIGINT: box.ask_stop,
             signal.SIGHUP: reload,
         }
     )
@@ -53,17 +65,15 @@
     return OK
 
 
-def build_box(settings: NodeSettings, file: str, metrics: Metrics) -> tuple:
-    """Return the box that the role asks for, and what asks it to stop.
+def build_box(settings: NodeSettings, file: str, metrics: Metrics) -> Box:
+    """Return the box that the role asks for.
 
     Each role imports only its own parts: memory is dear on small boxes.
     """
     if settings.box.role is Role.HOLDER:
         from cedarchute.daemon.holder_box import HolderBox
 
-        holder = HolderBox(settings, file, metrics)
-        return holder, holder.ask_stop
+        return HolderBox(settings, file, metrics)
     from cedarchute.daemon.entry_box import EntryBox
 
-    entry = EntryBox(settings, file, metrics)
-    return entry, entry.stop.ask
+    return EntryBox(settings, file, metrics)
