--- a/tests/turns/test_seat_keeper.py
+++ b/tests/turns/test_seat_keeper.py
@@ -81,9 +81,11 @@
 
 def test_the_first_that_went_is_replaced_first(clock):
     keeper, table = make_keeper(("a", "b"), ())
-    keeper.find_free(table)
-    clock.now += seat_keeper.ABSENT_SECONDS + 1
+    keeper.note_absent(table)
+    clock.now += 1
     keeper.directory.known.drop("a")
+    keeper.note_absent(table)
+    clock.now += seat_keeper.ABSENT_SECONDS + 1
     assert keeper.find_free(table) == 2
 
 
