Keep TLS, accelerated hashes and asyncio out of the boxes' memory

Cause: a box held 28.6 MB, of which eventlet and urllib3 loaded OpenSSL, asyncio and the accelerated hashes, and none of them is ever used: connections are plain TCP by IP number, and the hub is epoll.

Change: daemon/lean_start.py, used before anything else is imported.

--- a/src/cedarchute/daemon/main.py
+++ b/src/cedarchute/daemon/main.py
@@ -10,7 +10,11 @@
 # The users chose eventlet; its notice about its future is not news to them.
 warnings.filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
 
-import eventlet
+from cedarchute.daemon.lean_start import empty_other_loop, keep_out_unused_modules
+
+keep_out_unused_modules()
+with empty_other_loop():
+    import eventlet
 
 # Locks stay real: all green threads share one thread, and none switches while it
 # holds one. Patching them too would search the whole heap for locks to replace, a
