Let modules in again once a box has started: the page of metrics needs them

Ruled out: letting TLS in alone (the standard HTTP client, once read without it, lacks the part that the library asks for).

Change: what was kept out is let in after the boxes' parts are imported. A test renders the page in a process of its own and failed before.

--- a/src/cedarchute/daemon/lean_start.py
+++ b/src/cedarchute/daemon/lean_start.py
@@ -21,18 +21,28 @@
 # same functions; some builds of Python leave those out.
 ACCELERATED_HASHES: Final = "_hashlib"
 BUILT_IN_HASH: Final = "_md5"
+# Lacks its part for TLS when imported without it; the next to import it reads it anew.
+MODULE_WITHOUT_ENCRYPTION: Final = "http.client"
 # eventlet imports it for a hub that is not used here.
 OTHER_LOOP: Final = "asyncio"
 
 
 def keep_out_unused_modules() -> None:
-    """Make later imports of what no box uses fail, as if not installed."""
+    """Make imports of what no box uses fail during the start, as if not installed."""
     for name in ENCRYPTION_MODULES:
         sys.modules[name] = None
     if importlib.util.find_spec(BUILT_IN_HASH) is not None:
         sys.modules[ACCELERATED_HASHES] = None
 
 
+def let_modules_in() -> None:
+    """Let later imports succeed again: the page of metrics asks for more."""
+    for name in (*ENCRYPTION_MODULES, ACCELERATED_HASHES):
+        if name in sys.modules and sys.modules[name] is None:
+            del sys.modules[name]
+            sys.modules.pop(MODULE_WITHOUT_ENCRYPTION, None)
+
+
 @contextmanager
 def empty_other_loop() -> Iterator[None]:
     """Stand an empty module in for the other event loop while eventlet is imported."""
--- a/src/cedarchute/daemon/main.py
+++ b/src/cedarchute/daemon/main.py
@@ -10,7 +10,11 @@
 # The users chose eventlet; its notice about its future is not news to them.
 warnings.filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
 
-from cedarchute.daemon.lean_start import empty_other_loop, keep_out_unused_modules
+from cedarchute.daemon.lean_start import (
+    empty_other_loop,
+    keep_out_unused_modules,
+    let_modules_in,
+)
 
 keep_out_unused_modules()
 with empty_other_loop():
@@ -73,6 +77,7 @@
 
     What this takes is imported here, so that boxes of one role need not load it.
     """
+    let_modules_in()
     from cedarchute.copies.disk_storage import FolderInUseError
     from cedarchute.daemon.composition import compose
     from cedarchute.settings.loader import load_settings
--- a/tests/daemon/test_lean_start.py
+++ b/tests/daemon/test_lean_start.py
@@ -14,17 +14,34 @@
 import sys
 print(*[name for name, module in sys.modules.items() if module is not None])
 """
+# What is imported when first asked for is not kept out.
+LATER = """
+import cedarchute.daemon.main
+import cedarchute.daemon.entry_box
+from cedarchute.daemon.lean_start import let_modules_in
+from cedarchute.metrics import Metrics
+let_modules_in()
+metrics = Metrics()
+metrics.count("read")
+print(metrics.render_text())
+"""
 
 
-def list_modules(box: str) -> set[str]:
-    """Return the modules that a process of one role holds."""
+def run_script(script: str) -> str:
+    """Return what a script prints in a process of its own."""
     done = subprocess.run(
-        [sys.executable, "-c", SCRIPT.format(box=box)],
-        capture_output=True,
-        text=True,
-        check=True,
+        [sys.executable, "-c", script], capture_output=True, text=True, check=True
     )
-    return set(done.stdout.split())
+    return done.stdout
+
+
+def list_modules(box: str) -> set[str]:
+    """Return the modules that a process of one role holds."""
+    return set(run_script(SCRIPT.format(box=box)).split())
+
+
+def test_the_page_of_metrics_is_there_after_the_start():
+    assert 'name="read"' in run_script(LATER)
 
 
 @pytest.mark.parametrize("box", ["entry_box", "holder_box"])
