Let two boxes of each failure domain read the store for the others

Ruled out: fewer watches by longer gathering (the bound on configurations is two seconds); one reader for all (a domain cut off would be deaf).

Change: the first two entry boxes of a failure domain, by name, read; the others wait at one of them for news (ReaderChoice, StateClient, StoreReader). Entries that lapsed with the store are expected back by listeners too; that was open before for a box that pulled from one that came back a moment earlier. Calls grow with the failure domains now, and by one registration for each box.

--- a/src/cedarchute/daemon/node_parts.py
+++ b/src/cedarchute/daemon/node_parts.py
@@ -10,6 +10,7 @@
 from cedarchute.address import Address
 from cedarchute.fleet.box_directory import BoxDirectory
 from cedarchute.fleet.followers import SEATS_KEY, BoxFollower, SeatFollower
+from cedarchute.fleet.reader_choice import ReaderChoice
 from cedarchute.fleet.registration import BOXES_PREFIX, Registration
 from cedarchute.fleet.state_puller import StatePuller
 from cedarchute.fleet.store_mirror import StoreMirror
@@ -46,7 +47,8 @@
             SEATS_KEY: SeatFollower(self.seats),
         }
         self.mirror = StoreMirror({**own, **followers})
-        self.reader = StoreReader(self.store, self.mirror, metrics)
+        readers = ReaderChoice(self.directory, me)
+        self.reader = StoreReader(self.store, self.mirror, readers, metrics)
         chance = random.Random()
         self.puller = StatePuller(
             self.mirror, self.directory, settings.seeds, me.name, chance, metrics
--- a/src/cedarchute/fleet/peer_server.py
+++ b/src/cedarchute/fleet/peer_server.py
@@ -18,6 +18,8 @@
 STATE_PATH: Final = "/fleet/state"
 METRICS_PATH: Final = "/metrics"
 JSON_TYPE: Final = "application/json"
+# A box that asks and waits holds a connection and a task here.
+LONGEST_WAIT_SECONDS: Final = 5.0
 TEXT_TYPE: Final = "text/plain; version=0.0.4"
 
 
@@ -54,6 +56,8 @@
             asked = msgspec.json.decode(body, type=AskState)
         except msgspec.MsgspecError:
             return self.reply(start_response, "400 Bad Request", JSON_TYPE, b"{}")
+        wait_seconds = min(asked.wait_seconds, LONGEST_WAIT_SECONDS)
+        self.mirror.wait_news(asked.after, wait_seconds)
         state = msgspec.json.encode(self.mirror.tell(asked.after))
         return self.reply(start_response, "200 OK", JSON_TYPE, state)
 
--- a/src/cedarchute/fleet/state_messages.py
+++ b/src/cedarchute/fleet/state_messages.py
@@ -21,9 +21,16 @@
 
 
 class AskState(msgspec.Struct, frozen=True):
-    """Tell what changed after a revision; None asks for all."""
+    """Tell what changed after a revision; None asks for all.
+
+    Attributes
+    ----------
+    wait_seconds : float
+        How long to wait for a change, or for the store to be lost or back.
+    """
 
     after: int | None = None
+    wait_seconds: float = 0.0
 
 
 class State(msgspec.Struct, frozen=True):
--- a/src/cedarchute/fleet/state_puller.py
+++ b/src/cedarchute/fleet/state_puller.py
@@ -6,12 +6,9 @@
 from typing import TYPE_CHECKING, Final
 
 import eventlet
-import msgspec
-import urllib3
 
 from cedarchute.address import Address
-from cedarchute.fleet.state_messages import AskState, State
-from cedarchute.host_pools import HostPools
+from cedarchute.fleet.state_client import StateClient, StateNotToldError
 
 if TYPE_CHECKING:
     import random
@@ -25,10 +22,6 @@
 PERIOD_SECONDS: Final = 0.4
 # A watch that was cut is back at once; boxes are asked only when it is not.
 LOST_SECONDS: Final = 0.6
-ANSWER_SECONDS: Final = 0.5
-KEPT_HOSTS: Final = 4
-JSON_HEADERS: Final = {"Content-Type": "application/json"}
-PATH: Final = "/fleet/state"
 
 
 class StatePuller:
@@ -53,7 +46,7 @@
         self.me = me
         self.chance = chance
         self.metrics = metrics
-        self.pools = HostPools(1, hosts=KEPT_HOSTS)
+        self.client = StateClient()
 
     def run_forever(self) -> None:
         """Look after the mirror for the life of the process."""
@@ -67,18 +60,9 @@
         address = self.choose_box()
         if address is None:
             return
-        after = self.mirror.revision or None
         try:
-            response = self.pools.request(
-                "POST",
-                address,
-                PATH,
-                body=msgspec.json.encode(AskState(after)),
-                headers=JSON_HEADERS,
-                timeout=ANSWER_SECONDS,
-            )
-            state = msgspec.json.decode(response.data, type=State)
-        except (urllib3.exceptions.HTTPError, OSError, msgspec.MsgspecError) as error:
+            state = self.client.ask(address, self.mirror.revision or None)
+        except StateNotToldError as error:
             self.metrics.count("state.failures")
             log.debug("Box not asked: %s", error)
             return
--- a/src/cedarchute/fleet/store_mirror.py
+++ b/src/cedarchute/fleet/store_mirror.py
@@ -7,6 +7,9 @@
 from collections import deque
 from typing import TYPE_CHECKING, Final
 
+import eventlet
+from eventlet.event import Event
+
 from cedarchute.fleet.state_messages import MirroredEntry, Removal, State
 
 if TYPE_CHECKING:
@@ -41,6 +44,7 @@
         self.lost_since: float | None = time.monotonic()
         self.back_at = time.monotonic()
         self.others_steady_at = float("-inf")
+        self.news = Event()
 
     @property
     def steady_seconds(self) -> float:
@@ -67,6 +71,7 @@
         self.removals.clear()
         self.complete_after = revision
         self.revision = max(self.revision, revision)
+        self.announce()
 
     def take_changes(self, changes: list[StoreChange], revision: int) -> None:
         """Take in changes, as the store told them."""
@@ -77,13 +82,19 @@
                 entry = change.entry
                 self.take_entry(MirroredEntry(entry.key, entry.value, entry.version))
         self.revision = max(self.revision, revision)
+        self.announce()
 
     def take_state(self, state: State) -> bool:
-        """Take in what another box knows; return whether it was newer."""
+        """Take in what another box knows; return whether it was newer.
+
+        A box whose store is just back may tell of entries that lapsed meanwhile.
+        """
         if state.steady_seconds > STEADY_SECONDS:
             self.others_steady_at = time.monotonic()
         if state.revision <= self.revision:
             return False
+        if self.lost_since is not None and self.was_away:
+            self.expect_lapses()
         if state.is_whole:
             self.replace_all(list(state.entries), state.revision)
             return True
@@ -92,6 +103,7 @@
         for removal in state.removals:
             self.take_removal(removal)
         self.revision = state.revision
+        self.announce()
         return True
 
     def take_entry(self, entry: MirroredEntry) -> None:
@@ -126,11 +138,24 @@
         removals = tuple(r for r in self.removals if r.revision > after)
         return State(self.revision, False, entries, removals, self.steady_seconds)
 
+    def wait_news(self, after: int | None, seconds: float) -> None:
+        """Return once more than `after` is known, or the store is lost or back."""
+        if after is None or self.revision > after or seconds <= 0:
+            return
+        with eventlet.Timeout(seconds, False):
+            self.news.wait()
+
+    def announce(self) -> None:
+        """Wake whoever waits for news."""
+        news, self.news = self.news, Event()
+        news.send(None)
+
     def note_lost(self, why: str) -> None:
         """Log once that the store does not answer."""
         if self.lost_since is None:
             self.lost_since = time.monotonic()
             log.warning("Store lost.", extra={"why": why, "revision": self.revision})
+            self.announce()
 
     def note_back(self) -> None:
         """Log once that the store answers again.
@@ -144,11 +169,20 @@
         now = time.monotonic()
         self.lost_since = None
         self.back_at = now
-        was_away = now - self.others_steady_at > HEARSAY_SECONDS
         log.info(
-            "Store answers.", extra={"after_seconds": seconds, "was_away": was_away}
+            "Store answers.",
+            extra={"after_seconds": seconds, "was_away": self.was_away},
         )
-        if not was_away:
-            return
+        if self.was_away:
+            self.expect_lapses()
+        self.announce()
+
+    @property
+    def was_away(self) -> bool:
+        """Whether no box has lately told that its store answers."""
+        return time.monotonic() - self.others_steady_at > HEARSAY_SECONDS
+
+    def expect_lapses(self) -> None:
+        """Tell the followers that entries may be gone for want of renewals."""
         for follower in self.followers.values():
             follower.note_store_back()
--- a/src/cedarchute/platform/store_client.py
+++ b/src/cedarchute/platform/store_client.py
@@ -180,14 +180,16 @@
             changes, after = self.wait_changes(prefix, after)
             yield from changes
 
-    def wait_changes(self, prefix: str, after: int) -> tuple[list[StoreChange], int]:
+    def wait_changes(
+        self, prefix: str, after: int, seconds: float = WATCH_WAIT_SECONDS
+    ) -> tuple[list[StoreChange], int]:
         """Wait once for changes; return them and the revision to go on from."""
         query = {
             "PathPrefix": prefix,
             "after": str(after),
-            "WaitMs": str(int(WATCH_WAIT_SECONDS * 1000)),
+            "WaitMs": str(int(seconds * 1000)),
         }
-        timeout = WATCH_WAIT_SECONDS + WATCH_GRACE_SECONDS
+        timeout = seconds + WATCH_GRACE_SECONDS
         status, answer = self._call("GET", "/kv-watch", query, timeout=timeout)
         if status == HISTORY_GONE:
             raise HistoryGoneError(f"changes since {after} are gone")
--- a/tests/fleet/test_store_mirror.py
+++ b/tests/fleet/test_store_mirror.py
@@ -2,6 +2,7 @@
 
 from types import SimpleNamespace
 
+import eventlet
 import pytest
 
 from cedarchute.fleet import store_mirror
@@ -142,3 +143,25 @@
     mine.take_state(other.tell(0))
     mine.note_back()
     assert follower.back == 1
+
+
+def test_whoever_waits_for_news_hears_it_at_once():
+    mirror, _ = make_mirror()
+    mirror.take_listing(StoreListing((), 4))
+    heard = []
+
+    def wait(after):
+        mirror.wait_news(after, 60.0)
+        heard.append(after)
+
+    waiting = [eventlet.spawn(wait, after) for after in (3, 4)]
+    eventlet.sleep(0)
+    assert heard == [3]
+    mirror.take_changes([change("a/1", "x", 5)], 5)
+    waiting[1].wait()
+    lost = eventlet.spawn(wait, 5)
+    eventlet.sleep(0)
+    mirror.note_back()
+    mirror.note_lost("silent")
+    lost.wait()
+    assert heard == [3, 4, 5]
