Listen to two readers in turn, and only in large failure domains

The store forgot its history and cut all watches at 2.20 s; both readers of the domain said that they had lost it; the listener watched the store itself at once, for 4 s, and a watch begun just after the cut says nothing until its end. The readers tried after 0.5 s and were told that the changes were gone.

Ruled out: the readers (they had the version 1.6 s after its confirmation, the bound is 2 s); the wait for news (it woke at once).

Change: a box listens to its readers in turn, 0.4 s each, so that what one does not hear of the other tells; only when as many as there are in a row told nothing does it watch the store, for 0.8 s, and asks again. The first watch after any failure is short too: what held up the listener could hold up a reader for 25 s.

--- a/src/cedarchute/fleet/reader_choice.py
+++ b/src/cedarchute/fleet/reader_choice.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING, Final
-from zlib import crc32
 
 from cedarchute.fleet.box_entry import Role
 
@@ -13,6 +12,9 @@
 
 # Each reader's calls cost money, and one alone would be missed when it goes.
 READERS_PER_DOMAIN: Final = 2
+# In a small failure domain every box reads: a change that comes by another box comes
+# later, and there is little to save.
+LEAST_BOXES: Final = 8
 
 
 class ReaderChoice:
@@ -27,17 +29,17 @@
         self.me = me
 
     def list_readers(self) -> list[BoxEntry]:
-        """Return the readers of this box's failure domain, those it knows."""
+        """Return the readers of this box's failure domain; none in a small one."""
         boxes = self.directory.list_boxes(Role.ENTRY)
         near = [box for box in boxes if box.failure_domain == self.me.failure_domain]
+        if len(near) < LEAST_BOXES:
+            return []
         near.sort(key=lambda box: box.name)
         return near[:READERS_PER_DOMAIN]
 
-    def choose(self) -> BoxEntry | None:
-        """Return the reader that this box listens to; None when it reads itself."""
+    def choose(self, turn: int) -> BoxEntry | None:
+        """Return the reader to listen to in a turn; None when this box reads itself."""
         readers = self.list_readers()
-        if len(readers) < READERS_PER_DOMAIN:
+        if not readers or any(reader.name == self.me.name for reader in readers):
             return None
-        if any(reader.name == self.me.name for reader in readers):
-            return None
-        return readers[crc32(self.me.name.encode()) % len(readers)]
+        return readers[turn % len(readers)]
--- a/src/cedarchute/fleet/store_reader.py
+++ b/src/cedarchute/fleet/store_reader.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import logging
-import time
 from typing import TYPE_CHECKING, Final
 
 import eventlet
 
 from cedarchute.address import Address
+from cedarchute.fleet.reader_choice import READERS_PER_DOMAIN
 from cedarchute.fleet.state_client import StateClient, StateNotToldError
 from cedarchute.platform.store_client import (
     WATCH_WAIT_SECONDS,
@@ -32,19 +32,19 @@
 # money. A quarter of the time in which a configuration has to be in force.
 GATHER_SECONDS: Final = 0.5
 EVERYTHING: Final = ""
-# A reader that says nothing for this long is taken for lost. Together with reading
-# the store then, well within the time in which a configuration has to be in force.
-LISTEN_SECONDS: Final = 0.8
-# After its reader was lost a box reads the store itself for this long: longer than
-# the entry of a box that died stands.
-OWN_READING_SECONDS: Final = 4.0
+# A box that listens asks one reader after another and waits this long at each: what
+# one of them does not hear of, the other tells this much later.
+LISTEN_SECONDS: Final = 0.4
+# A watch begun just after one was cut may say nothing until its end, and so may one of
+# a box that lost its readers: it is a short one, and the next a long one.
+SHORT_WATCH_SECONDS: Final = 0.8
 
 
 class StoreReader:
     """Reads all at first and when history is gone, and follows what changes then.
 
-    A few boxes of each failure domain watch the store; the others listen to one of
-    them, and watch it themselves while that one is silent or has lost it.
+    A few boxes of each large failure domain watch the store; the others listen to
+    them in turn, and watch it themselves while all are silent or have lost it.
     """
 
     def __init__(
@@ -60,7 +60,9 @@
         self.metrics = metrics
         self.boxes = StateClient()
         self.reachable = True
-        self.reads_until = float("-inf")
+        self.turn = 0
+        self.lost_in_a_row = 0
+        self.watch_seconds = WATCH_WAIT_SECONDS
         self.must_list = True
         self.task: eventlet.greenthread.GreenThread | None = None
 
@@ -98,7 +100,7 @@
     def note_failed(self, why: str) -> None:
         """Take in that the store does not answer; a reader may know more."""
         self.mirror.note_lost(why)
-        self.reads_until = float("-inf")
+        self.watch_seconds = SHORT_WATCH_SECONDS
 
     def read_once(self) -> None:
         """Read all, if need be, or wait once for changes."""
@@ -108,36 +110,43 @@
             self.mirror.take_listing(listing)
             self.must_list = False
             return
-        own_seconds = self.reads_until - time.monotonic()
-        reader = self.readers.choose() if own_seconds <= 0 else None
-        if reader is not None:
-            self.listen_once(reader)
-        elif own_seconds > 0:
-            self.watch_once(own_seconds)
-        else:
-            self.watch_once(WATCH_WAIT_SECONDS)
+        self.turn += 1
+        reader = self.readers.choose(self.turn)
+        if reader is None:
+            self.watch_once(self.watch_seconds)
+            self.watch_seconds = WATCH_WAIT_SECONDS
+            return
+        self.listen_once(reader)
+        if self.lost_in_a_row >= READERS_PER_DOMAIN:
+            self.watch_once(SHORT_WATCH_SECONDS)
 
     def listen_once(self, reader: BoxEntry) -> None:
-        """Wait once for what a reader tells; read the store if it tells nothing."""
+        """Take in what a reader tells; wait for it unless readers were lost."""
+        wait_seconds = 0.0 if self.lost_in_a_row else LISTEN_SECONDS
         address = Address.parse(reader.peers)
         try:
-            state = self.boxes.ask(address, self.mirror.revision, LISTEN_SECONDS)
+            state = self.boxes.ask(address, self.mirror.revision, wait_seconds)
         except StateNotToldError as error:
-            self.read_instead_of(reader, str(error))
+            self.note_reader_lost(reader, str(error))
             return
         self.metrics.count("state.heard")
-        has_store = state.steady_seconds > 0
-        if has_store and self.reachable:
+        if state.steady_seconds <= 0:
+            self.mirror.take_state(state)
+            self.note_reader_lost(reader, "it lost the store")
+            return
+        if self.reachable:
             self.mirror.note_back()
         self.mirror.take_state(state)
-        if not has_store:
-            self.read_instead_of(reader, "it lost the store")
+        self.lost_in_a_row = 0
 
-    def read_instead_of(self, reader: BoxEntry, why: str) -> None:
-        """Read the store itself for a while."""
+    def note_reader_lost(self, reader: BoxEntry, why: str) -> None:
+        """Take in that a reader told nothing of the store."""
+        self.lost_in_a_row += 1
         self.metrics.count("state.readers_lost")
-        log.info("Reader lost.", extra={"box": reader.name, "why": why})
-        self.reads_until = time.monotonic() + OWN_READING_SECONDS
+        log.info(
+            "Reader lost.",
+            extra={"box": reader.name, "why": why, "in_a_row": self.lost_in_a_row},
+        )
 
     def watch_once(self, seconds: float) -> None:
         """Wait once for changes in the store."""
