--- a/src/cedarchute/routing/target_choice.py
+++ b/src/cedarchute/routing/target_choice.py
@@ -26,8 +26,7 @@
 # A target that failed every second call lately is as good as one six times as slow: a
 # failed call costs a whole new try, or its program.
 FAILURE_WEIGHT: Final = 10.0
-# Counted on top of what answers take, so that a target not used yet is no better
-# than a fast one.
+# Counted on top of what answers take, so that none counts as nothing.
 LEAST_SECONDS: Final = 0.01
 
 
@@ -69,18 +68,36 @@
         for entry in sound:
             if entry.id == preferred and self.has_room(entry):
                 return entry
-        if not (sound or ready):
+        candidates = sound or ready
+        if not candidates:
             return None
-        return min(sound or ready, key=self.estimate)
+        usual = self.find_usual_seconds(candidates)
+        return min(candidates, key=lambda entry: self.estimate(entry, usual))
+
+    def find_usual_seconds(self, entries: list[TargetEntry]) -> float:
+        """Return what answers of targets take on average, 0 when none is known.
+
+        A target that was not used yet is expected to be like the others: were it
+        better, each box would open a connection to every target.
+        """
+        known = [self.loads[entry.id].seconds for entry in entries]
+        seconds = [value for value in known if value is not None]
+        return sum(seconds) / len(seconds) if seconds else 0.0
 
     def has_room(self, entry: TargetEntry) -> bool:
         """Whether a target has slots left, as far as this box's own calls tell."""
         return self.loads[entry.id].active < entry.slots
 
-    def estimate(self, entry: TargetEntry) -> tuple[float, float]:
-        """Return the expected wait at a target, ties broken by chance."""
+    def estimate(self, entry: TargetEntry, usual: float) -> tuple[float, float]:
+        """Return the expected wait at a target, ties broken by chance.
+
+        Parameters
+        ----------
+        usual : float
+            What answers are expected to take where none was seen, in seconds.
+        """
         load = self.loads[entry.id]
-        seconds = LEAST_SECONDS + (load.seconds or 0.0)
+        seconds = LEAST_SECONDS + (usual if load.seconds is None else load.seconds)
         wait = (load.active + 1) / entry.slots * seconds
         wait *= 1.0 + FAILURE_WEIGHT * load.failure_share
         if entry.failure_domain != self.failure_domain:
--- a/tests/routing/test_target_choice.py
+++ b/tests/routing/test_target_choice.py
@@ -86,3 +86,12 @@
     for _ in range(60):
         choice.loads["grey"].record_answer(0.1)
     assert choice.choose("s", set()).id == "grey"
+
+
+def test_a_target_not_used_yet_is_expected_to_be_like_the_others():
+    used, unused = make_entry("used", port=81), make_entry("unused", port=82)
+    choice = make_choice(used, unused, warm=(used.address,))
+    choice.loads["used"].record_answer(0.25)
+    assert {choice.choose("s", set()).id for _ in range(20)} == {"used"}
+    choice.loads["used"].active = 1
+    assert choice.choose("s", set()).id == "unused"
