Never give up the end of a turn early

An entry that had met no quorum for 0.5 s took itself for cut off, and gave up every question after 0.1 s: also the record of a turn's end, which no other box can write, and the probe that would have told it that its holders were only slow. Under load this feeds itself.

Ruled out: the holders' disks and processor (0.10 of 0.30 cores at most); the grace of the planned stop.

Change: the end of a turn and the probe are patient questions; only what a caller may ask elsewhere is given up early. Two tests failed before.

--- a/src/cedarchute/turns/holder_fanout.py
+++ b/src/cedarchute/turns/holder_fanout.py
@@ -39,8 +39,8 @@
 # After this long without one answer that decides, this box is cut off from the
 # holders: callers are served better elsewhere.
 CUT_OFF_SECONDS: Final = 0.5
-# Then a question is given up after this long, so that a caller can go elsewhere; it
-# is enough for holders that answer again.
+# Then a question whose caller can go elsewhere is given up after this long; it is
+# enough for holders that answer again. Others wait: holders may only be slow.
 HOPELESS_SECONDS: Final = 0.1
 
 
@@ -65,6 +65,8 @@
     count_first : Callable
         Returns how many of the seats are asked at once, in the order of `find`; the
         others only if those are late.
+    is_patient : bool
+        Whether it is never given up early: nobody else can ask it.
     wanted : int or None
         A seat whose answer is waited for a moment longer.
     """
@@ -76,6 +78,7 @@
     is_enough: Callable[[SeatTable, dict[int, AnswerT]], bool]
     count_first: Callable[[SeatTable], int]
     seconds: float
+    is_patient: bool = False
     wanted: int | None = None
 
 
@@ -113,7 +116,8 @@
             When they do not within the time of the question.
         """
         started = time.monotonic()
-        seconds = HOPELESS_SECONDS if self.is_cut_off else question.seconds
+        gives_up_early = self.is_cut_off and not question.is_patient
+        seconds = HOPELESS_SECONDS if gives_up_early else question.seconds
         deadline = started + seconds
         while True:
             table = self.seats.table
--- a/src/cedarchute/turns/turn_quorum.py
+++ b/src/cedarchute/turns/turn_quorum.py
@@ -124,7 +124,7 @@
 
     def probe(self) -> None:
         """Ask a quorum about nothing; raise `NoQuorumError` when none answers."""
-        self.read_accounts("")
+        self.read_accounts("", is_patient=True)
 
     def check_budget(
         self,
@@ -151,14 +151,19 @@
         if spent + tokens > budget:
             raise BudgetSpentError(f"{spent} of {budget} tokens spent, {tokens} asked")
 
-    def read_accounts(self, program: str) -> dict[int, Account]:
+    def read_accounts(
+        self, program: str, is_patient: bool = False
+    ) -> dict[int, Account]:
         """Read a program's account at a quorum."""
 
         def build(table: SeatTable, number: int) -> ReadAccount:
             disk = table.seats[number].disk
             return ReadAccount(table_version=table.version, disk=disk, program=program)
 
-        return self.ask(program, "/turns/account", Account, build, ANSWER_SECONDS)
+        path = "/turns/account"
+        return self.ask(
+            program, path, Account, build, ANSWER_SECONDS, is_patient=is_patient
+        )
 
     def read_previous(
         self, previous: str, begun: dict[int, TurnBegun]
@@ -238,7 +243,9 @@
             )
 
         path = "/turns/take"
-        self.ask(record.program, path, RecordsTaken, build, FINISH_SECONDS)
+        self.ask(
+            record.program, path, RecordsTaken, build, FINISH_SECONDS, is_patient=True
+        )
 
     def find_nearest(self, program: str) -> int | None:
         """Return the holder that is asked for texts: one in the own domain, if any."""
@@ -266,6 +273,7 @@
         build: Callable[[SeatTable, int], object],
         seconds: float,
         wanted: int | None = None,
+        is_patient: bool = False,
     ) -> dict[int, AnswerT]:
         """Ask the holders of a program; return once a quorum has answered."""
 
@@ -283,6 +291,7 @@
             is_enough=is_enough,
             count_first=lambda table: table.quorum,
             seconds=seconds,
+            is_patient=is_patient,
             wanted=wanted,
         )
         return self.fanout.ask(question)
--- a/tests/turns/test_turn_quorum.py
+++ b/tests/turns/test_turn_quorum.py
@@ -1,5 +1,8 @@
 from __future__ import annotations
 
+import time
+
+import eventlet
 import pytest
 from test_turn_book import make_turn
 
@@ -8,7 +11,7 @@
 from cedarchute.turns.account_sum import sum_accounts
 from cedarchute.turns.holder_client import HolderUnavailableError
 from cedarchute.turns.holder_fanout import NoQuorumError
-from cedarchute.turns.messages import Account, Chain
+from cedarchute.turns.messages import Account, Chain, TurnBegun
 from cedarchute.turns.seat_book import SeatBook
 from cedarchute.turns.seat_table import Seat, SeatTable
 from cedarchute.turns.turn_quorum import NoSuchTurnError, TurnQuorum
@@ -20,6 +23,18 @@
     monkeypatch.setattr(holder_fanout, "PAUSE_SECONDS", 0.02)
 
 
+class SlowClient:
+    """Holders that answer, each after a while."""
+
+    def __init__(self, seconds):
+        self.seconds = seconds
+
+    def ask(self, address, path, message, answer):
+        eventlet.sleep(self.seconds)
+        answers = {Account: Account({}, {}), TurnBegun: TurnBegun(3, "", b"", "")}
+        return answers.get(answer) or answer()
+
+
 class ScriptedClient:
     """Holders that have a turn, lack it, or are silent."""
 
@@ -95,3 +110,31 @@
     TurnQuorum(book, client, "z", Metrics()).read_accounts("p")
     assert client.asked[0] == "c"
     assert len(client.asked) == 2
+
+
+@pytest.fixture
+def slow(monkeypatch):
+    """Holders slower than a box that takes itself for cut off would wait."""
+    monkeypatch.setattr(turn_quorum, "ANSWER_SECONDS", 5.0)
+    monkeypatch.setattr(holder_fanout, "HOPELESS_SECONDS", 0.01)
+    quorum, _ = make_quorum(dict.fromkeys("abc", "has"))
+    quorum.fanout.client = SlowClient(0.1)
+    quorum.fanout.failing_since = time.monotonic() - holder_fanout.CUT_OFF_SECONDS - 1
+    return quorum
+
+
+def test_what_a_caller_may_ask_elsewhere_is_given_up_early(slow):
+    assert slow.fanout.is_cut_off
+    with pytest.raises(NoQuorumError):
+        slow.reserve("p", "t", 3, "")
+
+
+def test_the_end_of_a_turn_is_never_given_up_early(slow):
+    slow.take(make_turn("t"))
+    assert not slow.fanout.is_cut_off
+
+
+def test_a_box_whose_holders_are_only_slow_finds_out(slow):
+    slow.probe()
+    assert not slow.fanout.is_cut_off
+    slow.reserve("p", "t", 3, "")
