--- /dev/null
+++ b/tests/platform_site/test_turns_across_losses.py
@@ -0,0 +1,116 @@
+"""Turns of programs while boxes, disks and the store are lost."""
+
+from __future__ import annotations
+
+import pytest
+from conftest_nodes import wait_known
+from turn_callers import say, take_turn
+
+from experiments.waiting import wait_until
+from standins.raw_target import RawTarget
+
+
+@pytest.fixture
+def turn_nodes(own_nodes):
+    """Boxes that a test may break, before a target that says one word."""
+    own_nodes.target = RawTarget(say(b"one"))
+    own_nodes.target.id = "t-own"
+    own_nodes.add_target("t-own", "model", own_nodes.target.address)
+    wait_known(own_nodes, [own_nodes.target])
+    return own_nodes
+
+
+def count_caught_up(process):
+    return process.read_log().count('"Caught up."')
+
+
+def wait_served(site, turn, previous, program="p", **terms):
+    """Take a turn until it is served; every refusal on the way is a 503."""
+    address = site.callers["entry-1"]
+    tries = []
+
+    def take():
+        name = f"{turn}-{len(tries)}"
+        status = take_turn(address, name, b"b", program, previous=previous, **terms)[0]
+        tries.append(status)
+        assert status in (200, 503), tries
+        return name if status == 200 else None
+
+    return wait_until(take, f"{turn} is served", 40)
+
+
+def test_turns_go_on_while_one_holder_is_lost(turn_nodes):
+    site = turn_nodes
+    assert take_turn(site.callers["entry-1"], "a", b"a", "p")[0] == 200
+    for name in ("holder-1", "holder-2", "holder-3"):
+        site.kill(name)
+        wait_served(site, f"without-{name}", "a")
+        site.restart(name)
+        wait_until(lambda n=name: site.answers(site.peers[n], "/metrics"), "it is back")
+    assert site.target.requests[-1].body == b"aone\nb"
+
+
+def test_turns_outlast_the_loss_of_every_process(turn_nodes):
+    site = turn_nodes
+    assert take_turn(site.callers["entry-1"], "a", b"a", "p", budget=9)[0] == 402
+    assert take_turn(site.callers["entry-1"], "b", b"a", "p", budget=30)[0] == 200
+    names = [*site.peers]
+    for name in names:
+        site.kill(name)
+    for name in names:
+        site.restart(name)
+    site.wait_ready()
+    wait_served(site, "c", "b", budget=36)
+    assert take_turn(site.callers["entry-2"], "d", b"a", "p", budget=33)[0] == 402
+
+
+def test_a_disk_that_was_lost_is_filled_again_before_another_goes(turn_nodes):
+    site = turn_nodes
+    assert take_turn(site.callers["entry-1"], "a", b"a", "p")[0] == 200
+    for name in ("holder-1", "holder-2", "holder-3"):
+        site.kill(name)
+        for path in (site.folder / f"{name}-data").iterdir():
+            path.unlink()
+        site.restart(name)
+        log = site.processes[name]
+        # The first line is of its first start, when all disks were empty.
+        wait_until(lambda g=log: count_caught_up(g) == 2, f"{name} caught up")
+        wait_served(site, f"after-{name}", "a")
+    assert site.target.requests[-1].body == b"aone\nb"
+
+
+def test_a_holder_at_another_address_takes_the_seat_of_one_that_is_gone(turn_nodes):
+    site = turn_nodes
+    assert take_turn(site.callers["entry-1"], "a", b"a", "p")[0] == 200
+    site.kill("holder-2")
+    site.start_holder("holder-4", "b")
+    log = site.processes["holder-4"]
+    wait_until(lambda: "Caught up." in log.read_log(), "holder-4 caught up", 60)
+    site.kill("holder-1")
+    wait_served(site, "b", "a")
+    assert site.target.requests[-1].body == b"aone\nb"
+
+
+def test_a_holder_to_be_emptied_hands_over_what_it_has(turn_nodes):
+    site = turn_nodes
+    assert take_turn(site.callers["entry-1"], "a", b"a", "p")[0] == 200
+    site.write("op/retire/holder-1", {"DurationS": 10})
+    wait_until(
+        lambda: "completed" in (site.read("status/retire/holder-1") or ""),
+        "holder-1 is empty",
+    )
+    site.kill("holder-1")
+    wait_served(site, "b", "a")
+
+
+def test_turns_go_on_while_the_store_is_away(turn_nodes):
+    site = turn_nodes
+    assert take_turn(site.callers["entry-1"], "a", b"a", "p")[0] == 200
+    site.switch_store(down=True)
+    wait_until(
+        lambda: "Store lost." in site.processes["entry-1"].read_log(), "it is noticed"
+    )
+    site.kill("holder-3")
+    wait_served(site, "b", "a")
+    site.restart("holder-3")
+    wait_served(site, "c", "a")
