--- a/src/cedarchute/daemon/entry_box.py
+++ b/src/cedarchute/daemon/entry_box.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import logging
 import random
+import time
 from typing import TYPE_CHECKING
 
 import eventlet
@@ -15,6 +17,7 @@
 from cedarchute.calls.turn_call import TurnCall
 from cedarchute.daemon.entry_stop import EntryStop
 from cedarchute.daemon.listeners import open_listener
+from cedarchute.daemon.loop_lag import LoopLag
 from cedarchute.daemon.node_parts import NodeParts
 from cedarchute.fleet.box_entry import BoxEntry, Role
 from cedarchute.fleet.holder_contact import HolderContact
@@ -36,6 +39,8 @@
     from cedarchute.routing.target_entry import TargetEntry
     from cedarchute.settings.node_settings import NodeSettings
 
+log = logging.getLogger("cedarchute.daemon")
+
 # Targets and boxes whose entries lapsed are looked for this often.
 EXPIRE_SECONDS = 0.2
 
@@ -49,6 +54,7 @@
         peers = listen.exchange or str(settings.peers)
         self.settings = settings
         self.metrics = metrics
+        self.lag = LoopLag()
         self.routes = RouteBook(metrics)
         self.pool = TargetPool(metrics)
         self.registry = TargetRegistry(self.drop_target)
@@ -87,7 +93,11 @@
             quorum, self.parts.registration, lambda: self.stop.asked
         )
         directory = DirectoryApp(
-            self.parts.directory, self.is_ready, box.failure_domain, box.region
+            self.parts.directory,
+            self.is_ready,
+            lambda: self.lag.is_behind,
+            box.failure_domain,
+            box.region,
         )
         self.apps = [
             (self.listen(listen.ready, file, "ready"), directory),
@@ -135,9 +145,22 @@
     def expire_forever(self) -> None:
         """Drop the targets whose entries did not come back."""
         while True:
+            started = time.monotonic()
             eventlet.sleep(EXPIRE_SECONDS)
+            self.note_lag(time.monotonic() - started)
             self.registry.known.expire()
 
+    def note_lag(self, slept_seconds: float) -> None:
+        """Take in how late this process woke; log when that changes anything."""
+        was_behind = self.lag.is_behind
+        self.lag.record_sleep(EXPIRE_SECONDS, slept_seconds)
+        if self.lag.is_behind == was_behind:
+            return
+        log.info(
+            "Behind with its work." if self.lag.is_behind else "Work caught up.",
+            extra={"lag_ms": round(self.lag.seconds * 1000, 1)},
+        )
+
 
 def serve_app(listener: object, app: object) -> None:
     """Serve a WSGI application for other boxes and the platform."""
--- a/src/cedarchute/fleet/box_directory.py
+++ b/src/cedarchute/fleet/box_directory.py
@@ -43,10 +43,19 @@
         entries = self.known.entries.values()
         return [box for box in entries if box.role is role and not box.leaving]
 
-    def list_caller_addresses(self, failure_domain: str, region: str) -> list[str]:
-        """Return where a caller should connect: its own domain, if enough serve it."""
+    def list_caller_addresses(
+        self, failure_domain: str, region: str, is_behind: bool = False
+    ) -> list[str]:
+        """Return where a caller should connect: its own domain, if enough serve it.
+
+        Parameters
+        ----------
+        is_behind : bool
+            Whether the box that is asked has more work than it can do: then other
+            domains help.
+        """
         boxes = self.list_boxes(Role.ENTRY)
         near = [box for box in boxes if box.failure_domain == failure_domain]
-        if len(near) < OWN_DOMAIN_LEAST:
+        if is_behind or len(near) < OWN_DOMAIN_LEAST:
             near = [box for box in boxes if box.region == region] or boxes
         return sorted(box.callers for box in near)[:MOST_ADDRESSES]
--- a/src/cedarchute/platform/directory_app.py
+++ b/src/cedarchute/platform/directory_app.py
@@ -23,11 +23,13 @@
         self,
         directory: BoxDirectory,
         is_ready: Callable[[], bool],
+        is_behind: Callable[[], bool],
         failure_domain: str,
         region: str,
     ) -> None:
         self.directory = directory
         self.is_ready = is_ready
+        self.is_behind = is_behind
         self.failure_domain = failure_domain
         self.region = region
 
@@ -58,7 +60,9 @@
         values = parse_qs(query)
         domain = values.get("Zone", [self.failure_domain])[0]
         region = values.get("Region", [self.region])[0]
-        addresses = self.directory.list_caller_addresses(domain, region)
+        addresses = self.directory.list_caller_addresses(
+            domain, region, self.is_behind()
+        )
         if not addresses:
             return "503 Service Unavailable", b""
         document = {"Addresses": addresses, "TtlS": KEEP_SECONDS}
--- /dev/null
+++ b/tests/fleet/test_box_directory.py
@@ -0,0 +1,30 @@
+from __future__ import annotations
+
+from cedarchute.fleet.box_directory import BoxDirectory
+from cedarchute.fleet.box_entry import BoxEntry, Role
+
+
+def make_directory():
+    directory = BoxDirectory()
+    for number, domain in enumerate("aabbc"):
+        name = f"entry-{number}"
+        entry = BoxEntry(name, Role.ENTRY, domain, "r", f"{name}:1", f"{name}:2")
+        directory.put(entry)
+    return directory
+
+
+def list_names(directory, domain, **how):
+    addresses = directory.list_caller_addresses(domain, "r", **how)
+    return [address.partition(":")[0] for address in addresses]
+
+
+def test_callers_are_sent_to_boxes_of_their_own_domain():
+    assert list_names(make_directory(), "a") == ["entry-0", "entry-1"]
+
+
+def test_callers_of_a_domain_with_one_box_are_sent_to_all():
+    assert len(list_names(make_directory(), "c")) == 5
+
+
+def test_a_box_that_is_behind_sends_callers_to_other_domains_too():
+    assert len(list_names(make_directory(), "a", is_behind=True)) == 5
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -102,8 +102,8 @@
 
 
 class Directory:
-    def list_caller_addresses(self, domain, region):
-        return [f"{domain}/{region}"]
+    def list_caller_addresses(self, domain, region, is_behind):
+        return [f"{domain}/{region}" + ("/all" if is_behind else "")]
 
 
 def ask(app, path, query=""):
@@ -118,11 +118,14 @@
 
 def test_callers_and_the_platform_get_their_answers():
     ready = [False]
-    app = DirectoryApp(Directory(), lambda: ready[0], "own", "here")
+    behind = [False]
+    app = DirectoryApp(Directory(), lambda: ready[0], lambda: behind[0], "own", "here")
     assert ask(app, "/readyz")[0].startswith("503")
     ready[0] = True
     assert ask(app, "/readyz")[0].startswith("200")
     _, body = ask(app, "/resolve", "Name=x&Region=r&Zone=z")
     assert json.loads(body) == {"Addresses": ["z/r"], "TtlS": 1}
     assert json.loads(ask(app, "/resolve")[1])["Addresses"] == ["own/here"]
+    behind[0] = True
+    assert json.loads(ask(app, "/resolve")[1])["Addresses"] == ["own/here/all"]
     assert ask(app, "/other")[0].startswith("404")
