--- a/tests/fleet/test_store_mirror.py
+++ b/tests/fleet/test_store_mirror.py
@@ -4,29 +4,15 @@
 
 import eventlet
 import pytest
+from recording_follower import RecordingFollower
 
 from cedarchute.fleet import store_mirror
 from cedarchute.fleet.store_mirror import KEPT_REMOVALS, StoreMirror
 from cedarchute.platform.store_entry import StoreChange, StoreEntry, StoreListing
 
 
-class Follower:
-    def __init__(self):
-        self.entries = {}
-        self.back = 0
-
-    def put(self, key, value):
-        self.entries[key] = value
-
-    def remove(self, key):
-        self.entries.pop(key, None)
-
-    def note_store_back(self):
-        self.back += 1
-
-
 def make_mirror():
-    follower = Follower()
+    follower = RecordingFollower()
     return StoreMirror({"a/": follower}), follower
 
 
--- a/tests/fleet/test_store_reader.py
+++ b/tests/fleet/test_store_reader.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pytest
+from recording_follower import RecordingFollower
 
 from cedarchute.fleet import store_reader
 from cedarchute.fleet.box_entry import BoxEntry, Role
@@ -21,21 +22,6 @@
 ]
 
 
-class Follower:
-    def __init__(self):
-        self.entries = {}
-        self.back = 0
-
-    def put(self, key, value):
-        self.entries[key] = value
-
-    def remove(self, key):
-        self.entries.pop(key, None)
-
-    def note_store_back(self):
-        self.back += 1
-
-
 class Store:
     """Counts calls; says what it is told to."""
 
@@ -84,7 +70,7 @@
 @pytest.fixture
 def reader(monkeypatch):
     monkeypatch.setattr(store_reader.eventlet, "sleep", lambda seconds: None)
-    follower = Follower()
+    follower = RecordingFollower()
     reader = StoreReader(Store(), StoreMirror({"k/": follower}), Readers(), Metrics())
     reader.boxes = Boxes()
     reader.follower = follower
