Begin with a short watch after an unanswered renewal too

Cause: found by reading. After a failed watch the next one is short; after an unanswered renewal the box began anew with one of 25 s.

Change: both ways of losing the store lead to a short watch first. The test failed before.

--- a/src/cedarchute/fleet/store_reader.py
+++ b/src/cedarchute/fleet/store_reader.py
@@ -80,7 +80,7 @@
         """
         self.reachable = reachable
         if not reachable:
-            self.mirror.note_lost("a renewal was not answered")
+            self.note_failed("a renewal was not answered")
         elif self.mirror.lost_since is not None:
             self.start()
 
--- a/tests/fleet/test_store_reader.py
+++ b/tests/fleet/test_store_reader.py
@@ -141,6 +141,16 @@
     assert reader.store.watches == [SHORT_WATCH_SECONDS, WATCH_WAIT_SECONDS]
 
 
+def test_the_first_watch_after_an_unanswered_renewal_is_short(reader):
+    reader.readers.boxes = []
+    reader.start = lambda: None
+    reader.note_reachable(False)
+    reader.note_reachable(True)
+    reader.read_once()
+    reader.read_once()
+    assert reader.store.watches == [SHORT_WATCH_SECONDS, WATCH_WAIT_SECONDS]
+
+
 def test_entries_that_lapsed_with_the_store_are_expected_back_by_listeners(reader):
     reader.mirror.note_lost("down")
     backs = reader.follower.back
