Prefer holders of other failure domains also when they come late

Box-2 stands behind links and registers last. A box that had opened its partition by then kept the holders it had first and put the new one last, so that box-1 preferred box-4 of its own failure domain to box-2, and nobody preferred box-2. The test was right: the fault is the product's, since a loss of one domain then takes an owner and a preferred copy together.

Ruled out: noise.

Change: the holders of a partition stand in the order of the choice. Every one of them has everything before the record changes, so the order is free.

--- a/src/cedarchute/ownership/partition_keeper.py
+++ b/src/cedarchute/ownership/partition_keeper.py
@@ -215,20 +215,18 @@
         """Copy to new holders when one is gone or some are missing.
 
         The record changes only when every new holder has everything: from then on
-        a quorum of the new holders has each record that was kept.
+        a quorum of the new holders has each record that was kept, so their order is
+        free. Holders in other failure domains come first, also those that came late.
         """
         present = [holder for holder in partition.record.holders if self.stays(holder)]
         wanted = self.choose()
         is_whole = len(present) == len(partition.record.holders)
         if is_whole and len(present) >= len(wanted):
             return
-        kept = [holder for holder in wanted if holder in present]
-        others = [holder for holder in wanted if holder not in present]
-        holders = (*kept, *others)
-        quorum = min(self.settings.wanted, len(holders))
-        if not holders or quorum < min(partition.record.quorum, 1):
+        quorum = min(self.settings.wanted, len(wanted))
+        if not wanted or quorum < min(partition.record.quorum, 1):
             return
-        self.join_holders(partition, holders, quorum)
+        self.join_holders(partition, wanted, quorum)
 
     def stays(self, holder: str) -> bool:
         """Return whether a holder is on another box that is not leaving."""
