End a planned stop while the store is silent; answer before refusing bad input

Cause: an entry gave its lease back as the last step of a stop and waited up to 1.5 s for a silent store, but is killed 0.4 s after that step begins. Change: 0.2 s for giving the lease back, which runs out by itself otherwise.

Change: the refusal stands in the queue behind the requests that came before it; input is discarded meanwhile, and a caller who leaves is still noticed.

--- a/src/cedarchute/daemon/entry_stop.py
+++ b/src/cedarchute/daemon/entry_stop.py
@@ -23,6 +23,9 @@
 LAST_CALLS_SECONDS: Final = 1.6
 # The process is gone this long before it would be killed.
 EXIT_MARGIN_SECONDS: Final = 0.4
+# A store that answers takes the entry back within some 10 ms; one that is silent must
+# not hold the process up until it is killed, and the lease runs out by itself.
+END_SECONDS: Final = 0.2
 STEP_SECONDS: Final = 0.1
 
 
@@ -65,7 +68,15 @@
         while self.server.is_busy and time.monotonic() < end:
             self.server.close_idle()
             eventlet.sleep(STEP_SECONDS)
-        self.registration.end()
+        self.end_registration()
         seconds = round(time.monotonic() - started, 3)
         log.info("Stopped.", extra={"seconds": seconds, "cut": self.server.is_busy})
         self.done.send(None)
+
+    def end_registration(self) -> None:
+        """Take this box's entry back, if the store answers in time."""
+        ended = eventlet.spawn(self.registration.end)
+        with eventlet.Timeout(END_SECONDS, False):
+            ended.wait()
+            return
+        log.info("The lease runs out by itself.", extra={"why": "store is silent"})
--- a/src/cedarchute/relay/caller_connection.py
+++ b/src/cedarchute/relay/caller_connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging
 import socket
 import time
@@ -39,7 +40,8 @@
         self.sock = sock
         self.server = server
         self.reader = RequestReader(server.limits())
-        self.requests: LightQueue = LightQueue()
+        # Requests in their order; bad input stands behind those that came before it.
+        self.requests: LightQueue[CallerRequest | RequestError] = LightQueue()
         self.busy = False
         self.opened_at = time.monotonic()
         self.worker: eventlet.greenthread.GreenThread | None = None
@@ -54,15 +56,23 @@
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.worker = eventlet.spawn(self.answer_forever)
         try:
-            self.read_forever()
-        except RequestError as error:
-            self.refuse(error)
+            self.read_to_end()
         except OSError:
             pass  # The caller is gone: nothing is owed to it any more.
         finally:
             self.worker.kill()
             self.close()
 
+    def read_to_end(self) -> None:
+        """Read until the caller closes, or sends what is no request."""
+        try:
+            self.read_forever()
+        except RequestError as error:
+            self.server.count_refusal(error)
+            self.queue_ready()
+            self.requests.put(error)
+            self.discard_input()
+
     def read_forever(self) -> None:
         """Read requests until the caller closes or stays silent too long."""
         header_deadline = None
@@ -90,8 +100,12 @@
             if self.reader.expects_continue and self.reader.in_body:
                 self.reader.expects_continue = False
                 self.sock.sendall(CONTINUE)
-            while self.reader.ready:
-                self.requests.put(self.reader.ready.popleft())
+            self.queue_ready()
+
+    def queue_ready(self) -> None:
+        """Hand the requests that were read whole to the answering task."""
+        while self.reader.ready:
+            self.requests.put(self.reader.ready.popleft())
 
     def receive(self, seconds: float) -> bytes:
         """Read what has come; raise ``TimeoutError`` after `seconds`.
@@ -102,9 +116,12 @@
             return self.sock.recv(READ_BYTES)
 
     def answer_forever(self) -> None:
-        """Answer one request after the other."""
+        """Answer one request after the other; bad input ends the connection."""
         while True:
             request = self.requests.get()
+            if isinstance(request, RequestError):
+                self.refuse(request)
+                return
             self.busy = True
             try:
                 keep = self.answer(request)
@@ -127,10 +144,7 @@
             self.sock.sendall(data)
 
     def refuse(self, error: RequestError) -> None:
-        """Answer bad input, unless an answer is on its way already."""
-        self.server.count_refusal(error)
-        if self.busy:
-            return
+        """Answer bad input, and say that nothing more is sent."""
         body = error.reason.encode() + b"\n"
         head = (
             b"HTTP/1.1 %d Refused\r\nContent-Type: text/plain\r\n"
@@ -139,12 +153,18 @@
         try:
             self.send(head % (error.status, len(body)) + body)
             self.sock.shutdown(socket.SHUT_WR)
-            self.drain_input()
         except OSError:
             log.debug("A refused caller left before its answer.")
 
-    def drain_input(self) -> None:
-        """Read what the caller still sends, for a moment."""
+    def discard_input(self) -> None:
+        """Read what the caller still sends until all is answered, and a moment more.
+
+        A caller who leaves meanwhile is noticed as ever.
+        """
+        while not self.worker.dead:
+            with contextlib.suppress(TimeoutError):
+                if not self.receive(LINGER_SECONDS):
+                    return
         deadline = time.monotonic() + LINGER_SECONDS
         while (left := deadline - time.monotonic()) > 0:
             if not self.receive(left):
--- a/tests/platform_site/test_plain_calls.py
+++ b/tests/platform_site/test_plain_calls.py
@@ -252,3 +252,24 @@
         assert caller.read_answer()[1]["attempt-id"] == "p1"
         assert caller.read_answer()[1]["attempt-id"] == "p2"
     assert len(target.requests) == 2
+
+
+def test_bytes_that_are_no_request_cut_no_earlier_call_off(nodes, serve, entry):
+    before = nodes.count("entry-1", "refused.input_400")
+
+    def answer_late(request, connection):
+        wait_until(
+            lambda: nodes.count("entry-1", "refused.input_400") > before,
+            "the bytes behind the request are read",
+        )
+        connection.sendall(answer(request))
+
+    target = serve("plain", answer_late)
+    with RawCaller(entry) as caller:
+        caller.send(build_request(b"/once/x", b"q1"))
+        wait_until(lambda: target.requests, "the call arrives")
+        caller.send(b"no request at all\r\n\r\n")
+        assert caller.read_answer()[0] == 200
+        assert caller.read_answer()[0] == 400
+        assert caller.read_to_close() == b""
+    assert len(target.requests) == 1
