Listen for callers first; serve metrics at a known port; keep entries out of holders

Early listener. Cause: after all processes were killed an entry needs some 0.25 s of imports before it listens; callers who come back meanwhile are refused, and a turn that fails three times ends its program.

Holders imported the module of entries for one function.

--- a/src/cedarchute/daemon/entry_box.py
+++ b/src/cedarchute/daemon/entry_box.py
@@ -8,7 +8,6 @@
 from typing import TYPE_CHECKING
 
 import eventlet
-import eventlet.wsgi
 
 from cedarchute.address import Address
 from cedarchute.calls.call_desk import CallDesk
@@ -16,11 +15,12 @@
 from cedarchute.calls.target_exchange import TargetExchange
 from cedarchute.calls.turn_call import TurnCall
 from cedarchute.daemon.entry_stop import EntryStop
-from cedarchute.daemon.listeners import open_listener
+from cedarchute.daemon.listeners import open_listener, serve_app
 from cedarchute.daemon.loop_lag import LoopLag
 from cedarchute.daemon.node_parts import NodeParts
 from cedarchute.fleet.box_entry import BoxEntry, Role
 from cedarchute.fleet.holder_contact import HolderContact
+from cedarchute.fleet.metrics_app import MetricsApp
 from cedarchute.fleet.peer_server import PeerServer
 from cedarchute.platform.directory_app import DirectoryApp
 from cedarchute.platform.followers import ConfigurationFollower, TargetFollower
@@ -106,6 +106,7 @@
                 self.listen(peers, file, "exchange"),
                 PeerServer(self.parts.mirror, metrics),
             ),
+            (self.listen(listen.metrics, file, "metrics"), MetricsApp(metrics)),
         ]
 
     def listen(self, address: str, file: str, key: str) -> object:
@@ -160,10 +161,3 @@
             "Behind with its work." if self.lag.is_behind else "Work caught up.",
             extra={"lag_ms": round(self.lag.seconds * 1000, 1)},
         )
-
-
-def serve_app(listener: object, app: object) -> None:
-    """Serve a WSGI application for other boxes and the platform."""
-    eventlet.wsgi.server(
-        listener, app, log_output=False, max_size=1024, keepalive=60, debug=False
-    )
--- a/src/cedarchute/daemon/listeners.py
+++ b/src/cedarchute/daemon/listeners.py
@@ -4,16 +4,18 @@
 
 import errno
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Any, Final
+from typing import TYPE_CHECKING, Any
 
 import eventlet
+import eventlet.wsgi
+from eventlet.greenio import GreenSocket
+
+from cedarchute.daemon.early_listener import BACKLOG, EARLY
 
 if TYPE_CHECKING:
     from cedarchute.address import Address
     from cedarchute.settings.box_settings import BoxSection
 
-BACKLOG: Final = 1024
-
 
 class PortInUseError(Exception):
     """An address of the settings cannot be listened on."""
@@ -56,6 +58,9 @@
 
 def open_listener(address: Address, place: str) -> Any:
     """Listen on one address; two daemons must never share a port."""
+    early = EARLY.take(address)
+    if early is not None:
+        return GreenSocket(early)
     try:
         return eventlet.listen(
             (address.host, address.port), reuse_port=False, backlog=BACKLOG
@@ -66,3 +71,10 @@
         else:
             mend = f"cannot be listened on ({error.strerror}); use an IP of this box"
         raise PortInUseError(f"{place}: {address} {mend}") from error
+
+
+def serve_app(listener: object, app: object) -> None:
+    """Serve a WSGI application for other boxes and the platform."""
+    eventlet.wsgi.server(
+        listener, app, log_output=False, max_size=1024, keepalive=60, debug=False
+    )
--- a/src/cedarchute/daemon/main.py
+++ b/src/cedarchute/daemon/main.py
@@ -10,6 +10,14 @@
 # The users chose eventlet; its notice about its future is not news to them.
 warnings.filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
 
+from cedarchute.daemon.early_listener import EARLY
+
+# Names the settings file when no flag does.
+SETTINGS_VARIABLE = "CEDARCHUTE_SETTINGS"
+
+if SETTINGS_VARIABLE in os.environ:
+    EARLY.open(os.environ[SETTINGS_VARIABLE])
+
 from cedarchute.daemon.lean_start import (
     empty_other_loop,
     keep_out_unused_modules,
@@ -41,9 +49,6 @@
 
 EXIT_BAD_SETTINGS: Final = 2
 
-# Names the settings file when no flag does.
-SETTINGS_VARIABLE: Final = "CEDARCHUTE_SETTINGS"
-
 SETTINGS = flags.DEFINE_string(
     "settings", os.environ.get(SETTINGS_VARIABLE), "The settings file of this box."
 )
--- a/src/cedarchute/fleet/peer_server.py
+++ b/src/cedarchute/fleet/peer_server.py
@@ -6,7 +6,8 @@
 
 import msgspec
 
-from cedarchute.fleet.state_messages import AskState
+from cedarchute.fleet.metrics_app import METRICS_PATH, MetricsApp
+from cedarchute.fleet.state_messages import STATE_PATH, AskState
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -15,12 +16,9 @@
     from cedarchute.metrics import Metrics
     from cedarchute.turns.holder_app import HolderApp
 
-STATE_PATH: Final = "/fleet/state"
-METRICS_PATH: Final = "/metrics"
 JSON_TYPE: Final = "application/json"
 # A box that asks and waits holds a connection and a task here.
 LONGEST_WAIT_SECONDS: Final = 5.0
-TEXT_TYPE: Final = "text/plain; version=0.0.4"
 
 
 class PeerServer:
@@ -30,7 +28,7 @@
         self, mirror: StoreMirror, metrics: Metrics, holder: HolderApp | None = None
     ) -> None:
         self.mirror = mirror
-        self.metrics = metrics
+        self.metrics = MetricsApp(metrics)
         self.holder = holder
 
     def __call__(
@@ -41,11 +39,10 @@
         if path == STATE_PATH:
             return self.answer_state(environ, start_response)
         if path == METRICS_PATH:
-            text = self.metrics.render_text().encode()
-            return self.reply(start_response, "200 OK", TEXT_TYPE, text)
+            return self.metrics(environ, start_response)
         if self.holder is not None:
             return self.holder(environ, start_response)
-        return self.reply(start_response, "404 Not Found", JSON_TYPE, b"{}")
+        return self.reply(start_response, "404 Not Found", b"{}")
 
     def answer_state(
         self, environ: dict[str, Any], start_response: Callable[..., Any]
@@ -55,20 +52,16 @@
         try:
             asked = msgspec.json.decode(body, type=AskState)
         except msgspec.MsgspecError:
-            return self.reply(start_response, "400 Bad Request", JSON_TYPE, b"{}")
+            return self.reply(start_response, "400 Bad Request", b"{}")
         wait_seconds = min(asked.wait_seconds, LONGEST_WAIT_SECONDS)
         self.mirror.wait_news(asked.after, wait_seconds)
         state = msgspec.json.encode(self.mirror.tell(asked.after))
-        return self.reply(start_response, "200 OK", JSON_TYPE, state)
+        return self.reply(start_response, "200 OK", state)
 
     def reply(
-        self,
-        start_response: Callable[..., Any],
-        status: str,
-        content_type: str,
-        body: bytes,
+        self, start_response: Callable[..., Any], status: str, body: bytes
     ) -> list[bytes]:
         """Start an answer and return its body."""
-        fields = [("Content-Type", content_type), ("Content-Length", str(len(body)))]
+        fields = [("Content-Type", JSON_TYPE), ("Content-Length", str(len(body)))]
         start_response(status, fields)
         return [body]
--- a/src/cedarchute/fleet/state_client.py
+++ b/src/cedarchute/fleet/state_client.py
@@ -7,7 +7,7 @@
 import msgspec
 import urllib3
 
-from cedarchute.fleet.state_messages import AskState, State
+from cedarchute.fleet.state_messages import STATE_PATH, AskState, State
 from cedarchute.host_pools import HostPools
 
 if TYPE_CHECKING:
@@ -17,7 +17,6 @@
 ANSWER_SECONDS: Final = 0.4
 KEPT_HOSTS: Final = 4
 JSON_HEADERS: Final = {"Content-Type": "application/json"}
-PATH: Final = "/fleet/state"
 
 
 class StateNotToldError(Exception):
@@ -51,7 +50,7 @@
             response = self.pools.request(
                 "POST",
                 address,
-                PATH,
+                STATE_PATH,
                 body=msgspec.json.encode(AskState(after, wait_seconds)),
                 headers=JSON_HEADERS,
                 timeout=urllib3.Timeout(
--- a/src/cedarchute/fleet/state_messages.py
+++ b/src/cedarchute/fleet/state_messages.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+from typing import Final
+
 import msgspec
 
+# Where boxes ask each other what they know of the store.
+STATE_PATH: Final = "/fleet/state"
+
 
 class MirroredEntry(msgspec.Struct, frozen=True):
     """An entry of the store at the revision of its last change."""
--- a/src/cedarchute/settings/node_settings.py
+++ b/src/cedarchute/settings/node_settings.py
@@ -30,12 +30,20 @@
 
 
 class ListenSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """``[listen]``: what an entry box serves to others than boxes."""
+    """``[listen]``: what a box serves to others than boxes.
+
+    Attributes
+    ----------
+    metrics : str
+        Where counters and histograms are served besides the address for boxes; the
+        only key that a holder has too.
+    """
 
     callers: str = ""
     ready: str = ""
     directory: str = ""
     exchange: str = ""
+    metrics: str = ""
 
 
 class StoreSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -115,6 +123,7 @@
         "[listen] ready": settings.listen.ready,
         "[listen] directory": settings.listen.directory,
         "[listen] exchange": settings.listen.exchange,
+        "[listen] metrics": settings.listen.metrics,
     }
     for place, address in addresses.items():
         try:
--- a/tests/daemon/test_lean_start.py
+++ b/tests/daemon/test_lean_start.py
@@ -50,3 +50,9 @@
     assert "cedarchute.daemon." + box in modules
     assert not modules & {"ssl", "_ssl", "_hashlib", "asyncio", "asyncio.events"}
     assert not modules & {"dns", "pydantic", "werkzeug"}
+
+
+def test_a_holder_holds_nothing_of_an_entry():
+    modules = list_modules("holder_box")
+    assert not modules & {"cedarchute.daemon.entry_box", "httptools"}
+    assert not [name for name in modules if name.startswith("cedarchute.relay")]
--- a/tests/settings/test_node_settings.py
+++ b/tests/settings/test_node_settings.py
@@ -43,6 +43,7 @@
         ("ip = 10.0.0.1\n", "", "ip"),
         ("name = entry-1", "name = entry-1\ncolour = red", "colour"),
         ("callers = 10.0.0.1:8000", "", "[listen] callers"),
+        ("[platform]", "metrics = here\n[platform]", "[listen] metrics"),
         ("store = 10.9.0.1:80", "store = somewhere:80", "[platform] store"),
         ("role = entry", "role = holder", "[box] data_folder"),
         ("holders = 2", "holders = -1", "[losses] holders"),
