Ask a store that stays silent more rarely

Change: waits double from 0.5 s with each failure in a row, up to 1.5 s for renewals (entries have to be back within some 2 s of the store's return) and 3 s for reading, which begins anew at once when a renewal is answered; other boxes tell what changes meanwhile.

--- a/src/cedarchute/fleet/registration.py
+++ b/src/cedarchute/fleet/registration.py
@@ -8,6 +8,7 @@
 import eventlet
 import msgspec
 
+from cedarchute.fleet.backoff import Backoff
 from cedarchute.platform.store_client import LeaseGoneError, StoreUnavailableError
 
 if TYPE_CHECKING:
@@ -24,7 +25,9 @@
 LEASE_SECONDS: Final = 2.7
 # Two renewals may be lost before the lease runs out.
 RENEW_SECONDS: Final = 0.9
-RETRY_SECONDS: Final = 0.5
+# Each call to the store costs money, also one that it refuses, and every box calls.
+# Entries have to be back within some 2 s of the store's return, though.
+LONGEST_RETRY_SECONDS: Final = 1.5
 
 
 class Registration:
@@ -42,6 +45,7 @@
         self.entry = entry
         self.metrics = metrics
         self.lease: int | None = None
+        self.backoff = Backoff(LONGEST_RETRY_SECONDS)
 
     def run_forever(self) -> None:
         """Stay registered for the life of the process."""
@@ -49,6 +53,7 @@
             try:
                 self.renew_once()
                 self.note_reachable(True)
+                self.backoff.reset()
                 eventlet.sleep(RENEW_SECONDS)
             except (StoreUnavailableError, LeaseGoneError) as error:
                 self.metrics.count("registration.failures")
@@ -57,7 +62,7 @@
                     self.lease = None
                 else:
                     self.note_reachable(False)
-                    eventlet.sleep(RETRY_SECONDS)
+                    eventlet.sleep(self.backoff.next_seconds())
 
     def renew_once(self) -> None:
         """Renew the lease, or take one and write the entry under it."""
--- a/src/cedarchute/fleet/store_reader.py
+++ b/src/cedarchute/fleet/store_reader.py
@@ -8,6 +8,7 @@
 import eventlet
 
 from cedarchute.address import Address
+from cedarchute.fleet.backoff import Backoff
 from cedarchute.fleet.reader_choice import READERS_PER_DOMAIN
 from cedarchute.fleet.state_client import StateClient, StateNotToldError
 from cedarchute.platform.store_client import (
@@ -25,9 +26,9 @@
 
 log = logging.getLogger("cedarchute.fleet")
 
-# Between two tries of a store that does not answer. Each try costs money, and other
-# boxes tell what changes meanwhile.
-RETRY_SECONDS: Final = 0.5
+# Renewals ask the store more often than this, and reading begins anew once one is
+# answered; meanwhile other boxes tell what changes.
+LONGEST_RETRY_SECONDS: Final = 3.0
 # After changes, what follows them closely comes with the next answer: each costs
 # money. A quarter of the time in which a configuration has to be in force.
 GATHER_SECONDS: Final = 0.5
@@ -64,6 +65,7 @@
         self.lost_in_a_row = 0
         self.watch_seconds = WATCH_WAIT_SECONDS
         self.must_list = True
+        self.backoff = Backoff(LONGEST_RETRY_SECONDS)
         self.task: eventlet.greenthread.GreenThread | None = None
 
     def start(self) -> None:
@@ -95,18 +97,23 @@
                 self.must_list = True
             except StoreUnavailableError as error:
                 self.note_failed(str(error))
-                eventlet.sleep(RETRY_SECONDS)
+                eventlet.sleep(self.backoff.next_seconds())
 
     def note_failed(self, why: str) -> None:
         """Take in that the store does not answer; a reader may know more."""
         self.mirror.note_lost(why)
         self.watch_seconds = SHORT_WATCH_SECONDS
 
+    def note_answered(self) -> None:
+        """Take in that the store answers, this box or its reader."""
+        self.backoff.reset()
+        self.mirror.note_back()
+
     def read_once(self) -> None:
         """Read all, if need be, or wait once for changes."""
         if self.must_list:
             listing = self.store.list(EVERYTHING)
-            self.mirror.note_back()
+            self.note_answered()
             self.mirror.take_listing(listing)
             self.must_list = False
             return
@@ -135,7 +142,7 @@
             self.note_reader_lost(reader, "it lost the store")
             return
         if self.reachable:
-            self.mirror.note_back()
+            self.note_answered()
         self.mirror.take_state(state)
         self.lost_in_a_row = 0
 
@@ -152,7 +159,7 @@
         """Wait once for changes in the store."""
         after = self.mirror.revision
         changes, revision = self.store.wait_changes(EVERYTHING, after, seconds)
-        self.mirror.note_back()
+        self.note_answered()
         self.mirror.take_changes(changes, revision)
         if changes:
             eventlet.sleep(GATHER_SECONDS)
--- /dev/null
+++ b/tests/fleet/test_registration.py
@@ -0,0 +1,61 @@
+"""How often a box calls a store that does not answer."""
+
+from __future__ import annotations
+
+import pytest
+
+from cedarchute.fleet import registration
+from cedarchute.fleet.box_entry import BoxEntry, Role
+from cedarchute.fleet.registration import RENEW_SECONDS, Registration
+from cedarchute.metrics import Metrics
+from cedarchute.platform.store_client import StoreUnavailableError
+
+ENTRY = BoxEntry("entry-1", Role.ENTRY, "a", "r", "", "127.0.0.1:1")
+
+
+class Store:
+    """Answers what `answers` says, one renewal after the other."""
+
+    def __init__(self, answers):
+        self.answers = list(answers)
+
+    def grant_lease(self, seconds):
+        return 7
+
+    def put(self, key, value, lease):
+        pass
+
+    def renew_lease(self, lease):
+        if not self.answers:
+            raise StopTestError
+        if not self.answers.pop(0):
+            raise StoreUnavailableError("down")
+
+
+class StopTestError(Exception):
+    """Every answer was given."""
+
+
+@pytest.fixture
+def run(monkeypatch):
+    """Return a function that plays answers and returns the waits between calls."""
+
+    def play(answers):
+        waits = []
+        monkeypatch.setattr(registration.eventlet, "sleep", waits.append)
+        keeper = Registration(Store(answers), ENTRY, lambda reachable: None, Metrics())
+        with pytest.raises(StopTestError):
+            keeper.run_forever()
+        return waits
+
+    return play
+
+
+def test_a_store_that_stays_silent_is_asked_more_rarely(run):
+    waits = run([False] * 5)
+    assert waits == [RENEW_SECONDS, 0.5, 1.0, 1.5, 1.5, 1.5]
+
+
+def test_once_it_answers_all_is_as_before(run):
+    waits = run([False, False, True, False])
+    assert waits == [RENEW_SECONDS, 0.5, 1.0, RENEW_SECONDS, 0.5]
