Count a target's own failures as failures, and tell them from box to box

Two faults of ours behind it. An answer of 500 was booked like any other, and it comes fast, so the failing engine looked like the best one. And each of 56 entries learnt by its own failed calls, while the turn that failed was sent anew through another entry, which preferred the engine of the turn before: three of those end a program.

Change: a 5xx of a target, 504 excepted, is booked as a failure and its time is not. Failures travel with the reservation of each turn to the holders, which count them over 2 s and tell the counts with their answers; nothing is sent for it alone and nothing is written down. An entry leaves out a target with three failures or more and more than four times the usual count of its service, so that under overload, when all fail, none is left out.

--- a/src/cedarchute/calls/plain_call.py
+++ b/src/cedarchute/calls/plain_call.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from cedarchute.calls.attempts import Attempts
+from cedarchute.calls.target_exchange import SERVER_ERROR
 from cedarchute.relay.target_failure import TargetFailureError
 from cedarchute.routing.route import Repeatability
 
@@ -16,9 +17,6 @@
     from cedarchute.relay.reply_writer import ReplyWriter
     from cedarchute.routing.route import Route
 
-# The first status that says that the target itself failed.
-SERVER_ERROR = 500
-
 
 class PlainCall:
     """Relays calls of plain services: no hop and no record.
--- a/src/cedarchute/calls/target_exchange.py
+++ b/src/cedarchute/calls/target_exchange.py
@@ -28,6 +28,9 @@
 log = logging.getLogger("cedarchute.calls")
 
 METHODS_WITHOUT_BODY = frozenset((b"GET", b"HEAD", b"DELETE", b"OPTIONS", b"TRACE"))
+# From here on a status says that the target itself failed, but for one.
+SERVER_ERROR = 500
+TIMED_OUT = 504
 # A target that is full has room again once one of its requests ends.
 FULL_PAUSE_SECONDS = 0.05
 # A caller that left after its target said nothing for this long left because of that:
@@ -102,7 +105,7 @@
             if isinstance(error, TargetFailureError):
                 self.note_failure(target, call, error)
             elif time.monotonic() - sent_at > SILENT_SECONDS:
-                load.record_failure()
+                self.record_failure(target)
             raise
         return OpenAnswer(target, connection, answer, sent_at, silent_until)
 
@@ -124,7 +127,7 @@
         """Count a failure, and leave a target alone that does not answer."""
         self.metrics.count("targets.failures")
         if not error.reason.startswith("refused"):
-            self.choice.loads[target.id].record_failure()
+            self.record_failure(target)
         log.info(
             "Target failed.",
             extra={
@@ -134,6 +137,11 @@
             },
         )
 
+    def record_failure(self, target: TargetEntry) -> None:
+        """Leave a target alone for a while, and let other boxes know."""
+        self.choice.loads[target.id].record_failure()
+        self.choice.news.note(target.id)
+
     def read_rest(self, opened: OpenAnswer) -> bytes:
         """Return the whole body of an answer."""
         answer = opened.answer
@@ -148,7 +156,11 @@
         seconds = time.monotonic() - opened.sent_at
         load = self.choice.loads[opened.target.id]
         load.active -= 1
-        load.record_answer(seconds)
+        if is_own_fault(opened.answer.status):
+            self.metrics.count("targets.errors")
+            self.record_failure(opened.target)
+        else:
+            load.record_answer(seconds)
         self.metrics.time("targets.seconds", seconds)
         opened.connection.finish(opened.answer)
         self.pool.give_back(opened.connection)
@@ -159,6 +171,15 @@
         opened.connection.close()
 
 
+def is_own_fault(status: int) -> bool:
+    """Return whether a target answered that it failed.
+
+    Such answers come fast: taken for answers like others, a target that fails every
+    call would look like the best one. A timeout says that the call took long.
+    """
+    return status >= SERVER_ERROR and status != TIMED_OUT
+
+
 def build_request(
     request: CallerRequest, target: TargetEntry, body: bytes, seconds_left: float
 ) -> bytes:
--- a/src/cedarchute/turns/holder.py
+++ b/src/cedarchute/turns/holder.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, Final
 
+from cedarchute.turns.failure_board import FailureBoard
 from cedarchute.turns.messages import (
     Account,
     Chain,
@@ -52,6 +53,7 @@
         self.seats = seats
         self.disk = disk
         self.caught_up = False
+        self.board = FailureBoard()
 
     def check(self, message: Addressed) -> None:
         """Refuse what was meant for another disk, or by an older table."""
@@ -69,12 +71,14 @@
         reserved = Reserved(message.program, message.turn, message.tokens)
         self.book.take([reserved])
         turns = self.book.find(message.program)
+        self.board.take(message.failed)
+        failures = self.board.tell()
         if not message.previous:
-            return TurnBegun(turns.spent)
+            return TurnBegun(turns.spent, failures=failures)
         chain, missing = self.book.collect_chain(message.previous)
         target = chain[-1].target if chain else ""
         text = join_chain(chain) if message.wants_text else b""
-        return TurnBegun(turns.spent, missing, text, target)
+        return TurnBegun(turns.spent, missing, text, target, failures)
 
     def take_records(self, message: TakeRecords) -> RecordsTaken:
         """Write records down."""
--- a/src/cedarchute/turns/turn_quorum.py
+++ b/src/cedarchute/turns/turn_quorum.py
@@ -28,6 +28,7 @@
     from collections.abc import Callable
 
     from cedarchute.metrics import Metrics
+    from cedarchute.routing.failure_news import FailureNews
     from cedarchute.turns.holder_client import HolderClient
     from cedarchute.turns.records import Record
     from cedarchute.turns.seat_book import SeatBook
@@ -76,8 +77,10 @@
         seats: SeatBook,
         client: HolderClient,
         failure_domain: str,
+        news: FailureNews,
         metrics: Metrics,
     ) -> None:
+        self.news = news
         self.seats = seats
         self.fanout = HolderFanout(seats, client)
         self.failure_domain = failure_domain
@@ -107,6 +110,7 @@
     ) -> dict[int, TurnBegun]:
         """Write the reservation down at a quorum; return what each said."""
         nearest = self.find_nearest(program)
+        failed = self.news.take_untold()
 
         def build(table: SeatTable, number: int) -> BeginTurn:
             return BeginTurn(
@@ -117,10 +121,14 @@
                 tokens=tokens,
                 previous=previous,
                 wants_text=number == nearest,
+                failed=failed,
             )
 
         path = "/turns/begin"
-        return self.ask(program, path, TurnBegun, build, ANSWER_SECONDS, nearest)
+        begun = self.ask(program, path, TurnBegun, build, ANSWER_SECONDS, nearest)
+        for answer in begun.values():
+            self.news.hear(answer.failures)
+        return begun
 
     def probe(self) -> None:
         """Ask a quorum about nothing; raise `NoQuorumError` when none answers."""
