--- a/src/cedarchute/calls/target_exchange.py
+++ b/src/cedarchute/calls/target_exchange.py
@@ -105,7 +105,7 @@
             if isinstance(error, TargetFailureError):
                 self.note_failure(target, call, error)
             elif time.monotonic() - sent_at > SILENT_SECONDS:
-                self.record_failure(target)
+                load.record_failure()
             raise
         return OpenAnswer(target, connection, answer, sent_at, silent_until)
 
@@ -127,7 +127,7 @@
         """Count a failure, and leave a target alone that does not answer."""
         self.metrics.count("targets.failures")
         if not error.reason.startswith("refused"):
-            self.record_failure(target)
+            self.choice.loads[target.id].record_failure()
         log.info(
             "Target failed.",
             extra={
@@ -137,11 +137,6 @@
             },
         )
 
-    def record_failure(self, target: TargetEntry) -> None:
-        """Leave a target alone for a while, and let other boxes know."""
-        self.choice.loads[target.id].record_failure()
-        self.choice.news.note(target.id)
-
     def read_rest(self, opened: OpenAnswer) -> bytes:
         """Return the whole body of an answer."""
         answer = opened.answer
@@ -158,7 +153,7 @@
         load.active -= 1
         if is_own_fault(opened.answer.status):
             self.metrics.count("targets.errors")
-            self.record_failure(opened.target)
+            load.record_failure()
         else:
             load.record_answer(seconds)
         self.metrics.time("targets.seconds", seconds)
--- a/src/cedarchute/daemon/entry_box.py
+++ b/src/cedarchute/daemon/entry_box.py
@@ -28,7 +28,6 @@
 from cedarchute.relay.caller_server import CallerServer
 from cedarchute.relay.input_limits import InputLimits
 from cedarchute.relay.target_pool import TargetPool
-from cedarchute.routing.failure_news import FailureNews
 from cedarchute.routing.route_book import RouteBook
 from cedarchute.routing.target_choice import TargetChoice
 from cedarchute.routing.target_registry import TargetRegistry
@@ -73,15 +72,12 @@
         }
         self.parts = NodeParts(settings, me, followers, metrics)
         chance = random.Random()
-        news = FailureNews()
         self.choice = TargetChoice(
-            self.registry, box.failure_domain, chance, self.pool.is_warm, news
+            self.registry, box.failure_domain, chance, self.pool.is_warm
         )
         exchange = TargetExchange(self.pool, self.choice, metrics)
         holders = HolderClient(metrics)
-        quorum = TurnQuorum(
-            self.parts.seats, holders, box.failure_domain, news, metrics
-        )
+        quorum = TurnQuorum(self.parts.seats, holders, box.failure_domain, metrics)
         turns = TurnCall(exchange, quorum, self.routes, metrics)
         desk = CallDesk(self.routes, PlainCall(exchange, metrics), turns, metrics)
         self.server = CallerServer(
--- a/src/cedarchute/routing/target_choice.py
+++ b/src/cedarchute/routing/target_choice.py
@@ -12,7 +12,6 @@
     from collections.abc import Callable
 
     from cedarchute.address import Address
-    from cedarchute.routing.failure_news import FailureNews
     from cedarchute.routing.route import Route
     from cedarchute.routing.target_entry import TargetEntry
     from cedarchute.routing.target_registry import TargetRegistry
@@ -40,9 +39,7 @@
         failure_domain: str,
         chance: random.Random,
         is_warm: Callable[[Address], bool],
-        news: FailureNews,
     ) -> None:
-        self.news = news
         self.is_warm = is_warm
         self.registry = registry
         self.failure_domain = failure_domain
@@ -67,12 +64,7 @@
             The target that holds what the call goes on from, if any.
         """
         ready = [e for e in self.registry.list_ready(service) if e.id not in tried]
-        suspects = self.news.find_suspects([entry.id for entry in ready])
-        sound = [
-            entry
-            for entry in ready
-            if entry.id not in suspects and not self.loads[entry.id].is_paused
-        ]
+        sound = [e for e in ready if not self.loads[e.id].is_paused]
         for entry in sound:
             if entry.id == preferred and self.has_room(entry):
                 return entry
--- a/src/cedarchute/turns/holder.py
+++ b/src/cedarchute/turns/holder.py
@@ -4,7 +4,6 @@
 
 from typing import TYPE_CHECKING, Final
 
-from cedarchute.turns.failure_board import FailureBoard
 from cedarchute.turns.messages import (
     Account,
     Chain,
@@ -53,7 +52,6 @@
         self.seats = seats
         self.disk = disk
         self.caught_up = False
-        self.board = FailureBoard()
 
     def check(self, message: Addressed) -> None:
         """Refuse what was meant for another disk, or by an older table."""
@@ -71,14 +69,12 @@
         reserved = Reserved(message.program, message.turn, message.tokens)
         self.book.take([reserved])
         turns = self.book.find(message.program)
-        self.board.take(message.failed)
-        failures = self.board.tell()
         if not message.previous:
-            return TurnBegun(turns.spent, failures=failures)
+            return TurnBegun(turns.spent)
         chain, missing = self.book.collect_chain(message.previous)
         target = chain[-1].target if chain else ""
         text = join_chain(chain) if message.wants_text else b""
-        return TurnBegun(turns.spent, missing, text, target, failures)
+        return TurnBegun(turns.spent, missing, text, target)
 
     def take_records(self, message: TakeRecords) -> RecordsTaken:
         """Write records down."""
--- a/src/cedarchute/turns/messages.py
+++ b/src/cedarchute/turns/messages.py
@@ -22,9 +22,6 @@
     ----------
     wants_text : bool
         Whether the answer brings the text of the chain; one holder is enough.
-    failed : tuple of str
-        Targets of calls that failed at the asking box since it last told, one id for
-        each call.
     """
 
     program: str
@@ -32,7 +29,6 @@
     tokens: int
     previous: str = ""
     wants_text: bool = False
-    failed: tuple[str, ...] = ()
 
 
 class TurnBegun(msgspec.Struct, frozen=True):
@@ -48,15 +44,12 @@
         The chain behind `missing`, oldest first.
     target : str
         The target that ran the previous turn.
-    failures : dict
-        How often targets failed lately, by id, as boxes told this holder.
     """
 
     spent: int
     missing: str = ""
     text: bytes = b""
     target: str = ""
-    failures: dict[str, int] = {}
 
 
 class TakeRecords(Addressed, frozen=True, kw_only=True):
--- a/src/cedarchute/turns/turn_quorum.py
+++ b/src/cedarchute/turns/turn_quorum.py
@@ -28,7 +28,6 @@
     from collections.abc import Callable
 
     from cedarchute.metrics import Metrics
-    from cedarchute.routing.failure_news import FailureNews
     from cedarchute.turns.holder_client import HolderClient
     from cedarchute.turns.records import Record
     from cedarchute.turns.seat_book import SeatBook
@@ -77,10 +76,8 @@
         seats: SeatBook,
         client: HolderClient,
         failure_domain: str,
-        news: FailureNews,
         metrics: Metrics,
     ) -> None:
-        self.news = news
         self.seats = seats
         self.fanout = HolderFanout(seats, client)
         self.failure_domain = failure_domain
@@ -110,7 +107,6 @@
     ) -> dict[int, TurnBegun]:
         """Write the reservation down at a quorum; return what each said."""
         nearest = self.find_nearest(program)
-        failed = self.news.take_untold()
 
         def build(table: SeatTable, number: int) -> BeginTurn:
             return BeginTurn(
@@ -121,14 +117,10 @@
                 tokens=tokens,
                 previous=previous,
                 wants_text=number == nearest,
-                failed=failed,
             )
 
         path = "/turns/begin"
-        begun = self.ask(program, path, TurnBegun, build, ANSWER_SECONDS, nearest)
-        for answer in begun.values():
-            self.news.hear(answer.failures)
-        return begun
+        return self.ask(program, path, TurnBegun, build, ANSWER_SECONDS, nearest)
 
     def probe(self) -> None:
         """Ask a quorum about nothing; raise `NoQuorumError` when none answers."""
