Split the stand-in of an engine: orders, pages of its cache, texts

No behaviour changes: tests of targets, cache moves, shared beginnings, golden sessions and orders passed.

--- a/src/standins/engine.py
+++ b/src/standins/engine.py
@@ -14,7 +14,6 @@
 eventlet.monkey_patch()
 
 import argparse
-import hashlib
 import heapq
 import itertools
 import json
@@ -23,10 +22,12 @@
 from collections import Counter, OrderedDict, deque
 from typing import TYPE_CHECKING, Any, Final
 
-import urllib3
 from eventlet.event import Event
 
-from standins.prefix_cache import BLOCK_TOKENS, PrefixCache
+from standins.cache_pages import CachePages
+from standins.engine_orders import EngineOrders
+from standins.prefix_cache import PrefixCache
+from standins.prompt_text import make_seed, render, token_at
 from standins.sequence import Sequence
 from standins.serving import StandIn, reply, stream
 
@@ -39,18 +40,6 @@
 KEEP_STREAMS: Final = 2000
 
 
-def render(messages: list[dict[str, str]]) -> str:
-    """Return a conversation as one prompt."""
-    return "".join(f"{m['role']}\n{m['content']}\n" for m in messages)
-
-
-def token_at(seed: str, index: int) -> str:
-    """Return the token at `index` of the answer to a prompt."""
-    digest = hashlib.blake2b(f"{seed}{index // 4}".encode(), digest_size=6).hexdigest()
-    start = (index % 4) * 3
-    return digest[start : start + 3] + " "
-
-
 class Engine(StandIn):
     """The engine and its HTTP interface."""
 
@@ -64,13 +53,7 @@
         self.cache = PrefixCache(arguments.cache_tokens, random.Random(arguments.port))
         self.counts: Counter[str] = Counter()
         self.reports: deque[tuple[float, dict[str, Any]]] = deque()
-        self.order: dict[str, Any] = {
-            "model": arguments.model,
-            "version": arguments.version,
-            "adapters": [],
-        }
-        self.role = "both"
-        self.fence = 0
+        self.orders = EngineOrders(arguments, self.counts)
         self.leaving = False
         self.stalled = False
         self.work = Event()
@@ -78,14 +61,15 @@
         self.add("GET", "/v1/streams/<path:name>", self.on_resume)
         self.add("DELETE", "/v1/streams/<path:name>", self.on_cancel)
         self.add("GET", "/load", self.on_load)
-        self.add("POST", "/cache/release", self.on_release)
-        self.add("GET", "/cache/held", self.on_held)
-        self.add("GET", "/cache/seen", self.on_seen)
-        self.add("GET", "/cache/events", self.on_events)
-        self.add("POST", "/cache/export", self.on_export)
-        self.add("POST", "/cache/import", self.on_import)
-        self.add("POST", "/orders", self.on_order)
-        self.add("GET", "/state", self.on_state)
+        pages = CachePages(arguments, self.cache, self.counts)
+        self.add("POST", "/cache/release", pages.on_release)
+        self.add("GET", "/cache/held", pages.on_held)
+        self.add("GET", "/cache/seen", pages.on_seen)
+        self.add("GET", "/cache/events", pages.on_events)
+        self.add("POST", "/cache/export", pages.on_export)
+        self.add("POST", "/cache/import", pages.on_import)
+        self.add("POST", "/orders", self.orders.on_order)
+        self.add("GET", "/state", self.orders.on_state)
         self.add("GET", "/counts", self.on_counts)
         self.add("POST", "/switch", self.on_switch)
         eventlet.spawn(self.step_forever)
@@ -172,7 +156,7 @@
             prompt=prompt,
             max_tokens=body["max_tokens"],
             priority=body.get("priority", 0),
-            seed=hashlib.blake2b(prompt.encode(), digest_size=8).hexdigest(),
+            seed=make_seed(prompt),
         )
         sequence.prompt_tokens = max(1, len(prompt) // CHARACTERS_PER_TOKEN)
         self.counts["requests"] += 1
@@ -257,8 +241,8 @@
             "cache_tokens": self.arguments.cache_tokens,
             "cache_used_tokens": self.cache.used_tokens,
             "leaving": self.leaving,
-            "role": self.role,
-            **self.order,
+            "role": self.orders.role,
+            **self.orders.order,
         }
 
     def on_load(self, request: Request) -> Response:
@@ -273,81 +257,6 @@
                 break
         return reply({**found, "leaving": self.leaving})
 
-    def on_release(self, request: Request) -> Response:
-        """Free what only one program needs."""
-        program = request.get_json(force=True)["program"]
-        self.counts["released"] += 1
-        self.cache.release(program)
-        return reply({})
-
-    def on_held(self, request: Request) -> Response:
-        """Say which programs hold cache, and how much."""
-        held = self.cache.count_held()
-        return reply({"programs": sorted(held), "tokens": dict(held)})
-
-    def on_seen(self, request: Request) -> Response:
-        """Say which blocks were ever in a prompt, and which an answer made.
-
-        A block that an answer made was not computed from a prompt the first time.
-        """
-        seen = [block.hex() for block in self.cache.seen]
-        made = [block.hex() for block in self.cache.made]
-        return reply({"blocks": seen, "made": made})
-
-    def on_events(self, request: Request) -> Response:
-        """Give cache events after a number, late."""
-        after = int(request.args.get("after", -1))
-        ripe = time.monotonic() - self.arguments.report_lag
-        return reply({"events": self.cache.events_after(after, ripe)})
-
-    def on_export(self, request: Request) -> Response:
-        """Give the blocks of a program, for another engine to import."""
-        program = request.get_json(force=True)["program"]
-        return reply({"program": program, "blocks": self.cache.blocks_of(program)})
-
-    def on_import(self, request: Request) -> Response:
-        """Take in the blocks of a program."""
-        body = request.get_json(force=True)
-        tokens = len(body["blocks"]) * BLOCK_TOKENS
-        eventlet.sleep(tokens / max(1.0, self.arguments.import_tokens_per_second))
-        self.cache.take_in(body["blocks"], body["program"])
-        self.counts["imported_tokens"] += len(body["blocks"]) * BLOCK_TOKENS
-        return reply({})
-
-    def on_order(self, request: Request) -> Response:
-        """Take an order, with or without a look at its fencing number."""
-        body = request.get_json(force=True)
-        fence = int(body["fence"])
-        if self.arguments.checks_fence and fence < self.fence:
-            self.counts["orders_refused"] += 1
-            return reply({"error": "old fence", "fence": self.fence}, 409)
-        if not self.has_weights(body):
-            return reply({"error": "no weights"}, 503)
-        self.fence = max(self.fence, fence)
-        self.counts["orders"] += 1
-        self.order["model"] = body.get("model", self.order["model"])
-        self.order["version"] = body.get("version", self.order["version"])
-        self.order["adapters"] = body.get("adapters", self.order["adapters"])
-        self.role = body.get("role", self.role)
-        eventlet.sleep(self.arguments.load_model_seconds)
-        return reply(self.state())
-
-    def has_weights(self, body: dict[str, Any]) -> bool:
-        """Fetch the weights of an order; False when the weight store refuses."""
-        if not self.arguments.weight_store:
-            return True
-        model, version = body.get("model"), body.get("version") or "none"
-        url = f"http://{self.arguments.weight_store}/weights/{model}/{version}"
-        return urllib3.request("GET", url, timeout=5.0).status == 200
-
-    def state(self) -> dict[str, Any]:
-        """Return what the engine serves."""
-        return {**self.order, "role": self.role, "fence": self.fence}
-
-    def on_state(self, request: Request) -> Response:
-        """Say what the engine serves."""
-        return reply(self.state())
-
     def on_counts(self, request: Request) -> Response:
         """Say what was done so far."""
         return reply({**self.counts, "evicted_blocks": self.cache.evicted})
