Tell listeners the keys that are left instead of everything

At a start every box lists the store itself and asks both readers then, with a revision just before theirs; readers do not know the removals between the two and told everything, 3,000 targets.

Change: such a box is told the entries that changed and every key that is left, about a tenth of the whole; what it knows besides is gone. A box of an earlier release does not ask for that and is told everything as before.

A test that asked for a whole state after too many removals asks for the keys now, and that the entries known already are not told again, which is stricter on the cost and as strict on the end. Test first: a box that listed a moment earlier.

--- a/src/cedarchute/fleet/peer_server.py
+++ b/src/cedarchute/fleet/peer_server.py
@@ -55,7 +55,7 @@
             return self.reply(start_response, "400 Bad Request", b"{}")
         wait_seconds = min(asked.wait_seconds, LONGEST_WAIT_SECONDS)
         self.mirror.wait_news(asked.after, wait_seconds)
-        state = msgspec.json.encode(self.mirror.tell(asked.after))
+        state = msgspec.json.encode(self.mirror.tell(asked.after, asked.takes_keys))
         return self.reply(start_response, "200 OK", state)
 
     def reply(
--- a/src/cedarchute/fleet/state_client.py
+++ b/src/cedarchute/fleet/state_client.py
@@ -51,7 +51,9 @@
                 "POST",
                 address,
                 STATE_PATH,
-                body=msgspec.json.encode(AskState(after, wait_seconds)),
+                body=msgspec.json.encode(
+                    AskState(after, wait_seconds, takes_keys=True)
+                ),
                 headers=JSON_HEADERS,
                 timeout=urllib3.Timeout(
                     connect=ANSWER_SECONDS, read=wait_seconds + ANSWER_SECONDS
--- a/src/cedarchute/fleet/state_messages.py
+++ b/src/cedarchute/fleet/state_messages.py
@@ -32,10 +32,14 @@
     ----------
     wait_seconds : float
         How long to wait for a change, or for the store to be lost or back.
+    takes_keys : bool
+        Whether the asker understands `State.keys`; an earlier release does not, and
+        is told everything instead.
     """
 
     after: int | None = None
     wait_seconds: float = 0.0
+    takes_keys: bool = False
 
 
 class State(msgspec.Struct, frozen=True):
@@ -49,6 +53,10 @@
         Whether `entries` is everything, not only what changed.
     steady_seconds : float
         For how long the store has answered that box, 0 when it does not.
+    keys : tuple of str or None
+        Every key that is there, when the removals since the asker's revision are not
+        known one by one; None when they are. It is a tenth of the whole: after a
+        start every box asks two readers with a revision just before theirs.
     """
 
     revision: int
@@ -56,3 +64,4 @@
     entries: tuple[MirroredEntry, ...] = ()
     removals: tuple[Removal, ...] = ()
     steady_seconds: float = 0.0
+    keys: tuple[str, ...] | None = None
--- a/src/cedarchute/fleet/store_mirror.py
+++ b/src/cedarchute/fleet/store_mirror.py
@@ -19,7 +19,7 @@
 log = logging.getLogger("cedarchute.fleet")
 
 # Removals remembered for boxes that ask what changed; one that asks for more is told
-# everything.
+# every key that is left.
 KEPT_REMOVALS: Final = 512
 # A box whose store has answered for this long has seen no outage that entries lapse
 # in and come back from.
@@ -63,16 +63,19 @@
 
     def replace_all(self, entries: list[MirroredEntry], revision: int) -> None:
         """Take in every entry, and what is no longer there."""
-        keys = {entry.key for entry in entries}
         for entry in entries:
             self.take_entry(entry)
-        for key in [known for known in self.entries if known not in keys]:
-            self.take_removal(Removal(key, revision))
+        self.keep_only({entry.key for entry in entries}, revision)
         self.removals.clear()
         self.complete_after = revision
         self.revision = max(self.revision, revision)
         self.announce()
 
+    def keep_only(self, keys: set[str], revision: int) -> None:
+        """Hand over that every other key was gone at a revision."""
+        for key in [known for known in self.entries if known not in keys]:
+            self.take_removal(Removal(key, revision))
+
     def take_changes(self, changes: list[StoreChange], revision: int) -> None:
         """Take in changes, as the store told them."""
         for change in changes:
@@ -102,6 +105,8 @@
             self.take_entry(entry)
         for removal in state.removals:
             self.take_removal(removal)
+        if state.keys is not None:
+            self.keep_only(set(state.keys), state.revision)
         self.revision = state.revision
         self.announce()
         return True
@@ -129,14 +134,18 @@
             if removal.key.startswith(prefix):
                 follower.remove(removal.key.removeprefix(prefix))
 
-    def tell(self, after: int | None) -> State:
+    def tell(self, after: int | None, takes_keys: bool = True) -> State:
         """Return what is known beyond `after`, or everything."""
-        if after is None or after < self.complete_after:
-            entries = tuple(self.entries.values())
-            return State(self.revision, True, entries, (), self.steady_seconds)
+        steady = self.steady_seconds
+        is_complete = after is not None and after >= self.complete_after
+        if after is None or not (is_complete or takes_keys):
+            return State(self.revision, True, tuple(self.entries.values()), (), steady)
         entries = tuple(e for e in self.entries.values() if e.revision > after)
+        if not is_complete:
+            keys = tuple(self.entries)
+            return State(self.revision, False, entries, (), steady, keys)
         removals = tuple(r for r in self.removals if r.revision > after)
-        return State(self.revision, False, entries, removals, self.steady_seconds)
+        return State(self.revision, False, entries, removals, steady)
 
     def wait_news(self, after: int | None, seconds: float) -> None:
         """Return once more than `after` is known, or the store is lost or back."""
--- a/tests/fleet/test_store_mirror.py
+++ b/tests/fleet/test_store_mirror.py
@@ -67,7 +67,24 @@
     assert follower.entries == {"1": "x"}
 
 
-def test_removals_beyond_what_is_kept_are_told_by_a_whole_state():
+def test_a_box_that_listed_a_moment_earlier_is_told_what_changed_and_no_more():
+    common = tuple(entry(f"a/{n}", "x", 1) for n in range(5))
+    behind, follower = make_mirror()
+    behind.take_listing(StoreListing((*common, entry("a/gone", "x", 2)), 2))
+    ahead, _ = make_mirror()
+    ahead.take_listing(StoreListing((*common, entry("a/new", "y", 4)), 4))
+    state = ahead.tell(behind.revision)
+    assert [told.key for told in state.entries] == ["a/new"]
+    assert behind.take_state(state)
+    assert follower.entries == {**{str(n): "x" for n in range(5)}, "new": "y"}
+    assert behind.tell(None).entries == ahead.tell(None).entries
+    third, third_follower = make_mirror()
+    third.take_listing(StoreListing((*common, entry("a/gone", "x", 2)), 2))
+    third.take_state(behind.tell(2))
+    assert third_follower.entries == follower.entries
+
+
+def test_removals_beyond_what_is_kept_are_told_by_the_keys_that_are_left():
     ahead, _ = make_mirror()
     count = KEPT_REMOVALS + 5
     entries = tuple(entry(f"a/{n}", "x", 1) for n in range(count))
@@ -75,8 +92,10 @@
     for number in range(count):
         version = number + 2
         ahead.take_changes([change(f"a/{number}", None, version)], version)
-    assert ahead.tell(1).is_whole
-    assert not ahead.tell(ahead.revision - 1).is_whole
+    assert ahead.tell(1).keys == ()
+    assert ahead.tell(1).entries == ()
+    assert ahead.tell(1, takes_keys=False).is_whole
+    assert ahead.tell(ahead.revision - 1).keys is None
     behind, follower = make_mirror()
     behind.take_listing(StoreListing(entries, 1))
     behind.take_state(ahead.tell(1))
