Begin an entry with a listing that may be old

Every box lists 3,400 entries in seven pages at once, 2,100 calls where the store answers 2,000 a second; who is refused starts over, and asks others for everything meanwhile.

Change: the first listing of an entry is such a read, a tenth of the price and not counted by the rate; its revision is the oldest of its pages. Holders read the newest, since they answer by the table of seats that they know. A listing older than what another box told meanwhile is read anew, also one that is not old: it could bring back what is gone, and nothing would tell of it again.

Tests: only the first listing may be old; older than known brings nothing back.

--- a/src/cedarchute/fleet/store_mirror.py
+++ b/src/cedarchute/fleet/store_mirror.py
@@ -56,10 +56,17 @@
         """For how long the store has not answered, 0 when it does."""
         return 0.0 if self.lost_since is None else time.monotonic() - self.lost_since
 
-    def take_listing(self, listing: StoreListing) -> None:
-        """Take in everything, as the store listed it."""
+    def take_listing(self, listing: StoreListing) -> bool:
+        """Take in everything, as the store listed it; return whether it was of use.
+
+        One that is older than what another box has told meanwhile may hold entries
+        that are gone, and nothing would tell of that again.
+        """
+        if listing.revision < self.revision:
+            return False
         entries = [MirroredEntry(e.key, e.value, e.version) for e in listing.entries]
         self.replace_all(entries, listing.revision)
+        return True
 
     def replace_all(self, entries: list[MirroredEntry], revision: int) -> None:
         """Take in every entry, and what is no longer there."""
--- a/tests/fleet/test_store_mirror.py
+++ b/tests/fleet/test_store_mirror.py
@@ -170,3 +170,12 @@
     mirror.note_lost("silent")
     lost.wait()
     assert heard == [3, 4, 5]
+
+
+def test_a_listing_older_than_what_is_known_brings_nothing_back():
+    mirror, follower = make_mirror()
+    ahead, _ = make_mirror()
+    ahead.take_listing(StoreListing((entry("a/2", "y", 6),), 9))
+    assert mirror.take_state(ahead.tell(None))
+    assert not mirror.take_listing(StoreListing((entry("a/gone", "x", 3),), 5))
+    assert follower.entries == {"2": "y"}
--- a/tests/fleet/test_store_reader.py
+++ b/tests/fleet/test_store_reader.py
@@ -27,10 +27,12 @@
 
     def __init__(self):
         self.watches = []
+        self.listings = []
         self.is_down = False
         self.revision = 4
 
-    def list(self, prefix):
+    def list(self, prefix, may_be_old):
+        self.listings.append(may_be_old)
         return StoreListing((StoreEntry("k/1", "listed", 3),), self.revision)
 
     def wait_changes(self, prefix, after, seconds):
@@ -71,7 +73,8 @@
 def reader(monkeypatch):
     monkeypatch.setattr(store_reader.eventlet, "sleep", lambda seconds: None)
     follower = RecordingFollower()
-    reader = StoreReader(Store(), StoreMirror({"k/": follower}), Readers(), Metrics())
+    mirror = StoreMirror({"k/": follower})
+    reader = StoreReader(Store(), mirror, Readers(), Metrics(), may_be_old=True)
     reader.boxes = Boxes()
     reader.follower = follower
     reader.read_once()
@@ -168,3 +171,22 @@
     assert reader.follower.entries == {"1": "told"}
     assert reader.follower.back == backs + 1
     assert reader.mirror.lost_since is not None
+
+
+def test_only_the_first_listing_may_be_old(reader):
+    assert reader.store.listings == [True]
+    reader.must_list = True
+    reader.read_once()
+    assert reader.store.listings == [True, False]
+
+
+def test_a_listing_older_than_what_a_box_told_meanwhile_is_read_anew(reader):
+    reader.boxes.tell_all(tell(7, "told"))
+    reader.read_once()
+    reader.must_list = True
+    reader.read_once()
+    assert reader.must_list
+    assert reader.follower.entries == {"1": "told"}
+    reader.store.revision = 7
+    reader.read_once()
+    assert not reader.must_list
