Go on without the page of metrics when its port is taken

Change: the listener for metrics is the last to open, and a port that is taken is reported and no more.

--- a/src/cedarchute/daemon/entry_box.py
+++ b/src/cedarchute/daemon/entry_box.py
@@ -5,6 +5,7 @@
 import logging
 import random
 import time
+from functools import partial
 from typing import TYPE_CHECKING
 
 import eventlet
@@ -15,12 +16,11 @@
 from cedarchute.calls.target_exchange import TargetExchange
 from cedarchute.calls.turn_call import TurnCall
 from cedarchute.daemon.entry_stop import EntryStop
-from cedarchute.daemon.listeners import open_listener, serve_app
+from cedarchute.daemon.listeners import open_listener, serve_app, serve_metrics
 from cedarchute.daemon.loop_lag import LoopLag
 from cedarchute.daemon.node_parts import NodeParts
 from cedarchute.fleet.box_entry import BoxEntry, Role
 from cedarchute.fleet.holder_contact import HolderContact
-from cedarchute.fleet.metrics_app import MetricsApp
 from cedarchute.fleet.peer_server import PeerServer
 from cedarchute.platform.directory_app import DirectoryApp
 from cedarchute.platform.followers import ConfigurationFollower, TargetFollower
@@ -106,8 +106,8 @@
                 self.listen(peers, file, "exchange"),
                 PeerServer(self.parts.mirror, metrics),
             ),
-            (self.listen(listen.metrics, file, "metrics"), MetricsApp(metrics)),
         ]
+        self.serve_metrics = partial(serve_metrics, listen.metrics, metrics, file)
 
     def listen(self, address: str, file: str, key: str) -> object:
         """Open one listener; None when the key is not set."""
@@ -137,6 +137,7 @@
         for listener, app in self.apps:
             if listener is not None:
                 eventlet.spawn_n(serve_app, listener, app)
+        self.serve_metrics()
         self.parts.start()
         eventlet.spawn_n(self.contact.run_forever)
         eventlet.spawn_n(self.expire_forever)
--- a/src/cedarchute/daemon/holder_box.py
+++ b/src/cedarchute/daemon/holder_box.py
@@ -4,17 +4,16 @@
 
 import logging
 import time
+from functools import partial
 from pathlib import Path
 from typing import TYPE_CHECKING, Final
 
 import eventlet
 from eventlet.event import Event
 
-from cedarchute.address import Address
-from cedarchute.daemon.listeners import open_listener, serve_app
+from cedarchute.daemon.listeners import open_listener, serve_app, serve_metrics
 from cedarchute.daemon.node_parts import NodeParts
 from cedarchute.fleet.box_entry import BoxEntry, Role
-from cedarchute.fleet.metrics_app import MetricsApp
 from cedarchute.fleet.peer_server import PeerServer
 from cedarchute.platform.keys import RETIRE
 from cedarchute.platform.retirements import Retirements
@@ -89,10 +88,9 @@
         )
         self.listener = open_listener(settings.peers, f"{file}: [box] peer_port")
         self.app = PeerServer(self.parts.mirror, metrics, HolderApp(self.holder))
-        self.metrics_listener = None
-        if settings.listen.metrics:
-            address = Address.parse(settings.listen.metrics)
-            self.metrics_listener = open_listener(address, f"{file}: [listen] metrics")
+        self.serve_metrics = partial(
+            serve_metrics, settings.listen.metrics, metrics, file
+        )
         self.done = Event()
         self.asked = False
 
@@ -118,9 +116,7 @@
         seconds = round(time.monotonic() - started, 3)
         log.info("Disk read.", extra={"records": count, "seconds": seconds})
         eventlet.spawn_n(serve_app, self.listener, self.app)
-        if self.metrics_listener is not None:
-            app = MetricsApp(self.metrics)
-            eventlet.spawn_n(serve_app, self.metrics_listener, app)
+        self.serve_metrics()
         self.parts.start()
         eventlet.spawn_n(self.keeper.run_forever)
         eventlet.spawn_n(self.tidy_forever)
--- a/src/cedarchute/daemon/listeners.py
+++ b/src/cedarchute/daemon/listeners.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import logging
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
@@ -10,12 +11,16 @@
 import eventlet.wsgi
 from eventlet.greenio import GreenSocket
 
+from cedarchute.address import Address
 from cedarchute.daemon.early_listener import BACKLOG, EARLY
+from cedarchute.fleet.metrics_app import MetricsApp
 
 if TYPE_CHECKING:
-    from cedarchute.address import Address
+    from cedarchute.metrics import Metrics
     from cedarchute.settings.box_settings import BoxSection
 
+log = logging.getLogger("cedarchute.daemon")
+
 
 class PortInUseError(Exception):
     """An address of the settings cannot be listened on."""
@@ -73,6 +78,21 @@
         raise PortInUseError(f"{place}: {address} {mend}") from error
 
 
+def serve_metrics(address: str, metrics: Metrics, file: str) -> None:
+    """Serve the page of metrics at an address of its own, if one is given.
+
+    A port that is taken is reported and no more: no call depends on this page.
+    """
+    if not address:
+        return
+    try:
+        listener = open_listener(Address.parse(address), f"{file}: [listen] metrics")
+    except PortInUseError as error:
+        log.error("Metrics not served.", extra={"why": str(error)})
+        return
+    eventlet.spawn_n(serve_app, listener, MetricsApp(metrics))
+
+
 def serve_app(listener: object, app: object) -> None:
     """Serve a WSGI application for other boxes and the platform."""
     eventlet.wsgi.server(
