Take back the listing that may be old; read one anew that another box has overtaken

What stays of it: the revision of a listing is the oldest of its pages, and a listing older than what another box told meanwhile is read anew, with their tests.

--- a/src/cedarchute/daemon/node_parts.py
+++ b/src/cedarchute/daemon/node_parts.py
@@ -9,7 +9,6 @@
 
 from cedarchute.address import Address
 from cedarchute.fleet.box_directory import BoxDirectory
-from cedarchute.fleet.box_entry import Role
 from cedarchute.fleet.followers import SEATS_KEY, BoxFollower, SeatFollower
 from cedarchute.fleet.reader_choice import ReaderChoice
 from cedarchute.fleet.registration import BOXES_PREFIX, Registration
@@ -49,10 +48,7 @@
         }
         self.mirror = StoreMirror({**own, **followers})
         readers = ReaderChoice(self.directory, me)
-        # An entry keeps nothing, so an old view harms nobody until it is told more. A
-        # holder answers for others by the table that it knows: it reads the newest.
-        may_be_old = me.role is Role.ENTRY
-        self.reader = StoreReader(self.store, self.mirror, readers, metrics, may_be_old)
+        self.reader = StoreReader(self.store, self.mirror, readers, metrics)
         chance = random.Random()
         self.puller = StatePuller(
             self.mirror, self.directory, settings.seeds, me.name, chance, metrics
--- a/src/cedarchute/fleet/store_reader.py
+++ b/src/cedarchute/fleet/store_reader.py
@@ -46,11 +46,6 @@
 
     A few boxes of each large failure domain watch the store; the others listen to
     them in turn, and watch it themselves while all are silent or have lost it.
-
-    Parameters
-    ----------
-    may_be_old : bool
-        Whether the first listing may show the store as it was some seconds ago.
     """
 
     def __init__(
@@ -59,7 +54,6 @@
         mirror: StoreMirror,
         readers: ReaderChoice,
         metrics: Metrics,
-        may_be_old: bool,
     ) -> None:
         self.store = store
         self.mirror = mirror
@@ -71,7 +65,6 @@
         self.lost_in_a_row = 0
         self.watch_seconds = WATCH_WAIT_SECONDS
         self.must_list = True
-        self.may_be_old = may_be_old
         self.backoff = Backoff(LONGEST_RETRY_SECONDS)
         self.task: eventlet.greenthread.GreenThread | None = None
 
@@ -132,14 +125,8 @@
             self.watch_once(SHORT_WATCH_SECONDS)
 
     def list_once(self) -> None:
-        """Read all; the first time as the store was lately, which is cheap.
-
-        After a loss of power all boxes read at once, and what counts as a call would
-        take the store longer the more boxes there are. What changed since is told by
-        the next watch or by a reader.
-        """
-        may_be_old, self.may_be_old = self.may_be_old, False
-        listing = self.store.list(EVERYTHING, may_be_old)
+        """Read all; once more if another box has told of something newer meanwhile."""
+        listing = self.store.list(EVERYTHING)
         self.note_answered()
         self.must_list = not self.mirror.take_listing(listing)
 
--- a/src/cedarchute/platform/store_client.py
+++ b/src/cedarchute/platform/store_client.py
@@ -94,32 +94,22 @@
         status, answer = self._call("GET", "/kv-key", {"PrivateKey": key})
         return _entry(answer) if status == OK else None
 
-    def list(self, prefix: str, may_be_old: bool = False) -> StoreListing:
+    def list(self, prefix: str) -> StoreListing:
         """Return every entry whose key starts with `prefix`.
 
         The pages are no snapshot: the revision returned is the oldest of theirs, so
         that a watch from there sees what changed in any of them.
-
-        Parameters
-        ----------
-        may_be_old : bool
-            Whether it may show the store as it was some seconds ago, as its revision
-            tells. Such a page costs a tenth and does not count among the calls that
-            the store answers in a second.
         """
-        common = {"PathPrefix": prefix}
-        if may_be_old:
-            common["Serializable"] = "1"
         entries: list[StoreEntry] = []
         revisions: list[int] = []
-        query = common
+        query = {"PathPrefix": prefix}
         while True:
             _, answer = self._call("GET", "/kv-range", query)
             revisions.append(int(answer["StoreRevision"]))
             entries.extend(_entry(item) for item in answer["items"])
             if not answer.get("HasMore") or not answer["items"]:
                 return StoreListing(tuple(entries), min(revisions))
-            query = {**common, "after": entries[-1].key}
+            query = {"PathPrefix": prefix, "after": entries[-1].key}
 
     def swap(self, key: str, value: str, expected: int, lease: int = 0) -> SwapResult:
         """Set `key` to `value` if its version is `expected` (0: no such key).
--- a/src/standins/store.py
+++ b/src/standins/store.py
@@ -125,7 +125,6 @@
             return refusal
         prefix = request.args.get("PathPrefix", "")
         after = request.args.get("after", "")
-        self.calls["old_range"] += int(request.args.get("Serializable", 0))
         keys = sorted(k for k in self.items if k.startswith(prefix) and k > after)
         page = [self.items[key] for key in keys[:PAGE_ITEMS]]
         more = len(keys) > PAGE_ITEMS
--- a/tests/fleet/test_store_reader.py
+++ b/tests/fleet/test_store_reader.py
@@ -27,12 +27,10 @@
 
     def __init__(self):
         self.watches = []
-        self.listings = []
         self.is_down = False
         self.revision = 4
 
-    def list(self, prefix, may_be_old):
-        self.listings.append(may_be_old)
+    def list(self, prefix):
         return StoreListing((StoreEntry("k/1", "listed", 3),), self.revision)
 
     def wait_changes(self, prefix, after, seconds):
@@ -74,7 +72,7 @@
     monkeypatch.setattr(store_reader.eventlet, "sleep", lambda seconds: None)
     follower = RecordingFollower()
     mirror = StoreMirror({"k/": follower})
-    reader = StoreReader(Store(), mirror, Readers(), Metrics(), may_be_old=True)
+    reader = StoreReader(Store(), mirror, Readers(), Metrics())
     reader.boxes = Boxes()
     reader.follower = follower
     reader.read_once()
@@ -173,13 +171,6 @@
     assert reader.mirror.lost_since is not None
 
 
-def test_only_the_first_listing_may_be_old(reader):
-    assert reader.store.listings == [True]
-    reader.must_list = True
-    reader.read_once()
-    assert reader.store.listings == [True, False]
-
-
 def test_a_listing_older_than_what_a_box_told_meanwhile_is_read_anew(reader):
     reader.boxes.tell_all(tell(7, "told"))
     reader.read_once()
