--- a/src/cedarchute/fleet/store_reader.py
+++ b/src/cedarchute/fleet/store_reader.py
@@ -129,6 +129,8 @@
         listing = self.store.list(EVERYTHING)
         self.note_answered()
         self.must_list = not self.mirror.take_listing(listing)
+        if self.must_list:
+            eventlet.sleep(GATHER_SECONDS)
 
     def listen_once(self, reader: BoxEntry) -> None:
         """Take in what a reader tells; wait for it unless readers were lost."""
--- a/src/cedarchute/turns/seen_table.py
+++ b/src/cedarchute/turns/seen_table.py
@@ -40,6 +40,9 @@
     def note(self, version: int) -> None:
         """Write a newer version down; return once it is on the disk.
 
+        The whole process waits for the disk: tables change when holders do, a few
+        times a day.
+
         Raises
         ------
         OSError
