--- a/src/cedarchute/turns/seat_keeper.py
+++ b/src/cedarchute/turns/seat_keeper.py
@@ -81,6 +81,7 @@
         self.opened_at: float | None = None
         self.retiring_since: float | None = None
         self.retired = False
+        self.told_kept = False
 
     def run_forever(self) -> None:
         """Look after the seat for the life of the process."""
@@ -213,11 +214,27 @@
             if self.retired:
                 self.retirements.tell_completed(self.me.box)
             return
+        if not self.can_spare_seat(table):
+            return
         self.retiring_since = self.retiring_since or time.monotonic()
         waited = time.monotonic() - self.retiring_since
         if waited > SUCCESSOR_SECONDS or not self.has_spare(table):
             self.change(table.replace_seat(number, Seat()))
 
+    def can_spare_seat(self, table: SeatTable) -> bool:
+        """Whether every program still has a quorum with one more seat vacant.
+
+        Until a spare takes a seat, this holder goes on answering and is not emptied.
+        """
+        vacant = sum(seat.is_vacant for seat in table.seats)
+        can_spare = vacant + 1 <= table.losses
+        if not can_spare and not self.told_kept:
+            self.told_kept = True
+            log.warning(
+                "Seat kept until another holder comes.", extra={"vacant": vacant}
+            )
+        return can_spare
+
     def has_spare(self, table: SeatTable) -> bool:
         """Whether a holder without a seat is there to take one over."""
         spares = (box.name for box in self.directory.list_boxes(Role.HOLDER))
--- a/tests/turns/test_seat_keeper.py
+++ b/tests/turns/test_seat_keeper.py
@@ -26,8 +26,11 @@
         raise HolderUnavailableError(address)
 
 
-def make_keeper(registered, alive, asked=()):
-    seats = tuple(Seat(box, box, f"disk-{box}", "a") for box in ("a", "b", "c"))
+def make_keeper(registered, alive, asked=(), vacant=()):
+    seats = tuple(
+        Seat() if box in vacant else Seat(box, box, f"disk-{box}", "a")
+        for box in ("a", "b", "c")
+    )
     table = SeatTable(4, True, 1, seats)
     book = SeatBook()
     book.offer(table, "test")
@@ -92,3 +95,33 @@
 def test_the_seat_of_a_holder_to_be_emptied_is_free(clock):
     keeper, table = make_keeper(("a", "b", "c"), ("a", "b", "c"), asked=("b",))
     assert keeper.find_free(table) == 1
+
+
+def make_leaving(keeper, box):
+    """Let a keeper be that of a holder that is to be emptied; return its changes."""
+    changes = []
+    keeper.me = Seat(box, box, f"disk-{box}", "a")
+    keeper.change = changes.append
+    keeper.retirements = SimpleNamespace(asked={box}, tell_started=lambda box: None)
+    return changes
+
+
+def test_a_holder_that_is_emptied_vacates_its_seat(clock):
+    keeper, _ = make_keeper(("a", "b", "c"), ())
+    changes = make_leaving(keeper, "b")
+    keeper.step()
+    assert [seat.box for seat in changes[0].seats] == ["a", "", "c"]
+
+
+def test_a_seat_is_kept_while_one_more_vacant_would_leave_no_quorum(clock):
+    keeper, _ = make_keeper(("b", "c"), (), vacant=("a",))
+    changes = make_leaving(keeper, "b")
+    for _ in range(3):
+        keeper.step()
+        clock.now += seat_keeper.SUCCESSOR_SECONDS + 1
+    assert changes == []
+    # A spare takes the vacant seat, and then this one may go.
+    table = keeper.seats.table
+    keeper.seats.offer(table.replace_seat(0, Seat("d", "d", "disk-d", "a")), "test")
+    keeper.step()
+    assert [seat.box for seat in changes[0].seats] == ["d", "", "c"]
