Pass a reset of the soak's link on as a reset, whichever end goes first

The link resets an end by ending its reading first; the thread that copies from it took that for an orderly end and passed it on, when the far end happened to go first (the ends are a set).

Change: an end that was reset here resets the other one too. The soak's own faults were weaker by that: some of its resets looked like orderly ends to callers.

--- a/src/experiments/soak/link.py
+++ b/src/experiments/soak/link.py
@@ -84,7 +84,11 @@
                 while self.harm in held_by:
                     time.sleep(POLL_SECONDS)
                 sink.sendall(data)
-            sink.shutdown(socket.SHUT_WR)
+            if source in self.ends:
+                sink.shutdown(socket.SHUT_WR)
+            else:
+                # It was reset here, which ends the reading too: no orderly end.
+                self.forget(sink)
         except OSError:
             # A reset is passed on as a reset, never as an orderly end.
             self.forget(source)
--- a/tests/soak/test_link.py
+++ b/tests/soak/test_link.py
@@ -74,3 +74,13 @@
     link.harm = Harm.REFUSE
     with pytest.raises(ConnectionResetError), connect(link) as near:
         near.recv(100)
+
+
+def test_a_reset_is_never_seen_as_an_orderly_end(link):
+    with connect(link) as near:
+        near.sendall(b"one")
+        assert near.recv(100) == b"one"
+        far_end = next(end for end in link.ends if end.getpeername() == link.to)
+        link.forget(far_end)
+        with pytest.raises(ConnectionResetError):
+            near.recv(100)
