Hold a program's budget on whatever route its calls come

Ruled out: a loss of reservations at the holders; on kept routes none was broken. Change: each stream that names a budget reserves its most tokens at a quorum before it is sent, and settles what it handed out, as kept turns do; no text goes to a disk. The smallest budget that any call of a program named holds. Budgets and token counts that are no whole number of 63 bits are answered 400; before, a digit of another script ended as 502.

--- a/src/cedarchute/calls/turn_call.py
+++ b/src/cedarchute/calls/turn_call.py
@@ -1,4 +1,4 @@
-"""A call whose answer is a stream of events; a turn of a program, if it says so."""
+"""A call whose answer is a stream of events: a turn of a program, or a call alone."""
 
 from __future__ import annotations
 
@@ -36,7 +36,11 @@
 
 
 class TurnCall:
-    """Relays turns: admitted by a quorum, completed from their chain, kept whole."""
+    """Relays streams: turns are kept, and budgets hold on whatever route.
+
+    A call that names a budget is booked at the holders of its program also where
+    turns are not kept. They write down its tokens, and no text.
+    """
 
     def __init__(
         self,
@@ -54,21 +58,20 @@
         self, request: CallerRequest, writer: ReplyWriter, call: Call, route: Route
     ) -> None:
         """Answer one call; raise `CallRefusedError` when it is given up."""
-        admission = TurnAdmission(b"", "")
-        if route.keeps_turns:
-            admission = self.admit(call)
+        is_booked = route.keeps_turns or call.program.budget is not None
+        admission = self.admit(call) if is_booked else TurnAdmission(b"", "")
         relay = TurnRelay(self, request, writer, call, route, admission)
         try:
             relay.run()
         finally:
-            if route.keeps_turns and not relay.kept:
+            if is_booked and not relay.kept:
                 self.quorum.settle(call.program.program, call.id, relay.tokens)
 
     def admit(self, call: Call) -> TurnAdmission:
         """Reserve the turn's tokens and read what it goes on from."""
         terms = call.program
         if not terms.program:
-            raise CallRefusedError(400, "a turn names its program")
+            raise CallRefusedError(400, "a turn or a budget names its program")
         try:
             admission = self.quorum.begin(
                 terms.program, call.id, terms.most_tokens, terms.previous, terms.budget
--- a/src/cedarchute/platform/call_headers.py
+++ b/src/cedarchute/platform/call_headers.py
@@ -15,15 +15,26 @@
     from cedarchute.routing.target_entry import TargetEntry
 
 ANSWER_ID = names.CALL_ID
+# Numbers of headers fit into 64 bits with a sign.
+MOST = 2**63 - 1
+MOST_DIGITS = len(str(MOST))
 
 
 def _read_number(headers: Headers, name: bytes) -> int | None:
     text = headers.get_text(name).strip()
     if not text:
         return None
-    if not text.isdigit():
+    return _parse_number(text, name)
+
+
+def _parse_number(text: str, name: bytes) -> int:
+    # Digits of other scripts count as digits too, but not as numbers.
+    if not (text.isascii() and text.isdigit()) or len(text) > MOST_DIGITS:
         raise RequestError(400, f"header {name.decode()} is not a whole number")
-    return int(text)
+    number = int(text)
+    if number > MOST:
+        raise RequestError(400, f"header {name.decode()} is too large")
+    return number
 
 
 def read_call(request: CallerRequest) -> Call:
@@ -39,14 +50,15 @@
     if not call_id:
         raise RequestError(400, "header attempt-id is missing")
     patience = _read_number(headers, names.PATIENCE_MS)
+    budget = _read_number(headers, names.BUDGET)
     _, _, most = headers.get_text(names.TOKENS).partition(",")
-    if most and not most.strip().isdigit():
-        raise RequestError(400, "header token-count is not two numbers")
+    if budget is not None and not most.strip():
+        raise RequestError(400, "header token-count does not say the most tokens out")
     terms = ProgramTerms(
         program=headers.get_text(names.PROGRAM),
-        budget=_read_number(headers, names.BUDGET),
+        budget=budget,
         previous=headers.get_text(names.PREVIOUS_TURN),
-        most_tokens=int(most or 0),
+        most_tokens=_parse_number(most.strip() or "0", names.TOKENS),
     )
     seconds = None if patience is None else patience / 1000
     return Call(call_id, seconds, terms)
--- a/src/cedarchute/turns/holder.py
+++ b/src/cedarchute/turns/holder.py
@@ -81,15 +81,17 @@
     def begin_turn(self, message: BeginTurn) -> TurnBegun:
         """Write a reservation down; tell what is spent and what came before."""
         self.check(message)
-        reserved = Reserved(message.program, message.turn, message.tokens)
+        reserved = Reserved(
+            message.program, message.turn, message.tokens, message.budget
+        )
         self.book.take([reserved])
         turns = self.book.find(message.program)
         if not message.previous:
-            return TurnBegun(turns.spent)
+            return TurnBegun(turns.spent, budget=turns.budget)
         chain, missing = self.book.collect_chain(message.previous)
         target = chain[-1].target if chain else ""
         text = join_chain(chain) if message.wants_text else b""
-        return TurnBegun(turns.spent, missing, text, target)
+        return TurnBegun(turns.spent, missing, text, target, turns.budget)
 
     def take_records(self, message: TakeRecords) -> RecordsTaken:
         """Write records down."""
--- a/src/cedarchute/turns/messages.py
+++ b/src/cedarchute/turns/messages.py
@@ -27,6 +27,7 @@
     program: str
     turn: str
     tokens: int
+    budget: int | None = None
     previous: str = ""
     wants_text: bool = False
 
@@ -44,12 +45,15 @@
         The chain behind `missing`, oldest first.
     target : str
         The target that ran the previous turn.
+    budget : int or None
+        The smallest budget that any call of the program named.
     """
 
     spent: int
     missing: str = ""
     text: bytes = b""
     target: str = ""
+    budget: int | None = None
 
 
 class TakeRecords(Addressed, frozen=True, kw_only=True):
--- a/src/cedarchute/turns/program_turns.py
+++ b/src/cedarchute/turns/program_turns.py
@@ -20,12 +20,19 @@
 
     A turn is open while it is only reserved. Once it is settled, whole or not, a
     reservation that arrives late does not open it again.
+
+    Attributes
+    ----------
+    budget : int or None
+        The smallest that any call named, so that naming a larger one later wins
+        nothing.
     """
 
     def __init__(self) -> None:
         self.open: dict[str, int] = {}
         self.settled: dict[str, int] = {}
         self.whole: dict[str, Turn] = {}
+        self.budget: int | None = None
         self.keep_seconds = KEEP_DEFAULT_SECONDS
         self.used_at = time.monotonic()
 
@@ -33,6 +40,7 @@
         """Take in a record; return whether it told anything new."""
         self.used_at = time.monotonic()
         if isinstance(record, Reserved):
+            self.note_budget(record.budget)
             if record.turn in self.settled or record.turn in self.open:
                 return False
             self.open[record.turn] = record.tokens
@@ -47,6 +55,12 @@
             self.settled[record.turn] = record.tokens
         return is_new
 
+    def note_budget(self, budget: int | None) -> None:
+        """Take in the budget that a call named."""
+        if budget is None:
+            return
+        self.budget = budget if self.budget is None else min(self.budget, budget)
+
     @property
     def spent(self) -> int:
         """Tokens generated or reserved."""
@@ -59,7 +73,11 @@
             if turn not in self.whole:
                 records.append(Settled(program, turn, tokens))
         for turn, tokens in self.open.items():
-            records.append(Reserved(program, turn, tokens))
+            records.append(Reserved(program, turn, tokens, self.budget))
+        if self.budget is not None and self.settled:
+            # A reservation of a settled turn tells nothing but the budget.
+            settled = next(iter(self.settled))
+            records.append(Reserved(program, settled, 0, self.budget))
         return records
 
     def is_over(self, now: float) -> bool:
--- a/src/cedarchute/turns/records.py
+++ b/src/cedarchute/turns/records.py
@@ -6,11 +6,18 @@
 
 
 class Reserved(msgspec.Struct, frozen=True, tag="reserved", tag_field="kind"):
-    """A turn may generate up to `tokens` from now on."""
+    """A turn may generate up to `tokens` from now on.
+
+    Attributes
+    ----------
+    budget : int or None
+        What the call said that its program may generate in all.
+    """
 
     program: str
     turn: str
     tokens: int
+    budget: int | None = None
 
 
 class Settled(msgspec.Struct, frozen=True, tag="settled", tag_field="kind"):
--- a/src/cedarchute/turns/turn_quorum.py
+++ b/src/cedarchute/turns/turn_quorum.py
@@ -93,17 +93,23 @@
         NoQuorumError, NoSuchTurnError, BudgetSpentError
             The reservation is withdrawn, or was never complete.
         """
-        begun = self.reserve(program, turn, tokens, previous)
+        begun = self.reserve(program, turn, tokens, previous, budget)
+        named = [a.budget for a in begun.values() if a.budget is not None]
         try:
-            if budget is not None:
-                self.check_budget(program, turn, tokens, budget, begun)
+            if named:
+                self.check_budget(program, turn, tokens, min(named), begun)
             return self.read_previous(previous, begun)
         except Exception:
             self.withdraw(program, turn)
             raise
 
     def reserve(
-        self, program: str, turn: str, tokens: int, previous: str
+        self,
+        program: str,
+        turn: str,
+        tokens: int,
+        previous: str,
+        budget: int | None = None,
     ) -> dict[int, TurnBegun]:
         """Write the reservation down at a quorum; return what each said."""
         nearest = self.find_nearest(program)
@@ -115,6 +121,7 @@
                 program=program,
                 turn=turn,
                 tokens=tokens,
+                budget=budget,
                 previous=previous,
                 wants_text=number == nearest,
             )
--- a/tests/turns/test_turn_book.py
+++ b/tests/turns/test_turn_book.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 from cedarchute.metrics import Metrics
+from cedarchute.turns.program_turns import ProgramTurns
 from cedarchute.turns.records import Reserved, Settled, Turn
 from cedarchute.turns.turn_book import TurnBook
 from cedarchute.turns.turn_journal import TurnJournal
@@ -96,3 +97,20 @@
     again = make_book(tmp_path)
     again.load()
     assert len(again.collect_chain("t19")[0]) == 20
+
+
+def test_the_smallest_budget_named_outlasts_compaction(tmp_path):
+    book = make_book(tmp_path)
+    book.take([Reserved("p", "a", 10, 900), Reserved("p", "b", 10, 50)])
+    book.take([Settled("p", "a", 3), Settled("p", "b", 3), Reserved("p", "c", 1, 70)])
+    again = ProgramTurns()
+    for record in book.find("p").list_records("p"):
+        again.apply(record)
+    assert again.budget == 50
+    assert again.spent == book.find("p").spent == 7
+    book.take([Settled("p", "c", 1)])
+    settled = ProgramTurns()
+    for record in reversed(book.find("p").list_records("p")):
+        settled.apply(record)
+    assert settled.budget == 50
+    assert settled.spent == 7
