Let new programs in only while those under way stay in time

Ruled out: the boxes' processors (0.17 of 1.07 cores); full queues at engines as the signal (they come seconds late); more waiting (a program admitted late is late). Change: a package of pure decisions. PaceMeter sees from streams alone how many times longer than usual calls take, each target by itself; AimUse learns which share of their time programs use when calm; decide_admission refuses a new program, at once and with a time to come back, when it would probably end late. A program draws its standing from its name, so every box and every return gives the same answer and those let in have all their time. Programs under way pass always: holders tell whether a program has begun, and since when it has been asked for.

--- a/src/cedarchute/calls/attempts.py
+++ b/src/cedarchute/calls/attempts.py
@@ -16,6 +16,7 @@
 if TYPE_CHECKING:
     from cedarchute.calls.call import Call
     from cedarchute.calls.target_exchange import OpenAnswer, TargetExchange
+    from cedarchute.decisions.pace_meter import PaceMeter
     from cedarchute.metrics import Metrics
     from cedarchute.relay.caller_request import CallerRequest
     from cedarchute.routing.route import Route
@@ -53,6 +54,7 @@
         service: str,
         body: bytes,
         preferred: str = "",
+        meter: PaceMeter | None = None,
     ) -> None:
         self.exchange = exchange
         self.metrics = metrics
@@ -62,6 +64,7 @@
         self.service = service
         self.body = body
         self.preferred = preferred
+        self.meter = meter
         self.tried: set[str] = set()
         self.runs = 0
         self.until = request.read_at + route.timeout_seconds
@@ -93,20 +96,31 @@
                 },
             )
             try:
-                opened = self.exchange.open(
-                    self.request,
-                    self.call,
-                    target,
-                    self.body,
-                    self.until,
-                    self.find_patience(target),
-                )
+                opened = self.send(target)
             except TargetFailureError as error:
                 self.note_failure(error)
                 continue
             self.runs += 1
             return opened
 
+    def send(self, target: TargetEntry) -> OpenAnswer:
+        """Send the call; its wait for an answer counts as soon as it is long."""
+        wait = None
+        if self.meter is not None:
+            wait = self.meter.begin_wait(target.id, time.monotonic())
+        try:
+            return self.exchange.open(
+                self.request,
+                self.call,
+                target,
+                self.body,
+                self.until,
+                self.find_patience(target),
+            )
+        finally:
+            if wait is not None:
+                self.meter.end_wait(wait)
+
     def find_patience(self, target: TargetEntry) -> float:
         """Return until when this target may be silent."""
         if self.route.repeatability is not Repeatability.REPEATABLE:
--- a/src/cedarchute/calls/call.py
+++ b/src/cedarchute/calls/call.py
@@ -17,12 +17,15 @@
         The turn that this one goes on from; empty at the start of a chain.
     most_tokens : int
         Tokens that this turn generates at the most.
+    aim_seconds : float or None
+        What is left of the time that the whole program should take.
     """
 
     program: str
     budget: int | None
     previous: str
     most_tokens: int
+    aim_seconds: float | None = None
 
 
 @dataclass(frozen=True)
--- a/src/cedarchute/calls/turn_call.py
+++ b/src/cedarchute/calls/turn_call.py
@@ -21,6 +21,7 @@
 
 if TYPE_CHECKING:
     from cedarchute.calls.call import Call
+    from cedarchute.calls.program_gate import ProgramGate
     from cedarchute.calls.target_exchange import OpenAnswer, TargetExchange
     from cedarchute.metrics import Metrics
     from cedarchute.relay.caller_request import CallerRequest
@@ -47,8 +48,10 @@
         exchange: TargetExchange,
         quorum: TurnQuorum,
         routes: RouteBook,
+        gate: ProgramGate,
         metrics: Metrics,
     ) -> None:
+        self.gate = gate
         self.exchange = exchange
         self.quorum = quorum
         self.routes = routes
@@ -58,15 +61,28 @@
         self, request: CallerRequest, writer: ReplyWriter, call: Call, route: Route
     ) -> None:
         """Answer one call; raise `CallRefusedError` when it is given up."""
+        service = self.exchange.choice.choose_service(route)
+        self.gate.check(call, route, service)
         is_booked = route.keeps_turns or call.program.budget is not None
         admission = self.admit(call) if is_booked else TurnAdmission(b"", "")
-        relay = TurnRelay(self, request, writer, call, route, admission)
+        relay = TurnRelay(self, request, writer, call, route, service, admission)
         try:
             relay.run()
+            self.note_end(relay, admission)
         finally:
             if is_booked and not relay.kept:
                 self.quorum.settle(call.program.program, call.id, relay.tokens)
 
+    def note_end(self, relay: TurnRelay, admission: TurnAdmission) -> None:
+        """Let the gate learn how much of its program's time a whole turn used."""
+        call = relay.call
+        age = admission.age_seconds
+        if age is None or call.program.aim_seconds is None or not relay.tokens:
+            return
+        took = time.monotonic() - relay.request.read_at
+        left = max(0.0, call.program.aim_seconds - took)
+        self.gate.note_end(relay.route, relay.service, age + took, left)
+
     def admit(self, call: Call) -> TurnAdmission:
         """Reserve the turn's tokens and read what it goes on from."""
         terms = call.program
@@ -124,6 +140,7 @@
         writer: ReplyWriter,
         call: Call,
         route: Route,
+        service: str,
         admission: TurnAdmission,
     ) -> None:
         self.desk = desk
@@ -131,7 +148,8 @@
         self.writer = writer
         self.call = call
         self.route = route
-        self.service = desk.exchange.choice.choose_service(route)
+        self.service = service
+        self.meter = desk.gate.meters[service]
         self.tokens = 0
         self.kept = False
         self.output: list[bytes] = []
@@ -145,6 +163,7 @@
             self.service,
             body,
             admission.target,
+            self.meter,
         )
 
     def run(self) -> None:
@@ -177,8 +196,12 @@
         splitter = EventSplitter()
         answer = opened.answer
         event_tokens = self.desk.event_tokens(self.service)
+        last_at = None
         while True:
-            for event in splitter.feed(answer.take_parts()):
+            events = splitter.feed(answer.take_parts())
+            if events:
+                last_at = self.record_pace(opened, last_at, len(events))
+            for event in events:
                 self.pass_on(opened, event, event_tokens)
             if answer.is_complete:
                 break
@@ -186,6 +209,20 @@
         if splitter.rest.strip():
             raise TargetFailureError("ended within an event", Verdict.MAY_HAVE_RUN)
 
+    def record_pace(
+        self, opened: OpenAnswer, last_at: float | None, events: int
+    ) -> float:
+        """Take in how long these events took; return when they came."""
+        target = opened.target.id
+        now = time.monotonic()
+        if last_at is not None:
+            self.meter.record_pauses(target, now, now - last_at, events)
+            return now
+        self.meter.record_first(target, now, now - opened.sent_at)
+        if events > 1:
+            self.meter.record_pauses(target, now, 0.0, events - 1)
+        return now
+
     def pass_on(self, opened: OpenAnswer, event: bytes, event_tokens: int) -> None:
         """Pass one event on."""
         if not self.writer.started:
--- a/src/cedarchute/daemon/entry_box.py
+++ b/src/cedarchute/daemon/entry_box.py
@@ -13,6 +13,7 @@
 from cedarchute.address import Address
 from cedarchute.calls.call_desk import CallDesk
 from cedarchute.calls.plain_call import PlainCall
+from cedarchute.calls.program_gate import ProgramGate
 from cedarchute.calls.target_exchange import TargetExchange
 from cedarchute.calls.turn_call import TurnCall
 from cedarchute.daemon.entry_stop import EntryStop
@@ -78,7 +79,8 @@
         exchange = TargetExchange(self.pool, self.choice, metrics)
         holders = HolderClient(metrics)
         quorum = TurnQuorum(self.parts.seats, holders, box.failure_domain, metrics)
-        turns = TurnCall(exchange, quorum, self.routes, metrics)
+        self.gate = ProgramGate(quorum, self.routes, metrics)
+        turns = TurnCall(exchange, quorum, self.routes, self.gate, metrics)
         desk = CallDesk(self.routes, PlainCall(exchange, metrics), turns, metrics)
         self.server = CallerServer(
             self.listen(listen.callers, file, "callers"),
@@ -119,6 +121,7 @@
         """Close and forget what is kept of a target that is gone."""
         self.pool.drop(target.address)
         self.choice.forget_gone()
+        self.gate.forget_target(target.id)
 
     def read_limits(self) -> InputLimits:
         """Return the bounds on callers' input that are in force."""
--- a/src/cedarchute/platform/call_headers.py
+++ b/src/cedarchute/platform/call_headers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from typing import TYPE_CHECKING
 
 from cedarchute.calls.call import Call, ProgramTerms
@@ -14,6 +15,8 @@
     from cedarchute.relay.target_answer import TargetAnswer
     from cedarchute.routing.target_entry import TargetEntry
 
+log = logging.getLogger("cedarchute.platform")
+
 ANSWER_ID = names.CALL_ID
 # Numbers of headers fit into 64 bits with a sign.
 MOST = 2**63 - 1
@@ -27,6 +30,16 @@
     return _parse_number(text, name)
 
 
+def _read_aim(headers: Headers) -> float | None:
+    # A hint for decisions only: what is no number counts as not given.
+    text = headers.get_text(names.PROGRAM_AIM_MS).strip()
+    try:
+        return max(0.0, float(text) / 1000) if text else None
+    except ValueError:
+        log.info("A time that a program should take is no number.")
+        return None
+
+
 def _parse_number(text: str, name: bytes) -> int:
     # Digits of other scripts count as digits too, but not as numbers.
     if not (text.isascii() and text.isdigit()) or len(text) > MOST_DIGITS:
@@ -59,6 +72,7 @@
         budget=budget,
         previous=headers.get_text(names.PREVIOUS_TURN),
         most_tokens=_parse_number(most.strip() or "0", names.TOKENS),
+        aim_seconds=_read_aim(headers),
     )
     seconds = None if patience is None else patience / 1000
     return Call(call_id, seconds, terms)
--- a/src/cedarchute/platform/headers.py
+++ b/src/cedarchute/platform/headers.py
@@ -14,6 +14,8 @@
 NOT_RUN: Final = b"not-executed"
 RETRY_AFTER: Final = b"retry-after"
 PROGRAM: Final = b"program-id"
+# Milliseconds until the whole program should be over; it is late after that, not lost.
+PROGRAM_AIM_MS: Final = b"program-deadline-ms"
 BUDGET: Final = b"token-budget"
 PREVIOUS_TURN: Final = b"previous-turn"
 # Two numbers: tokens of the prompt, and the most tokens that come out.
--- a/src/cedarchute/turns/holder.py
+++ b/src/cedarchute/turns/holder.py
@@ -9,6 +9,7 @@
     Chain,
     CopiedRecords,
     RecordsTaken,
+    Standing,
     TurnBegun,
 )
 from cedarchute.turns.records import Reserved
@@ -16,6 +17,7 @@
 if TYPE_CHECKING:
     from cedarchute.turns.messages import (
         Addressed,
+        AskStanding,
         BeginTurn,
         CopyRecords,
         ReadAccount,
@@ -84,14 +86,16 @@
         reserved = Reserved(
             message.program, message.turn, message.tokens, message.budget
         )
-        self.book.take([reserved])
         turns = self.book.find(message.program)
+        turns.note_heard()
+        self.book.take([reserved])
+        age = turns.age_seconds
         if not message.previous:
-            return TurnBegun(turns.spent, budget=turns.budget)
+            return TurnBegun(turns.spent, budget=turns.budget, age_seconds=age)
         chain, missing = self.book.collect_chain(message.previous)
         target = chain[-1].target if chain else ""
         text = join_chain(chain) if message.wants_text else b""
-        return TurnBegun(turns.spent, missing, text, target, turns.budget)
+        return TurnBegun(turns.spent, missing, text, target, turns.budget, age)
 
     def take_records(self, message: TakeRecords) -> RecordsTaken:
         """Write records down."""
@@ -107,6 +111,13 @@
             return Account({}, {})
         return Account(dict(turns.open), dict(turns.settled))
 
+    def tell_standing(self, message: AskStanding) -> Standing:
+        """Tell whether a program has begun; remember when it was first asked about."""
+        self.check(message)
+        turns = self.book.find(message.program)
+        turns.note_heard()
+        return Standing(turns.spent, turns.age_seconds)
+
     def read_chain(self, message: ReadChain) -> Chain:
         """Tell a chain of turns."""
         self.check(message)
--- a/src/cedarchute/turns/holder_app.py
+++ b/src/cedarchute/turns/holder_app.py
@@ -9,6 +9,7 @@
 
 from cedarchute.turns.holder import Holder, HolderError
 from cedarchute.turns.messages import (
+    AskStanding,
     BeginTurn,
     CopyRecords,
     ReadAccount,
@@ -34,6 +35,7 @@
             "/turns/begin": (BeginTurn, holder.begin_turn),
             "/turns/take": (TakeRecords, holder.take_records),
             "/turns/account": (ReadAccount, holder.read_account),
+            "/turns/standing": (AskStanding, holder.tell_standing),
             "/turns/chain": (ReadChain, holder.read_chain),
             "/turns/copy": (CopyRecords, holder.copy_records),
         }
--- a/src/cedarchute/turns/messages.py
+++ b/src/cedarchute/turns/messages.py
@@ -47,6 +47,8 @@
         The target that ran the previous turn.
     budget : int or None
         The smallest budget that any call of the program named.
+    age_seconds : float or None
+        How long ago the program was first asked about here, if that is known.
     """
 
     spent: int
@@ -54,6 +56,7 @@
     text: bytes = b""
     target: str = ""
     budget: int | None = None
+    age_seconds: float | None = None
 
 
 class TakeRecords(Addressed, frozen=True, kw_only=True):
@@ -79,6 +82,27 @@
     settled: dict[str, int]
 
 
+class AskStanding(Addressed, frozen=True, kw_only=True):
+    """Tell whether a program has begun, and remember that it was asked about."""
+
+    program: str
+
+
+class Standing(msgspec.Struct, frozen=True):
+    """What a holder knows of a program that may be let in.
+
+    Attributes
+    ----------
+    spent : int
+        Tokens generated or reserved.
+    age_seconds : float or None
+        How long ago the program was first asked about here, if that is known.
+    """
+
+    spent: int
+    age_seconds: float | None = None
+
+
 class ReadChain(Addressed, frozen=True, kw_only=True):
     """Tell a chain from `turn` back to its start."""
 
--- a/src/cedarchute/turns/program_turns.py
+++ b/src/cedarchute/turns/program_turns.py
@@ -13,6 +13,8 @@
 # Until the first whole turn says how long it is kept: the longest that a program
 # that has only begun may stay away between two tries.
 KEEP_DEFAULT_SECONDS: Final = 60.0
+# A program that was refused comes back within seconds, or not at all.
+KEEP_EMPTY_SECONDS: Final = 10.0
 
 
 class ProgramTurns:
@@ -26,6 +28,9 @@
     budget : int or None
         The smallest that any call named, so that naming a larger one later wins
         nothing.
+    heard_at : float or None
+        When the program was first asked about here; unknown if its records came from
+        the disk or from other holders.
     """
 
     def __init__(self) -> None:
@@ -33,6 +38,7 @@
         self.settled: dict[str, int] = {}
         self.whole: dict[str, Turn] = {}
         self.budget: int | None = None
+        self.heard_at: float | None = None
         self.keep_seconds = KEEP_DEFAULT_SECONDS
         self.used_at = time.monotonic()
 
@@ -61,6 +67,21 @@
             return
         self.budget = budget if self.budget is None else min(self.budget, budget)
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether nothing was written down yet."""
+        return not (self.open or self.settled)
+
+    def note_heard(self) -> None:
+        """Take in that somebody asks about the program."""
+        if self.heard_at is None and self.is_empty:
+            self.heard_at = time.monotonic()
+
+    @property
+    def age_seconds(self) -> float | None:
+        """How long ago it was first asked about, if that is known."""
+        return None if self.heard_at is None else time.monotonic() - self.heard_at
+
     @property
     def spent(self) -> int:
         """Tokens generated or reserved."""
@@ -82,4 +103,5 @@
 
     def is_over(self, now: float) -> bool:
         """Whether nobody may ask for this program any more."""
-        return now - self.used_at > self.keep_seconds
+        seconds = KEEP_EMPTY_SECONDS if self.is_empty else self.keep_seconds
+        return now - self.used_at > seconds
--- a/src/cedarchute/turns/turn_quorum.py
+++ b/src/cedarchute/turns/turn_quorum.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Final, TypeVar
 
 import eventlet
@@ -13,11 +13,13 @@
 from cedarchute.turns.holder_fanout import HolderFanout, NoQuorumError, Question
 from cedarchute.turns.messages import (
     Account,
+    AskStanding,
     BeginTurn,
     Chain,
     ReadAccount,
     ReadChain,
     RecordsTaken,
+    Standing,
     TakeRecords,
     TurnBegun,
 )
@@ -57,10 +59,30 @@
 
 @dataclass(frozen=True)
 class TurnAdmission:
-    """A turn may run: what its prompt goes on from, and who ran the last one."""
+    """A turn may run: what its prompt goes on from, and who ran the last one.
+
+    Attributes
+    ----------
+    age_seconds : float or None
+        How long ago the program was first asked about, if that is known.
+    """
 
     text: bytes
     target: str
+    age_seconds: float | None = None
+
+
+@dataclass(frozen=True)
+class ProgramStanding:
+    """Tokens generated or reserved, and the time since it was first asked about."""
+
+    spent: int
+    age_seconds: float | None
+
+
+def find_age(ages: list[float | None]) -> float | None:
+    """Return the age of a program by what holders know: the one told first counts."""
+    return max((age for age in ages if age is not None), default=None)
 
 
 class TurnQuorum:
@@ -98,7 +120,9 @@
         try:
             if named:
                 self.check_budget(program, turn, tokens, min(named), begun)
-            return self.read_previous(previous, begun)
+            admission = self.read_previous(previous, begun)
+            age = find_age([answer.age_seconds for answer in begun.values()])
+            return replace(admission, age_seconds=age)
         except Exception:
             self.withdraw(program, turn)
             raise
@@ -158,6 +182,18 @@
         if spent + tokens > budget:
             raise BudgetSpentError(f"{spent} of {budget} tokens spent, {tokens} asked")
 
+    def read_standing(self, program: str) -> ProgramStanding:
+        """Return what is known of a program, without booking anything."""
+
+        def build(table: SeatTable, number: int) -> AskStanding:
+            disk = table.seats[number].disk
+            return AskStanding(table_version=table.version, disk=disk, program=program)
+
+        path = "/turns/standing"
+        answers = self.ask(program, path, Standing, build, ANSWER_SECONDS).values()
+        spent = max(answer.spent for answer in answers)
+        return ProgramStanding(spent, find_age([a.age_seconds for a in answers]))
+
     def read_accounts(
         self, program: str, is_patient: bool = False
     ) -> dict[int, Account]:
--- /dev/null
+++ b/src/experiments/overload/__init__.py
@@ -0,0 +1,1 @@
+"""Replays load on engines, boxes and callers in virtual time."""
--- /dev/null
+++ b/tests/decisions/test_program_admission.py
@@ -0,0 +1,104 @@
+from __future__ import annotations
+
+import pytest
+
+from cedarchute.decisions.aim_use import DEFAULT, WARM_SECONDS, WINDOW, AimUse
+from cedarchute.decisions.program_admission import (
+    LEAST_RETRY_SECONDS,
+    MOST_RETRY_SECONDS,
+    STRAINED_SLOWDOWN,
+    AdmissionInputs,
+    decide_admission,
+    find_standing,
+)
+
+
+def decide(slowdown, use=0.55, ranks=0, standing=0.5, aim=2.0, waited=0.0):
+    return decide_admission(
+        AdmissionInputs(slowdown, use, ranks, standing, aim, waited)
+    )
+
+
+def test_nobody_is_refused_while_engines_have_room():
+    calm = STRAINED_SLOWDOWN - 0.01
+    assert decide(calm, use=1.0, standing=0.0, aim=0.1, waited=60.0).admitted
+
+
+def test_more_are_refused_the_slower_the_engines():
+    shares = [decide(s).refused_share for s in (1.3, 1.4, 1.5, 1.6, 1.9, 5.0)]
+    assert shares == sorted(shares)
+    assert shares[0] == 0.0
+    assert shares[-1] == 1.0
+
+
+def test_the_same_program_gets_the_same_answer_everywhere():
+    assert find_standing("p-1") == find_standing("p-1")
+    drawn = [find_standing(f"p-{n}") for n in range(2000)]
+    assert all(0.0 <= value < 1.0 for value in drawn)
+    assert 0.45 < sum(drawn) / len(drawn) < 0.55
+
+
+def test_programs_with_much_time_are_let_in_at_slowdowns_that_refuse_others():
+    assert not decide(1.8, use=0.6).admitted
+    assert decide(1.8, use=0.33).admitted
+
+
+def test_a_program_that_lost_time_waiting_is_refused_first():
+    assert decide(1.4, standing=0.2).admitted
+    assert not decide(1.4, standing=0.2, aim=1.9, waited=0.1).admitted
+
+
+def test_a_more_important_route_is_refused_later():
+    assert decide(1.5, ranks=1).refused_share < decide(1.5, ranks=0).refused_share
+    assert decide(1.5, ranks=9).refused_share == decide(1.5, ranks=2).refused_share
+
+
+def test_a_caller_that_names_no_aim_is_decided_on_by_load_alone():
+    assert decide(1.2, aim=None).admitted
+    assert not decide(3.0, aim=None).admitted
+
+
+@pytest.mark.parametrize("aim", [None, 0.0, 0.4, 2.0, 9.0, 1000.0])
+def test_callers_are_told_when_to_come_back(aim):
+    decision = decide(9.0, aim=aim)
+    wait = decision.retry_after_seconds
+    assert LEAST_RETRY_SECONDS <= wait <= MOST_RETRY_SECONDS
+
+
+def fill(use, shares, start=100.0):
+    use.record_turn(start, 1.0, 0.1, 0.9)
+    for share in shares:
+        use.record_turn(start + WARM_SECONDS, 1.0, share, 1.0 - share)
+
+
+def test_use_is_what_programs_near_their_end_have_used():
+    use = AimUse()
+    assert use.share == DEFAULT
+    fill(use, [0.6 * n / WINDOW for n in range(1, WINDOW + 1)])
+    assert use.share == pytest.approx(0.5, abs=0.06)
+
+
+def test_the_first_seconds_of_a_box_tell_nothing():
+    use = AimUse()
+    for number in range(5 * WINDOW):
+        use.record_turn(100.0 + number / 100, 1.0, 0.1, 0.9)
+    assert use.share == DEFAULT
+
+
+def test_use_follows_slowly_and_bad_input_is_passed_over():
+    use = AimUse()
+    fill(use, [0.3] * WINDOW)
+    assert use.share == pytest.approx(0.3)
+    fill(use, [0.9] * WINDOW)
+    assert use.share == pytest.approx(0.6)
+    use.record_turn(200.0, 1.0, 0.0, 0.0)
+    use.record_turn(200.0, 9.0, 0.5, 0.5)
+    assert use.window == []
+
+
+def test_use_is_told_for_engines_that_are_not_slowed_down():
+    use = AimUse()
+    use.record_turn(100.0, 1.0, 0.1, 0.9)
+    for _ in range(WINDOW):
+        use.record_turn(110.0, 1.5, 0.6, 0.4)
+    assert use.share == pytest.approx(0.4)
--- a/tests/platform_site/test_budgets.py
+++ b/tests/platform_site/test_budgets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import time
 
 import pytest
@@ -9,7 +10,7 @@
 
 from experiments.raw_caller import RawCaller, build_request, call
 from experiments.waiting import wait_until
-from standins.raw_target import chunk, event, reset, stream_head
+from standins.raw_target import RawTarget, chunk, event, reset, stream_head
 
 # Each event of the site's model carries this many tokens.
 EVENT_TOKENS = 3
@@ -91,12 +92,16 @@
 
 
 def test_a_budget_holds_over_restarts_a_lost_disk_and_a_store_away(own_nodes):
-    from standins.raw_target import RawTarget
-
     target = RawTarget(say(*[b"x"] * 10))
     own_nodes.add_target("t", "model", target.address)
     entry = own_nodes.callers["entry-1"]
-    wait_until(lambda: ask(entry, "bf1", "bf", budget=75) == 200, "the target is known")
+    # Each try has a name of its own, as callers' tries do.
+    names = (f"bf{number}" for number in itertools.count())
+
+    def serves():
+        return ask(entry, next(names), "bf", budget=75) == 200
+
+    wait_until(serves, "the target is known")
     own_nodes.kill("holder-1")
     for path in (own_nodes.folder / "holder-1-data").iterdir():
         path.unlink()
@@ -105,10 +110,11 @@
     for name in ("entry-1", "holder-1", "holder-2", "holder-3"):
         own_nodes.restart(name)
     own_nodes.wait_ready()
-    wait_until(lambda: ask(entry, "bf2", "bf", budget=75) == 200, "a quorum answers")
+    wait_until(serves, "a quorum answers")
     own_nodes.switch_store(down=True)
-    assert ask(entry, "bf3", "bf", budget=75) == 402
-    assert ask(own_nodes.callers["entry-2"], "bf4", "bf", budget=75) == 402
+    assert ask(entry, next(names), "bf", budget=75) == 402
+    other = own_nodes.callers["entry-2"]
+    assert ask(other, next(names), "bf", budget=75) == 402
     target.close()
 
 
