Give the test of all processes lost a program for each budget

Why the test was wrong: a program that changes its budget is held to the smallest, as docs/API.md says; before, each call was held to the budget that it named itself, so naming a larger one later got past the first.

--- a/tests/platform_site/test_turns_across_losses.py
+++ b/tests/platform_site/test_turns_across_losses.py
@@ -52,8 +52,11 @@
 
 def test_turns_outlast_the_loss_of_every_process(turn_nodes):
     site = turn_nodes
-    assert take_turn(site.callers["entry-1"], "a", b"a", "p", budget=9)[0] == 402
-    assert take_turn(site.callers["entry-1"], "b", b"a", "p", budget=30)[0] == 200
+    entry = site.callers["entry-1"]
+    # Programs of their own: the smallest budget that a program names holds for good.
+    assert take_turn(entry, "a", b"a", "p-small", budget=9)[0] == 402
+    assert take_turn(entry, "a-exact", b"a", "p-exact", budget=30)[0] == 200
+    assert take_turn(entry, "b", b"a", "p", budget=36)[0] == 200
     names = [*site.peers]
     for name in names:
         site.kill(name)
