--- a/src/cedarchute/decisions/program_admission.py
+++ b/src/cedarchute/decisions/program_admission.py
@@ -19,8 +19,9 @@
 # A program is expected to use this share of its time when the first is refused, and
 # when all are. Half of all programs take longer than expected, and what was let in a
 # moment ago slows the engines only later, so refusing begins before the whole is used.
-# From 0.8 on, a burst at 2.5 times the load that the engines carried had 0.034 of its
-# day's programs refused; from 0.85 on 0.003 (one replayed day each).
+# From 0.8 on, with 0.5 taken for the use until it is learnt, a burst that the engines
+# carried had 0.034 of its day's programs refused; from 0.85 on, with 0.4, 0.003 (one
+# replayed day each).
 FIRST_REFUSED_USE: Final = 0.85
 ALL_REFUSED_USE: Final = 1.0
 # Programs of a more important route are refused later by this share, for each rank, up
--- a/src/cedarchute/host_pools.py
+++ b/src/cedarchute/host_pools.py
@@ -52,7 +52,7 @@
 
         When no answer comes in time, the idle connections to the address are dropped:
         open connections may go silent together while new ones work, and each kept one
-        would cost another request its time: two of three requests at once without this.
+        would cost another request its time.
         """
         pool = self.find_pool(address)
         try:
