Start sooner: data of a box without compiled methods, no patches and imports that it never uses; never block on logs

Some thirty frozen data classes take 1.3 ms each to define, a msgspec struct 0.03 ms; absl's runner imports a debugger; the patch of subprocess imports it. Ruled out: python -S, the collector switched off during imports (no difference beyond the spread). Change: Record and MutableRecord stand for data classes on the boxes' path; flags are parsed without absl's runner; two patches are left out; pages are served after callers. Also found: the bounded log blocked at a full pipe, since the patched os.write waits instead of failing; it uses the system's own call now (test red before: it never ended).

--- a/src/cedarchute/address.py
+++ b/src/cedarchute/address.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import ipaddress
-from dataclasses import dataclass
 
+from cedarchute.record import Record
 
-@dataclass(frozen=True)
-class Address:
+
+class Address(Record):
     """An IP number and a port."""
 
     host: str
--- a/src/cedarchute/calls/call.py
+++ b/src/cedarchute/calls/call.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from cedarchute.record import Record
 
 
-@dataclass(frozen=True)
-class ProgramTerms:
+class ProgramTerms(Record):
     """What a call says of the program that it belongs to.
 
     Attributes
@@ -28,8 +27,7 @@
     aim_seconds: float | None = None
 
 
-@dataclass(frozen=True)
-class Call:
+class Call(Record):
     """One try of a caller.
 
     Attributes
--- a/src/cedarchute/calls/target_exchange.py
+++ b/src/cedarchute/calls/target_exchange.py
@@ -4,7 +4,6 @@
 
 import logging
 import time
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from cedarchute.platform.call_headers import (
@@ -12,6 +11,7 @@
     says_not_run,
     write_target_headers,
 )
+from cedarchute.record import MutableRecord
 from cedarchute.relay.target_failure import TargetFailureError
 from cedarchute.verdict import Verdict
 
@@ -40,8 +40,7 @@
 SILENT_SECONDS = 1.5
 
 
-@dataclass
-class OpenAnswer:
+class OpenAnswer(MutableRecord):
     """An answer whose head is read, on the connection that brings the rest."""
 
     target: TargetEntry
--- a/src/cedarchute/daemon/bounded_log.py
+++ b/src/cedarchute/daemon/bounded_log.py
@@ -5,6 +5,7 @@
 import fcntl
 import logging
 import os
+import posix
 import time
 from collections import Counter, deque
 from typing import TYPE_CHECKING, Final
@@ -80,11 +81,15 @@
         self.kept_bytes += len(data)
 
     def flush_kept(self) -> None:
-        """Write as much as the other side takes now."""
+        """Write as much as the other side takes now.
+
+        By the system's own call: that of `os` is one that waits in a box, and its task
+        stopped at a full pipe.
+        """
         while self.kept:
             data = self.kept[0]
             try:
-                count = os.write(self.descriptor, data)
+                count = posix.write(self.descriptor, data)
             except BlockingIOError:
                 return
             self.kept_bytes -= count
--- a/src/cedarchute/daemon/entry_box.py
+++ b/src/cedarchute/daemon/entry_box.py
@@ -47,6 +47,9 @@
 
 # Targets and boxes whose entries lapsed are looked for this often.
 EXPIRE_SECONDS = 0.2
+# Pages are served once there is a configuration, or after this long: what they tell is
+# of little use before, and callers under way are served first.
+PAGES_WAIT_SECONDS = 0.3
 
 
 class EntryBox:
@@ -144,17 +147,22 @@
         self.stop.ask()
 
     def run(self) -> None:
-        """Serve until a planned stop is done."""
-        for listener, app in self.apps:
-            if listener is not None:
-                self.supervisor.start("pages", partial(serve_app, listener, app))
-        self.serve_metrics()
+        """Serve until a planned stop is done; callers are served first."""
         self.parts.start(self.supervisor)
         self.supervisor.start("contact with holders", self.contact.run_forever)
         self.supervisor.start("lapsed targets", self.expire_forever)
         self.supervisor.start("callers", self.server.serve_forever)
+        self.routes.wait(PAGES_WAIT_SECONDS)
+        self.serve_pages()
         self.stop.wait()
 
+    def serve_pages(self) -> None:
+        """Answer other boxes, the platform and who asks which box to use."""
+        for listener, app in self.apps:
+            if listener is not None:
+                self.supervisor.start("pages", partial(serve_app, listener, app))
+        self.serve_metrics()
+
     def expire_forever(self) -> None:
         """Drop the targets whose entries did not come back."""
         while True:
--- a/src/cedarchute/daemon/lean_start.py
+++ b/src/cedarchute/daemon/lean_start.py
@@ -23,6 +23,9 @@
 BUILT_IN_HASH: Final = "_md5"
 # Lacks its part for TLS when imported without it; the next to import it reads it anew.
 MODULE_WITHOUT_ENCRYPTION: Final = "http.client"
+# Messages are annotated with what the standard library has; where this backport is
+# installed, msgspec imports it as well.
+BACKPORTED_TYPES: Final = "typing_extensions"
 # eventlet imports it for a hub that is not used here.
 OTHER_LOOP: Final = "asyncio"
 
@@ -31,13 +34,15 @@
     """Make imports of what no box uses fail during the start, as if not installed."""
     for name in ENCRYPTION_MODULES:
         sys.modules[name] = None
+    if BACKPORTED_TYPES not in sys.modules:
+        sys.modules[BACKPORTED_TYPES] = None
     if importlib.util.find_spec(BUILT_IN_HASH) is not None:
         sys.modules[ACCELERATED_HASHES] = None
 
 
 def let_modules_in() -> None:
     """Let later imports succeed again: the page of metrics asks for more."""
-    for name in (*ENCRYPTION_MODULES, ACCELERATED_HASHES):
+    for name in (*ENCRYPTION_MODULES, ACCELERATED_HASHES, BACKPORTED_TYPES):
         if name in sys.modules and sys.modules[name] is None:
             del sys.modules[name]
             sys.modules.pop(MODULE_WITHOUT_ENCRYPTION, None)
--- a/src/cedarchute/daemon/listeners.py
+++ b/src/cedarchute/daemon/listeners.py
@@ -8,7 +8,6 @@
 from typing import TYPE_CHECKING, Any
 
 import eventlet
-import eventlet.wsgi
 from eventlet.greenio import GreenSocket
 
 from cedarchute.address import Address
@@ -95,6 +94,10 @@
 
 def serve_app(listener: object, app: object) -> None:
     """Serve a WSGI application for other boxes and the platform."""
+    # Imported by who serves first: callers are served before, and after a loss of
+    # power they wait for every import.
+    import eventlet.wsgi
+
     eventlet.wsgi.server(
         listener, app, log_output=False, max_size=1024, keepalive=60, debug=False
     )
--- a/src/cedarchute/daemon/main.py
+++ b/src/cedarchute/daemon/main.py
@@ -31,14 +31,16 @@
 # Locks stay real: all green threads share one thread, and none switches while it
 # holds one. Patching them too would search the whole heap for locks to replace, a
 # quarter of the time that a start takes.
-eventlet.monkey_patch(thread=False)
+# No process starts another, and none speaks to a database: those patches would import
+# more than they change.
+eventlet.monkey_patch(thread=False, subprocess=False, psycopg=False)
 
 import logging
 import signal
 import sys
 from typing import Final
 
-from absl import app, flags
+from absl import flags
 
 from cedarchute.daemon.listeners import PortInUseError, open_listeners
 from cedarchute.daemon.logs import set_up_bounded_logs, set_up_logs
@@ -47,6 +49,8 @@
 
 log = logging.getLogger("cedarchute.daemon")
 
+EXIT_OK: Final = 0
+EXIT_BAD_FLAGS: Final = 1
 EXIT_BAD_SETTINGS: Final = 2
 
 SETTINGS = flags.DEFINE_string(
@@ -101,8 +105,21 @@
 
 
 def main() -> None:
-    """Run the daemon as a program."""
-    app.run(lambda argv: sys.exit(run(argv)))
+    """Run the daemon as a program.
+
+    Flags are parsed without absl's own runner, which imports a debugger and more: a
+    start after a loss of power is part of how long callers wait.
+    """
+    flags.DEFINE_boolean("help", False, "Show these flags.")
+    try:
+        argv = flags.FLAGS(sys.argv)
+    except flags.Error as error:
+        sys.stderr.write(f"cedarchuted: {error}\n")
+        sys.exit(EXIT_BAD_FLAGS)
+    if flags.FLAGS.help:
+        sys.stdout.write(f"cedarchuted [flags]\n{flags.FLAGS.main_module_help()}\n")
+        sys.exit(EXIT_OK)
+    sys.exit(run(argv))
 
 
 if __name__ == "__main__":
--- a/src/cedarchute/decisions/pace_meter.py
+++ b/src/cedarchute/decisions/pace_meter.py
@@ -8,11 +8,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import Final
 
 from cedarchute.decisions.recent_pace import RecentPace
 from cedarchute.decisions.usual_pace import PaceSums, UsualPace
+from cedarchute.record import Record
 
 # What was seen this long ago counts a third. A program lives for seconds and the queue
 # of an engine grows in tenths: shorter is noise, longer lets a burst in unseen.
@@ -34,16 +34,14 @@
 MOST_OVERDUE: Final = 8.0
 
 
-@dataclass(frozen=True)
-class Wait:
+class Wait(Record):
     """A call that waits for its first event."""
 
     target: str
     began_at: float
 
 
-@dataclass(frozen=True)
-class TargetPace:
+class TargetPace(Record):
     """Samples of one target, and how many times longer than usual they took."""
 
     samples: float
--- a/src/cedarchute/decisions/program_admission.py
+++ b/src/cedarchute/decisions/program_admission.py
@@ -11,9 +11,10 @@
 from __future__ import annotations
 
 import zlib
-from dataclasses import dataclass
 from typing import Final
 
+from cedarchute.record import Record
+
 # Below this slowdown nobody is refused: the engines have room.
 STRAINED_SLOWDOWN: Final = 1.1
 # A program is expected to use this share of its time when the first is refused, and
@@ -40,8 +41,7 @@
 MOST_RETRY_SECONDS: Final = 1.0
 
 
-@dataclass(frozen=True)
-class AdmissionInputs:
+class AdmissionInputs(Record):
     """What a decision is made from.
 
     Attributes
@@ -75,8 +75,7 @@
         return WAIT_WEIGHT * waited + self.slowdown * self.usual_use
 
 
-@dataclass(frozen=True)
-class AdmissionDecision:
+class AdmissionDecision(Record):
     """Whether a program is let in; if not, when its caller should come back."""
 
     admitted: bool
--- a/src/cedarchute/decisions/recent_pace.py
+++ b/src/cedarchute/decisions/recent_pace.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass, field
+
+import msgspec
 
 from cedarchute.decisions.usual_pace import PaceSums
+from cedarchute.record import MutableRecord
 
 
-@dataclass
-class RecentPace:
+class RecentPace(MutableRecord):
     """Sums whose older parts count less and less.
 
     Attributes
@@ -22,7 +23,7 @@
 
     memory_seconds: float
     at: float
-    sums: PaceSums = field(default_factory=PaceSums)
+    sums: PaceSums = msgspec.field(default_factory=PaceSums)
 
     def age(self, now: float) -> PaceSums:
         """Give what was seen before `now` its weight; return the sums."""
--- a/src/cedarchute/decisions/usual_pace.py
+++ b/src/cedarchute/decisions/usual_pace.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import Final
 
+from cedarchute.record import MutableRecord
+
 # The least of many rough means lies far below what is usual: with windows of 6 first
 # events and 40 pauses, calm engines looked up to twice as slow as usual on a replayed
 # day of long prompts; with these the middle slowdown of its calm seconds is 1.0.
@@ -19,8 +20,7 @@
 LEAST_PAUSE_SECONDS: Final = 0.01
 
 
-@dataclass
-class PaceSums:
+class PaceSums(MutableRecord):
     """First events and pauses between events: how many, and seconds in all."""
 
     firsts: float = 0.0
--- a/src/cedarchute/platform/store_entry.py
+++ b/src/cedarchute/platform/store_entry.py
@@ -2,15 +2,15 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import Final
 
+from cedarchute.record import Record
+
 # Stands for bytes that are no text, or too many: no document of any kind.
 UNREADABLE: Final = ""
 
 
-@dataclass(frozen=True)
-class StoreEntry:
+class StoreEntry(Record):
     """A key, its value and the store revision of its last change.
 
     Attributes
@@ -24,16 +24,14 @@
     version: int
 
 
-@dataclass(frozen=True)
-class StoreListing:
+class StoreListing(Record):
     """Every entry under a prefix, read at one revision of the store."""
 
     entries: tuple[StoreEntry, ...]
     revision: int
 
 
-@dataclass(frozen=True)
-class StoreChange:
+class StoreChange(Record):
     """One change seen by a watch; `entry` is None when the key went away."""
 
     key: str
@@ -41,8 +39,7 @@
     revision: int
 
 
-@dataclass(frozen=True)
-class SwapResult:
+class SwapResult(Record):
     """The result of a compare-and-swap, with what stands under the key now."""
 
     won: bool
--- a/src/cedarchute/relay/caller_request.py
+++ b/src/cedarchute/relay/caller_request.py
@@ -2,15 +2,15 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from cedarchute.record import Record
+
 if TYPE_CHECKING:
     from cedarchute.relay.headers import Headers
 
 
-@dataclass(frozen=True)
-class CallerRequest:
+class CallerRequest(Record):
     """A request as it came in.
 
     Attributes
--- a/src/cedarchute/relay/headers.py
+++ b/src/cedarchute/relay/headers.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import Final
 
+from cedarchute.record import Record
+
 # RFC 9110, section 7.6.1: these concern one connection and are not passed on.
 HOP_BY_HOP: Final = frozenset(
     (
@@ -23,8 +24,7 @@
 LENGTH: Final = b"content-length"
 
 
-@dataclass(frozen=True)
-class Headers:
+class Headers(Record):
     """The fields of one message, as pairs of name and value."""
 
     fields: tuple[tuple[bytes, bytes], ...] = ()
--- a/src/cedarchute/relay/input_limits.py
+++ b/src/cedarchute/relay/input_limits.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from cedarchute.record import Record
 
 
-@dataclass(frozen=True)
-class InputLimits:
+class InputLimits(Record):
     """Bounds on a caller's input; in force until a configuration says others."""
 
     header_bytes: int = 16_384
--- a/src/cedarchute/routing/route.py
+++ b/src/cedarchute/routing/route.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from enum import StrEnum
 
+from cedarchute.record import Record
+
 
 class Repeatability(StrEnum):
     """What may be done with a call that may have run."""
@@ -14,16 +15,14 @@
     STREAM = "stream"
 
 
-@dataclass(frozen=True)
-class ServiceShare:
+class ServiceShare(Record):
     """A service's share of the calls of a route, in any unit."""
 
     service: str
     weight: float
 
 
-@dataclass(frozen=True)
-class Route:
+class Route(Record):
     """A prefix of paths of one host.
 
     Attributes
--- a/src/cedarchute/routing/route_table.py
+++ b/src/cedarchute/routing/route_table.py
@@ -2,17 +2,19 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+import msgspec
+
+from cedarchute.record import Record
+
 if TYPE_CHECKING:
     from cedarchute.relay.input_limits import InputLimits
     from cedarchute.routing.route import Route
     from cedarchute.routing.service import Service
 
 
-@dataclass(frozen=True)
-class RouteTable:
+class RouteTable(Record):
     """Routes and services of one version, whole.
 
     Attributes
@@ -26,7 +28,7 @@
     services: dict[str, Service]
     limits: InputLimits
     text: str
-    by_host: dict[str, list[Route]] = field(default_factory=dict)
+    by_host: dict[str, list[Route]] = msgspec.field(default_factory=dict)
 
     def __post_init__(self) -> None:
         for route in sorted(self.routes, key=lambda route: -len(route.prefix)):
--- a/src/cedarchute/routing/service.py
+++ b/src/cedarchute/routing/service.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from cedarchute.record import Record
 
 
-@dataclass(frozen=True)
-class EngineTraits:
+class EngineTraits(Record):
     """What all engines of a model service have in common.
 
     Attributes
@@ -24,8 +23,7 @@
     event_tokens: int
 
 
-@dataclass(frozen=True)
-class Service:
+class Service(Record):
     """A set of like targets; `engine` is None for plain services."""
 
     name: str
--- a/src/cedarchute/routing/target_entry.py
+++ b/src/cedarchute/routing/target_entry.py
@@ -2,16 +2,16 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from functools import cached_property
 from typing import TYPE_CHECKING
 
+from cedarchute.record import Record
+
 if TYPE_CHECKING:
     from cedarchute.address import Address
 
 
-@dataclass(frozen=True)
-class TargetEntry:
+class TargetEntry(Record, dict=True):
     """One start of a target; it may start again under its id.
 
     Attributes
--- a/src/cedarchute/routing/target_registry.py
+++ b/src/cedarchute/routing/target_registry.py
@@ -5,9 +5,10 @@
 import logging
 import time
 from collections import OrderedDict
-from dataclasses import replace
 from typing import TYPE_CHECKING, Final
 
+from msgspec.structs import replace
+
 from cedarchute.fleet.lapsing_entries import LapsingEntries
 
 if TYPE_CHECKING:
--- a/src/cedarchute/settings/fields.py
+++ b/src/cedarchute/settings/fields.py
@@ -4,7 +4,7 @@
 
 from typing import Annotated
 
-from pydantic import BeforeValidator, Field, PlainSerializer
+from pydantic import Field, PlainSerializer, PlainValidator
 
 from cedarchute.address import Address
 
@@ -17,7 +17,7 @@
 
 
 AddressField = Annotated[
-    Address, BeforeValidator(read_address), PlainSerializer(str, return_type=str)
+    Address, PlainValidator(read_address), PlainSerializer(str, return_type=str)
 ]
 Seconds = Annotated[float, Field(gt=0, le=86_400)]
 Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9_-]{0,62}$")]
--- a/src/cedarchute/turns/holder_fanout.py
+++ b/src/cedarchute/turns/holder_fanout.py
@@ -4,12 +4,12 @@
 
 import logging
 import time
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final, Generic, TypeVar
 
 import eventlet
 from eventlet.queue import Empty, LightQueue
 
+from cedarchute.record import Record
 from cedarchute.turns.holder_client import (
     HolderRefusedError,
     HolderUnavailableError,
@@ -50,8 +50,7 @@
     code = "no_quorum"
 
 
-@dataclass(frozen=True)
-class Question(Generic[AnswerT]):
+class Question(Record, Generic[AnswerT]):
     """What holders are asked.
 
     Attributes
@@ -82,8 +81,7 @@
     wanted: int | None = None
 
 
-@dataclass(frozen=True)
-class SeatAnswer:
+class SeatAnswer(Record):
     """What one seat said; `value` is None when it said nothing that counts."""
 
     number: int
--- a/src/cedarchute/turns/turn_admission.py
+++ b/src/cedarchute/turns/turn_admission.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from cedarchute.record import Record
 
 
-@dataclass(frozen=True)
-class TurnAdmission:
+class TurnAdmission(Record):
     """A turn may run: what its prompt goes on from, and who ran the last one.
 
     Attributes
@@ -20,8 +19,7 @@
     age_seconds: float | None = None
 
 
-@dataclass(frozen=True)
-class ProgramStanding:
+class ProgramStanding(Record):
     """Tokens generated or reserved, and the time since it was first asked about."""
 
     spent: int
--- a/src/cedarchute/turns/turn_quorum.py
+++ b/src/cedarchute/turns/turn_quorum.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import logging
-from dataclasses import replace
 from typing import TYPE_CHECKING, Final, TypeVar
 
 import eventlet
+from msgspec.structs import replace
 
 from cedarchute.turns.account_sum import sum_accounts
 from cedarchute.turns.holder import join_chain
--- a/tests/daemon/test_bounded_log.py
+++ b/tests/daemon/test_bounded_log.py
@@ -3,6 +3,8 @@
 import json
 import logging
 import os
+import subprocess
+import sys
 
 import pytest
 
@@ -91,3 +93,37 @@
     messages = [line["message"] for line in read_lines(reader)]
     assert messages[-1] == "Call answered."
     assert "Lines dropped." in messages
+
+
+# Logs far more than a pipe takes, as a box does: with the patched modules of its loop.
+FULL_PIPE = """
+import cedarchute.daemon.main
+import logging
+import sys
+from cedarchute.daemon.bounded_log import BoundedHandler
+handler = BoundedHandler(1)
+logging.getLogger().addHandler(handler)
+for number in range(3000):
+    logging.warning("line %d %s", number, "x" * 500)
+sys.stderr.write("every line was taken or dropped")
+sys.stderr.flush()
+import os
+os._exit(0)
+"""
+
+
+def test_a_full_pipe_stops_no_task_of_a_box():
+    reader, writer = os.pipe()
+    try:
+        done = subprocess.run(
+            [sys.executable, "-c", FULL_PIPE],
+            stdout=writer,
+            stderr=subprocess.PIPE,
+            text=True,
+            timeout=60,
+            check=False,
+        )
+    finally:
+        os.close(reader)
+        os.close(writer)
+    assert done.stderr == "every line was taken or dropped"
--- a/tests/routing/test_target_registry.py
+++ b/tests/routing/test_target_registry.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import random
-from dataclasses import replace
 from types import SimpleNamespace
 
 import pytest
+from msgspec.structs import replace
 
 from cedarchute.address import Address
 from cedarchute.routing import target_registry
