Import what serves pages before unused modules are let in again

Change: entries import it after callers are served, holders before, and both let the modules in after that; the test of what a box holds imports it too.

--- a/src/cedarchute/daemon/entry_box.py
+++ b/src/cedarchute/daemon/entry_box.py
@@ -17,7 +17,13 @@
 from cedarchute.calls.target_exchange import TargetExchange
 from cedarchute.calls.turn_call import TurnCall
 from cedarchute.daemon.entry_stop import EntryStop
-from cedarchute.daemon.listeners import open_listener, serve_app, serve_metrics
+from cedarchute.daemon.lean_start import let_modules_in
+from cedarchute.daemon.listeners import (
+    load_server,
+    open_listener,
+    serve_app,
+    serve_metrics,
+)
 from cedarchute.daemon.loop_lag import LoopLag
 from cedarchute.daemon.node_parts import NodeParts
 from cedarchute.fleet.box_directory import BoxDirectory
@@ -158,6 +164,8 @@
 
     def serve_pages(self) -> None:
         """Answer other boxes, the platform and who asks which box to use."""
+        load_server()
+        let_modules_in()
         for listener, app in self.apps:
             if listener is not None:
                 self.supervisor.start("pages", partial(serve_app, listener, app))
--- a/src/cedarchute/daemon/holder_box.py
+++ b/src/cedarchute/daemon/holder_box.py
@@ -11,7 +11,13 @@
 import eventlet
 from eventlet.event import Event
 
-from cedarchute.daemon.listeners import open_listener, serve_app, serve_metrics
+from cedarchute.daemon.lean_start import let_modules_in
+from cedarchute.daemon.listeners import (
+    load_server,
+    open_listener,
+    serve_app,
+    serve_metrics,
+)
 from cedarchute.daemon.node_parts import NodeParts
 from cedarchute.fleet.box_directory import BoxDirectory
 from cedarchute.fleet.box_entry import BoxEntry, Role
@@ -121,6 +127,8 @@
         count = self.book.load()
         seconds = round(time.monotonic() - started, 3)
         log.info("Disk read.", extra={"records": count, "seconds": seconds})
+        load_server()
+        let_modules_in()
         start = self.supervisor.start
         start("pages", partial(serve_app, self.listener, self.app))
         self.serve_metrics()
--- a/src/cedarchute/daemon/listeners.py
+++ b/src/cedarchute/daemon/listeners.py
@@ -92,12 +92,18 @@
     eventlet.spawn_n(serve_app, listener, MetricsApp(metrics))
 
 
+def load_server() -> None:
+    """Import what serves pages, before unused modules are let in again.
+
+    An entry does so once it serves callers: after a loss of power they wait for every
+    import before.
+    """
+    import eventlet.wsgi  # noqa: F401
+
+
 def serve_app(listener: object, app: object) -> None:
     """Serve a WSGI application for other boxes and the platform."""
-    # Imported by who serves first: callers are served before, and after a loss of
-    # power they wait for every import.
-    import eventlet.wsgi
-
+    load_server()
     eventlet.wsgi.server(
         listener, app, log_output=False, max_size=1024, keepalive=60, debug=False
     )
--- a/src/cedarchute/daemon/node_main.py
+++ b/src/cedarchute/daemon/node_main.py
@@ -9,7 +9,6 @@
 
 import eventlet
 
-from cedarchute.daemon.lean_start import let_modules_in
 from cedarchute.daemon.signals import Signals
 from cedarchute.fleet.box_entry import Role
 from cedarchute.metrics import Metrics
@@ -46,7 +45,6 @@
     settings = load_node_settings(file)
     metrics = Metrics()
     box = build_box(settings, file, metrics)
-    let_modules_in()
 
     def reload() -> None:
         log.info("Settings changed; they apply from the next start.")
--- a/tests/daemon/test_lean_start.py
+++ b/tests/daemon/test_lean_start.py
@@ -11,6 +11,8 @@
 SCRIPT = """
 import cedarchute.daemon.main
 import cedarchute.daemon.{box}
+from cedarchute.daemon.listeners import load_server
+load_server()
 import sys
 print(*[name for name, module in sys.modules.items() if module is not None])
 """
@@ -49,7 +51,7 @@
     modules = list_modules(box)
     assert "cedarchute.daemon." + box in modules
     assert not modules & {"ssl", "_ssl", "_hashlib", "asyncio", "asyncio.events"}
-    assert not modules & {"dns", "pydantic", "werkzeug"}
+    assert not modules & {"dns", "pydantic", "werkzeug", "pdb", "absl.app"}
 
 
 def test_a_holder_holds_nothing_of_an_entry():
