--- a/src/cedarchute/calls/turn_call.py
+++ b/src/cedarchute/calls/turn_call.py
@@ -10,10 +10,11 @@
 from cedarchute.calls.call_errors import CallRefusedError
 from cedarchute.relay.event_splitter import EventSplitter, read_data
 from cedarchute.relay.target_failure import TargetFailureError
+from cedarchute.turns.chain_reader import NoSuchTurnError
 from cedarchute.turns.holder_fanout import NoQuorumError
 from cedarchute.turns.records import Turn
 from cedarchute.turns.turn_admission import TurnAdmission
-from cedarchute.turns.turn_quorum import BudgetSpentError, NoSuchTurnError
+from cedarchute.turns.turn_quorum import BudgetSpentError
 from cedarchute.verdict import Verdict
 
 if TYPE_CHECKING:
--- a/src/cedarchute/turns/holder_fanout.py
+++ b/src/cedarchute/turns/holder_fanout.py
@@ -42,6 +42,9 @@
 # Then a question whose caller can go elsewhere is given up after this long; it is
 # enough for holders that answer again. Others wait: holders may only be slow.
 HOPELESS_SECONDS: Final = 0.1
+# How long a quorum may take to answer; a holder that was cut off says nothing, and
+# the others answer within milliseconds.
+ANSWER_SECONDS: Final = 1.5
 
 
 class NoQuorumError(Exception):
--- a/src/cedarchute/turns/turn_quorum.py
+++ b/src/cedarchute/turns/turn_quorum.py
@@ -9,22 +9,24 @@
 from msgspec.structs import replace
 
 from cedarchute.turns.account_sum import sum_accounts
-from cedarchute.turns.holder import join_chain
-from cedarchute.turns.holder_fanout import HolderFanout, NoQuorumError, Question
+from cedarchute.turns.chain_reader import ChainReader
+from cedarchute.turns.holder_fanout import (
+    ANSWER_SECONDS,
+    HolderFanout,
+    NoQuorumError,
+    Question,
+)
 from cedarchute.turns.messages import (
     Account,
     AskStanding,
     BeginTurn,
-    Chain,
     ReadAccount,
-    ReadChain,
     RecordsTaken,
     Standing,
     TakeRecords,
     TurnBegun,
 )
 from cedarchute.turns.records import Settled
-from cedarchute.turns.seat_table import SeatTable
 from cedarchute.turns.turn_admission import (
     ProgramStanding,
     TurnAdmission,
@@ -38,24 +40,16 @@
     from cedarchute.turns.holder_client import HolderClient
     from cedarchute.turns.records import Record
     from cedarchute.turns.seat_book import SeatBook
+    from cedarchute.turns.seat_table import SeatTable
 
 log = logging.getLogger("cedarchute.turns")
 
 AnswerT = TypeVar("AnswerT")
 
-# How long a quorum may take to answer; a holder that was cut off says nothing, and
-# the others answer within milliseconds.
-ANSWER_SECONDS: Final = 1.5
 # A record of a turn's end is worth more patience: without it the turn is lost.
 FINISH_SECONDS: Final = 3.0
 
 
-class NoSuchTurnError(Exception):
-    """A quorum of the holders says that a turn was never finished."""
-
-    code = "no_such_turn"
-
-
 class BudgetSpentError(Exception):
     """The program's budget does not hold another turn."""
 
@@ -79,6 +73,7 @@
     ) -> None:
         self.seats = seats
         self.fanout = HolderFanout(seats, client)
+        self.chains = ChainReader(self.fanout)
         self.failure_domain = failure_domain
         self.metrics = metrics
 
@@ -97,7 +92,7 @@
         try:
             if named:
                 self.check_budget(program, turn, tokens, min(named), begun)
-            admission = self.read_previous(previous, begun)
+            admission = self.chains.read_previous(previous, begun)
             age = find_age([answer.age_seconds for answer in begun.values()])
             return replace(admission, age_seconds=age)
         except Exception:
@@ -185,57 +180,6 @@
             program, path, Account, build, ANSWER_SECONDS, is_patient=is_patient
         )
 
-    def read_previous(
-        self, previous: str, begun: dict[int, TurnBegun]
-    ) -> TurnAdmission:
-        """Return the chain up to `previous`, joined from several holders if need be."""
-        if not previous:
-            return TurnAdmission(b"", "")
-        for answer in begun.values():
-            if answer.text and not answer.missing:
-                return TurnAdmission(answer.text, answer.target)
-        text = b""
-        target = ""
-        missing = previous
-        while missing:
-            chain = self.read_chain(missing)
-            target = target or chain.turns[-1].target
-            text = join_chain(list(chain.turns)) + text
-            missing = chain.missing
-        return TurnAdmission(text, target)
-
-    def read_chain(self, turn: str) -> Chain:
-        """Return the longest piece of a chain that any holder has.
-
-        The turn may be one of another program, on holders that its own hash names:
-        all are asked. A quorum wrote it down, so when all but the holders that may
-        be lost say that they lack it, nobody has it.
-        """
-
-        def build(table: SeatTable, number: int) -> ReadChain:
-            disk = table.seats[number].disk
-            return ReadChain(table_version=table.version, disk=disk, turn=turn)
-
-        def is_enough(table: SeatTable, answers: dict[int, Chain]) -> bool:
-            if any(chain.turns for chain in answers.values()):
-                return True
-            return len(answers) >= table.count_all_but_lost()
-
-        question = Question(
-            path="/turns/chain",
-            answer=Chain,
-            find=SeatTable.list_occupied,
-            build=build,
-            is_enough=is_enough,
-            count_first=lambda table: len(table.seats),
-            seconds=ANSWER_SECONDS,
-        )
-        answers = self.fanout.ask(question)
-        longest = max(answers.values(), key=lambda chain: len(chain.turns))
-        if not longest.turns:
-            raise NoSuchTurnError(f"no turn {turn}")
-        return longest
-
     def withdraw(self, program: str, turn: str) -> None:
         """Give a reservation back, without waiting."""
         self.settle(program, turn, 0)
--- a/tests/stateful/test_quorum_machine.py
+++ b/tests/stateful/test_quorum_machine.py
@@ -25,6 +25,7 @@
 from cedarchute.metrics import Metrics
 from cedarchute.turns import holder_fanout, turn_quorum
 from cedarchute.turns.catch_up import CatchUp
+from cedarchute.turns.chain_reader import NoSuchTurnError
 from cedarchute.turns.holder import Holder, HolderError
 from cedarchute.turns.holder_client import HolderRefusedError, HolderUnavailableError
 from cedarchute.turns.holder_fanout import NoQuorumError
@@ -35,7 +36,7 @@
 from cedarchute.turns.seen_table import SeenTable
 from cedarchute.turns.turn_book import TurnBook
 from cedarchute.turns.turn_journal import TurnJournal
-from cedarchute.turns.turn_quorum import BudgetSpentError, NoSuchTurnError, TurnQuorum
+from cedarchute.turns.turn_quorum import BudgetSpentError, TurnQuorum
 from cedarchute.turns.turn_writer import TurnWriter
 
 BUDGET = 100
@@ -219,7 +220,7 @@
         quorum = self.entries[entry]
         quorum.fanout.failing_since = None
         try:
-            quorum.read_chain("never")
+            quorum.chains.read("never")
         except (NoSuchTurnError, NoQuorumError):
             return
         raise AssertionError("a turn that never was is known")
@@ -279,7 +280,7 @@
         quorum = self.entries[entry]
         quorum.fanout.failing_since = None
         try:
-            admission = quorum.read_previous(name, {})
+            admission = quorum.chains.read_previous(name, {})
         except NoQuorumError:
             return
         assert admission.text == self.kept[name][1]
--- a/tests/turns/test_turn_quorum.py
+++ b/tests/turns/test_turn_quorum.py
@@ -9,12 +9,13 @@
 from cedarchute.metrics import Metrics
 from cedarchute.turns import holder_fanout, turn_quorum
 from cedarchute.turns.account_sum import sum_accounts
+from cedarchute.turns.chain_reader import NoSuchTurnError
 from cedarchute.turns.holder_client import HolderUnavailableError
 from cedarchute.turns.holder_fanout import NoQuorumError
 from cedarchute.turns.messages import Account, Chain, TurnBegun
 from cedarchute.turns.seat_book import SeatBook
 from cedarchute.turns.seat_table import Seat, SeatTable
-from cedarchute.turns.turn_quorum import NoSuchTurnError, TurnQuorum
+from cedarchute.turns.turn_quorum import TurnQuorum
 
 
 @pytest.fixture(autouse=True)
@@ -62,19 +63,19 @@
 
 def test_a_turn_is_found_on_any_holder():
     quorum, _ = make_quorum({"a": "lacks", "b": "has", "c": "silent"})
-    assert quorum.read_chain("t").turns[0].turn == "t"
+    assert quorum.chains.read("t").turns[0].turn == "t"
 
 
 def test_nobody_has_a_turn_when_all_but_those_that_may_be_lost_say_so():
     quorum, _ = make_quorum({"a": "lacks", "b": "lacks", "c": "silent"})
     with pytest.raises(NoSuchTurnError):
-        quorum.read_chain("t")
+        quorum.chains.read("t")
 
 
 def test_with_too_few_answers_nothing_is_said():
     quorum, _ = make_quorum({"a": "lacks", "b": "silent", "c": "silent"})
     with pytest.raises(NoQuorumError):
-        quorum.read_chain("t")
+        quorum.chains.read("t")
 
 
 def test_a_vacant_seat_is_one_of_those_that_may_be_lost():
@@ -82,10 +83,10 @@
     states = {"a": "lacks", "b": "lacks", "c": "silent"}
     quorum, _ = make_quorum(states, vacant=1)
     with pytest.raises(NoQuorumError):
-        quorum.read_chain("t")
+        quorum.chains.read("t")
     quorum, _ = make_quorum(dict.fromkeys(states, "lacks"), vacant=1)
     with pytest.raises(NoSuchTurnError):
-        quorum.read_chain("t")
+        quorum.chains.read("t")
 
 
 def test_what_is_settled_at_one_holder_goes_before_what_is_open_at_another():
