--- a/src/cedarchute/daemon/entry_box.py
+++ b/src/cedarchute/daemon/entry_box.py
@@ -87,7 +87,13 @@
             TARGETS: TargetFollower(self.registry, turned_away),
         }
         self.parts = NodeParts(
-            settings, me, self.directory, followers, turned_away, metrics
+            settings,
+            me,
+            self.directory,
+            followers,
+            turned_away,
+            self.supervisor,
+            metrics,
         )
         chance = random.Random()
         self.choice = TargetChoice(
@@ -154,7 +160,7 @@
 
     def run(self) -> None:
         """Serve until a planned stop is done; callers are served first."""
-        self.parts.start(self.supervisor)
+        self.parts.start()
         self.supervisor.start("contact with holders", self.contact.run_forever)
         self.supervisor.start("lapsed targets", self.expire_forever)
         self.supervisor.start("callers", self.server.serve_forever)
--- a/src/cedarchute/daemon/holder_box.py
+++ b/src/cedarchute/daemon/holder_box.py
@@ -77,7 +77,13 @@
         followers = {}
         self.supervisor = Supervisor(metrics)
         self.parts = NodeParts(
-            settings, me, BoxDirectory(), followers, TurnedAway(metrics), metrics
+            settings,
+            me,
+            BoxDirectory(),
+            followers,
+            TurnedAway(metrics),
+            self.supervisor,
+            metrics,
         )
         retirements = Retirements(self.parts.store)
         self.parts.mirror.followers[RETIRE] = retirements
@@ -132,7 +138,7 @@
         start = self.supervisor.start
         start("pages", partial(serve_app, self.listener, self.app))
         self.serve_metrics()
-        self.parts.start(self.supervisor)
+        self.parts.start()
         start("seat", self.keeper.run_forever)
         start("programs that are over", self.tidy_forever)
         self.done.wait()
--- a/src/cedarchute/daemon/main.py
+++ b/src/cedarchute/daemon/main.py
@@ -117,7 +117,7 @@
         sys.stderr.write(f"cedarchuted: {error}\n")
         sys.exit(EXIT_BAD_FLAGS)
     if flags.FLAGS.help:
-        sys.stdout.write(f"cedarchuted [flags]\n{flags.FLAGS.main_module_help()}\n")
+        sys.stdout.write(f"cedarchuted [flags]\n{flags.FLAGS.get_help()}\n")
         sys.exit(EXIT_OK)
     sys.exit(run(argv))
 
--- a/src/cedarchute/daemon/node_parts.py
+++ b/src/cedarchute/daemon/node_parts.py
@@ -15,7 +15,6 @@
 from cedarchute.fleet.store_mirror import StoreMirror
 from cedarchute.fleet.store_reader import StoreReader
 from cedarchute.platform.store_client import StoreClient
-from cedarchute.supervisor import Supervisor
 from cedarchute.turns.seat_book import SeatBook
 
 if TYPE_CHECKING:
@@ -25,6 +24,7 @@
     from cedarchute.fleet.turned_away import TurnedAway
     from cedarchute.metrics import Metrics
     from cedarchute.settings.node_settings import NodeSettings
+    from cedarchute.supervisor import Supervisor
 
 STORE_SECONDS = 1.5
 EXPIRE_SECONDS = 0.5
@@ -40,6 +40,7 @@
         directory: BoxDirectory,
         followers: dict[str, StoreFollower],
         turned_away: TurnedAway,
+        supervisor: Supervisor,
         metrics: Metrics,
     ) -> None:
         address = Address.parse(settings.platform.store)
@@ -52,9 +53,8 @@
         }
         self.mirror = StoreMirror({**own, **followers})
         readers = ReaderChoice(self.directory, me)
-        self.reader = StoreReader(
-            self.store, self.mirror, readers, Supervisor(metrics), metrics
-        )
+        self.supervisor = supervisor
+        self.reader = StoreReader(self.store, self.mirror, readers, supervisor, metrics)
         chance = random.Random()
         self.puller = StatePuller(
             self.mirror, self.directory, settings.seeds, me.name, chance, metrics
@@ -63,12 +63,13 @@
             self.store, me, self.reader.note_reachable, metrics
         )
 
-    def start(self, supervisor: Supervisor) -> None:
+    def start(self) -> None:
         """Start the tasks."""
         self.reader.start()
-        supervisor.start("registration", self.registration.run_forever)
-        supervisor.start("state of other boxes", self.puller.run_forever)
-        supervisor.start("lapsed boxes", self.expire_forever)
+        start = self.supervisor.start
+        start("registration", self.registration.run_forever)
+        start("state of other boxes", self.puller.run_forever)
+        start("lapsed boxes", self.expire_forever)
 
     def expire_forever(self) -> None:
         """Drop the boxes whose entries did not come back."""
--- a/src/cedarchute/fleet/store_reader.py
+++ b/src/cedarchute/fleet/store_reader.py
@@ -130,9 +130,8 @@
     def list_once(self) -> None:
         """Read all; once more if another box has told of something newer meanwhile.
 
-        The first listing may be old: what changed since comes with the first watch, or
-        from a reader. So a start of 195 boxes makes 1 instead of 6 calls' worth of
-        listings each, in pages of 50 entries.
+        The first listing may be old, at a tenth of the price: what changed since comes
+        with the first watch, or from a reader.
         """
         listing = self.store.list(EVERYTHING, may_be_old=self.mirror.revision == 0)
         self.note_answered()
