Ask whose a call is: keys of workspaces, and proof that a key still holds

Cause: nothing of the platform path knew workspaces; the key went on to targets, keys that nobody holds or that were taken away let calls pass. Ruled out: a silent watch or a read that may be old as proof (neither tells of a change that was missed); each box reading the store for itself once a second (about 2,000 calls in 34 s with 58 entries, against about 100 of one reader a failure domain). Change: keys by digest, 401 before anything else, the workspace's name to the target; turns and budgets by workspace; a box lets keys pass only while its configuration was certainly the newest 4.75 s ago or less, checked once more right before each send; the proof is read by one box a failure domain and told on with its age, with a second way when that falls silent. No setting, no keys: nothing changes.

--- a/src/cedarchute/calls/attempts.py
+++ b/src/cedarchute/calls/attempts.py
@@ -100,6 +100,8 @@
             except TargetFailureError as error:
                 self.note_failure(error)
                 continue
+            except CallRefusedError as error:
+                raise self.refuse(error) from None
             self.runs += 1
             return opened
 
@@ -162,6 +164,10 @@
         if self.runs >= self.route.max_targets:
             raise self.give_up(reason)
 
+    def refuse(self, error: CallRefusedError) -> CallRefusedError:
+        """Return the answer to a call whose key lets it pass no more."""
+        return self.give_up(error.reason) if self.runs else error
+
     def give_up(self, reason: str) -> CallRefusedError:
         """Return the final answer: what is known of the call decides it."""
         self.metrics.count_refusal("ran" if self.runs else "not_run")
--- a/src/cedarchute/calls/call.py
+++ b/src/cedarchute/calls/call.py
@@ -2,7 +2,13 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from cedarchute.record import Record
+from cedarchute.turns.program_key import make_program_key
+
+if TYPE_CHECKING:
+    from cedarchute.calls.permit import Permit
 
 
 class ProgramTerms(Record):
@@ -36,8 +42,29 @@
         Names this try; the next try of the same request has another.
     patience_seconds : float or None
         How long the caller waits, from when it asked.
+    permit : Permit or None
+        Whose the call is; None where workspaces hold no keys.
     """
 
     id: str
     patience_seconds: float | None
     program: ProgramTerms
+    permit: Permit | None = None
+
+    @property
+    def workspace(self) -> str:
+        """The name of the workspace whose call it is, empty when it is nobody's."""
+        if self.permit is None or self.permit.workspace is None:
+            return ""
+        return self.permit.workspace.name
+
+    @property
+    def program_key(self) -> str:
+        """The program's name over all workspaces, empty without a program."""
+        program = self.program.program
+        return make_program_key(self.workspace, program) if program else ""
+
+    @property
+    def begins_program(self) -> bool:
+        """Whether nothing of its program can be lost yet by refusing it."""
+        return not self.program.previous
--- a/src/cedarchute/calls/call_desk.py
+++ b/src/cedarchute/calls/call_desk.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from greenlet import GreenletExit
+from msgspec.structs import replace
 
 from cedarchute.calls.call_errors import CallRefusedError
 from cedarchute.platform.call_headers import (
@@ -20,6 +21,7 @@
 
 if TYPE_CHECKING:
     from cedarchute.calls.call import Call
+    from cedarchute.calls.key_check import KeyCheck
     from cedarchute.calls.plain_call import PlainCall
     from cedarchute.calls.turn_call import TurnCall
     from cedarchute.metrics import Metrics
@@ -39,9 +41,15 @@
     """Routes calls; whatever happens, each gets one final answer."""
 
     def __init__(
-        self, routes: RouteBook, plain: PlainCall, turns: TurnCall, metrics: Metrics
+        self,
+        routes: RouteBook,
+        keys: KeyCheck,
+        plain: PlainCall,
+        turns: TurnCall,
+        metrics: Metrics,
     ) -> None:
         self.routes = routes
+        self.keys = keys
         self.plain = plain
         self.turns = turns
         self.metrics = metrics
@@ -75,6 +83,7 @@
         route = table.find(request.host, request.path)
         if route is None:
             raise CallRefusedError(404, "no route")
+        call = replace(call, permit=self.keys.identify(request, route, table))
         if route.is_stream:
             self.turns.run(request, writer, call, route)
         else:
@@ -88,6 +97,7 @@
                 "status": writer.status,
                 "route": route.name,
                 "program": call.program.program,
+                "workspace": call.workspace,
                 "ms": round(seconds * 1000, 1),
             },
         )
@@ -125,6 +135,7 @@
                 "ms": round(seconds * 1000, 1),
                 "version": self.routes.version,
                 "broken_off": writer.started,
+                **error.facts,
             },
         )
         if writer.started:
--- /dev/null
+++ b/src/cedarchute/calls/key_check.py
@@ -0,0 +1,121 @@
+"""Tells whose a call is by its key, and that the key holds until the call is sent."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final, Protocol
+
+from cedarchute.calls.call_errors import CallRefusedError
+from cedarchute.calls.permit import Permit
+from cedarchute.platform.call_headers import read_key
+from cedarchute.routing.workspace_keys import digest_key
+
+if TYPE_CHECKING:
+    from cedarchute.decisions.key_trust import KeyTrust
+    from cedarchute.metrics import Metrics
+    from cedarchute.relay.caller_request import CallerRequest
+    from cedarchute.routing.route import Route
+    from cedarchute.routing.route_book import RouteBook
+    from cedarchute.routing.route_table import RouteTable
+    from cedarchute.routing.workspace import Workspace
+
+# A box that has just started or woken up gets its proof within some 10 ms; the calls
+# that come first wait for it rather than spend one of their few tries.
+PROOF_SECONDS: Final = 0.25
+# Other boxes may have a proof, and callers come back to another one.
+RETRY_AFTER_SECONDS: Final = 0.3
+
+
+class ProofSource(Protocol):
+    """Says since when this box's configuration may be out of date."""
+
+    @property
+    def age_seconds(self) -> float:
+        """How long ago it was certainly the newest."""
+        ...
+
+    def refresh(self, seconds: float) -> None:
+        """Look for a newer proof; return after `seconds` at most."""
+        ...
+
+
+class KeyCheck:
+    """Answers 401 for a key that is nobody's, and 503 when this box can't be sure."""
+
+    def __init__(
+        self, routes: RouteBook, trust: KeyTrust, proof: ProofSource, metrics: Metrics
+    ) -> None:
+        self.routes = routes
+        self.trust = trust
+        self.proof = proof
+        self.metrics = metrics
+
+    @property
+    def needs_proof(self) -> bool:
+        """Whether calls need keys, and keys have to be of no use once taken away."""
+        table = self.routes.table
+        return table is not None and table.keys is not None and self.has_bound
+
+    @property
+    def has_bound(self) -> bool:
+        """Whether operators set a bound on the use of keys that were taken away."""
+        return not self.trust.is_unbounded
+
+    @property
+    def is_proven(self) -> bool:
+        """Whether this box may go by the keys that it knows."""
+        return self.trust.covers(self.proof.age_seconds)
+
+    @property
+    def lacks_proof(self) -> bool:
+        """Whether callers with keys are served better elsewhere."""
+        return self.needs_proof and not self.is_proven
+
+    def identify(
+        self, request: CallerRequest, route: Route, table: RouteTable
+    ) -> Permit | None:
+        """Return whose a call is; None where workspaces hold no keys.
+
+        Raises
+        ------
+        CallRefusedError
+            When its key lets nothing pass here; nothing ran.
+        """
+        if table.keys is None:
+            return None
+        key = read_key(request)
+        digest = digest_key(key) if key else b""
+        if route.is_public:
+            workspace = table.keys.find(digest) if self.is_proven else None
+            return Permit(workspace, digest)
+        if not key:
+            raise self.refuse(401, "no usable key")
+        if not self.is_proven:
+            self.proof.refresh(PROOF_SECONDS)
+        return Permit(self.find_workspace(digest), digest)
+
+    def confirm(self, permit: Permit | None) -> None:
+        """Check once more, right before a call is sent: it may have waited long."""
+        if permit is None or permit.workspace is None:
+            return
+        found = self.find_workspace(permit.digest)
+        if found.name != permit.workspace.name:
+            raise self.refuse(401, "the key went to another workspace")
+
+    def find_workspace(self, digest: bytes) -> Workspace:
+        """Return the holder of a key by the newest configuration."""
+        if not self.is_proven:
+            reason = "the configuration is not proven"
+            raise self.refuse(503, reason, RETRY_AFTER_SECONDS)
+        table = self.routes.table
+        workspace = table.keys.find(digest) if table and table.keys else None
+        if workspace is None:
+            raise self.refuse(401, "unknown key")
+        return workspace
+
+    def refuse(
+        self, status: int, reason: str, retry_after_seconds: float | None = None
+    ) -> CallRefusedError:
+        """Return a refusal that tells what it was decided by."""
+        self.metrics.count_refusal("no_proof" if status == 503 else "key")
+        facts = {"proof_age": round(min(self.proof.age_seconds, 1e6), 3)}
+        return CallRefusedError(status, reason, retry_after_seconds, facts)
--- a/src/cedarchute/calls/program_gate.py
+++ b/src/cedarchute/calls/program_gate.py
@@ -5,6 +5,7 @@
 import logging
 import time
 from collections import OrderedDict, defaultdict
+from itertools import product
 from typing import TYPE_CHECKING, Final
 
 from cedarchute.calls.call_errors import CallRefusedError
@@ -58,28 +59,29 @@
             When it would begin a program that is not let in; nothing ran.
         """
         terms = call.program
-        if terms.previous or terms.program in self.known:
+        program = call.program_key
+        if terms.previous or program in self.known:
             return
         slowdown = self.meters[service].measure_slowdown(time.monotonic())
         waited = 0.0
-        if slowdown >= STRAINED_SLOWDOWN and terms.program:
-            standing = self.read_standing(terms.program)
+        if slowdown >= STRAINED_SLOWDOWN and program:
+            standing = self.read_standing(program)
             if standing is None or standing.spent:
-                self.note_known(terms.program)
+                self.note_known(program)
                 return
             waited = standing.age_seconds or 0.0
         inputs = AdmissionInputs(
             slowdown=slowdown,
             usual_use=self.uses[route.name].share,
-            ranks_behind=self.count_ranks_behind(route),
-            standing=find_standing(terms.program or call.id),
+            ranks_behind=self.count_ranks_behind(call, route),
+            standing=find_standing(program or call.id),
             aim_seconds=terms.aim_seconds,
             waited_seconds=waited,
         )
         decision = decide_admission(inputs)
         log_decision(terms.program, service, inputs, decision)
         if decision.admitted:
-            self.note_known(terms.program)
+            self.note_known(program)
             return
         self.metrics.count_refusal("overload")
         raise CallRefusedError(503, "overload", decision.retry_after_seconds)
@@ -107,11 +109,20 @@
         for meter in self.meters.values():
             meter.forget(target)
 
-    def count_ranks_behind(self, route: Route) -> int:
-        """Return how many ranks of streams are less important than this route's."""
+    def count_ranks_behind(self, call: Call, route: Route) -> int:
+        """Return how many ranks of streams are less important than this call's.
+
+        A workspace's rank goes before that of a route.
+        """
         table = self.routes.table
         routes = table.routes if table else ()
-        return len({r.rank for r in routes if r.is_stream and r.rank > route.rank})
+        route_ranks = {r.rank for r in routes if r.is_stream}
+        permit = call.permit
+        if permit is None or permit.workspace is None or table.keys is None:
+            return len([rank for rank in route_ranks if rank > route.rank])
+        own = (permit.workspace.rank, route.rank)
+        workspaces = table.keys.ranks
+        return len([1 for pair in product(workspaces, route_ranks) if pair > own])
 
     def note_known(self, program: str) -> None:
         """Remember a program that was let in."""
--- a/src/cedarchute/calls/target_exchange.py
+++ b/src/cedarchute/calls/target_exchange.py
@@ -17,6 +17,8 @@
 
 if TYPE_CHECKING:
     from cedarchute.calls.call import Call
+    from cedarchute.calls.key_check import KeyCheck
+    from cedarchute.calls.permit import Permit
     from cedarchute.metrics import Metrics
     from cedarchute.relay.caller_request import CallerRequest
     from cedarchute.relay.target_answer import TargetAnswer
@@ -54,9 +56,14 @@
     """What every call needs of targets; keeps the books on each of them."""
 
     def __init__(
-        self, pool: TargetPool, choice: TargetChoice, metrics: Metrics
+        self,
+        pool: TargetPool,
+        choice: TargetChoice,
+        keys: KeyCheck,
+        metrics: Metrics,
     ) -> None:
         self.pool = pool
+        self.keys = keys
         self.choice = choice
         self.metrics = metrics
 
@@ -82,6 +89,8 @@
         ------
         TargetFailureError
             With the verdict that the failure allows.
+        CallRefusedError
+            When its key lets nothing pass any more; this target has not run it.
         """
         load = self.choice.loads[target.start]
         load.active += 1
@@ -89,7 +98,9 @@
         connection = None
         try:
             connection = self.pool.take(target.address, until - sent_at)
-            head = build_request(request, target, body, until - time.monotonic())
+            seconds_left = until - time.monotonic()
+            head = build_request(request, target, body, seconds_left, call.permit)
+            self.keys.confirm(call.permit)
             connection.send(head + body, until - time.monotonic())
             call_id = call.id.encode("latin-1")
             answer = connection.read_answer(call_id, ANSWER_ID, silent_until)
@@ -180,10 +191,14 @@
 
 
 def build_request(
-    request: CallerRequest, target: TargetEntry, body: bytes, seconds_left: float
+    request: CallerRequest,
+    target: TargetEntry,
+    body: bytes,
+    seconds_left: float,
+    permit: Permit | None,
 ) -> bytes:
     """Return the head of a request to a target."""
-    headers = write_target_headers(request, target, seconds_left)
+    headers = write_target_headers(request, target, seconds_left, permit)
     line = b"%s %s HTTP/1.1\r\n" % (request.method, request.target)
     if body or request.method not in METHODS_WITHOUT_BODY:
         headers = headers.extend((b"Content-Length", b"%d" % len(body)))
--- a/src/cedarchute/calls/turn_call.py
+++ b/src/cedarchute/calls/turn_call.py
@@ -70,7 +70,7 @@
             self.note_end(relay, admission)
         finally:
             if is_booked and not relay.kept:
-                self.quorum.settle(call.program.program, call.id, relay.tokens)
+                self.quorum.settle(call.program_key, call.id, relay.tokens)
 
     def note_end(self, relay: TurnRelay, admission: TurnAdmission) -> None:
         """Let the gate learn how much of its program's time a whole turn used."""
@@ -89,7 +89,11 @@
             raise CallRefusedError(400, "a turn or a budget names its program")
         try:
             admission = self.quorum.begin(
-                terms.program, call.id, terms.most_tokens, terms.previous, terms.budget
+                call.program_key,
+                call.id,
+                terms.most_tokens,
+                terms.previous,
+                terms.budget,
             )
         except NoQuorumError as error:
             self.metrics.count_refusal("no_quorum")
@@ -257,7 +261,7 @@
         """Write the turn down at a quorum."""
         terms = self.call.program
         turn = Turn(
-            program=terms.program,
+            program=self.call.program_key,
             turn=self.call.id,
             previous=terms.previous,
             input=self.request.body,
--- a/src/cedarchute/daemon/entry_box.py
+++ b/src/cedarchute/daemon/entry_box.py
@@ -12,6 +12,7 @@
 
 from cedarchute.address import Address
 from cedarchute.calls.call_desk import CallDesk
+from cedarchute.calls.key_check import KeyCheck
 from cedarchute.calls.plain_call import PlainCall
 from cedarchute.calls.program_gate import ProgramGate
 from cedarchute.calls.target_exchange import TargetExchange
@@ -26,8 +27,10 @@
 )
 from cedarchute.daemon.loop_lag import LoopLag
 from cedarchute.daemon.node_parts import NodeParts
+from cedarchute.decisions.key_trust import KeyTrust
 from cedarchute.fleet.box_directory import BoxDirectory
 from cedarchute.fleet.box_entry import BoxEntry, Role
+from cedarchute.fleet.configuration_prover import ConfigurationProver
 from cedarchute.fleet.holder_contact import HolderContact
 from cedarchute.fleet.peer_server import PeerServer
 from cedarchute.fleet.turned_away import TurnedAway
@@ -99,12 +102,24 @@
         self.choice = TargetChoice(
             self.registry, box.failure_domain, chance, self.pool.is_warm
         )
-        exchange = TargetExchange(self.pool, self.choice, metrics)
+        self.prover = ConfigurationProver(
+            self.parts.store,
+            self.parts.mirror,
+            self.parts.readers,
+            lambda: self.keys.needs_proof,
+            self.parts.reader.note_reachable,
+            chance,
+            metrics,
+        )
+        trust = KeyTrust(settings.keys.revoke_ms / 1000)
+        self.keys = KeyCheck(self.routes, trust, self.prover, metrics)
+        exchange = TargetExchange(self.pool, self.choice, self.keys, metrics)
         holders = HolderClient(metrics)
         quorum = TurnQuorum(self.parts.seats, holders, box.failure_domain, metrics)
         self.gate = ProgramGate(quorum, self.routes, metrics)
         turns = TurnCall(exchange, quorum, self.routes, self.gate, metrics)
-        desk = CallDesk(self.routes, PlainCall(exchange, metrics), turns, metrics)
+        plain = PlainCall(exchange, metrics)
+        desk = CallDesk(self.routes, self.keys, plain, turns, metrics)
         self.server = CallerServer(
             self.listen(listen.callers, file, "callers"),
             desk.handle,
@@ -123,6 +138,7 @@
             lambda: self.lag.is_behind,
             box.failure_domain,
             box.region,
+            lambda: listen.callers if self.keys.lacks_proof else "",
         )
         self.apps = [
             (self.listen(listen.ready, file, "ready"), directory),
@@ -161,6 +177,7 @@
     def run(self) -> None:
         """Serve until a planned stop is done; callers are served first."""
         self.parts.start()
+        self.supervisor.start("proof of the configuration", self.prover.run_forever)
         self.supervisor.start("contact with holders", self.contact.run_forever)
         self.supervisor.start("lapsed targets", self.expire_forever)
         self.supervisor.start("callers", self.server.serve_forever)
--- a/src/cedarchute/daemon/node_parts.py
+++ b/src/cedarchute/daemon/node_parts.py
@@ -14,6 +14,7 @@
 from cedarchute.fleet.state_puller import StatePuller
 from cedarchute.fleet.store_mirror import StoreMirror
 from cedarchute.fleet.store_reader import StoreReader
+from cedarchute.platform.keys import CONFIGURATION
 from cedarchute.platform.store_client import StoreClient
 from cedarchute.turns.seat_book import SeatBook
 
@@ -51,10 +52,12 @@
             BOXES_PREFIX: BoxFollower(self.directory, turned_away),
             SEATS_KEY: SeatFollower(self.seats, turned_away),
         }
-        self.mirror = StoreMirror({**own, **followers})
-        readers = ReaderChoice(self.directory, me)
+        self.mirror = StoreMirror({**own, **followers}, CONFIGURATION)
+        self.readers = ReaderChoice(self.directory, me)
         self.supervisor = supervisor
-        self.reader = StoreReader(self.store, self.mirror, readers, supervisor, metrics)
+        self.reader = StoreReader(
+            self.store, self.mirror, self.readers, supervisor, metrics
+        )
         chance = random.Random()
         self.puller = StatePuller(
             self.mirror, self.directory, settings.seeds, me.name, chance, metrics
--- /dev/null
+++ b/src/cedarchute/fleet/configuration_prover.py
@@ -0,0 +1,143 @@
+"""Asks the store whether the configuration of this box is the newest."""
+
+from __future__ import annotations
+
+import logging
+import time
+from typing import TYPE_CHECKING, Final
+
+import eventlet
+from eventlet.event import Event
+
+from cedarchute.fleet.backoff import Backoff
+from cedarchute.fleet.state_messages import MirroredEntry
+from cedarchute.platform.store_client import StoreUnavailableError
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from cedarchute.fleet.reader_choice import ReaderChoice
+    from cedarchute.fleet.store_mirror import StoreMirror
+    from cedarchute.metrics import Metrics
+    from cedarchute.platform.store_client import StoreClient
+
+log = logging.getLogger("cedarchute.fleet")
+
+# How often this task looks; an eighth of the age at which listeners ask themselves.
+TICK_SECONDS: Final = 0.25
+# A reader asks this often for its failure domain. Each call costs money; but a proof is
+# good for some 4.75 s, and the older it is when the store goes away, the sooner calls
+# stop: with this, an outage of 3.5 s stops none.
+READER_SECONDS: Final = 1.0
+# A listener hears of its reader's proof within 0.8 s. It asks the store itself only
+# once the proof is older than a silent reader explains, and listeners do not all ask
+# at once.
+LISTENER_SECONDS: Final = 2.2
+LISTENER_SPREAD_SECONDS: Final = 0.8
+# An outage answers nobody, and each try costs money.
+LONGEST_RETRY_SECONDS: Final = 1.5
+
+
+class ConfigurationProver:
+    """One box of a failure domain proves for all; each of them can for itself.
+
+    Calls to the store grow with the failure domains, not with the boxes: in 34 s with
+    three domains of some 20 entries, about 100 calls instead of the 2,000 that each box
+    asking once a second would make.
+
+    Parameters
+    ----------
+    needs_proof : callable
+        Whether calls need keys at all; nothing is asked otherwise.
+    note_reachable : callable
+        Told whether the store answered.
+    """
+
+    def __init__(
+        self,
+        store: StoreClient,
+        mirror: StoreMirror,
+        readers: ReaderChoice,
+        needs_proof: Callable[[], bool],
+        note_reachable: Callable[[bool], None],
+        chance: random.Random,
+        metrics: Metrics,
+    ) -> None:
+        self.store = store
+        self.mirror = mirror
+        self.readers = readers
+        self.needs_proof = needs_proof
+        self.note_reachable = note_reachable
+        self.metrics = metrics
+        self.patience = LISTENER_SECONDS + chance.uniform(0, LISTENER_SPREAD_SECONDS)
+        self.backoff = Backoff(LONGEST_RETRY_SECONDS)
+        self.may_ask_at = float("-inf")
+        self.asking: Event | None = None
+
+    @property
+    def age_seconds(self) -> float:
+        """How long ago this box's configuration was certainly the newest."""
+        return self.mirror.proof.age_seconds
+
+    def run_forever(self) -> None:
+        """Keep a proof at hand for the life of the process."""
+        while True:
+            eventlet.sleep(TICK_SECONDS)
+            if self.needs_proof() and self.age_seconds > self.find_patience():
+                self.ask_unless_asking()
+
+    def find_patience(self) -> float:
+        """Return how old the proof may become before this box asks the store."""
+        if self.readers.choose(0) is None:
+            return READER_SECONDS
+        return self.patience
+
+    def refresh(self, seconds: float) -> None:
+        """Ask now, for a call that needs a proof; return after `seconds` at most.
+
+        Returns at once while a failed try is not long ago.
+        """
+        if self.asking is None:
+            if time.monotonic() < self.may_ask_at:
+                return
+            eventlet.spawn_n(self.ask_unless_asking)
+            eventlet.sleep(0)
+        asking = self.asking
+        if asking is not None:
+            with eventlet.Timeout(seconds, False):
+                asking.wait()
+
+    def ask_unless_asking(self) -> None:
+        """Ask the store once, unless that is under way or failed just now."""
+        if self.asking is not None or time.monotonic() < self.may_ask_at:
+            return
+        self.asking = Event()
+        try:
+            self.ask()
+        finally:
+            asking, self.asking = self.asking, None
+            asking.send(None)
+
+    def ask(self) -> None:
+        """Read the configuration; what it says is in force at once."""
+        asked_at = time.monotonic()
+        self.metrics.count("proofs.asked")
+        try:
+            entry = self.store.get(self.mirror.configuration_key)
+        except StoreUnavailableError as error:
+            self.metrics.count("proofs.failed")
+            self.may_ask_at = time.monotonic() + self.backoff.next_seconds()
+            log.info(
+                "Configuration not proven.",
+                extra={"why": str(error), "age": round(self.age_seconds, 3)},
+            )
+            self.note_reachable(False)
+            return
+        self.backoff.reset()
+        if entry is not None:
+            found = MirroredEntry(entry.key, entry.value, entry.version)
+            self.mirror.take_entry(found)
+        self.mirror.note_proof(entry.version if entry else 0, asked_at)
+        self.mirror.announce()
+        self.note_reachable(True)
--- a/src/cedarchute/fleet/state_messages.py
+++ b/src/cedarchute/fleet/state_messages.py
@@ -57,6 +57,11 @@
         Every key that is there, when the removals since the asker's revision are not
         known one by one; None when they are. It is a tenth of the whole: after a
         start every box asks two readers with a revision just before theirs.
+    proof_age_seconds : float or None
+        How long ago the configuration that this box has was certainly the newest, when
+        it answers; None when that is not known.
+    proof_revision : int
+        The revision of that configuration.
     """
 
     revision: int
@@ -65,3 +70,5 @@
     removals: tuple[Removal, ...] = ()
     steady_seconds: float = 0.0
     keys: tuple[str, ...] | None = None
+    proof_age_seconds: float | None = None
+    proof_revision: int = 0
--- a/src/cedarchute/fleet/state_puller.py
+++ b/src/cedarchute/fleet/state_puller.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import time
 from typing import TYPE_CHECKING, Final
 
 import eventlet
@@ -60,13 +61,14 @@
         address = self.choose_box()
         if address is None:
             return
+        asked_at = time.monotonic()
         try:
             state = self.client.ask(address, self.mirror.revision or None)
         except StateNotToldError as error:
             self.metrics.count("state.failures")
             log.debug("Box not asked: %s", error)
             return
-        if self.mirror.take_state(state):
+        if self.mirror.take_state(state, asked_at):
             self.metrics.count("state.taken")
             log.info(
                 "State taken from a box.",
--- a/src/cedarchute/fleet/store_mirror.py
+++ b/src/cedarchute/fleet/store_mirror.py
@@ -9,7 +9,9 @@
 
 import eventlet
 from eventlet.event import Event
+from msgspec.structs import replace
 
+from cedarchute.fleet.configuration_proof import ConfigurationProof
 from cedarchute.fleet.state_messages import MirroredEntry, Removal, State
 
 if TYPE_CHECKING:
@@ -33,10 +35,21 @@
 
     While the store is away everything stays as it was: its silence says nothing
     about anyone else.
+
+    Attributes
+    ----------
+    configuration_key : str
+        Where the operators' configuration stands in the store.
+    proof : ConfigurationProof
+        When that was certainly the newest.
     """
 
-    def __init__(self, followers: dict[str, StoreFollower]) -> None:
+    def __init__(
+        self, followers: dict[str, StoreFollower], configuration_key: str = ""
+    ) -> None:
         self.followers = followers
+        self.configuration_key = configuration_key
+        self.proof = ConfigurationProof()
         self.entries: dict[str, MirroredEntry] = {}
         self.removals: deque[Removal] = deque(maxlen=KEPT_REMOVALS)
         self.revision = 0
@@ -94,11 +107,45 @@
         self.revision = max(self.revision, revision)
         self.announce()
 
-    def take_state(self, state: State) -> bool:
+    @property
+    def configuration_revision(self) -> int:
+        """The revision of the configuration that is known here, 0 without one."""
+        known = self.entries.get(self.configuration_key)
+        return known.revision if known else 0
+
+    def note_proof(self, revision: int, proven_at: float) -> None:
+        """Take in that no configuration was newer than `revision` at that time.
+
+        Parameters
+        ----------
+        proven_at : float
+            Seconds of the monotonic clock of this box.
+        """
+        if revision <= self.configuration_revision:
+            self.proof.note(proven_at)
+
+    def take_state(self, state: State, asked_at: float | None = None) -> bool:
         """Take in what another box knows; return whether it was newer.
 
         A box whose store is just back may tell of entries that lapsed meanwhile.
+
+        Parameters
+        ----------
+        asked_at : float or None
+            When that box was asked. Its proof counts from then: what it says of the
+            proof's age was true at some time after that.
         """
+        is_newer = self.take_entries(state)
+        if asked_at is not None and state.proof_age_seconds is not None:
+            for entry in state.entries:
+                if entry.key == self.configuration_key:
+                    self.take_entry(entry)
+            proven_at = asked_at - state.proof_age_seconds
+            self.note_proof(state.proof_revision, proven_at)
+        return is_newer
+
+    def take_entries(self, state: State) -> bool:
+        """Take in the entries of another box; return whether they were newer."""
         if state.steady_seconds > STEADY_SECONDS:
             self.others_steady_at = time.monotonic()
         if state.revision <= self.revision:
@@ -143,16 +190,23 @@
 
     def tell(self, after: int | None, takes_keys: bool = True) -> State:
         """Return what is known beyond `after`, or everything."""
-        steady = self.steady_seconds
+        age = self.proof.age_seconds
+        state = State(
+            self.revision,
+            is_whole=False,
+            steady_seconds=self.steady_seconds,
+            proof_age_seconds=None if age == float("inf") else age,
+            proof_revision=self.configuration_revision,
+        )
         is_complete = after is not None and after >= self.complete_after
         if after is None or not (is_complete or takes_keys):
-            return State(self.revision, True, tuple(self.entries.values()), (), steady)
+            everything = tuple(self.entries.values())
+            return replace(state, is_whole=True, entries=everything)
         entries = tuple(e for e in self.entries.values() if e.revision > after)
         if not is_complete:
-            keys = tuple(self.entries)
-            return State(self.revision, False, entries, (), steady, keys)
+            return replace(state, entries=entries, keys=tuple(self.entries))
         removals = tuple(r for r in self.removals if r.revision > after)
-        return State(self.revision, False, entries, removals, steady)
+        return replace(state, entries=entries, removals=removals)
 
     def wait_news(self, after: int | None, seconds: float) -> None:
         """Return once more than `after` is known, or the store is lost or back."""
--- a/src/cedarchute/fleet/store_reader.py
+++ b/src/cedarchute/fleet/store_reader.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import time
 from typing import TYPE_CHECKING, Final
 
 import eventlet
@@ -142,6 +143,7 @@
     def listen_once(self, reader: BoxEntry) -> None:
         """Take in what a reader tells; wait for it unless readers were lost."""
         wait_seconds = 0.0 if self.lost_in_a_row else LISTEN_SECONDS
+        asked_at = time.monotonic()
         address = Address.parse(reader.peers)
         try:
             state = self.boxes.ask(address, self.mirror.revision, wait_seconds)
@@ -150,12 +152,12 @@
             return
         self.metrics.count("state.heard")
         if state.steady_seconds <= 0:
-            self.mirror.take_state(state)
+            self.mirror.take_state(state, asked_at)
             self.note_reader_lost(reader, "it lost the store")
             return
         if self.reachable:
             self.note_answered()
-        self.mirror.take_state(state)
+        self.mirror.take_state(state, asked_at)
         self.lost_in_a_row = 0
 
     def note_reader_lost(self, reader: BoxEntry, why: str) -> None:
--- a/src/cedarchute/platform/call_headers.py
+++ b/src/cedarchute/platform/call_headers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from cedarchute.calls.call import Call, ProgramTerms
 from cedarchute.platform import headers as names
@@ -11,6 +11,7 @@
 from cedarchute.relay.request_error import RequestError
 
 if TYPE_CHECKING:
+    from cedarchute.calls.permit import Permit
     from cedarchute.relay.caller_request import CallerRequest
     from cedarchute.relay.target_answer import TargetAnswer
     from cedarchute.routing.target_entry import TargetEntry
@@ -18,6 +19,7 @@
 log = logging.getLogger("cedarchute.platform")
 
 ANSWER_ID = names.CALL_ID
+KEY_SCHEME: Final = b"token"
 # Numbers of headers fit into 64 bits with a sign.
 MOST = 2**63 - 1
 MOST_DIGITS = len(str(MOST))
@@ -83,16 +85,41 @@
     return request.headers.get_text(names.PROGRAM)
 
 
+def read_key(request: CallerRequest) -> bytes | None:
+    """Return the key that a request carries, None when that is not clear.
+
+    Two headers, another scheme or more than one word name no key.
+    """
+    fields = request.headers.get_all(names.CALLER_KEY)
+    if len(fields) != 1:
+        return None
+    words = fields[0].split()
+    if len(words) != 2 or words[0].lower() != KEY_SCHEME:
+        return None
+    return words[1]
+
+
 def write_target_headers(
-    request: CallerRequest, target: TargetEntry, seconds_left: float
+    request: CallerRequest,
+    target: TargetEntry,
+    seconds_left: float,
+    permit: Permit | None,
 ) -> Headers:
-    """Return the headers of a request to a target."""
-    kept = request.headers.select_end_to_end(names.REWRITTEN)
+    """Return the headers of a request to a target.
+
+    Where workspaces hold keys, the target learns of the caller's workspace and not of
+    its key, and what the caller says of its workspace counts nothing.
+    """
+    rewritten = names.REWRITTEN if permit is None else names.REWRITTEN_WITH_KEYS
+    kept = request.headers.select_end_to_end(rewritten)
     milliseconds = max(1, int(seconds_left * 1000))
-    return kept.extend(
+    kept = kept.extend(
         (b"Deadline-Ms", b"%d" % milliseconds),
         (b"Expect-Instance", target.id.encode("latin-1")),
     )
+    if permit is None or permit.workspace is None:
+        return kept
+    return kept.extend((b"Tenant", permit.workspace.name.encode()))
 
 
 def write_refusal_headers(call_id: str, retry_after_seconds: float | None) -> Headers:
--- a/src/cedarchute/platform/directory_app.py
+++ b/src/cedarchute/platform/directory_app.py
@@ -17,7 +17,13 @@
 
 
 class DirectoryApp:
-    """A WSGI application for both, so that one listener each is enough."""
+    """A WSGI application for both, so that one listener each is enough.
+
+    Parameters
+    ----------
+    find_unfit : callable
+        Returns an address that is not to be named now, empty if there is none.
+    """
 
     def __init__(
         self,
@@ -26,12 +32,14 @@
         is_behind: Callable[[], bool],
         failure_domain: str,
         region: str,
+        find_unfit: Callable[[], str] = lambda: "",
     ) -> None:
         self.directory = directory
         self.is_ready = is_ready
         self.is_behind = is_behind
         self.failure_domain = failure_domain
         self.region = region
+        self.find_unfit = find_unfit
 
     def __call__(
         self, environ: dict[str, Any], start_response: Callable[..., Any]
@@ -63,6 +71,8 @@
         addresses = self.directory.list_caller_addresses(
             domain, region, self.is_behind()
         )
+        unfit = self.find_unfit()
+        addresses = [a for a in addresses if a != unfit] or addresses
         if not addresses:
             return "503 Service Unavailable", b""
         document = {"Addresses": addresses, "TtlS": KEEP_SECONDS}
--- a/src/cedarchute/platform/headers.py
+++ b/src/cedarchute/platform/headers.py
@@ -20,6 +20,10 @@
 PREVIOUS_TURN: Final = b"previous-turn"
 # Two numbers: tokens of the prompt, and the most tokens that come out.
 TOKENS: Final = b"token-count"
+# A caller's key, behind a word for the scheme; a secret.
+CALLER_KEY: Final = b"authorization"
+# The workspace that holds the caller's key; targets go by it.
+WORKSPACE: Final = b"tenant"
 # Proof of a target that the answer is its own; never on an answer of ours.
 PROOF: Final = b"server-seal"
 
@@ -38,3 +42,5 @@
 )
 # Set anew for each send.
 REWRITTEN: Final = SYSTEM_ONLY | {PATIENCE_MS, b"expect"}
+# Not passed on either where workspaces hold keys.
+REWRITTEN_WITH_KEYS: Final = REWRITTEN | {CALLER_KEY, WORKSPACE}
--- a/src/cedarchute/platform/routing_document.py
+++ b/src/cedarchute/platform/routing_document.py
@@ -13,6 +13,8 @@
 from cedarchute.routing.route_table import RouteTable
 from cedarchute.routing.service import EngineTraits, Service
 from cedarchute.routing.target_entry import TargetEntry
+from cedarchute.routing.workspace import Workspace
+from cedarchute.routing.workspace_keys import WorkspaceKeys
 
 REPEATABILITY = {
     "idempotent": Repeatability.REPEATABLE,
@@ -50,6 +52,8 @@
     # Whether the system keeps what was said, so that turns bring only what is new.
     retained: bool = False
     retention_s: float = 0
+    # Whether calls need no key.
+    public: bool = False
 
 
 class _Engine(_Wire):
@@ -71,11 +75,24 @@
     idle_timeout_ms: float
 
 
+class _Tenant(_Wire):
+    """A workspace."""
+
+    name: Annotated[str, msgspec.Meta(min_length=1, pattern="^[!-~]+$")]
+    api_keys: tuple[str, ...] = ()
+    priority: int = 0
+    # Calls a second of all boxes together; nothing or 0 is no limit.
+    rate_per_s: Annotated[float, msgspec.Meta(ge=0)] | None = None
+    burst: Annotated[float, msgspec.Meta(ge=0)] | None = None
+
+
 class _Configuration(_Wire):
     version: int
     routes: tuple[_Route, ...]
     services: tuple[_Service, ...]
     limits: _Limits
+    # Without the field calls need no key; an empty list takes every key away.
+    tenants: tuple[_Tenant, ...] | None = None
 
 
 # Requests that one target takes at once; an entry that claims more than any machine
@@ -111,6 +128,7 @@
     try:
         document = msgspec.json.decode(text, type=_Configuration)
         routes = tuple(_read_route(route) for route in document.routes)
+        keys = _read_keys(document.tenants)
     except (msgspec.MsgspecError, KeyError, RecursionError, ValueError) as error:
         raise DocumentError(f"configuration: {error}") from error
     limits = InputLimits(
@@ -120,7 +138,22 @@
         idle_seconds=document.limits.idle_timeout_ms / 1000,
     )
     services = {s.name: _read_service(s) for s in document.services}
-    return RouteTable(document.version, routes, services, limits, text)
+    return RouteTable(document.version, routes, services, limits, keys)
+
+
+def _read_keys(tenants: tuple[_Tenant, ...] | None) -> WorkspaceKeys | None:
+    if tenants is None:
+        return None
+    return WorkspaceKeys((_read_workspace(t), t.api_keys) for t in tenants)
+
+
+def _read_workspace(tenant: _Tenant) -> Workspace:
+    return Workspace(
+        name=tenant.name,
+        rank=tenant.priority,
+        calls_per_second=tenant.rate_per_s or 0.0,
+        burst=tenant.burst or 0.0,
+    )
 
 
 def _read_route(route: _Route) -> Route:
@@ -141,6 +174,7 @@
         max_targets=route.max_attempts,
         keeps_turns=route.retained,
         keep_seconds=route.retention_s,
+        is_public=route.public,
     )
 
 
--- a/src/cedarchute/routing/route.py
+++ b/src/cedarchute/routing/route.py
@@ -39,6 +39,8 @@
         Whether calls are turns that bring only their new input.
     keep_seconds : float
         How long a turn is kept after its end.
+    is_public : bool
+        Whether its calls need no key of a workspace.
     """
 
     name: str
@@ -52,6 +54,7 @@
     max_targets: int = 1
     keeps_turns: bool = False
     keep_seconds: float = 0.0
+    is_public: bool = False
 
     @property
     def is_stream(self) -> bool:
--- a/src/cedarchute/routing/route_table.py
+++ b/src/cedarchute/routing/route_table.py
@@ -12,6 +12,7 @@
     from cedarchute.relay.input_limits import InputLimits
     from cedarchute.routing.route import Route
     from cedarchute.routing.service import Service
+    from cedarchute.routing.workspace_keys import WorkspaceKeys
 
 
 class RouteTable(Record):
@@ -19,15 +20,15 @@
 
     Attributes
     ----------
-    text : str
-        The document that it was read from, to hand to boxes that lack it.
+    keys : WorkspaceKeys or None
+        Whose calls may pass; None where calls need no key.
     """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, Service]
     limits: InputLimits
-    text: str
+    keys: WorkspaceKeys | None = None
     by_host: dict[str, list[Route]] = msgspec.field(default_factory=dict)
 
     def __post_init__(self) -> None:
--- a/src/cedarchute/settings/node_settings.py
+++ b/src/cedarchute/settings/node_settings.py
@@ -59,6 +59,18 @@
     holders: int = 1
 
 
+class KeysSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """``[keys]``: what is promised of keys that operators take away.
+
+    Attributes
+    ----------
+    revoke_ms : float
+        Within which they are of no use at any box; 0 promises nothing.
+    """
+
+    revoke_ms: float = 0.0
+
+
 class StopSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """``[stop]``: how long a planned stop may take before the process is killed."""
 
@@ -72,6 +84,7 @@
     platform: StoreSection
     listen: ListenSection = ListenSection()
     losses: LossesSection = LossesSection()
+    keys: KeysSection = KeysSection()
     stop: StopSection = StopSection()
 
     @property
@@ -137,4 +150,6 @@
         faults.append("[box] data_folder: missing; a holder keeps records there")
     if settings.losses.holders < 0:
         faults.append("[losses] holders: must not be negative")
+    if settings.keys.revoke_ms < 0:
+        faults.append("[keys] revoke_ms: must not be negative")
     return faults
--- a/src/cedarchute/turns/chain_reader.py
+++ b/src/cedarchute/turns/chain_reader.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from cedarchute.turns.holder import join_chain
+from cedarchute.turns.holder import is_foreign, join_chain
 from cedarchute.turns.holder_fanout import ANSWER_SECONDS, Question
 from cedarchute.turns.messages import Chain, ReadChain
 from cedarchute.turns.seat_table import SeatTable
@@ -28,9 +28,15 @@
         self.fanout = fanout
 
     def read_previous(
-        self, previous: str, begun: dict[int, TurnBegun]
+        self, program: str, previous: str, begun: dict[int, TurnBegun]
     ) -> TurnAdmission:
-        """Return the chain up to `previous`, joined from several holders if need be."""
+        """Return the chain up to `previous`, joined from several holders if need be.
+
+        Raises
+        ------
+        NoSuchTurnError
+            When there is none, or none of the program's workspace.
+        """
         if not previous:
             return TurnAdmission(b"", "")
         for answer in begun.values():
@@ -41,6 +47,8 @@
         missing = previous
         while missing:
             chain = self.read(missing)
+            if is_foreign(chain.turns[-1], program):
+                raise NoSuchTurnError(f"turn {missing} is another workspace's")
             target = target or chain.turns[-1].target
             text = join_chain(list(chain.turns)) + text
             missing = chain.missing
--- a/src/cedarchute/turns/holder.py
+++ b/src/cedarchute/turns/holder.py
@@ -12,6 +12,7 @@
     Standing,
     TurnBegun,
 )
+from cedarchute.turns.program_key import read_workspace
 from cedarchute.turns.records import Reserved
 
 if TYPE_CHECKING:
@@ -93,6 +94,8 @@
         if not message.previous:
             return TurnBegun(turns.spent, budget=turns.budget, age_seconds=age)
         chain, missing = self.book.collect_chain(message.previous)
+        if chain and is_foreign(chain[-1], message.program):
+            chain, missing = [], message.previous
         target = chain[-1].target if chain else ""
         text = join_chain(chain) if message.wants_text else b""
         return TurnBegun(turns.spent, missing, text, target, turns.budget, age)
@@ -145,6 +148,11 @@
         return CopiedRecords(tuple(records))
 
 
+def is_foreign(turn: Turn, program: str) -> bool:
+    """Return whether a turn is of another workspace than a program."""
+    return read_workspace(turn.program) != read_workspace(program)
+
+
 def join_chain(chain: list[Turn]) -> bytes:
     """Return what a prompt holds of a chain: each input, then its answer."""
     return b"".join(turn.input + turn.output for turn in chain)
--- a/src/cedarchute/turns/turn_quorum.py
+++ b/src/cedarchute/turns/turn_quorum.py
@@ -92,7 +92,7 @@
         try:
             if named:
                 self.check_budget(program, turn, tokens, min(named), begun)
-            admission = self.chains.read_previous(previous, begun)
+            admission = self.chains.read_previous(program, previous, begun)
             age = find_age([answer.age_seconds for answer in begun.values()])
             return replace(admission, age_seconds=age)
         except Exception:
--- a/src/experiments/node_site.py
+++ b/src/experiments/node_site.py
@@ -21,8 +21,9 @@
 class NodeSite:
     """Starts the real programs as processes, each by its own settings file."""
 
-    def __init__(self, folder: Path, losses: int = 1) -> None:
+    def __init__(self, folder: Path, losses: int = 1, revoke_ms: int = 0) -> None:
         self.folder = folder
+        self.revoke_ms = revoke_ms
         self.losses = losses
         self.http = HttpJson()
         self.processes: dict[str, Process] = {}
@@ -106,6 +107,8 @@
                 f"callers = {self.callers[name]}",
                 f"ready = {self.ready[name]}",
                 f"directory = {self.directory[name]}",
+                "[keys]",
+                f"revoke_ms = {self.revoke_ms}",
             ]
         settings = self.folder / f"{name}.ini"
         settings.write_text("\n".join(lines) + "\n")
@@ -139,7 +142,12 @@
             return None
         return base64.b64decode(reply.document["Value"]).decode()
 
-    def configure(self, routes: list[dict[str, Any]], **limits: object) -> int:
+    def configure(
+        self,
+        routes: list[dict[str, Any]],
+        workspaces: list[dict[str, Any]] | None = None,
+        **limits: object,
+    ) -> int:
         """Put a configuration in the store; return its version."""
         self.version += 3
         document = {
@@ -162,6 +170,8 @@
                 **limits,
             },
         }
+        if workspaces is not None:
+            document["Tenants"] = workspaces
         self.write("op/config", document)
         return self.version
 
--- a/tests/calls/test_target_exchange.py
+++ b/tests/calls/test_target_exchange.py
@@ -35,7 +35,7 @@
         address = Address("10.0.0.1", number)
         registry.put(TargetEntry(f"t-{number}", "s", address, "a", True, 8))
     choice = TargetChoice(registry, "a", random.Random(7), lambda address: True)
-    return TargetExchange(Pool(), choice, Metrics())
+    return TargetExchange(Pool(), choice, None, Metrics())
 
 
 def finish(exchange, target_id, status, seconds):
--- a/tests/platform_site/conftest_nodes.py
+++ b/tests/platform_site/conftest_nodes.py
@@ -40,15 +40,15 @@
 
 
 @contextlib.contextmanager
-def start_nodes(folder):
+def start_nodes(folder, workspaces=None, routes=ROUTES, **settings):
     """Start three holders and two entries, and wait until they serve."""
-    with NodeSite(folder) as site:
+    with NodeSite(folder, **settings) as site:
         site.start_store()
         for number, domain in enumerate("abc", 1):
             site.start_holder(f"holder-{number}", domain)
         site.start_entry("entry-1", "a")
         site.start_entry("entry-2", "b")
-        site.configure(ROUTES)
+        site.configure(routes, workspaces)
         site.wait_ready()
         site.wait_held(3)
         yield site
--- a/tests/stateful/test_quorum_machine.py
+++ b/tests/stateful/test_quorum_machine.py
@@ -280,7 +280,7 @@
         quorum = self.entries[entry]
         quorum.fanout.failing_since = None
         try:
-            admission = quorum.chains.read_previous(name, {})
+            admission = quorum.chains.read_previous("", name, {})
         except NoQuorumError:
             return
         assert admission.text == self.kept[name][1]
