Keep the calls of each workspace within its limit, over all boxes

Loans in bulk were ruled out: most boxes see less than one call of a workspace in the time for which a loan may be good (0.5 s). Change: three holders, by hash, each keep a third of a limit and grant from that alone; a box asks one after another until one grants. No keeper has to agree with another, so the sum holds whichever is lost. A lower version of a limit changes nothing. Red first: a believed refusal told 0.1 s instead of when a call may pass (test_quotas).

--- a/src/cedarchute/calls/call.py
+++ b/src/cedarchute/calls/call.py
@@ -66,5 +66,5 @@
 
     @property
     def begins_program(self) -> bool:
-        """Whether nothing of its program can be lost yet by refusing it."""
-        return not self.program.previous
+        """Whether it is the first of a program, as far as the call itself tells."""
+        return self.program.most_tokens > 0 and not self.program.previous
--- a/src/cedarchute/calls/call_desk.py
+++ b/src/cedarchute/calls/call_desk.py
@@ -23,6 +23,7 @@
     from cedarchute.calls.call import Call
     from cedarchute.calls.key_check import KeyCheck
     from cedarchute.calls.plain_call import PlainCall
+    from cedarchute.calls.quota_check import QuotaCheck
     from cedarchute.calls.turn_call import TurnCall
     from cedarchute.metrics import Metrics
     from cedarchute.relay.caller_request import CallerRequest
@@ -44,12 +45,14 @@
         self,
         routes: RouteBook,
         keys: KeyCheck,
+        quota: QuotaCheck,
         plain: PlainCall,
         turns: TurnCall,
         metrics: Metrics,
     ) -> None:
         self.routes = routes
         self.keys = keys
+        self.quota = quota
         self.plain = plain
         self.turns = turns
         self.metrics = metrics
@@ -84,6 +87,7 @@
         if route is None:
             raise CallRefusedError(404, "no route")
         call = replace(call, permit=self.keys.identify(request, route, table))
+        self.quota.check(call, self.routes.version)
         if route.is_stream:
             self.turns.run(request, writer, call, route)
         else:
--- /dev/null
+++ b/src/cedarchute/calls/quota_check.py
@@ -0,0 +1,69 @@
+"""Refuses the calls of a workspace beyond its limit."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING, Final
+
+from cedarchute.calls.call_errors import CallRefusedError
+from cedarchute.decisions.quota_share import QuotaLimit
+from cedarchute.turns.quota_client import NoKeeperError
+
+if TYPE_CHECKING:
+    from cedarchute.calls.call import Call
+    from cedarchute.metrics import Metrics
+    from cedarchute.turns.quota_client import QuotaClient
+
+log = logging.getLogger("cedarchute.calls")
+
+# Keepers that are cut off or frozen are asked last from now on, or replaced.
+NO_KEEPER_RETRY_SECONDS: Final = 0.3
+# Whoever comes back at the very moment meets the others who do.
+LEAST_RETRY_SECONDS: Final = 0.1
+
+
+class QuotaCheck:
+    """Asks for each call of a workspace with a limit; the others cost nothing."""
+
+    def __init__(self, client: QuotaClient, metrics: Metrics) -> None:
+        self.client = client
+        self.metrics = metrics
+
+    def check(self, call: Call, version: int) -> None:
+        """Let a call pass.
+
+        Parameters
+        ----------
+        version : int
+            The version of the configuration that the call's permit is from.
+
+        Raises
+        ------
+        CallRefusedError
+            429 beyond the limit, 503 when that can't be told; nothing ran.
+        """
+        workspace = call.permit.workspace if call.permit else None
+        if workspace is None or not workspace.is_limited:
+            return
+        limit = QuotaLimit(version, workspace.calls_per_second, workspace.burst)
+        begins = call.begins_program
+        try:
+            grant = self.client.ask(workspace.name, limit, begins)
+        except NoKeeperError as error:
+            self.metrics.count_refusal("no_quota_keeper")
+            facts = {"workspace": workspace.name}
+            wait = NO_KEEPER_RETRY_SECONDS
+            raise CallRefusedError(503, str(error), wait, facts) from None
+        if grant.granted:
+            return
+        self.metrics.count_refusal("quota")
+        wait = max(LEAST_RETRY_SECONDS, grant.wait_seconds)
+        facts = {
+            "workspace": workspace.name,
+            "calls_per_second": workspace.calls_per_second,
+            "burst": workspace.burst,
+            "begins_program": begins,
+            "level": round(grant.level, 2),
+            "retry_after": round(wait, 2),
+        }
+        raise CallRefusedError(429, "beyond the workspace's limit", wait, facts)
--- a/src/cedarchute/daemon/entry_box.py
+++ b/src/cedarchute/daemon/entry_box.py
@@ -15,6 +15,7 @@
 from cedarchute.calls.key_check import KeyCheck
 from cedarchute.calls.plain_call import PlainCall
 from cedarchute.calls.program_gate import ProgramGate
+from cedarchute.calls.quota_check import QuotaCheck
 from cedarchute.calls.target_exchange import TargetExchange
 from cedarchute.calls.turn_call import TurnCall
 from cedarchute.daemon.entry_stop import EntryStop
@@ -45,6 +46,7 @@
 from cedarchute.routing.target_registry import TargetRegistry
 from cedarchute.supervisor import Supervisor
 from cedarchute.turns.holder_client import HolderClient
+from cedarchute.turns.quota_client import QuotaClient
 from cedarchute.turns.turn_quorum import TurnQuorum
 
 if TYPE_CHECKING:
@@ -119,7 +121,8 @@
         self.gate = ProgramGate(quorum, self.routes, metrics)
         turns = TurnCall(exchange, quorum, self.routes, self.gate, metrics)
         plain = PlainCall(exchange, metrics)
-        desk = CallDesk(self.routes, self.keys, plain, turns, metrics)
+        quota = QuotaCheck(QuotaClient(quorum.fanout, holders, box.name), metrics)
+        desk = CallDesk(self.routes, self.keys, quota, plain, turns, metrics)
         self.server = CallerServer(
             self.listen(listen.callers, file, "callers"),
             desk.handle,
--- a/src/cedarchute/daemon/holder_box.py
+++ b/src/cedarchute/daemon/holder_box.py
@@ -11,6 +11,7 @@
 import eventlet
 from eventlet.event import Event
 
+from cedarchute.clock import SystemClock
 from cedarchute.daemon.lean_start import let_modules_in
 from cedarchute.daemon.listeners import (
     load_server,
@@ -19,6 +20,7 @@
     serve_metrics,
 )
 from cedarchute.daemon.node_parts import NodeParts
+from cedarchute.decisions.quota_share import QuotaTolerance
 from cedarchute.fleet.box_directory import BoxDirectory
 from cedarchute.fleet.box_entry import BoxEntry, Role
 from cedarchute.fleet.peer_server import PeerServer
@@ -32,6 +34,7 @@
 from cedarchute.turns.holder import Holder
 from cedarchute.turns.holder_app import HolderApp
 from cedarchute.turns.holder_client import HolderClient
+from cedarchute.turns.quota_keeper import QuotaKeeper
 from cedarchute.turns.seat_keeper import SeatKeeper
 from cedarchute.turns.seat_table import Seat
 from cedarchute.turns.seen_table import SeenTable
@@ -105,7 +108,14 @@
             client,
         )
         self.listener = open_listener(settings.peers, f"{file}: [box] peer_port")
-        self.app = PeerServer(self.parts.mirror, metrics, HolderApp(self.holder))
+        tolerance = QuotaTolerance(
+            settings.quotas.window_seconds,
+            settings.quotas.overrun,
+            settings.quotas.slack,
+        )
+        quotas = QuotaKeeper(tolerance, SystemClock())
+        app = HolderApp(self.holder, quotas)
+        self.app = PeerServer(self.parts.mirror, metrics, app)
         self.serve_metrics = partial(
             serve_metrics, settings.listen.metrics, metrics, file
         )
--- a/src/cedarchute/limits/token_bucket.py
+++ b/src/cedarchute/decisions/token_bucket.py
@@ -9,13 +9,21 @@
 
 
 class TokenBucket:
-    """Grants up to `burst` at once and `rate` a second in the long run."""
+    """Grants up to `burst` at once and `rate` a second in the long run.
 
-    def __init__(self, rate: float, burst: float, clock: Clock) -> None:
+    Parameters
+    ----------
+    level : float or None
+        What is there at the start; the whole burst when not given.
+    """
+
+    def __init__(
+        self, rate: float, burst: float, clock: Clock, level: float | None = None
+    ) -> None:
         self.rate = rate
         self.burst = burst
         self.clock = clock
-        self.level = burst
+        self.level = burst if level is None else min(burst, level)
         self.updated_at = clock.monotonic()
 
     def change(self, rate: float, burst: float) -> None:
--- a/src/cedarchute/limits/limit_lender.py
+++ b/src/cedarchute/limits/limit_lender.py
@@ -4,9 +4,9 @@
 
 from typing import TYPE_CHECKING
 
+from cedarchute.decisions.token_bucket import TokenBucket
 from cedarchute.limits.borrow import BorrowReply
 from cedarchute.limits.shares import BURST_SECONDS, EVEN_SHARE
-from cedarchute.limits.token_bucket import TokenBucket
 
 if TYPE_CHECKING:
     from cedarchute.clock import Clock
--- a/src/cedarchute/limits/workspace_limits.py
+++ b/src/cedarchute/limits/workspace_limits.py
@@ -7,10 +7,10 @@
 
 import eventlet
 
+from cedarchute.decisions.token_bucket import TokenBucket
 from cedarchute.limits.borrow import BorrowRequest
 from cedarchute.limits.loan import Loan
 from cedarchute.limits.shares import BURST_SECONDS, EVEN_SHARE, LEAST_BURST
-from cedarchute.limits.token_bucket import TokenBucket
 from cedarchute.peers.peer_client import PeerError
 from cedarchute.problem import Problem
 
--- a/src/cedarchute/settings/node_settings.py
+++ b/src/cedarchute/settings/node_settings.py
@@ -71,6 +71,24 @@
     revoke_ms: float = 0.0
 
 
+class QuotasSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """``[quotas]``: by how much limits of workspaces may be exceeded.
+
+    Attributes
+    ----------
+    window_seconds : float
+        The span within which calls are counted.
+    overrun : float
+        The part of a limit by which that span may exceed it.
+    slack : float
+        Calls in that span beyond this.
+    """
+
+    window_seconds: float = 5.0
+    overrun: float = 0.0
+    slack: float = 0.0
+
+
 class StopSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """``[stop]``: how long a planned stop may take before the process is killed."""
 
@@ -85,6 +103,7 @@
     listen: ListenSection = ListenSection()
     losses: LossesSection = LossesSection()
     keys: KeysSection = KeysSection()
+    quotas: QuotasSection = QuotasSection()
     stop: StopSection = StopSection()
 
     @property
@@ -152,4 +171,8 @@
         faults.append("[losses] holders: must not be negative")
     if settings.keys.revoke_ms < 0:
         faults.append("[keys] revoke_ms: must not be negative")
+    if settings.quotas.window_seconds <= 0:
+        faults.append("[quotas] window_seconds: must be more than nothing")
+    if settings.quotas.overrun < 0 or settings.quotas.slack < 0:
+        faults.append("[quotas] overrun, slack: must not be negative")
     return faults
--- a/src/cedarchute/turns/holder_app.py
+++ b/src/cedarchute/turns/holder_app.py
@@ -9,6 +9,8 @@
 
 from cedarchute.turns.holder import Holder, HolderError
 from cedarchute.turns.messages import (
+    QUOTA_PATH,
+    AskQuota,
     AskStanding,
     BeginTurn,
     CopyRecords,
@@ -21,6 +23,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
+    from cedarchute.turns.quota_keeper import QuotaKeeper
+
 log = logging.getLogger("cedarchute.turns")
 
 MAX_BODY_BYTES: Final = 64_000_000
@@ -30,7 +34,7 @@
 class HolderApp:
     """Reads a message, lets the holder answer it, writes the answer."""
 
-    def __init__(self, holder: Holder) -> None:
+    def __init__(self, holder: Holder, quotas: QuotaKeeper) -> None:
         self.handlers: dict[str, tuple[type, Callable[[Any], object]]] = {
             "/turns/begin": (BeginTurn, holder.begin_turn),
             "/turns/take": (TakeRecords, holder.take_records),
@@ -38,6 +42,7 @@
             "/turns/standing": (AskStanding, holder.tell_standing),
             "/turns/chain": (ReadChain, holder.read_chain),
             "/turns/copy": (CopyRecords, holder.copy_records),
+            QUOTA_PATH: (AskQuota, quotas.ask),
         }
 
     def __call__(
--- a/src/cedarchute/turns/holder_client.py
+++ b/src/cedarchute/turns/holder_client.py
@@ -51,10 +51,20 @@
         self.timeout = urllib3.Timeout(connect=CONNECT_SECONDS, read=ANSWER_SECONDS)
 
     def ask(
-        self, address: str, path: str, message: object, answer: type[AnswerT]
+        self,
+        address: str,
+        path: str,
+        message: object,
+        answer: type[AnswerT],
+        timeout: urllib3.Timeout | None = None,
     ) -> AnswerT:
         """Send `message` to `path` of a holder; return its answer.
 
+        Parameters
+        ----------
+        timeout : urllib3.Timeout or None
+            How long to wait, if not as long as for what has to be on a disk.
+
         Raises
         ------
         HolderRefusedError
@@ -71,7 +81,7 @@
                 path,
                 body=msgspec.json.encode(message),
                 headers=JSON_HEADERS,
-                timeout=self.timeout,
+                timeout=timeout or self.timeout,
             )
             if response.status == 200:
                 return msgspec.json.decode(response.data, type=answer)
--- a/src/cedarchute/turns/messages.py
+++ b/src/cedarchute/turns/messages.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+from typing import Final
+
 import msgspec
 
 from cedarchute.turns.records import Record, Turn
 from cedarchute.turns.seat_table import SeatTable
 
+# Where a holder is asked about the limit of a workspace.
+QUOTA_PATH: Final = "/quota/ask"
+
 
 class Addressed(msgspec.Struct, frozen=True, kw_only=True):
     """Said to the holder of one disk, by the table of one version."""
@@ -103,6 +108,41 @@
     age_seconds: float | None = None
 
 
+class AskQuota(msgspec.Struct, frozen=True, kw_only=True):
+    """Let one call of a workspace pass.
+
+    Whoever is asked answers from its own share, so neither the disk nor the table of
+    seats matters. The limit goes along: keepers know no configuration.
+
+    Attributes
+    ----------
+    version : int
+        Of the configuration that the limit stands in; the newest one counts.
+    begins_program : bool
+        Whether refusing the call loses nothing that was done before.
+    """
+
+    workspace: str
+    version: int
+    calls_per_second: float
+    burst: float
+    begins_program: bool
+
+
+class QuotaAnswered(msgspec.Struct, frozen=True):
+    """Whether it may pass; if not, when one of its kind may.
+
+    Attributes
+    ----------
+    level : float
+        Calls that are left in the share of who answers.
+    """
+
+    granted: bool
+    wait_seconds: float = 0.0
+    level: float = 0.0
+
+
 class ReadChain(Addressed, frozen=True, kw_only=True):
     """Tell a chain from `turn` back to its start."""
 
--- /dev/null
+++ b/src/cedarchute/turns/quota_client.py
@@ -0,0 +1,146 @@
+"""Asks the keepers of a workspace's limit whether a call may pass."""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections import OrderedDict
+from hashlib import blake2b
+from typing import TYPE_CHECKING, Final
+
+import urllib3
+
+from cedarchute.decisions.quota_share import KEEPERS, QuotaGrant
+from cedarchute.record import Record
+from cedarchute.turns.holder_client import HolderUnavailableError
+from cedarchute.turns.messages import QUOTA_PATH, AskQuota, QuotaAnswered
+
+if TYPE_CHECKING:
+    from cedarchute.decisions.quota_share import QuotaLimit
+    from cedarchute.turns.holder_client import HolderClient
+    from cedarchute.turns.holder_fanout import HolderFanout
+    from cedarchute.turns.seat_table import Seat
+
+log = logging.getLogger("cedarchute.turns")
+
+# Some ten times what an answer takes; another keeper is asked after that.
+ANSWER_TIMEOUT: Final = urllib3.Timeout(connect=0.1, read=0.1)
+# A refusal of all keepers is believed this long at the most, so that a workspace far
+# beyond its limit costs them no three questions for each of its calls.
+BELIEVED_SECONDS: Final = 0.1
+MOST_REMEMBERED: Final = 1024
+
+
+class NoKeeperError(Exception):
+    """None of the keepers of a limit answered."""
+
+    code = "no_keeper"
+
+
+class Refusal(Record):
+    """What all keepers answered last to calls of one kind.
+
+    Attributes
+    ----------
+    believed_until, passes_at : float
+        Until when nobody is asked again, and when a call may pass; monotonic times.
+    level : float
+        Calls that were left.
+    """
+
+    believed_until: float
+    passes_at: float
+    level: float
+
+
+class QuotaClient:
+    """Asks one keeper after another until one grants the call.
+
+    Each box begins with another one, and with the one that granted last: so the shares
+    of a limit are used evenly, and most calls ask once.
+    """
+
+    def __init__(self, fanout: HolderFanout, client: HolderClient, box: str) -> None:
+        self.fanout = fanout
+        self.client = client
+        self.box = box
+        self.granted_by: OrderedDict[str, str] = OrderedDict()
+        self.refused: OrderedDict[tuple[str, bool], Refusal] = OrderedDict()
+
+    def ask(
+        self, workspace: str, limit: QuotaLimit, begins_program: bool
+    ) -> QuotaGrant:
+        """Return whether a call may pass.
+
+        Raises
+        ------
+        NoKeeperError
+            When that is not known.
+        """
+        kind = (workspace, begins_program)
+        now = time.monotonic()
+        refusal = self.refused.get(kind)
+        if refusal is not None and now < refusal.believed_until:
+            return QuotaGrant(False, refusal.passes_at - now, refusal.level)
+        answers: list[QuotaAnswered] = []
+        seats = self.list_keepers(workspace)
+        for seat in seats:
+            answer = self.ask_one(seat, workspace, limit, begins_program)
+            if answer is None:
+                continue
+            if answer.granted:
+                remember(self.granted_by, workspace, seat.disk)
+                return QuotaGrant(True)
+            answers.append(answer)
+        if not answers:
+            raise NoKeeperError(f"none of {len(seats)} keepers answers")
+        wait_seconds = min(answer.wait_seconds for answer in answers)
+        level = sum(answer.level for answer in answers)
+        now = time.monotonic()
+        believed_until = now + min(wait_seconds, BELIEVED_SECONDS)
+        refusal = Refusal(believed_until, now + wait_seconds, level)
+        remember(self.refused, kind, refusal)
+        return QuotaGrant(False, wait_seconds, level)
+
+    def list_keepers(self, workspace: str) -> list[Seat]:
+        """Return the holders that keep a workspace's limit, in the order of asking."""
+        table = self.fanout.seats.table
+        numbers = table.find_seats(f"quota of {workspace}")[:KEEPERS]
+        occupied = [n for n in numbers if not table.seats[n].is_vacant]
+        last = self.granted_by.get(workspace)
+        occupied.sort(key=lambda n: self.find_place(workspace, n))
+        occupied.sort(key=lambda n: table.seats[n].disk != last)
+        return [table.seats[n] for n in self.fanout.order_seats(occupied, table)]
+
+    def find_place(self, workspace: str, number: int) -> bytes:
+        """Return what orders the keepers: another order at each box."""
+        text = f"{self.box}/{workspace}/{number}".encode()
+        return blake2b(text, digest_size=8).digest()
+
+    def ask_one(
+        self, seat: Seat, workspace: str, limit: QuotaLimit, begins_program: bool
+    ) -> QuotaAnswered | None:
+        """Return what one keeper says, None when it says nothing."""
+        message = AskQuota(
+            workspace=workspace,
+            version=limit.version,
+            calls_per_second=limit.calls_per_second,
+            burst=limit.burst,
+            begins_program=begins_program,
+        )
+        try:
+            return self.client.ask(
+                seat.address, QUOTA_PATH, message, QuotaAnswered, ANSWER_TIMEOUT
+            )
+        except HolderUnavailableError as error:
+            self.fanout.note_late(seat)
+            log.info("Keeper is silent.", extra={"box": seat.box, "why": str(error)})
+            return None
+
+
+def remember(kept: OrderedDict, key: object, value: object) -> None:
+    """Keep a value; forget the one that was used longest ago beyond the most."""
+    kept[key] = value
+    kept.move_to_end(key)
+    if len(kept) > MOST_REMEMBERED:
+        kept.popitem(last=False)
--- /dev/null
+++ b/tests/decisions/test_quota_share.py
@@ -0,0 +1,197 @@
+"""The shares of a workspace's limit, whatever becomes of their keepers."""
+
+from __future__ import annotations
+
+import heapq
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cedarchute.decisions.quota_share import (
+    KEEPERS,
+    QuotaLimit,
+    QuotaShare,
+    QuotaTolerance,
+)
+
+TOLERANCE = QuotaTolerance(window_seconds=5.0, overrun=0.1, slack=20.0)
+
+
+class FakeClock:
+    now = 0.0
+
+    def monotonic(self):
+        return self.now
+
+    def wall(self):
+        return self.now
+
+
+def most_allowed(limit, tolerance=TOLERANCE):
+    window = limit.calls_per_second * tolerance.window_seconds + limit.burst
+    return window * (1 + tolerance.overrun) + tolerance.slack
+
+
+def count_most(times, window=TOLERANCE.window_seconds):
+    """Return the most calls in any span of `window`."""
+    first = most = 0
+    for number, at in enumerate(times):
+        while at - times[first] > window:
+            first += 1
+        most = max(most, number - first + 1)
+    return most
+
+
+def make_shares(limit, clock, count=KEEPERS):
+    return [QuotaShare(limit, TOLERANCE, clock) for _ in range(count)]
+
+
+steps = st.lists(
+    st.tuples(
+        st.floats(0.0, 0.4),  # seconds until the next call
+        st.integers(0, KEEPERS - 1),  # the keeper asked first
+        st.sets(st.integers(0, KEEPERS - 1)),  # keepers that are silent
+        st.booleans(),  # whether it begins a program
+    ),
+    min_size=1,
+    max_size=400,
+)
+
+
+@settings(max_examples=200, deadline=None, derandomize=True)
+@given(
+    rate=st.floats(0.5, 200),
+    burst=st.floats(0, 200),
+    calls=steps,
+    times=st.floats(0.001, 1.0),
+)
+def test_no_span_holds_more_than_the_limit(rate, burst, calls, times):
+    clock = FakeClock()
+    limit = QuotaLimit(1, rate, burst)
+    shares = make_shares(limit, clock)
+    granted = []
+    for pause, first, silent, begins in calls:
+        clock.now += pause * times
+        for number in range(first, first + KEEPERS):
+            keeper = number % KEEPERS
+            if keeper not in silent and shares[keeper].ask(begins).granted:
+                granted.append(clock.now)
+                break
+    assert count_most(granted) <= most_allowed(limit)
+
+
+@settings(max_examples=100, deadline=None, derandomize=True)
+@given(rate=st.floats(0.5, 200), burst=st.floats(0, 200), lost_at=st.floats(0.0, 8.0))
+def test_keepers_that_begin_anew_exceed_no_span(rate, burst, lost_at):
+    clock = FakeClock()
+    limit = QuotaLimit(1, rate, burst)
+    shares = make_shares(limit, clock)
+    granted = []
+    while clock.now < 12.0:
+        clock.now += 0.002
+        if lost_at is not None and clock.now >= lost_at:
+            shares, lost_at = make_shares(limit, clock), None
+        for share in shares:
+            if share.ask(False).granted:
+                granted.append(clock.now)
+    assert count_most(granted) <= most_allowed(limit)
+
+
+def test_a_lower_limit_binds_within_its_window():
+    clock = FakeClock()
+    high, low = QuotaLimit(1, 100, 100), QuotaLimit(2, 10, 10)
+    shares = make_shares(high, clock)
+    clock.now = 60.0
+    for share in shares:
+        share.note_limit(low)
+        # A box that is behind still tells the older one.
+        share.note_limit(high)
+    granted = []
+    while clock.now < 70.0:
+        clock.now += 0.01
+        for share in shares:
+            if share.ask(False).granted:
+                granted.append(clock.now)
+    assert count_most(granted) <= most_allowed(low)
+    assert len(granted) > 100
+
+
+def test_a_refusal_tells_when_the_next_call_may_pass():
+    clock = FakeClock()
+    share = QuotaShare(QuotaLimit(1, 30, 30), TOLERANCE, clock)
+    clock.now = 60.0
+    for begins in (True, False):
+        while share.ask(False).granted:
+            pass
+        wait = share.ask(begins).wait_seconds
+        clock.now += wait * 0.99
+        assert not share.ask(begins).granted
+        clock.now += wait * 0.011
+        assert share.ask(begins).granted
+
+
+class Replay:
+    """Programs of one workspace, in virtual time, through all keepers.
+
+    Each makes nine calls on average, one about every 0.3 s.
+    """
+
+    def __init__(self, seed, rate, silent=()):
+        self.chance = random.Random(seed)
+        self.clock = FakeClock()
+        self.limit = QuotaLimit(1, rate, rate)
+        self.shares = make_shares(self.limit, self.clock)
+        self.sound = [s for n, s in enumerate(self.shares) if n not in silent]
+        self.granted = []
+        self.ended = self.refused = self.cut = 0
+
+    def play(self, hot):
+        """Play 40 s at 0.625 of the limit, from 10 s for 6.5 s `hot` times that."""
+        events = []
+        at = 0.0
+        while at < 40.0:
+            times = hot if 10.0 <= at < 16.5 else 1
+            at += self.chance.expovariate(0.625 * self.limit.burst / 9 * times)
+            calls = max(1, round(self.chance.expovariate(1 / 9)))
+            heapq.heappush(events, (10.0 + at, len(events), 0, calls))
+        while events:
+            self.clock.now, number, call, calls = heapq.heappop(events)
+            if not self.ask(call == 0):
+                self.refused += call == 0
+                self.cut += call > 0
+            elif call + 1 == calls:
+                self.ended += 1
+            else:
+                then = self.clock.now + self.chance.uniform(0.1, 0.5)
+                heapq.heappush(events, (then, number, call + 1, calls))
+        return self
+
+    def ask(self, begins):
+        order = self.chance.sample(self.sound, len(self.sound))
+        for share in order:
+            if share.ask(begins).granted:
+                self.granted.append(self.clock.now)
+                return True
+        return False
+
+
+@pytest.mark.parametrize("rate", [15, 95, 150])
+def test_beyond_its_limit_programs_end_or_are_refused_at_the_start(rate):
+    replays = [Replay(seed, rate).play(hot=7.5) for seed in range(6)]
+    begun = sum(r.ended + r.cut for r in replays)
+    assert sum(r.cut for r in replays) < 0.2 * begun
+    # About as many calls as the limit holds are granted.
+    for replay in replays:
+        hot = [at for at in replay.granted if 22.0 <= at < 26.5]
+        assert len(hot) > 0.9 * 4.5 * rate
+        assert count_most(replay.granted) <= most_allowed(replay.limit)
+
+
+@pytest.mark.parametrize("silent", [(), (1,)])
+def test_below_its_limit_a_workspace_is_served_also_with_a_keeper_lost(silent):
+    replays = [Replay(seed, 95, silent).play(hot=1) for seed in range(6)]
+    lost = sum(r.refused + r.cut for r in replays)
+    asked = sum(r.ended for r in replays) + lost
+    assert lost <= (0.05 if silent else 0.0) * asked
