--- a/tests/fleet/test_store_mirror.py
+++ b/tests/fleet/test_store_mirror.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import time
 from types import SimpleNamespace
 
 import eventlet
@@ -7,6 +8,7 @@
 from recording_follower import RecordingFollower
 
 from cedarchute.fleet import store_mirror
+from cedarchute.fleet.state_messages import MirroredEntry
 from cedarchute.fleet.store_mirror import KEPT_REMOVALS, StoreMirror
 from cedarchute.platform.store_entry import StoreChange, StoreEntry, StoreListing
 
@@ -179,3 +181,35 @@
     assert mirror.take_state(ahead.tell(None))
     assert not mirror.take_listing(StoreListing((entry("a/gone", "x", 3),), 5))
     assert follower.entries == {"2": "y"}
+
+
+def test_a_proof_of_a_newer_configuration_proves_nothing_here():
+    mirror = StoreMirror({}, "a/config")
+    mirror.take_changes([change("a/config", "x", 3)], 3)
+    mirror.note_proof(4, 100.0)
+    assert mirror.proof.age_seconds == float("inf")
+    mirror.note_proof(3, 100.0)
+    assert mirror.proof.proven_at == 100.0
+
+
+def test_a_proof_is_told_with_its_age_and_counts_from_the_question():
+    ahead = StoreMirror({}, "a/config")
+    ahead.take_changes([change("a/config", "x", 3)], 3)
+    ahead.note_proof(3, time.monotonic() - 2.0)
+    behind = StoreMirror({}, "a/config")
+    asked_at = time.monotonic() - 1.0
+    behind.take_state(ahead.tell(None), asked_at)
+    assert 3.0 <= behind.proof.age_seconds < 3.5
+
+
+def test_a_configuration_read_for_a_proof_is_told_before_the_watch_brings_it():
+    follower = RecordingFollower()
+    ahead = StoreMirror({}, "a/config")
+    behind = StoreMirror({"a/": follower}, "a/config")
+    for mirror in (ahead, behind):
+        mirror.take_changes([change("a/config", "x", 3)], 5)
+    ahead.take_entry(MirroredEntry("a/config", "y", 7))
+    ahead.note_proof(7, time.monotonic())
+    behind.take_state(ahead.tell(behind.revision), time.monotonic())
+    assert follower.entries == {"config": "y"}
+    assert behind.proof.age_seconds < 1.0
