--- a/src/cedarchute/calls/quota_check.py
+++ b/src/cedarchute/calls/quota_check.py
@@ -18,6 +18,8 @@
 
 # Keepers that are cut off or frozen are asked last from now on, or replaced.
 NO_KEEPER_RETRY_SECONDS: Final = 0.3
+# Counters of refusals by workspace; those beyond share one.
+MOST_COUNTED: Final = 128
 # Whoever comes back at the very moment meets the others who do.
 LEAST_RETRY_SECONDS: Final = 0.1
 
@@ -28,6 +30,7 @@
     def __init__(self, client: QuotaClient, metrics: Metrics) -> None:
         self.client = client
         self.metrics = metrics
+        self.counted: set[str] = set()
 
     def check(self, call: Call, version: int) -> None:
         """Let a call pass.
@@ -57,6 +60,7 @@
         if grant.granted:
             return
         self.metrics.count_refusal("quota")
+        self.count_by_workspace(workspace.name)
         wait = max(LEAST_RETRY_SECONDS, grant.wait_seconds)
         facts = {
             "workspace": workspace.name,
@@ -67,3 +71,10 @@
             "retry_after": round(wait, 2),
         }
         raise CallRefusedError(429, "beyond the workspace's limit", wait, facts)
+
+    def count_by_workspace(self, name: str) -> None:
+        """Count a refusal under its workspace, up to a number of them."""
+        if len(self.counted) < MOST_COUNTED:
+            self.counted.add(name)
+        told = name if name in self.counted else "others"
+        self.metrics.count(f"quota.refused.{told}")
--- a/src/cedarchute/daemon/holder_box.py
+++ b/src/cedarchute/daemon/holder_box.py
@@ -20,7 +20,6 @@
     serve_metrics,
 )
 from cedarchute.daemon.node_parts import NodeParts
-from cedarchute.decisions.quota_share import QuotaTolerance
 from cedarchute.fleet.box_directory import BoxDirectory
 from cedarchute.fleet.box_entry import BoxEntry, Role
 from cedarchute.fleet.peer_server import PeerServer
@@ -108,12 +107,7 @@
             client,
         )
         self.listener = open_listener(settings.peers, f"{file}: [box] peer_port")
-        tolerance = QuotaTolerance(
-            settings.quotas.window_seconds,
-            settings.quotas.overrun,
-            settings.quotas.slack,
-        )
-        quotas = QuotaKeeper(tolerance, SystemClock())
+        quotas = QuotaKeeper(settings.quotas, SystemClock())
         app = HolderApp(self.holder, quotas)
         self.app = PeerServer(self.parts.mirror, metrics, app)
         self.serve_metrics = partial(
--- a/src/cedarchute/fleet/configuration_prover.py
+++ b/src/cedarchute/fleet/configuration_prover.py
@@ -21,6 +21,7 @@
     from cedarchute.fleet.store_mirror import StoreMirror
     from cedarchute.metrics import Metrics
     from cedarchute.platform.store_client import StoreClient
+    from cedarchute.platform.store_entry import StoreEntry
 
 log = logging.getLogger("cedarchute.fleet")
 
@@ -84,7 +85,10 @@
         """Keep a proof at hand for the life of the process."""
         while True:
             eventlet.sleep(TICK_SECONDS)
-            if self.needs_proof() and self.age_seconds > self.find_patience():
+            if not self.needs_proof():
+                continue
+            self.metrics.time("proof.age", self.age_seconds)
+            if self.age_seconds > self.find_patience():
                 self.ask_unless_asking()
 
     def find_patience(self) -> float:
@@ -130,14 +134,24 @@
             self.may_ask_at = time.monotonic() + self.backoff.next_seconds()
             log.info(
                 "Configuration not proven.",
-                extra={"why": str(error), "age": round(self.age_seconds, 3)},
+                extra={"why": str(error), "age": round(min(self.age_seconds, 1e6), 3)},
             )
             self.note_reachable(False)
             return
         self.backoff.reset()
+        self.take_answer(entry, asked_at)
+        self.note_reachable(True)
+
+    def take_answer(self, entry: StoreEntry | None, asked_at: float) -> None:
+        """Put what the store said in force, and tell listeners."""
+        age_before = self.age_seconds
         if entry is not None:
             found = MirroredEntry(entry.key, entry.value, entry.version)
             self.mirror.take_entry(found)
         self.mirror.note_proof(entry.version if entry else 0, asked_at)
         self.mirror.announce()
-        self.note_reachable(True)
+        if age_before > LISTENER_SECONDS + LISTENER_SPREAD_SECONDS:
+            log.info(
+                "Configuration proven again.",
+                extra={"age_before": round(min(age_before, 1e6), 3)},
+            )
--- a/src/cedarchute/settings/node_settings.py
+++ b/src/cedarchute/settings/node_settings.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from cedarchute.address import Address
+from cedarchute.decisions.quota_share import QuotaTolerance
 from cedarchute.fleet.box_entry import Role
 from cedarchute.ini import IniError, parse_sections
 
@@ -71,22 +72,8 @@
     revoke_ms: float = 0.0
 
 
-class QuotasSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """``[quotas]``: by how much limits of workspaces may be exceeded.
-
-    Attributes
-    ----------
-    window_seconds : float
-        The span within which calls are counted.
-    overrun : float
-        The part of a limit by which that span may exceed it.
-    slack : float
-        Calls in that span beyond this.
-    """
-
-    window_seconds: float = 5.0
-    overrun: float = 0.0
-    slack: float = 0.0
+class QuotasSection(QuotaTolerance, frozen=True, forbid_unknown_fields=True):
+    """``[quotas]``: by how much limits of workspaces may be exceeded."""
 
 
 class StopSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
