Take keys away and bind limits in the soak

Cause: the soak knew no workspaces; its callers carried no keys. Change: every call carries a key, plain calls also one that each configuration replaces and one of a workspace of four calls a second; three more checks (a call for another workspace, a key used more than 5 s after it was taken away, a span beyond the limit), each with a test that finds it. Draws of keys stand apart, so old seeds play as before.

--- a/src/experiments/node_site.py
+++ b/src/experiments/node_site.py
@@ -6,6 +6,7 @@
 import json
 from typing import TYPE_CHECKING, Any, Final
 
+from cedarchute.decisions.quota_share import QuotaTolerance
 from experiments.http_json import HttpJson
 from experiments.ports import find_free_port
 from experiments.process import Process
@@ -21,7 +22,14 @@
 class NodeSite:
     """Starts the real programs as processes, each by its own settings file."""
 
-    def __init__(self, folder: Path, losses: int = 1, revoke_ms: int = 0) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        losses: int = 1,
+        revoke_ms: int = 0,
+        tolerance: QuotaTolerance | None = None,
+    ) -> None:
+        self.tolerance = tolerance or QuotaTolerance()
         self.folder = folder
         self.revoke_ms = revoke_ms
         self.losses = losses
@@ -100,6 +108,10 @@
             f"seeds = {seeds}",
             "[losses]",
             f"holders = {self.losses}",
+            "[quotas]",
+            f"window_seconds = {self.tolerance.window_seconds}",
+            f"overrun = {self.tolerance.overrun}",
+            f"slack = {self.tolerance.slack}",
         ]
         if role == "entry":
             lines += [
--- a/src/experiments/soak/back_end.py
+++ b/src/experiments/soak/back_end.py
@@ -76,7 +76,17 @@
             return
         events = self.make_events(call_id, chance)
         produced = b"".join(events)
-        self.records.add_run(Run(call_id, self.name, request.body, produced))
+        workspace = request.header("Tenant") or ""
+        self.records.add_run(
+            Run(
+                call_id,
+                self.name,
+                request.body,
+                produced,
+                workspace,
+                time.monotonic(),
+            )
+        )
         time.sleep(chance.uniform(0.0, MOST_WORK_SECONDS))
         if manner is Manner.HANG:
             request.closed.wait(HANG_SECONDS)
--- a/src/experiments/soak/program.py
+++ b/src/experiments/soak/program.py
@@ -11,12 +11,19 @@
 from experiments.soak.back_end import EVENT_TOKENS, MOST_EVENTS
 from experiments.soak.counting_caller import CountingCaller
 from experiments.soak.records import Kind, Try
+from experiments.soak.workspaces import (
+    LIMITED_KEY,
+    LIMITED_SHARE,
+    MAIN_KEY,
+    PASSING_SHARE,
+)
 
 if TYPE_CHECKING:
     from experiments.soak.records import Records
     from experiments.soak.soak_site import SoakSite
 
 OK: Final = 200
+NO_KEY: Final = 401
 MOST_TOKENS: Final = EVENT_TOKENS * MOST_EVENTS
 AMPLE_BUDGET: Final = 10_000
 SMALL_BUDGET: Final = 40
@@ -40,6 +47,8 @@
     def __init__(self, number: int, seed: int, site: SoakSite) -> None:
         self.name = f"c{number}"
         self.chance = random.Random(f"{seed} caller {number}")
+        # Drawn apart: what a seed does to programs stays as it was.
+        self.key_chance = random.Random(f"{seed} keys {number}")
         self.site = site
         self.records: Records = site.records
         self.caller: CountingCaller | None = None
@@ -95,6 +104,8 @@
                 return
             if kind is Kind.ONCE and tried.status not in PROMISES:
                 return
+            if tried.status == NO_KEY:
+                return
             time.sleep(PAUSE_SECONDS)
 
     def send(
@@ -104,17 +115,39 @@
         self.count += 1
         call_id = f"{self.name}t{self.count}"
         body = f"<{call_id} {self.chance.getrandbits(64):x}>".encode()
-        headers = make_headers(program, budget, previous) if program else b""
+        key = MAIN_KEY if program else self.draw_key()
+        headers = f"Authorization: Token {key}\r\n".encode()
+        if program:
+            headers += make_headers(program, budget, previous)
         milliseconds = int(PATIENCE_SECONDS * 1000)
         data = build_request(
             PATHS[kind], call_id.encode(), body, headers=headers, patience=milliseconds
         )
+        sent_at = time.monotonic()
         status, answer, events = self.exchange(data)
         tokens = events * EVENT_TOKENS if kind is Kind.TURN else 0
-        tried = Try(call_id, kind, body, status, answer, program, previous, tokens)
+        tried = Try(
+            call_id,
+            kind,
+            body,
+            status,
+            answer,
+            program,
+            previous,
+            tokens,
+            key,
+            sent_at,
+        )
         self.records.add_try(tried)
         return tried
 
+    def draw_key(self) -> str:
+        """Return the key of a plain call."""
+        drawn = self.key_chance.random()
+        if drawn < PASSING_SHARE:
+            return self.records.passing.draw(self.key_chance)
+        return LIMITED_KEY if drawn < PASSING_SHARE + LIMITED_SHARE else MAIN_KEY
+
     def exchange(self, data: bytes) -> tuple[int | None, bytes, int]:
         """Return status, body and events of an answer; no status if it is not whole."""
         caller = self.connect()
--- a/src/experiments/soak/promises.py
+++ b/src/experiments/soak/promises.py
@@ -6,6 +6,16 @@
 from typing import TYPE_CHECKING, Final
 
 from experiments.soak.records import Kind
+from experiments.soak.workspaces import (
+    BURST,
+    CALLS_PER_SECOND,
+    LIMITED,
+    LIMITED_KEY,
+    OVERRUN,
+    REVOKE_SECONDS,
+    SLACK,
+    WINDOW_SECONDS,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -31,6 +41,8 @@
         *check_answers(records),
         *check_chains(records),
         *check_budgets(records, most_tokens),
+        *check_keys(records),
+        *check_limit(records),
     ]
 
 
@@ -99,3 +111,34 @@
     for program, budget in records.budgets.items():
         if handed[program] > budget + most_tokens:
             yield f"BUDGET {program} was handed {handed[program]} of {budget} tokens"
+
+
+def check_keys(records: Records) -> Iterator[str]:
+    """Find calls that ran for another workspace, or with a key that was long gone."""
+    for tried in records.tries.values():
+        if not tried.key:
+            continue
+        workspace = LIMITED if tried.key == LIMITED_KEY else "main"
+        gone_at = records.passing.gone_at.get(tried.key, float("inf"))
+        for run in records.runs.get(tried.id, []):
+            if run.workspace != workspace:
+                yield f"UNASKED {tried.id} ran for the workspace {run.workspace!r}"
+            if tried.sent_at > gone_at + REVOKE_SECONDS:
+                seconds = round(tried.sent_at - gone_at, 3)
+                yield f"REVOKED {tried.id} ran {seconds} s after its key was taken away"
+
+
+def check_limit(records: Records) -> Iterator[str]:
+    """Find spans in which the limited workspace ran more calls than it may."""
+    within = CALLS_PER_SECOND * WINDOW_SECONDS + BURST
+    most = within * (1 + OVERRUN) + SLACK
+    runs = [run for some in records.runs.values() for run in some]
+    times = sorted(run.at for run in runs if run.workspace == LIMITED)
+    first = 0
+    for number, at in enumerate(times):
+        while at - times[first] > WINDOW_SECONDS:
+            first += 1
+        count = number - first + 1
+        if count > most:
+            yield f"QUOTA {count} calls in {WINDOW_SECONDS} s, {most:.0f} allowed"
+            return
--- a/src/experiments/soak/records.py
+++ b/src/experiments/soak/records.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from experiments.soak.workspaces import PassingKeys
+
 
 class Kind(StrEnum):
     """What a try is."""
@@ -18,12 +20,22 @@
 
 @dataclass(frozen=True)
 class Run:
-    """One run at a back end; `produced` is the body of its whole answer."""
+    """One run at a back end; `produced` is the body of its whole answer.
+
+    Attributes
+    ----------
+    workspace : str
+        Whose the target was told that the call is.
+    at : float
+        When it began, monotonic.
+    """
 
     id: str
     target: str
     body: bytes
     produced: bytes
+    workspace: str = ""
+    at: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -36,6 +48,10 @@
         None when no whole answer came.
     tokens : int
         Tokens of the events that reached the caller.
+    key : str
+        The key that it carried, if any.
+    sent_at : float
+        When the caller sent it, monotonic.
     """
 
     id: str
@@ -46,6 +62,8 @@
     program: str = ""
     previous: str = ""
     tokens: int = 0
+    key: str = ""
+    sent_at: float = 0.0
 
 
 class Records:
@@ -56,6 +74,7 @@
         self.runs: defaultdict[str, list[Run]] = defaultdict(list)
         self.tries: dict[str, Try] = {}
         self.budgets: dict[str, int] = {}
+        self.passing = PassingKeys()
 
     def add_run(self, run: Run) -> None:
         """Take in that a back end began to work."""
--- a/src/experiments/soak/soak_run.py
+++ b/src/experiments/soak/soak_run.py
@@ -12,6 +12,7 @@
 from experiments.soak.promises import find_broken
 from experiments.soak.records import Kind, Try
 from experiments.soak.soak_site import SoakSite
+from experiments.soak.workspaces import MAIN_KEY
 from experiments.waiting import ConditionError, wait_until
 
 if TYPE_CHECKING:
@@ -95,6 +96,7 @@
     path = f"{site.mark}x".encode()
     address = site.nodes.callers[entry]
     try:
-        return call(address, path, LOOK.encode())[0] == OK
+        headers = f"Authorization: Token {MAIN_KEY}\r\n".encode()
+        return call(address, path, LOOK.encode(), headers=headers)[0] == OK
     except (OSError, AssertionError, ValueError, IndexError):
         return False
--- a/src/experiments/soak/soak_site.py
+++ b/src/experiments/soak/soak_site.py
@@ -3,12 +3,21 @@
 from __future__ import annotations
 
 import shutil
+import time
 from typing import TYPE_CHECKING, Any, Final
 
+from cedarchute.decisions.quota_share import QuotaTolerance
 from experiments.node_site import NodeSite
 from experiments.soak.back_end import MODEL, PLAIN, BackEnd
 from experiments.soak.link import Link
 from experiments.soak.records import Records
+from experiments.soak.workspaces import (
+    OVERRUN,
+    REVOKE_SECONDS,
+    SLACK,
+    WINDOW_SECONDS,
+    list_workspaces,
+)
 from experiments.waiting import wait_until
 
 if TYPE_CHECKING:
@@ -58,7 +67,9 @@
 
     def __init__(self, folder: Path, seed: int) -> None:
         self.records = Records()
-        self.nodes = NodeSite(folder)
+        tolerance = QuotaTolerance(WINDOW_SECONDS, OVERRUN, SLACK)
+        revoke_ms = int(REVOKE_SECONDS * 1000)
+        self.nodes = NodeSite(folder, revoke_ms=revoke_ms, tolerance=tolerance)
         self.seed = seed
         self.store_links: dict[str, Link] = {}
         self.target_links: dict[str, Link] = {}
@@ -80,7 +91,8 @@
         for service in (PLAIN, MODEL):
             for number in range(BACK_ENDS):
                 self.add_back_end(f"{service}-{number}", service)
-        self.nodes.configure(ROUTES)
+        workspaces = list_workspaces(self.records.passing.newest)
+        self.nodes.configure(ROUTES, workspaces)
         self.nodes.wait_ready()
         self.nodes.wait_held(len(self.holders))
 
@@ -116,9 +128,15 @@
         return [links[found] for found in reply.document["Addresses"]]
 
     def configure(self) -> None:
-        """Write a configuration with one more route, and none of the marks before."""
+        """Write a configuration with another mark, and another key that passes."""
         self.marks += 1
-        self.nodes.configure([*ROUTES, make_route(self.mark, "idempotent", PLAIN)])
+        passing = self.records.passing
+        gone = passing.newest
+        passing.count += 1
+        workspaces = list_workspaces(passing.newest)
+        mark = make_route(self.mark, "idempotent", PLAIN)
+        self.nodes.configure([*ROUTES, mark], workspaces)
+        passing.note_gone(gone, time.monotonic())
 
     @property
     def mark(self) -> str:
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -25,6 +25,10 @@
     records.add_try(Try("t2", Kind.TURN, b"two", 200, second, "p", "t1", 3))
     records.add_run(Run("o1", "s-0", b"x", b"made"))
     records.add_try(Try("o1", Kind.ONCE, b"x", 200, b"made"))
+    records.passing.note_gone("g", 10.0)
+    records.add_run(Run("k1", "s-0", b"x", b"made", "main", 15.1))
+    early = Try("k1", Kind.ONCE, b"x", 200, b"made", key="g", sent_at=14.9)
+    records.add_try(early)
     records.add_run(Run("g1", "s-0", b"y", b"first"))
     records.add_run(Run("g1", "s-1", b"y", b"second"))
     records.add_try(Try("g1", Kind.AGAIN, b"y", 200, b"second"))
@@ -48,6 +52,12 @@
         (None, Try("t2", Kind.TURN, b"two", 402, b"", "p", "t1"), "REFUSED"),
         (None, Try("t3", Kind.TURN, b"z", 404, b"", "p", "t2"), "LOST"),
         (Run("t1", "m-0", b"other", b""), None, "history"),
+        (None, Try("o1", Kind.ONCE, b"x", 200, b"made", key="k"), "UNASKED"),
+        (
+            None,
+            Try("k1", Kind.ONCE, b"x", 200, b"made", key="g", sent_at=16),
+            "REVOKED",
+        ),
         (None, Try("t9", Kind.TURN, b"", None, b"", "p", "t2", 44), "BUDGET"),
     ],
 )
@@ -67,3 +77,14 @@
     records.add_try(Try("o2", Kind.ONCE, b"z", None, b""))
     records.add_try(Try("t5", Kind.TURN, b"", None, b"", "p", "t2", 40 + MOST - 9))
     assert find_broken(records, MOST) == []
+
+
+@pytest.mark.parametrize(("count", "is_broken"), [(34, False), (35, True)])
+def test_a_span_with_too_many_calls_of_a_limited_workspace_is_found(count, is_broken):
+    records = make_records()
+    for number in range(count):
+        name = f"q{number}"
+        run = Run(name, "s-0", b"x", b"made", "limited", 1.0 + number / 100)
+        records.add_run(run)
+        records.add_try(Try(name, Kind.ONCE, b"x", 200, b"made"))
+    assert bool(find_broken(records, MOST)) is is_broken
