--- a/src/cedarchute/decisions/quota_share.py
+++ b/src/cedarchute/decisions/quota_share.py
@@ -9,9 +9,9 @@
 Past the limit, calls of programs under way wait a moment for the next free one, and
 new programs are refused: a program that is cut midway has used its calls for nothing.
 Of 308 programs of recorded calls (51 workspaces near their limits), 18 met a refusal
-with a wait of 1 s at the most and 26 without; replayed at 7.5 times the usual calls for
-6.5 s (95 calls a second allowed, programs of 15 calls, 25 seeds), leaving a quarter of a
-share to programs under way takes those cut midway from 0.319 to 0.093 of all.
+with a wait of 1 s at the most and 26 without. Replayed at 7.5 times the usual calls for
+6.5 s (95 calls a second allowed, programs of 15 calls, 25 seeds), leaving a quarter of
+a share to programs under way takes those cut midway from 0.319 to 0.093 of all.
 """
 
 from __future__ import annotations
