--- a/tests/platform_site/test_quotas.py
+++ b/tests/platform_site/test_quotas.py
@@ -9,7 +9,7 @@
 from conftest_nodes import ROUTES, start_nodes
 from turn_callers import say
 
-from experiments.raw_caller import call
+from experiments.raw_caller import RawCaller, build_request, call
 from experiments.waiting import wait_until
 from standins.raw_target import RawTarget, answer
 
@@ -98,3 +98,34 @@
     assert status == 503
     assert float(headers["retry-after"]) > 0
     assert ask(box, FREE_KEY)[0] == 200
+
+
+def test_a_call_whose_caller_leaves_while_it_waits_is_not_sent(limited):
+    box = limited.callers["entry-1"]
+    limited.configure(ROUTES, make_workspaces(3, 1))
+    wait_until(lambda: ask(box)[0] == 200, "the limit is in force")
+    headers = f"Authorization: Token {KEY}\r\n".encode()
+    log = limited.processes["entry-1"]
+    for number in range(20):
+        name = f"left{number}".encode()
+        with RawCaller(box) as caller:
+            caller.send(build_request(b"/once/x", name, b"a", headers=headers))
+            wait_until(lambda n=name: n.decode() in log.read_log(), "it is taken")
+        if any(
+            f"left{number}" in line and "Call waits" in line
+            for line in log.read_log().splitlines()
+        ):
+            break
+    else:
+        raise AssertionError("no call waited")
+    wait_until(
+        lambda: any(
+            f"left{number}" in line and "Caller left" in line
+            for line in log.read_log().splitlines()
+        ),
+        "its caller is known to have left",
+    )
+    # Whoever comes next finds the target without it.
+    wait_until(lambda: ask(box)[0] == 200, "another call is served")
+    heads = [request.head for request in limited.plain.requests]
+    assert not any(name in head for head in heads)
