Take an item of the store that lacks fields for no answer; codec in a module of its own

Cause, found by reading: StoreClient.get raised KeyError for an item without fields; a box that asks for a proof would have ended its task's round with it (logged and started again) and, asked for by a call, left a trace instead of a line. Red before: three cases of test_an_item_that_lacks_fields_is_no_answer (KeyError); green after.

--- a/src/cedarchute/platform/store_client.py
+++ b/src/cedarchute/platform/store_client.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import base64
 import json
 import logging
 from contextlib import contextmanager
@@ -18,8 +17,8 @@
 import urllib3
 
 from cedarchute.host_pools import HostPools
+from cedarchute.platform.store_codec import encode_value, read_entry
 from cedarchute.platform.store_entry import (
-    UNREADABLE,
     StoreChange,
     StoreEntry,
     StoreListing,
@@ -38,10 +37,6 @@
 CONNECTIONS: Final = 8
 JSON_HEADERS: Final = {"Content-Type": "application/json"}
 
-# The largest configuration that operators write, in bytes; every box keeps a copy of
-# each value, and the smallest have 128 MB.
-MOST_VALUE_BYTES: Final = 4_194_304
-
 # A watch is asked again after this long. Each call costs money; the platform lets a
 # watch wait 30 s.
 WATCH_WAIT_SECONDS: Final = 25.0
@@ -72,24 +67,6 @@
     code = "lease_gone"
 
 
-def _encode(text: str) -> str:
-    return base64.b64encode(text.encode()).decode()
-
-
-def _decode(text: str) -> str:
-    # Other writers put any bytes there. One of them, read as an error, ended the task
-    # that follows the store, and with it all news of every other entry.
-    try:
-        content = base64.b64decode(text, validate=True)
-        return UNREADABLE if len(content) > MOST_VALUE_BYTES else content.decode()
-    except (TypeError, ValueError):
-        return UNREADABLE
-
-
-def _entry(item: dict[str, Any]) -> StoreEntry:
-    return StoreEntry(item["PrivateKey"], _decode(item["Value"]), int(item["Revision"]))
-
-
 def name_call(path: str) -> str:
     """Return what a call asks for, for counters: a path without its last id."""
     return path.split("/")[1].removeprefix("kv-")
@@ -120,7 +97,10 @@
     def get(self, key: str) -> StoreEntry | None:
         """Return the entry under `key`, or None."""
         status, answer = self._call("GET", "/kv-key", {"PrivateKey": key})
-        return _entry(answer) if status == OK else None
+        if status != OK:
+            return None
+        with _understood("/kv-key"):
+            return read_entry(answer)
 
     def list(self, prefix: str, may_be_old: bool = False) -> StoreListing:
         """Return every entry whose key starts with `prefix`.
@@ -142,7 +122,7 @@
             _, answer = self._call("GET", "/kv-range", query)
             with _understood("/kv-range"):
                 revisions.append(int(answer["StoreRevision"]))
-                entries.extend(_entry(item) for item in answer["items"])
+                entries.extend(read_entry(item) for item in answer["items"])
                 if not answer.get("HasMore") or not answer["items"]:
                     return StoreListing(tuple(entries), min(revisions))
             query = {"PathPrefix": prefix, "after": entries[-1].key, **options}
@@ -161,7 +141,7 @@
         LeaseGoneError
             When the store no longer knows `lease`.
         """
-        write = {"PrivateKey": key, "Value": _encode(value), "Lease": lease}
+        write = {"PrivateKey": key, "Value": encode_value(value), "Lease": lease}
         for attempt in range(SWAP_ATTEMPTS):
             try:
                 won, current = self._change(key, expected, [write], [])
@@ -181,7 +161,7 @@
 
     def put(self, key: str, value: str, lease: int = 0) -> None:
         """Set `key` to `value`, whatever stands there: for keys of one writer."""
-        write = {"PrivateKey": key, "Value": _encode(value), "Lease": lease}
+        write = {"PrivateKey": key, "Value": encode_value(value), "Lease": lease}
         self._commit([], [write], [], key)
 
     def delete(self, key: str, expected: int) -> SwapResult:
@@ -237,7 +217,7 @@
         revision = int(event["Revision"])
         if event.get("Tombstone"):
             return StoreChange(event["PrivateKey"], None, revision)
-        return StoreChange(event["PrivateKey"], _entry(event), revision)
+        return StoreChange(event["PrivateKey"], read_entry(event), revision)
 
     def _change(
         self,
@@ -264,7 +244,7 @@
         if status == NOT_FOUND:
             raise LeaseGoneError(f"the lease of {key} is gone")
         found = [item for item in answer["items"] if item.get("Revision")]
-        return None, _entry(found[0]) if found else None
+        return None, read_entry(found[0]) if found else None
 
     def _call(
         self,
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+from types import SimpleNamespace
 
 import pytest
 
@@ -103,3 +104,14 @@
 def test_the_platforms_own_keys_are_not_ours_to_write(store):
     with pytest.raises(StoreUnavailableError):
         store.put("op/config", "{}")
+
+
+@pytest.mark.parametrize("answer", ['{"Value": "eA=="}', "[]", '{"PrivateKey": "k"}'])
+def test_an_item_that_lacks_fields_is_no_answer(answer):
+    pools = SimpleNamespace(
+        request=lambda *_, **__: SimpleNamespace(status=200, data=answer.encode())
+    )
+    client = StoreClient(Address("127.0.0.1", 1), Metrics())
+    client.pools = pools
+    with pytest.raises(StoreUnavailableError):
+        client.get("k")
