Let a box that reaches no keeper count as cut off from the holders

Limits are asked for before turns are, so no turn reached the holders, and the box was not taken out of the entries; each call waited 0.3 s for silence. Change: silence of all keepers starts the same clock as that of holders; once it says cut off, no keeper is asked. Red before: test_a_box_that_reaches_no_keeper_counts_as_cut_off_and_asks_no_more.

--- a/src/cedarchute/turns/holder_fanout.py
+++ b/src/cedarchute/turns/holder_fanout.py
@@ -108,6 +108,10 @@
             return False
         return time.monotonic() - self.failing_since > CUT_OFF_SECONDS
 
+    def note_unreached(self) -> None:
+        """Take in that holders asked in another way did not answer either."""
+        self.failing_since = self.failing_since or time.monotonic()
+
     def ask(self, question: Question[AnswerT]) -> dict[int, AnswerT]:
         """Return the answers by seat, once they decide.
 
--- a/src/cedarchute/turns/quota_client.py
+++ b/src/cedarchute/turns/quota_client.py
@@ -90,6 +90,8 @@
         refusal = self.refused.get(kind)
         if refusal is not None and now < refusal.believed_until:
             return QuotaGrant(False, refusal.passes_at - now, refusal.level)
+        if self.fanout.is_cut_off:
+            raise NoKeeperError("this box is cut off from the holders")
         message = AskQuota(
             workspace=workspace,
             version=limit.version,
@@ -108,6 +110,8 @@
                 return QuotaGrant(True)
             answers.append((seat, answer))
         if not answers:
+            # Callers are sent elsewhere by that, and no call waits for silence again.
+            self.fanout.note_unreached()
             raise NoKeeperError(f"none of {len(seats)} keepers answers")
         seat, soonest = min(answers, key=lambda pair: pair[1].wait_seconds)
         if not begins_program and soonest.wait_seconds <= patience_seconds:
--- /dev/null
+++ b/tests/turns/test_quota_client.py
@@ -0,0 +1,95 @@
+"""Which keepers a box asks, and what it makes of their answers."""
+
+from __future__ import annotations
+
+import pytest
+
+from cedarchute.decisions.quota_share import QuotaLimit
+from cedarchute.turns.holder_client import HolderUnavailableError
+from cedarchute.turns.holder_fanout import HolderFanout
+from cedarchute.turns.messages import QuotaAnswered
+from cedarchute.turns.quota_client import NoKeeperError, QuotaClient
+from cedarchute.turns.seat_book import SeatBook
+from cedarchute.turns.seat_table import Seat, SeatTable
+
+LIMIT = QuotaLimit(1, 10.0, 10.0)
+YES = QuotaAnswered(True)
+
+
+def no(wait_seconds):
+    return QuotaAnswered(False, wait_seconds, 0.2)
+
+
+class Keepers:
+    """Answers by address; None is silence. Keeps who was asked, and how patiently."""
+
+    def __init__(self, answers):
+        self.answers = answers
+        self.asked = []
+
+    def ask(self, address, path, message, answer, timeout):
+        self.asked.append((address, message.patience_seconds))
+        answers = self.answers[address]
+        found = answers(message) if callable(answers) else answers
+        if found is None:
+            raise HolderUnavailableError("silent")
+        return found
+
+
+def make_client(*answers):
+    """Return a client of three holders, and the holders, in the order of asking."""
+    seats = tuple(Seat(f"h{n}", f"h{n}", f"d{n}", "a") for n in range(3))
+    book = SeatBook()
+    book.offer(SeatTable(1, True, 1, seats), "test")
+    keepers = Keepers({})
+    client = QuotaClient(HolderFanout(book, keepers), keepers, "box")
+    order = [seat.address for seat in client.list_keepers("w")]
+    keepers.answers = dict(zip(order, answers, strict=True))
+    return client, keepers, order
+
+
+def test_the_first_keeper_that_grants_is_asked_first_the_next_time():
+    client, keepers, order = make_client(no(0.5), YES, YES)
+    assert client.ask("w", LIMIT, False, 0.0).granted
+    assert client.ask("w", LIMIT, False, 0.0).granted
+    assert [address for address, _ in keepers.asked] == [order[0], order[1], order[1]]
+
+
+def test_a_call_that_may_wait_asks_the_keeper_that_has_a_call_first():
+    def answer(message):
+        return QuotaAnswered(message.patience_seconds > 0, 0.4)
+
+    client, keepers, order = make_client(no(0.9), answer, no(0.7))
+    grant = client.ask("w", LIMIT, False, 0.5)
+    assert grant.granted
+    assert grant.wait_seconds == 0.4
+    assert keepers.asked[-1] == (order[1], 0.5)
+    assert len(keepers.asked) == 4
+
+
+def test_a_start_never_waits_and_its_refusal_is_believed_for_a_moment():
+    client, keepers, _ = make_client(no(0.9), no(0.4), no(0.7))
+    for _ in range(5):
+        grant = client.ask("w", LIMIT, True, 0.5)
+        assert not grant.granted
+        assert 0.2 < grant.wait_seconds <= 0.4
+    assert len(keepers.asked) == 3
+
+
+def test_silent_keepers_leave_the_answer_to_the_others():
+    client, _, _ = make_client(None, None, YES)
+    assert client.ask("w", LIMIT, True, 0.0).granted
+    client, _, _ = make_client(None, no(0.4), None)
+    assert not client.ask("w", LIMIT, True, 0.0).granted
+
+
+def test_a_box_that_reaches_no_keeper_counts_as_cut_off_and_asks_no_more(monkeypatch):
+    client, keepers, _ = make_client(None, None, None)
+    with pytest.raises(NoKeeperError):
+        client.ask("w", LIMIT, True, 0.0)
+    assert client.fanout.failing_since is not None
+    client.fanout.failing_since -= 1.0
+    before = len(keepers.asked)
+    with pytest.raises(NoKeeperError):
+        client.ask("w", LIMIT, True, 0.0)
+    assert len(keepers.asked) == before
