Ask no keeper that was just silent while others answer

Change: a keeper that was silent is not asked for 2 s while others are left. Red before: test_a_silent_keeper_costs_the_next_calls_nothing (asked 3 times of 3).

--- a/src/cedarchute/turns/quota_client.py
+++ b/src/cedarchute/turns/quota_client.py
@@ -29,6 +29,9 @@
 # A refusal of all keepers is believed this long at the most, so that a workspace far
 # beyond its limit costs them no three questions for each of its calls.
 BELIEVED_SECONDS: Final = 0.1
+# A keeper that was silent is not asked for this long while others answer: a lost one
+# would cost each call of a workspace beyond its limit a tenth of a second.
+SILENT_SECONDS: Final = 2.0
 MOST_REMEMBERED: Final = 1024
 
 
@@ -65,6 +68,7 @@
         self.fanout = fanout
         self.client = client
         self.box = box
+        self.silent_until: dict[str, float] = {}
         self.granted_by: OrderedDict[str, str] = OrderedDict()
         self.refused: OrderedDict[tuple[str, bool], Refusal] = OrderedDict()
 
@@ -133,14 +137,17 @@
         return QuotaGrant(False, wait_seconds, level)
 
     def list_keepers(self, workspace: str) -> list[Seat]:
-        """Return the holders that keep a workspace's limit, in the order of asking."""
+        """Return the holders to ask about a workspace's limit, in that order."""
         table = self.fanout.seats.table
         numbers = table.find_seats(f"quota of {workspace}")[:KEEPERS]
         occupied = [n for n in numbers if not table.seats[n].is_vacant]
         last = self.granted_by.get(workspace)
         occupied.sort(key=lambda n: self.find_place(workspace, n))
         occupied.sort(key=lambda n: table.seats[n].disk != last)
-        return [table.seats[n] for n in self.fanout.order_seats(occupied, table)]
+        seats = [table.seats[n] for n in self.fanout.order_seats(occupied, table)]
+        now = time.monotonic()
+        heard = [s for s in seats if self.silent_until.get(s.disk, now) <= now]
+        return heard or seats
 
     def find_place(self, workspace: str, number: int) -> bytes:
         """Return what orders the keepers: another order at each box."""
@@ -155,6 +162,7 @@
             )
         except HolderUnavailableError as error:
             self.fanout.note_late(seat)
+            self.silent_until[seat.disk] = time.monotonic() + SILENT_SECONDS
             log.info("Keeper is silent.", extra={"box": seat.box, "why": str(error)})
             return None
 
--- a/tests/turns/test_quota_client.py
+++ b/tests/turns/test_quota_client.py
@@ -83,6 +83,14 @@
     assert not client.ask("w", LIMIT, True, 0.0).granted
 
 
+def test_a_silent_keeper_costs_the_next_calls_nothing():
+    client, keepers, order = make_client(None, no(0.9), no(0.9))
+    for _ in range(3):
+        client.refused.clear()
+        assert not client.ask("w", LIMIT, True, 0.0).granted
+    assert [address for address, _ in keepers.asked].count(order[0]) == 1
+
+
 def test_a_box_that_reaches_no_keeper_counts_as_cut_off_and_asks_no_more(monkeypatch):
     client, keepers, _ = make_client(None, None, None)
     with pytest.raises(NoKeeperError):
