Split a limit among as many holders as there are; tell unknown ages as a number

Cause, found by reading the change: with one holder for a program (no loss to be borne) a limit was still a third of itself; a first look before any proof put infinity into the sum of proof.age. Red before: test_keepers_are_told_among_how_many_a_limit_is_split, test_a_single_keeper_holds_the_whole_limit. After: tests of keepers, decisions, quotas, keys and proofs pass (104).

--- a/src/cedarchute/calls/key_check.py
+++ b/src/cedarchute/calls/key_check.py
@@ -6,6 +6,7 @@
 
 from cedarchute.calls.call_errors import CallRefusedError
 from cedarchute.calls.permit import Permit
+from cedarchute.decisions.key_trust import tell_age
 from cedarchute.platform.call_headers import read_key
 from cedarchute.routing.workspace_keys import digest_key
 
@@ -138,5 +139,5 @@
     ) -> CallRefusedError:
         """Return a refusal that tells what it was decided by."""
         self.metrics.count_refusal("no_proof" if status == 503 else "key")
-        facts = {"proof_age": round(min(self.proof.age_seconds, 1e6), 3)}
+        facts = {"proof_age": tell_age(self.proof.age_seconds)}
         return CallRefusedError(status, reason, retry_after_seconds, facts)
--- a/src/cedarchute/decisions/key_trust.py
+++ b/src/cedarchute/decisions/key_trust.py
@@ -12,6 +12,14 @@
 # Between the check of a call and its send, and for what clocks of two boxes differ in
 # rate over a few seconds.
 MARGIN_SECONDS: Final = 0.1
+# Logs and metrics tell the age of a proof that never was as this: infinity is no JSON,
+# and makes a sum of ages useless.
+UNKNOWN_AGE_SECONDS: Final = 1e6
+
+
+def tell_age(age_seconds: float) -> float:
+    """Return the age of a proof as logs and metrics tell it."""
+    return round(min(age_seconds, UNKNOWN_AGE_SECONDS), 3)
 
 
 class KeyTrust:
--- a/src/cedarchute/decisions/quota_share.py
+++ b/src/cedarchute/decisions/quota_share.py
@@ -74,11 +74,14 @@
         In the long run.
     burst : float
         Calls at once beyond that.
+    keepers : int
+        Among how many it is split; where fewer boxes can keep shares than usual, fewer.
     """
 
     version: int
     calls_per_second: float
     burst: float
+    keepers: int = KEEPERS
 
 
 class QuotaGrant(Record):
@@ -129,12 +132,12 @@
         stretch = 1.0 + OVERRUN_RATE_SHARE * tolerance.overrun
         rate = self.limit.calls_per_second * stretch
         slack_rate = SLACK_RATE_SHARE * tolerance.slack / tolerance.window_seconds
-        return (rate + slack_rate) / KEEPERS
+        return (rate + slack_rate) / self.limit.keepers
 
     def find_burst(self) -> float:
         """Return how many calls this share holds when nothing was asked for long."""
         slack = SLACK_BURST_SHARE * self.tolerance.slack
-        return max(1.0, (self.limit.burst + slack) / KEEPERS)
+        return max(1.0, (self.limit.burst + slack) / self.limit.keepers)
 
     def find_first_level(self) -> float:
         """Return what the span of counting leaves beyond rate and burst."""
@@ -143,11 +146,11 @@
         overrun = rate_left * tolerance.window_seconds + self.limit.burst
         slack = (1.0 - SLACK_RATE_SHARE - SLACK_BURST_SHARE) * tolerance.slack
         left = tolerance.overrun * overrun + slack
-        return max(1.0, FIRST_SHARE * left / KEEPERS)
+        return max(1.0, FIRST_SHARE * left / self.limit.keepers)
 
     def note_limit(self, limit: QuotaLimit) -> None:
         """Take in a limit; one of an older version changes nothing."""
-        if limit.version <= self.limit.version:
+        if limit.version < self.limit.version or limit == self.limit:
             return
         self.limit = limit
         self.bucket.refill()
--- a/src/cedarchute/fleet/configuration_prover.py
+++ b/src/cedarchute/fleet/configuration_prover.py
@@ -9,6 +9,7 @@
 import eventlet
 from eventlet.event import Event
 
+from cedarchute.decisions.key_trust import tell_age
 from cedarchute.fleet.backoff import Backoff
 from cedarchute.fleet.state_messages import MirroredEntry
 from cedarchute.platform.store_client import StoreUnavailableError
@@ -88,7 +89,7 @@
             eventlet.sleep(TICK_SECONDS)
             if not self.needs_proof():
                 continue
-            self.metrics.time("proof.age", self.age_seconds)
+            self.metrics.time("proof.age", tell_age(self.age_seconds))
             if self.age_seconds > self.find_patience():
                 self.ask_unless_asking()
 
@@ -146,7 +147,7 @@
             self.may_ask_at = time.monotonic() + self.find_pause()
             log.info(
                 "Configuration not proven.",
-                extra={"why": str(error), "age": round(min(self.age_seconds, 1e6), 3)},
+                extra={"why": str(error), "age": tell_age(self.age_seconds)},
             )
             self.note_reachable(False)
             return
@@ -165,5 +166,5 @@
         if age_before > LISTENER_SECONDS + LISTENER_SPREAD_SECONDS:
             log.info(
                 "Configuration proven again.",
-                extra={"age_before": round(min(age_before, 1e6), 3)},
+                extra={"age_before": tell_age(age_before)},
             )
--- a/src/cedarchute/turns/messages.py
+++ b/src/cedarchute/turns/messages.py
@@ -122,6 +122,8 @@
         Whether refusing the call loses nothing that was done before.
     patience_seconds : float
         How long it may wait for a free call.
+    keepers : int
+        Among how many holders the limit is split.
     """
 
     workspace: str
@@ -129,6 +131,7 @@
     calls_per_second: float
     burst: float
     begins_program: bool
+    keepers: int
     patience_seconds: float = 0.0
 
 
--- a/src/cedarchute/turns/quota_client.py
+++ b/src/cedarchute/turns/quota_client.py
@@ -102,6 +102,7 @@
             calls_per_second=limit.calls_per_second,
             burst=limit.burst,
             begins_program=begins_program,
+            keepers=len(self.find_seats(workspace)),
         )
         answers: list[tuple[Seat, QuotaAnswered]] = []
         seats = self.list_keepers(workspace)
@@ -136,10 +137,14 @@
         remember(self.refused, kind, refusal)
         return QuotaGrant(False, wait_seconds, level)
 
+    def find_seats(self, workspace: str) -> list[int]:
+        """Return the seats that a limit is split among, vacant ones too."""
+        return self.fanout.seats.table.find_seats(f"quota of {workspace}")[:KEEPERS]
+
     def list_keepers(self, workspace: str) -> list[Seat]:
         """Return the holders to ask about a workspace's limit, in that order."""
         table = self.fanout.seats.table
-        numbers = table.find_seats(f"quota of {workspace}")[:KEEPERS]
+        numbers = self.find_seats(workspace)
         occupied = [n for n in numbers if not table.seats[n].is_vacant]
         last = self.granted_by.get(workspace)
         occupied.sort(key=lambda n: self.find_place(workspace, n))
--- a/src/cedarchute/turns/quota_keeper.py
+++ b/src/cedarchute/turns/quota_keeper.py
@@ -29,7 +29,12 @@
 
     def ask(self, message: AskQuota) -> QuotaAnswered:
         """Grant a call of a workspace, or tell when one may pass."""
-        limit = QuotaLimit(message.version, message.calls_per_second, message.burst)
+        limit = QuotaLimit(
+            message.version,
+            message.calls_per_second,
+            message.burst,
+            max(1, message.keepers),
+        )
         share = self.shares.get(message.workspace)
         if share is None:
             share = QuotaShare(limit, self.tolerance, self.clock, self.started_at)
--- a/tests/decisions/test_quota_share.py
+++ b/tests/decisions/test_quota_share.py
@@ -124,6 +124,19 @@
     assert len(granted) > 100
 
 
+def test_a_single_keeper_holds_the_whole_limit():
+    clock = FakeClock()
+    limit = QuotaLimit(1, 30, 30, keepers=1)
+    share = QuotaShare(limit, TOLERANCE, clock, keeper_started_at=-60.0)
+    granted = []
+    while clock.now < 10.0:
+        clock.now += 0.005
+        if share.ask(False).granted:
+            granted.append(clock.now)
+    assert count_most(granted) <= most_allowed(limit)
+    assert len(granted) > 10 * 30
+
+
 def test_a_refusal_tells_when_the_next_call_may_pass():
     clock = FakeClock()
     share = QuotaShare(QuotaLimit(1, 30, 30), TOLERANCE, clock, clock.now)
--- a/tests/turns/test_quota_client.py
+++ b/tests/turns/test_quota_client.py
@@ -55,6 +55,19 @@
     assert [address for address, _ in keepers.asked] == [order[0], order[1], order[1]]
 
 
+def test_keepers_are_told_among_how_many_a_limit_is_split():
+    client, keepers, _ = make_client(YES, YES, YES)
+    told = []
+    keepers.answers = {
+        f"h{n}": lambda message: told.append(message.keepers) or YES for n in range(3)
+    }
+    client.ask("w", LIMIT, False, 0.0)
+    alone = SeatTable(2, True, 0, client.fanout.seats.table.seats)
+    client.fanout.seats.offer(alone, "test")
+    client.ask("w", LIMIT, False, 0.0)
+    assert told == [3, 1]
+
+
 def test_a_call_that_may_wait_asks_the_keeper_that_has_a_call_first():
     def answer(message):
         return QuotaAnswered(message.patience_seconds > 0, 0.4)
