--- a/src/cedarchute/decisions/quota_share.py
+++ b/src/cedarchute/decisions/quota_share.py
@@ -30,8 +30,8 @@
 # programs end against 0.952).
 KEEPERS: Final = 3
 # Calls that begin a program leave this part of a share to programs under way. More of
-# it refuses more starts below the limit: with 0.25, 24 of the 308 programs met a refusal
-# where 18 did with none.
+# it refuses more starts below the limit: with 0.25, 24 of the 308 programs met a
+# refusal where 18 did with none.
 START_RESERVE: Final = 0.15
 # Calls of programs under way wait for a free one at the most so long: a program has
 # seconds in all, and its caller waits for a tool once.
