--- a/src/cedarchute/calls/call_desk.py
+++ b/src/cedarchute/calls/call_desk.py
@@ -85,7 +85,7 @@
             raise CallRefusedError(503, "no configuration yet", wait)
         route = table.find(request.host, request.path)
         if route is None:
-            raise CallRefusedError(404, "no route")
+            raise CallRefusedError(404, "no route", facts=self.keys.tell_proof())
         call = replace(call, permit=self.keys.identify(request, call, route, table))
         self.quota.check(call, self.routes.version)
         if route.is_stream:
--- a/src/cedarchute/calls/key_check.py
+++ b/src/cedarchute/calls/key_check.py
@@ -135,5 +135,9 @@
     ) -> CallRefusedError:
         """Return a refusal that tells what it was decided by."""
         self.metrics.count_refusal("no_proof" if status == 503 else "key")
-        facts = {"proof_age": tell_age(self.proof.age_seconds)}
+        facts = self.tell_proof()
         return CallRefusedError(status, reason, retry_after_seconds, facts)
+
+    def tell_proof(self) -> dict[str, float]:
+        """Return how old this box's knowledge is, for a line about a refusal."""
+        return {"proof_age": tell_age(self.proof.age_seconds)}
