Keep the stand-in of the store apart from the process that serves it

Cause: tests that import the stand-in patched the process of the test run as well, and test_bounded_log, which needs real threads, hung after them (seen in three runs of some test folders together; alone each passed). Change: the class stands in a module that patches nothing; no behaviour changes.

--- a/tests/fleet/virtual_fleet.py
+++ b/tests/fleet/virtual_fleet.py
@@ -23,7 +23,7 @@
 from cedarchute.platform.keys import CONFIGURATION, TARGETS
 from cedarchute.settings.node_settings import parse_node_settings
 from cedarchute.supervisor import Supervisor
-from standins.store import Store
+from standins.key_value_store import Store
 
 STORE = "10.0.0.1:1"
 # One way between any two machines.
