Serve with fewer holders than twice the losses and one

Change: after 3 s more the table becomes final with T + 1 seats or more, unless a holder without a seat is there; a quorum is more than half of the seats and at least T + 1, so any two share a holder and each outlives the losses. Nothing changes from 2T + 1 on. With T holders or fewer nothing is held, as before. Ruled out: closing at once (holders of a new system register within 3 s), a lower T (what was acknowledged would not outlive the losses set).

--- a/src/cedarchute/turns/seat_keeper.py
+++ b/src/cedarchute/turns/seat_keeper.py
@@ -41,6 +41,9 @@
 # All holders of a new system start within a second; whoever comes later than this
 # after the first waits for a seat that comes free.
 OPEN_SECONDS: Final = 3.0
+# With fewer holders than twice the losses and one, others are waited for this much
+# longer; nothing is served until then, and callers come some 12 s after the boxes.
+FEW_SECONDS: Final = 3.0
 # Holders of a new system take their seats spread over this long, and one of them closes
 # the table: all at once, each of ten made 10 calls to the store.
 SPREAD_SECONDS: Final = 1.0
@@ -146,11 +149,25 @@
     def close_table(self, table: SeatTable) -> None:
         """Make the number of seats final once every holder had time to take one."""
         self.opened_at = self.opened_at or time.monotonic()
-        enough = len(table.seats) >= 2 * self.losses + 1
         is_first = table.seats[0].disk == self.me.disk
         open_seconds = OPEN_SECONDS + (0.0 if is_first else SPREAD_SECONDS)
-        if enough and time.monotonic() - self.opened_at > open_seconds:
-            self.change(table.close())
+        enough = len(table.seats) >= 2 * self.losses + 1
+        if not enough and self.may_do_with_few(table):
+            enough = True
+            open_seconds += FEW_SECONDS
+        if not enough or time.monotonic() - self.opened_at <= open_seconds:
+            return
+        facts = {"seats": len(table.seats), "losses": self.losses}
+        log.info("Number of seats is final.", extra=facts)
+        self.change(table.close())
+
+    def may_do_with_few(self, table: SeatTable) -> bool:
+        """Whether the seats keep what they are given, though losses may stop turns.
+
+        A record then stands at more holders than may be lost at once. Without any
+        holder that has yet to take its seat nothing better is to be waited for.
+        """
+        return len(table.seats) > self.losses and not self.has_spare(table)
 
     def find_free(self, table: SeatTable) -> int | None:
         """Return a seat that is vacant, being emptied, or whose holder is gone.
@@ -251,7 +268,7 @@
         Until a spare takes a seat, this holder goes on answering and is not emptied.
         """
         vacant = sum(seat.is_vacant for seat in table.seats)
-        can_spare = vacant + 1 <= table.losses
+        can_spare = vacant + 1 <= table.most_vacant
         if not can_spare and not self.told_kept:
             self.told_kept = True
             log.warning(
--- a/src/cedarchute/turns/seat_table.py
+++ b/src/cedarchute/turns/seat_table.py
@@ -50,8 +50,17 @@
 
     @property
     def quorum(self) -> int:
-        """Holders that have to agree: any two such sets share one."""
-        return self.copies // 2 + 1
+        """Holders that have to agree.
+
+        Any two such sets share one, and one of each outlives the losses: with fewer
+        seats than twice the losses and one, the second takes more than half of them.
+        """
+        return max(self.copies // 2 + 1, min(self.losses + 1, self.copies))
+
+    @property
+    def most_vacant(self) -> int:
+        """Seats that may be vacant while every program still has a quorum."""
+        return self.copies - self.quorum
 
     def find_seats(self, program: str) -> list[int]:
         """Return the numbers of the seats that hold `program`, by hashing."""
--- a/tests/turns/test_seat_keeper.py
+++ b/tests/turns/test_seat_keeper.py
@@ -97,6 +97,62 @@
     assert keeper.find_free(table) == 1
 
 
+def make_open(keeper, boxes, losses):
+    """Let a keeper hold the first seat of a new table; return its changes."""
+    changes = []
+    seats = tuple(Seat(box, box, f"disk-{box}", "a") for box in boxes)
+    keeper.seats = SeatBook()
+    keeper.seats.offer(SeatTable(1, False, losses, seats), "test")
+    keeper.losses = losses
+    keeper.me = seats[0]
+    keeper.change = changes.append
+    return changes
+
+
+@pytest.mark.parametrize("boxes", ["abc", "abcd"])
+def test_fewer_holders_than_losses_need_serve_all_the_same(clock, boxes):
+    keeper, _ = make_keeper(boxes, boxes)
+    changes = make_open(keeper, boxes, losses=2)
+    keeper.step()
+    clock.now += seat_keeper.OPEN_SECONDS + 0.1
+    keeper.step()
+    assert changes == []
+    clock.now += seat_keeper.FEW_SECONDS
+    keeper.step()
+    assert [(table.closed, len(table.seats)) for table in changes] == [
+        (True, len(boxes))
+    ]
+
+
+def test_holders_that_could_all_be_lost_at_once_keep_nothing(clock):
+    keeper, _ = make_keeper("ab", "ab")
+    changes = make_open(keeper, "ab", losses=2)
+    keeper.step()
+    clock.now += 600
+    keeper.step()
+    assert changes == []
+
+
+def test_the_table_stays_open_for_a_holder_that_has_yet_to_take_its_seat(clock):
+    keeper, _ = make_keeper("abcd", "abcd")
+    changes = make_open(keeper, "abc", losses=2)
+    keeper.step()
+    clock.now += 600
+    keeper.step()
+    assert changes == []
+
+
+@pytest.mark.parametrize("losses", [1, 2, 3])
+@pytest.mark.parametrize("more", range(1, 9))
+def test_what_a_quorum_keeps_outlives_the_losses_and_is_found(losses, more):
+    count = losses + more
+    seats = tuple(Seat(f"h{n}", f"h{n}", f"d{n}", "a") for n in range(count))
+    table = SeatTable(4, True, losses, seats)
+    assert table.quorum > losses
+    assert 2 * table.quorum > table.copies
+    assert table.quorum <= table.copies
+
+
 def make_leaving(keeper, box):
     """Let a keeper be that of a holder that is to be emptied; return its changes."""
     changes = []
