--- a/src/cedarchute/decisions/knowledge_age.py
+++ b/src/cedarchute/decisions/knowledge_age.py
@@ -19,7 +19,7 @@
 # which somebody asked the store. What is left at the end is for one answer of the store
 # and for a loop that wakes late: with 2 s, the last box asks at 1.7 s.
 READER_SHARE: Final = 0.4
-# One more tenth than a proof of the reader needs to come round.
+# A proof of the first reader has come round by then.
 SECOND_READER_SHARE: Final = 0.5
 BOXES_SHARE: Final = 0.55
 STORE_SHARE: Final = 0.75
--- a/src/cedarchute/fleet/configuration_prover.py
+++ b/src/cedarchute/fleet/configuration_prover.py
@@ -13,6 +13,7 @@
 from cedarchute.decisions.knowledge_age import ReaderRank, Step
 from cedarchute.fleet.backoff import Backoff
 from cedarchute.fleet.state_messages import MirroredEntry
+from cedarchute.fleet.store_reader import EVERYTHING
 from cedarchute.platform.store_client import HistoryGoneError, StoreUnavailableError
 
 if TYPE_CHECKING:
@@ -32,7 +33,6 @@
 # failure domain waits for them.
 LONGEST_RETRY_SECONDS: Final = 6.0
 READER_RETRY_SECONDS: Final = 0.4
-EVERYTHING: Final = ""
 
 
 class ConfigurationProver:
@@ -73,8 +73,8 @@
         return self.mirror.proof.age_seconds
 
     @property
-    def untold_seconds(self) -> float:
-        """For how long nobody has told of the store since this box started."""
+    def unproven_seconds(self) -> float:
+        """The age of the last proof; before the first, the time since the start."""
         return min(self.age_seconds, time.monotonic() - self.started_at)
 
     def run_forever(self) -> None:
@@ -87,12 +87,12 @@
     def find_wait(self) -> float:
         """Return how long nothing is due."""
         first = self.limits.find_first_seconds(self.readers.find_rank())
-        return max(self.limits.pause_seconds, first - self.untold_seconds)
+        return max(self.limits.pause_seconds, first - self.unproven_seconds)
 
     def keep_once(self) -> None:
         """Do what the age of this box's knowledge asks for."""
         rank = self.readers.find_rank()
-        step = self.limits.choose_step(rank, self.untold_seconds)
+        step = self.limits.choose_step(rank, self.unproven_seconds)
         if step is Step.NOTHING:
             self.boxes_asked = 0
         elif step is Step.ASK_A_BOX:
@@ -161,7 +161,8 @@
         self.metrics.count("proofs.asked")
         try:
             reading = self.store.read(self.mirror.configuration_key)
-            # Before anything is taken in: what lapsed in an outage is no farewell.
+            # Before anything is taken in: an entry that lapsed in an outage does not
+            # mean that its owner has left.
             self.reader.note_reachable(True)
             self.reader.note_answered()
             self.take_entry(reading.entry)
--- a/tests/fleet/test_age_of_configuration.py
+++ b/tests/fleet/test_age_of_configuration.py
@@ -72,6 +72,13 @@
     return set()
 
 
+def forget_history_behind_silent_watches(fleet):
+    silence_every_watch(fleet)
+    fleet.change(f"{TARGETS}t-0")
+    fleet.ask_store("POST", "/switch", b'{"compact": true}')
+    return set()
+
+
 FAULTS = [
     break_nothing,
     cut_a_reader,
@@ -81,6 +88,7 @@
     turn_a_reader_away,
     silence_the_watch_of_a_reader,
     silence_every_watch,
+    forget_history_behind_silent_watches,
 ]
 
 
