--- a/tests/fleet/test_age_of_configuration.py
+++ b/tests/fleet/test_age_of_configuration.py
@@ -113,6 +113,25 @@
     run_in_virtual_time(monkeypatch, play)
 
 
+@pytest.mark.parametrize("phase", PHASES)
+def test_a_watch_found_silent_is_begun_anew(monkeypatch, phase):
+    def play():
+        fleet = VirtualFleet(monkeypatch, DOMAINS)
+        fleet.change()
+        fleet.start()
+        eventlet.sleep(SETTLED_SECONDS + phase)
+        silence_every_watch(fleet)
+        fleet.change()
+        eventlet.sleep(APPLY_SECONDS)
+        value = fleet.change()
+        # The way of an answer through two boxes; the next question to the store is
+        # up to 0.8 s away.
+        eventlet.sleep(0.05)
+        assert fleet.find_ignorant(value) == set()
+
+    run_in_virtual_time(monkeypatch, play)
+
+
 def count_other_than_renewals(calls):
     return sum(count for name, count in calls.items() if name != "lease_renew")
 
