--- a/src/cedarchute/fleet/store_reader.py
+++ b/src/cedarchute/fleet/store_reader.py
@@ -99,9 +99,7 @@
             try:
                 self.read_once()
             except HistoryGoneError as error:
-                self.metrics.count("store.history_gone")
-                log.warning("Changes are gone, reading all.", extra={"why": str(error)})
-                self.must_list = True
+                self.note_history_gone(str(error))
             except StoreUnavailableError as error:
                 self.note_failed(str(error))
                 eventlet.sleep(self.backoff.next_seconds())
@@ -142,10 +140,15 @@
             log.info("Watch is silent, watching anew.")
             self.start()
 
-    def read_anew(self, why: str) -> None:
-        """Read all: the store has forgotten changes that this box does not know."""
+    def note_history_gone(self, why: str) -> None:
+        """Take in that the store has forgotten changes that this box does not know."""
+        self.metrics.count("store.history_gone")
         log.warning("Changes are gone, reading all.", extra={"why": why})
         self.must_list = True
+
+    def read_anew(self, why: str) -> None:
+        """Read all at once, whatever is under way."""
+        self.note_history_gone(why)
         self.start()
 
     def list_once(self) -> None:
