Note the position of a stream by whole lines only

Found while looking for other ways in which a caller gets something that is not the rest of its stream. A box that passes a stream on notes how much its caller has by the last 'id: ' of the events. Text may hold that too ('paid: 3', 'the id: 7'); the position was then not noted, and after the loss of the home the next one began at the position before: the caller got that text twice. Change: a line that is 'id: A.B' counts, nothing else; text is JSON and has no line ends.

--- a/src/cedarchute/border/call_exchange.py
+++ b/src/cedarchute/border/call_exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
@@ -14,6 +15,7 @@
     from cedarchute.programs.requests import CallRequest
 
 ANSWER_MARGIN_SECONDS: Final = 5.0
+POSITION_LINE: Final = re.compile(rb"^id: (\d+)\.(\d+)$", re.MULTILINE)
 
 
 @dataclass
@@ -81,11 +83,10 @@
 
     def note_offset(self, data: bytes) -> None:
         """Note how much of the stream the caller has after some whole events."""
-        position = data.rfind(b"id: ")
-        if position < 0:
-            return
-        name = data[position + 4 : data.index(b"\n", position)]
-        attempt, _, offset = name.partition(b".")
-        if attempt.isdigit() and offset.isdigit():
+        # Only whole lines count: text may hold "id: ", and a position that is not
+        # noted for it lets the next home repeat what the caller has.
+        positions = POSITION_LINE.findall(data)
+        if positions:
+            attempt, offset = positions[-1]
             self.attempt = int(attempt)
             self.offset = int(offset)
--- /dev/null
+++ b/tests/border/test_stream_relay.py
@@ -0,0 +1,106 @@
+"""A stream goes on from the next home: its caller gets the rest of it or its end."""
+
+from __future__ import annotations
+
+import contextlib
+from types import SimpleNamespace
+
+import pytest
+import urllib3
+from fakes import StillClock
+
+from cedarchute.border.answers import DONE_EVENT, make_piece_event
+from cedarchute.border.call_exchange import CallExchange
+from cedarchute.border.home_follower import HomeFollower
+from cedarchute.border.home_locator import HomeLocation
+from cedarchute.border.reroute_error import RerouteError
+from cedarchute.border.stream_relay import StreamRelay
+from cedarchute.metrics import Metrics
+
+PROGRAM = "p-box-1.1-1-1"
+HOME = SimpleNamespace(identity="box-2.1")
+END_EVENT = b'data: {"choices": [{"finish_reason": "stop"}], "usage": {}}\n\n'
+
+
+class Answer:
+    """Another box's response, which breaks off unless it ends with its mark."""
+
+    def __init__(self, chunks, content_type="text/event-stream"):
+        self.chunks = list(chunks)
+        self.headers = {"Content-Type": content_type}
+
+    def read1(self, _):
+        if not self.chunks:
+            raise urllib3.exceptions.ProtocolError("broken off")
+        return self.chunks.pop(0)
+
+    def read(self):
+        return b"".join(self.chunks)
+
+    def release_conn(self):
+        self.chunks = [b""]
+
+    def close(self):
+        pass
+
+
+class Forwarder:
+    """Gives the answers that a test has written down, one a request."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.positions = []
+        self.watch = SimpleNamespace(waiting=lambda *_: contextlib.nullcontext())
+
+    def open(self, request):
+        self.positions.append(request.headers["Last-Event-ID"])
+        if not self.answers:
+            raise RerouteError("nobody answers", was_sent=False)
+        return self.answers.pop(0)
+
+
+class PassingClock(StillClock):
+    """Each look takes a second."""
+
+    def monotonic(self):
+        self.now += 1.0
+        return self.now
+
+
+def read_stream(*answers):
+    """Return the forwarder, and what a caller gets of the first answer and the rest."""
+    forwarder = Forwarder(*answers[1:])
+    locator = SimpleNamespace(
+        patience=5.0,
+        locate=lambda _: HomeLocation(box=HOME),
+        is_unknown=lambda _: False,
+    )
+    clock = PassingClock()
+    follower = HomeFollower(locator, clock, Metrics())
+    relay = StreamRelay(None, follower, forwarder, 0.0, clock, Metrics())
+    exchange = CallExchange(
+        program=PROGRAM,
+        key="key",
+        request=None,
+        body=None,
+        seconds=60.0,
+        is_stream=True,
+        is_forwarded=False,
+        request_id="",
+    )
+    events = relay.read(exchange, relay.read_there(exchange, HOME, answers[0]))
+    return forwarder, b"".join(events)
+
+
+@pytest.mark.parametrize("text", ["paid: 3", "the id: 7", "id: 0.2", "\nid: 0.2\n"])
+def test_the_rest_begins_where_the_caller_has_the_text(text):
+    """A home is lost after text that holds ``id: ``.
+
+    The position was looked for behind the last ``id: `` of the events, found within the
+    text, and not noted. The next home then repeated what the caller had already.
+    """
+    piece = make_piece_event(0, len(text), text)
+    rest = Answer([END_EVENT + DONE_EVENT])
+    forwarder, got = read_stream(Answer([piece]), rest)
+    assert forwarder.positions == [f"0.{len(text)}"]
+    assert got == piece + END_EVENT + DONE_EVENT
