End a stream with the refusal of its next home, and never go on behind it

The second fault behind the planned stop that cut a caller off: a box that passes a stream on handed the refusal of the next home to its caller as an event, took it for a stream that broke off, looked for the home again and sent the rest behind it. A caller that believes the problem drops a whole answer. Before: test_a_refusal_of_the_next_home_ends_a_stream red (pieces and an end behind the problem). Change: the refusal comes with the mark of the end and the stream is whole with it. After: green. Ruled out on the platform's way: CallDesk.refuse writes nothing once an answer has begun, and the connection closes.

--- a/src/cedarchute/border/answers.py
+++ b/src/cedarchute/border/answers.py
@@ -86,7 +86,7 @@
     try:
         make_answer(program, outcome)
     except Problem as problem:
-        return make_problem_event(problem)
+        return make_problem_events(problem)
     document = {
         "id": outcome.key,
         "program": program,
@@ -97,10 +97,14 @@
     return b"data: " + json.dumps(document).encode() + b"\n\n" + DONE_EVENT
 
 
-def make_problem_event(problem: Problem) -> bytes:
+def make_problem_events(problem: Problem) -> bytes:
     """Return the last events of a stream that failed."""
-    data = json.dumps(problem.document).encode()
-    return b"event: problem\ndata: " + data + b"\n\n" + DONE_EVENT
+    return make_refusal_events(json.dumps(problem.document).encode())
+
+
+def make_refusal_events(document: bytes) -> bytes:
+    """Return the last events of a stream from the document of its problem."""
+    return b"event: problem\ndata: " + document + b"\n\n" + DONE_EVENT
 
 
 def describe_program(program: Program, box: str) -> dict[str, Any]:
--- a/src/cedarchute/border/stream_relay.py
+++ b/src/cedarchute/border/stream_relay.py
@@ -13,7 +13,8 @@
     DONE_EVENT,
     make_end_events,
     make_piece_event,
-    make_problem_event,
+    make_problem_events,
+    make_refusal_events,
     make_restart_event,
 )
 from cedarchute.border.call_exchange import ANSWER_MARGIN_SECONDS
@@ -66,7 +67,7 @@
             try:
                 events = self.find_events(exchange)
             except Problem as problem:
-                yield make_problem_event(problem)
+                yield make_problem_events(problem)
                 return
             is_whole = yield from events
 
@@ -84,7 +85,7 @@
             if not answer.headers.get("Content-Type", "").startswith(STREAM_TYPE):
                 data = answer.read()
                 answer.release_conn()
-                found.append(iter([b"event: problem\ndata: " + data + b"\n\n"]))
+                found.append(tell_refusal(data))
                 return Response()
             found.append(self.read_there(exchange, box, answer))
             return Response()
@@ -117,12 +118,12 @@
                 break
             run.wait(1.0)
             if self.clock.monotonic() - started > limit:
-                yield make_problem_event(make_late_problem())
+                yield make_problem_events(make_late_problem())
                 return True
         if run.is_moved:
             return False
         if run.problem is not None:
-            yield make_problem_event(run.problem)
+            yield make_problem_events(run.problem)
         else:
             assert run.outcome is not None
             yield make_end_events(exchange.program, run.outcome)
@@ -173,3 +174,12 @@
         """Return what another box has sent, or wait until it does."""
         with self.forwarder.watch.waiting(exchange.partition, box.identity):
             return answer.read1(65_536)
+
+
+def tell_refusal(document: bytes) -> Iterator[bytes]:
+    """Yield another box's refusal as the end of a stream, with nothing behind it.
+
+    A caller believes a problem: it would take the rest of the text for another answer.
+    """
+    yield make_refusal_events(document)
+    return True
--- a/tests/border/test_stream_relay.py
+++ b/tests/border/test_stream_relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import json
 from types import SimpleNamespace
 
 import pytest
@@ -16,6 +17,8 @@
 from cedarchute.border.reroute_error import RerouteError
 from cedarchute.border.stream_relay import StreamRelay
 from cedarchute.metrics import Metrics
+from cedarchute.problem import PROBLEM_TYPE, Problem
+from cedarchute.verdict import Verdict
 
 PROGRAM = "p-box-1.1-1-1"
 HOME = SimpleNamespace(identity="box-2.1")
@@ -67,6 +70,13 @@
         return self.now
 
 
+def make_refusal(code, retry_after):
+    problem = Problem(
+        code, "No.", status=503, verdict=Verdict.MAY_HAVE_RUN, retry_after=retry_after
+    )
+    return Answer([json.dumps(problem.document).encode()], PROBLEM_TYPE)
+
+
 def read_stream(*answers):
     """Return the forwarder, and what a caller gets of the first answer and the rest."""
     forwarder = Forwarder(*answers[1:])
@@ -92,6 +102,20 @@
     return forwarder, b"".join(events)
 
 
+def test_a_refusal_of_the_next_home_ends_a_stream():
+    """The home of a program that is read through another box moves on.
+
+    The refusal of the next home came as an event, and the stream went on behind it.
+    """
+    piece = make_piece_event(0, 5, "Hello")
+    rest = Answer([make_piece_event(0, 10, " you."), END_EVENT + DONE_EVENT])
+    refusal = make_refusal("copies_unavailable", 2.0)
+    _, got = read_stream(Answer([piece]), refusal, rest)
+    assert got.startswith(piece + b"event: problem\n")
+    assert got.endswith(DONE_EVENT)
+    assert got.count(b"\n\n") == 3
+
+
 @pytest.mark.parametrize("text", ["paid: 3", "the id: 7", "id: 0.2", "\nid: 0.2\n"])
 def test_the_rest_begins_where_the_caller_has_the_text(text):
     """A home is lost after text that holds ``id: ``.
