--- a/tests/failures/test_store_outage.py
+++ b/tests/failures/test_store_outage.py
@@ -1,7 +1,7 @@
 from __future__ import annotations
 
 import pytest
-from support import make_messages, open_at
+from support import count_ran, make_messages, open_at
 
 from experiments.caller import Caller
 from experiments.waiting import wait_until
@@ -93,3 +93,33 @@
     after = broken_site.http.get(broken_site.store, "/calls")
     # Calls and programs write nothing to the store.
     assert after.get("txn", 0) == before.get("txn", 0)
+
+
+def test_a_box_that_starts_anew_says_nothing_of_calls_before_it(broken_site):
+    """A call ran, its home was killed, and the new process waits for the store.
+
+    The box that passed the call on handed on what that process said of itself:
+    ``starting``, with the verdict ``not run``. The call had run.
+    """
+    program, caller = open_at(broken_site, "box-1")
+    request = {"service": "transfer", "body": {"amount": 40}}
+    assert caller.call(program, "pay", **request).document["verdict"] == "ran"
+    broken_site.switch_store(down=True)
+    broken_site.processes["box-1"].kill()
+    broken_site.start_box("box-1", "domain-a")
+    broken_site.wait_listening(broken_site.callers["box-1"], "/v1/entries")
+    for box, code in (("box-1", "starting"), ("box-2", "home_lost")):
+        reply = caller.http.request(
+            "POST",
+            broken_site.callers[box],
+            f"/v1/programs/{program}/calls",
+            request,
+            {"Idempotency-Key": "pay"},
+        )
+        assert reply.status == 503
+        assert reply.document["code"] == code
+        assert reply.document["verdict"] == "may have run"
+        assert reply.document["retry_after"] > 0
+    broken_site.switch_store(down=False)
+    assert caller.call(program, "pay", **request).document["verdict"] == "ran"
+    assert count_ran(broken_site, "transfer-1", program, "pay") == 1
