Say of a fault within a box that the call may have run

An exception in a box came out as 'internal' with the default verdict 'not run', wherever it happened, also after a call was sent.

--- a/src/cedarchute/border/web_app.py
+++ b/src/cedarchute/border/web_app.py
@@ -16,6 +16,7 @@
 from cedarchute.message import Message
 from cedarchute.problem import PROBLEM_TYPE, Problem
 from cedarchute.request_ids import REQUEST_ID_HEADER, set_request_id
+from cedarchute.verdict import Verdict
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -76,7 +77,12 @@
             response = make_problem_response(problem)
         except Exception:
             log.exception("Request %s %s failed.", request.method, request.path)
-            problem = Problem("internal", "The system failed; ask again.", status=500)
+            problem = Problem(
+                "internal",
+                "The system failed; ask again.",
+                status=500,
+                verdict=Verdict.MAY_HAVE_RUN,
+            )
             response = make_problem_response(problem)
         if request_id:
             response.headers[REQUEST_ID_HEADER] = request_id
