Give out the events of a stream's end all together

What the list of known failures guessed of the planned stop: a home is lost between the end event and its mark, another box has handed on the end by then, looks for the home again, and tells a problem when nobody takes it over. Change: EventBuffer gives out an event without a position only together with the mark of the end. It takes the place of the tail that was kept to tell a whole stream.

--- a/src/cedarchute/border/stream_relay.py
+++ b/src/cedarchute/border/stream_relay.py
@@ -10,7 +10,6 @@
 from werkzeug.wrappers import Response
 
 from cedarchute.border.answers import (
-    DONE_EVENT,
     make_end_events,
     make_piece_event,
     make_problem_events,
@@ -19,6 +18,7 @@
 )
 from cedarchute.border.call_exchange import ANSWER_MARGIN_SECONDS
 from cedarchute.border.call_problems import make_late_problem
+from cedarchute.border.event_buffer import EventBuffer
 from cedarchute.border.reroute_error import RerouteError
 from cedarchute.problem import Problem
 
@@ -37,7 +37,6 @@
 log = logging.getLogger("cedarchute.border")
 
 STREAM_TYPE: Final = "text/event-stream"
-TAIL_BYTES: Final = 256
 
 
 class StreamRelay:
@@ -140,30 +139,23 @@
         Only whole events are passed on, so that a stream that breaks off can go on
         from another box at the offset of the last one.
         """
-        buffer = b""
-        tail = b""
+        buffer = EventBuffer()
         try:
             while chunk := self.read_chunk(exchange, box, answer):
-                buffer += chunk
-                complete, separator, rest = buffer.rpartition(b"\n\n")
-                if not separator:
-                    continue
-                buffer = rest
-                data = complete + separator
-                exchange.note_offset(data)
-                tail = (tail + data)[-TAIL_BYTES:]
-                yield data
+                data = buffer.feed(chunk)
+                if data:
+                    exchange.note_offset(data)
+                    yield data
         except (urllib3.exceptions.HTTPError, OSError, RerouteError) as error:
             log.info("Stream of %s broke off: %s.", exchange.program, error)
         except BaseException:
             answer.close()
             raise
-        is_whole = tail.endswith(DONE_EVENT)
-        if is_whole:
+        if buffer.is_whole:
             answer.release_conn()
         else:
             answer.close()
-        return is_whole
+        return buffer.is_whole
 
     def read_chunk(
         self,
--- a/tests/border/test_stream_relay.py
+++ b/tests/border/test_stream_relay.py
@@ -128,3 +128,20 @@
     forwarder, got = read_stream(Answer([piece]), rest)
     assert forwarder.positions == [f"0.{len(text)}"]
     assert got == piece + END_EVENT + DONE_EVENT
+
+
+def test_the_end_of_a_stream_comes_once_and_whole():
+    """The home is lost between the end of a stream and the mark of that end."""
+    piece = make_piece_event(0, 5, "Hello")
+    rest = Answer([END_EVENT + DONE_EVENT])
+    _, got = read_stream(Answer([piece, END_EVENT]), rest)
+    assert got == piece + END_EVENT + DONE_EVENT
+
+
+def test_nothing_is_told_of_an_end_that_is_not_whole():
+    """As above, and nobody takes the home over: the caller has to ask again."""
+    piece = make_piece_event(0, 5, "Hello")
+    _, got = read_stream(Answer([piece, END_EVENT]))
+    assert END_EVENT not in got
+    assert b"home_lost" in got
+    assert got.endswith(DONE_EVENT)
