Look for the home again when its refusal of a stream breaks off

A box that passes a stream on read a refusal without care: when that broke off, the error was nobody's, the caller's stream broke or it got 'internal'. Whole answers were read with care at another place. Before: test_a_refusal_that_breaks_off_is_asked_for_again red. Change: one function, Forwarder.read_whole, reads all three. After: green.

--- a/src/cedarchute/border/call_border.py
+++ b/src/cedarchute/border/call_border.py
@@ -10,7 +10,7 @@
 from cedarchute.border.call_exchange import ANSWER_MARGIN_SECONDS
 from cedarchute.border.call_problems import make_late_problem, make_reroute_response
 from cedarchute.border.forwarder import make_response
-from cedarchute.border.stream_relay import STREAM_TYPE
+from cedarchute.border.stream_relay import STREAM_TYPE, is_stream
 from cedarchute.border.web_app import make_json_response, make_problem_response
 from cedarchute.copies.owned_partition import PartitionMovedError
 
@@ -89,12 +89,11 @@
 
     def answer_there(self, exchange: CallExchange, box: BoxRecord) -> Response:
         """Answer from another box, which is the home."""
+        request = exchange.to(box)
         if not exchange.is_stream:
-            return self.forwarder.fetch(exchange.to(box))
-        answer = self.forwarder.open(exchange.to(box))
-        if not answer.headers.get("Content-Type", "").startswith(STREAM_TYPE):
-            data = answer.read()
-            answer.release_conn()
-            return make_response(answer, data)
+            return self.forwarder.fetch(request)
+        answer = self.forwarder.open(request)
+        if not is_stream(answer):
+            return make_response(answer, self.forwarder.read_whole(request, answer))
         events = self.relay.read(exchange, self.relay.read_there(exchange, box, answer))
         return make_response(answer, events)
--- a/src/cedarchute/border/forwarder.py
+++ b/src/cedarchute/border/forwarder.py
@@ -80,15 +80,24 @@
     def fetch(self, request: ForwardedRequest) -> Response:
         """Send a request to another box and return its whole response."""
         answer = self.open(request)
-        box = request.box
+        return make_response(answer, self.read_whole(request, answer))
+
+    def read_whole(self, request: ForwardedRequest, answer: BaseHTTPResponse) -> bytes:
+        """Return the body of a response that is no stream.
+
+        Raises
+        ------
+        RerouteError
+            When it breaks off, or the box is not the home any more.
+        """
         try:
-            with self.watch.waiting(request.partition, box.identity):
+            with self.watch.waiting(request.partition, request.box.identity):
                 data = answer.read()
         except (urllib3.exceptions.HTTPError, OSError) as error:
             answer.close()
             raise RerouteError(str(error), was_sent=True) from error
         answer.release_conn()
-        return make_response(answer, data)
+        return data
 
 
 def make_response(answer: BaseHTTPResponse, data: bytes | Iterator[bytes]) -> Response:
--- a/src/cedarchute/border/stream_relay.py
+++ b/src/cedarchute/border/stream_relay.py
@@ -80,13 +80,13 @@
             return Response()
 
         def there(box: BoxRecord) -> Response:
-            answer = self.forwarder.open(exchange.to(box))
-            if not answer.headers.get("Content-Type", "").startswith(STREAM_TYPE):
-                data = answer.read()
-                answer.release_conn()
-                found.append(tell_refusal(data))
-                return Response()
-            found.append(self.read_there(exchange, box, answer))
+            request = exchange.to(box)
+            answer = self.forwarder.open(request)
+            if is_stream(answer):
+                found.append(self.read_there(exchange, box, answer))
+            else:
+                document = self.forwarder.read_whole(request, answer)
+                found.append(tell_refusal(document))
             return Response()
 
         self.follower.follow(exchange, here, there)
@@ -168,6 +168,11 @@
             return answer.read1(65_536)
 
 
+def is_stream(answer: urllib3.BaseHTTPResponse) -> bool:
+    """Return whether another box answers with events."""
+    return answer.headers.get("Content-Type", "").startswith(STREAM_TYPE)
+
+
 def tell_refusal(document: bytes) -> Iterator[bytes]:
     """Yield another box's refusal as the end of a stream, with nothing behind it.
 
--- a/tests/border/test_stream_relay.py
+++ b/tests/border/test_stream_relay.py
@@ -12,6 +12,7 @@
 
 from cedarchute.border.answers import DONE_EVENT, make_piece_event
 from cedarchute.border.call_exchange import CallExchange
+from cedarchute.border.forwarder import Forwarder
 from cedarchute.border.home_follower import HomeFollower
 from cedarchute.border.home_locator import HomeLocation
 from cedarchute.border.reroute_error import RerouteError
@@ -47,7 +48,7 @@
         pass
 
 
-class Forwarder:
+class ScriptedForwarder(Forwarder):
     """Gives the answers that a test has written down, one a request."""
 
     def __init__(self, *answers):
@@ -79,7 +80,7 @@
 
 def read_stream(*answers):
     """Return the forwarder, and what a caller gets of the first answer and the rest."""
-    forwarder = Forwarder(*answers[1:])
+    forwarder = ScriptedForwarder(*answers[1:])
     locator = SimpleNamespace(
         patience=5.0,
         locate=lambda _: HomeLocation(box=HOME),
@@ -145,3 +146,19 @@
     assert END_EVENT not in got
     assert b"home_lost" in got
     assert got.endswith(DONE_EVENT)
+
+
+class TornAnswer(Answer):
+    """A whole answer whose body breaks off."""
+
+    def read(self):
+        raise urllib3.exceptions.ProtocolError("broken off")
+
+
+def test_a_refusal_that_breaks_off_is_asked_for_again():
+    """The stream of the caller broke with it: the error was nobody's to take."""
+    piece = make_piece_event(0, 5, "Hello")
+    torn = TornAnswer([], PROBLEM_TYPE)
+    rest = Answer([END_EVENT + DONE_EVENT])
+    _, got = read_stream(Answer([piece]), torn, rest)
+    assert got == piece + END_EVENT + DONE_EVENT
