Say of a key that is unknown after a takeover that its call may have run

A plain call that may be repeated is recorded with its outcome only. Lost with its home, the next home answered 404 'unknown_key', 'not run', though a target may have run it.

--- a/src/cedarchute/border/run_finder.py
+++ b/src/cedarchute/border/run_finder.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from cedarchute.problem import Problem
+from cedarchute.verdict import Verdict
 
 if TYPE_CHECKING:
     from cedarchute.border.call_exchange import CallExchange
@@ -27,7 +28,13 @@
             return self.runner.start(program, exchange.key, exchange.request)
         run = self.runner.find(program, exchange.key)
         if run is None:
+            # The home before may have run a call that may be repeated: of these it
+            # kept no record before the outcome.
+            may_have_run = program.takeovers > 0
             raise Problem(
-                "unknown_key", f"No call has the key {exchange.key}.", status=404
+                "unknown_key",
+                f"No call has the key {exchange.key}.",
+                status=404,
+                verdict=Verdict.MAY_HAVE_RUN if may_have_run else Verdict.NOT_RUN,
             )
         return run
