Open no partition anew at a box that leaves

Seen in the log of the test of the planned stop: half a second after it had handed its programs over, box-1 opened a partition of a new number, with nobody left to hand it over; the next box took it over 1.2 s after the end. Before: test_a_leaving_box_opens_no_partition_anew red (two partitions opened), after: green. Callers open programs at boxes that stay, as before.

--- a/src/cedarchute/ownership/partition_keeper.py
+++ b/src/cedarchute/ownership/partition_keeper.py
@@ -105,7 +105,9 @@
 
     def keep_once(self) -> None:
         """Open the own partition, replace holders, drop what moved away."""
-        if self.own_name not in self.replicator.partitions:
+        # A box that leaves has handed its partition over, and would hand over no other.
+        is_leaving = self.keeper.record.is_leaving
+        if self.own_name not in self.replicator.partitions and not is_leaving:
             self.open_own()
         self.drop_stale_copies()
         for partition in list(self.replicator.partitions.values()):
--- a/tests/failures/test_planned_stop.py
+++ b/tests/failures/test_planned_stop.py
@@ -96,6 +96,30 @@
     assert len(result.text) == 800 * 4
 
 
+def test_a_leaving_box_opens_no_partition_anew(broken_site):
+    """A stream keeps a box for some seconds after it has handed its programs over.
+
+    Half a second later it opened a partition of a new number, which nobody was left to
+    hand over: the others had to find out that its owner was gone.
+    """
+    program, _ = open_at(broken_site, "box-1")
+    entry = broken_site.callers["box-1"]
+    reading = Background(
+        Caller([entry]).stream,
+        program,
+        "long",
+        address=entry,
+        service="agent",
+        messages=make_messages("Long"),
+        max_tokens=800,
+    )
+    wait_until(lambda: count_engine(broken_site, "generated_tokens") > 50, "tokens")
+    broken_site.processes["box-1"].terminate()
+    assert reading.get().is_whole
+    assert broken_site.processes["box-1"].wait() == 0
+    assert broken_site.processes["box-1"].read_log().count("opened with") == 1
+
+
 def test_a_leaving_box_is_no_entry_but_serves_those_who_come(broken_site):
     broken_site.processes["box-1"].terminate()
     other = broken_site.callers["box-2"]
