--- a/src/cedarchute/calls/turn_call.py
+++ b/src/cedarchute/calls/turn_call.py
@@ -38,8 +38,8 @@
     """Relays streams: turns are kept, and budgets hold on whatever route.
 
     A call that names a budget is booked at the holders of its program also where
-    turns are not kept. They write down its tokens, and no text. Without that, a program
-    that looped without end got 5,016 tokens on a budget of 576 on a calm replayed day.
+    turns are not kept: a program that loops without end would exceed it there. They
+    write down its tokens, and no text.
     """
 
     def __init__(
--- a/src/cedarchute/decisions/pace_meter.py
+++ b/src/cedarchute/decisions/pace_meter.py
@@ -19,14 +19,12 @@
 MEMORY_SECONDS: Final = 0.8
 # Fewer samples than this, of some three streams, are the luck of one engine.
 LEAST_SAMPLES: Final = 24.0
-# A target counts as this many times as slow as the middle one at the most. Replayed at
-# 4.5 times the load with two of six engines at a quarter of their pace, 2.5 leaves 201
-# turns in time a second, 1.6 157 and the middle one alone 141.
+# A target counts as this many times as slow as the middle one at the most: a few very
+# slow ones say little of the load, and must not have everybody refused.
 MOST_OVER_MIDDLE: Final = 2.5
 # The trend is the difference from what was seen over this long. It counts that many
 # times: programs let in now slow the engines down a second later, and what is let in
-# at the end of an overload finds them free. Replayed at 6 times the load for 8 s, turns
-# of use a second rise from 184 to 230, at 3.2 times from 280 to 296.
+# at the end of an overload finds them free.
 LONGER_SECONDS: Final = 1.6
 TREND_WEIGHT: Final = 2.0
 # A wait under way counts as this many times the usual one at the most: calls at a
--- a/src/cedarchute/decisions/program_admission.py
+++ b/src/cedarchute/decisions/program_admission.py
@@ -19,10 +19,8 @@
 STRAINED_SLOWDOWN: Final = 1.1
 # A program is expected to use this share of its time when the first is refused, and
 # when all are. Half of all programs take longer than expected, and what was let in a
-# moment ago slows the engines only later, so refusing begins before the whole is used.
-# From 0.8 on, with 0.5 taken for the use until it is learnt, a burst that the engines
-# carried had 0.034 of its day's programs refused; from 0.85 on, with 0.4, 0.003 (one
-# replayed day each).
+# moment ago slows the engines only later, so refusing begins before the whole is used;
+# sooner, a burst that the engines can carry has programs refused.
 FIRST_REFUSED_USE: Final = 0.85
 ALL_REFUSED_USE: Final = 1.0
 # Programs of a more important route are refused later by this share, for each rank, up
@@ -31,8 +29,7 @@
 MOST_EASE: Final = 0.08
 
 # Time lost before a program is let in counts this many times: who comes back would be
-# late more often than who comes first, and takes a place from one that isn't. Replayed
-# at 6 times the load for 20 s, it takes programs in time a second from 15.6 to 22.9.
+# late more often than who comes first, and takes a place from one that isn't.
 WAIT_WEIGHT: Final = 4.0
 # A refused caller comes back after this share of the time it has left: soon enough to
 # be in time yet, late enough to find other programs gone.
--- a/src/cedarchute/decisions/quota_share.py
+++ b/src/cedarchute/decisions/quota_share.py
@@ -8,11 +8,6 @@
 
 Past the limit, calls of programs under way wait a moment for the next free one, and
 new programs are refused: a program that is cut midway has used its calls for nothing.
-Of 308 programs of recorded calls (51 workspaces near their limits, nothing left to
-programs under way), 18 met a refusal with a wait of 1 s at the most and 26 without.
-Replayed at 7.5 times the usual calls for 6.5 s (95 calls a second allowed, programs of
-15 calls, 25 seeds, no wait), leaving 0.15 or 0.25 of a share to programs under way
-takes those cut midway from 0.319 of all to 0.109 or 0.093.
 """
 
 from __future__ import annotations
@@ -25,21 +20,17 @@
 if TYPE_CHECKING:
     from cedarchute.clock import Clock
 
-# With three, the loss of one leaves two thirds of a limit; with five, a workspace of
-# few calls finds less than one call in each (15 calls a second, replayed: 0.943 of
-# programs end against 0.952).
+# With three, the loss of one leaves two thirds of a limit; with more, a workspace of
+# few calls finds less than one call in each.
 KEEPERS: Final = 3
 # Calls that begin a program leave this part of a share to programs under way. More of
-# it refuses more starts below the limit: with 0.25, 24 of the 308 programs met a
-# refusal where 18 did with none.
+# it refuses more starts below the limit.
 START_RESERVE: Final = 0.15
 # Calls of programs under way wait for a free one at the most so long: a program has
 # seconds in all, and its caller waits for a tool once.
 MOST_WAIT_SECONDS: Final = 1.0
 # A workspace of few calls needs room for whole programs at once, so limits are
-# stretched by nearly all that they may be exceeded by. Of 6 calls a second (replayed as
-# above, at half of the limit), 0.963 of programs end instead of 0.953 with 0.75 of the
-# slack as burst and none as rate, and 0.731 instead of 0.672 at 7.5 times that. The
+# stretched by nearly all that they may be exceeded by. The
 # rest is left to keepers that begin anew and to calls that wait before their target.
 OVERRUN_RATE_SHARE: Final = 0.5
 SLACK_RATE_SHARE: Final = 0.5
--- a/src/cedarchute/decisions/usual_pace.py
+++ b/src/cedarchute/decisions/usual_pace.py
@@ -6,9 +6,8 @@
 
 from cedarchute.record import MutableRecord
 
-# The least of many rough means lies far below what is usual: with windows of 6 first
-# events and 40 pauses, calm engines looked up to twice as slow as usual on a replayed
-# day of long prompts; with these the middle slowdown of its calm seconds is 1.0.
+# The least of many rough means lies far below what is usual: with smaller windows, calm
+# engines look slow as soon as prompts are long.
 WINDOW_FIRSTS: Final = 24
 WINDOW_PAUSES: Final = 120
 # What is believed rises by this share a second: a lasting change of the engines is
--- a/src/cedarchute/fleet/configuration_prover.py
+++ b/src/cedarchute/fleet/configuration_prover.py
@@ -204,10 +204,9 @@
     def catch_up(self, reading: StoreReading, asked_at: float) -> None:
         """Fetch what the store knows and no watch has told; then it is proven.
 
-        A proof told before that left listeners without the rest until they asked again:
-        a change was known after 2.16 s at the most instead of 1.38 s (the two readings
-        of 90 and 120 changes a fault in virtual time, 2 s allowed). When the rest does
-        not come, the proof of the configuration holds all the same.
+        A proof told before that would leave listeners without the rest until they ask
+        again, later than a change has to be known. When the rest does not come, the
+        proof of the configuration holds all the same.
 
         Raises
         ------
--- a/src/cedarchute/fleet/store_mirror.py
+++ b/src/cedarchute/fleet/store_mirror.py
@@ -146,8 +146,8 @@
                 if entry.key == self.configuration_key:
                     self.take_entry(entry)
             proven_at = asked_at - state.proof_age_seconds
-            # Whoever listens here waits for a proof as for a change: without this, one
-            # that came by the second reader was up to 0.4 s older.
+            # Whoever listens here waits for a proof as for a change, also for one that
+            # came by the second reader.
             if self.note_proof(state.proof_revision, proven_at):
                 self.announce()
         return is_newer
--- a/src/cedarchute/fleet/store_reader.py
+++ b/src/cedarchute/fleet/store_reader.py
@@ -35,10 +35,8 @@
 # money. A quarter of the time in which a configuration has to be in force.
 GATHER_SECONDS: Final = 1.0
 EVERYTHING: Final = ""
-# A box that listens asks one reader after another and waits this long at each, longer
-# than the reader's proofs are apart: 1.2 questions a second and listener instead of 3.4
-# with 0.4 s (60 boxes in 3 failure domains at rest, virtual time), while the last box
-# in touch knows a change as soon, after 1.4 s at the most with either.
+# A box that listens asks one reader after another and waits this long at each: longer
+# than the reader's proofs are apart, so that most questions are answered by one.
 LISTEN_SECONDS: Final = 1.2
 # A watch begun just after one was cut may say nothing until its end, and so may one of
 # a box that lost its readers: it is a short one, and the next a long one.
--- a/src/cedarchute/record.py
+++ b/src/cedarchute/record.py
@@ -9,9 +9,7 @@
     """Data that never changes once made.
 
     Like a frozen data class, but Python compiles no methods for it at each start of a
-    process: 0.03 ms of processor time for a class instead of 1.3 ms (mean of 40, no
-    other difference). A box defines some thirty, and after a loss of power callers wait
-    for its start.
+    process, which callers wait for after a loss of power.
     """
 
 
--- a/src/cedarchute/routing/target_choice.py
+++ b/src/cedarchute/routing/target_choice.py
@@ -29,8 +29,7 @@
 # Counted on top of what answers take, so that none counts as nothing.
 LEAST_SECONDS: Final = 0.01
 # Targets of one service differ by a few times in size. One whose entry claims far more
-# slots than the middle one would draw every call: of 100 it drew 100, with this limit
-# and nine sound ones of 8 slots 48 (calls under way at once, chosen one by one).
+# slots than the middle one would draw every call.
 MOST_SLOTS_FACTOR: Final = 8
 
 
--- a/src/cedarchute/turns/seat_keeper.py
+++ b/src/cedarchute/turns/seat_keeper.py
@@ -45,7 +45,7 @@
 # longer; nothing is served until then, and callers come some 12 s after the boxes.
 FEW_SECONDS: Final = 3.0
 # Holders of a new system take their seats spread over this long, and one of them closes
-# the table: all at once, each of ten made 10 calls to the store.
+# the table: all at once, they would lose each other's writes again and again.
 SPREAD_SECONDS: Final = 1.0
 # A box whose entry is gone for this long, while the store is sound, is not restarting.
 ABSENT_SECONDS: Final = 2.5
