--- a/tests/failures/test_planned_stop.py
+++ b/tests/failures/test_planned_stop.py
@@ -59,6 +59,22 @@
     assert [call["verdict"] for call in shown["calls"]] == ["ran"]
 
 
+def read_long(site, caller):
+    """Begin to read a stream of some seconds at box-1, which is its home."""
+    program, _ = open_at(site, "box-1")
+    reading = Background(
+        caller.stream,
+        program,
+        "long",
+        address=site.callers["box-1"],
+        service="agent",
+        messages=make_messages("Long"),
+        max_tokens=800,
+    )
+    wait_until(lambda: count_engine(site, "generated_tokens") > 50, "tokens")
+    return reading
+
+
 def find_holders(site, box):
     """Return the boxes that hold the partition of `box`, in their order."""
     owned = [r for r in site.read_partitions() if r["owner"].startswith(f"{box}.")]
@@ -70,19 +86,8 @@
 
     A holder that says nothing keeps the next home from reading the program at once.
     """
-    program, _ = open_at(broken_site, "box-1")
-    entry = broken_site.callers["box-1"]
-    caller = Caller([entry])
-    reading = Background(
-        caller.stream,
-        program,
-        "long",
-        address=entry,
-        service="agent",
-        messages=make_messages("Long"),
-        max_tokens=800,
-    )
-    wait_until(lambda: count_engine(broken_site, "generated_tokens") > 50, "tokens")
+    caller = Caller([broken_site.callers["box-1"]])
+    reading = read_long(broken_site, caller)
     silent = broken_site.processes[find_holders(broken_site, "box-1")[-1]]
     silent.pause()
     try:
@@ -102,22 +107,12 @@
     Half a second later it opened a partition of a new number, which nobody was left to
     hand over: the others had to find out that its owner was gone.
     """
-    program, _ = open_at(broken_site, "box-1")
-    entry = broken_site.callers["box-1"]
-    reading = Background(
-        Caller([entry]).stream,
-        program,
-        "long",
-        address=entry,
-        service="agent",
-        messages=make_messages("Long"),
-        max_tokens=800,
-    )
-    wait_until(lambda: count_engine(broken_site, "generated_tokens") > 50, "tokens")
+    reading = read_long(broken_site, Caller([broken_site.callers["box-1"]]))
     broken_site.processes["box-1"].terminate()
     assert reading.get().is_whole
     assert broken_site.processes["box-1"].wait() == 0
-    assert broken_site.processes["box-1"].read_log().count("opened with") == 1
+    log = broken_site.processes["box-1"].read_log()
+    assert log.count("opened with") == 1
 
 
 def test_a_leaving_box_is_no_entry_but_serves_those_who_come(broken_site):
