--- a/src/experiments/mutations.py
+++ b/src/experiments/mutations.py
@@ -116,6 +116,20 @@
         "is_resumed=False, may_have_run=True",
         KILLED + "test_a_stream_survives_the_kill_of_its_home",
     ),
+    Mutation(
+        "a home that reads its records is waited for, also by what was passed on",
+        "border/home_follower.py",
+        "if problem.code != RECOVERING:",
+        "if problem.code != RECOVERING or exchange.is_forwarded:",
+        STOPPED + "test_a_stream_goes_on_while_its_next_home_recovers",
+    ),
+    Mutation(
+        "nothing follows the refusal of a stream",
+        "border/stream_relay.py",
+        "found.append(tell_refusal(document))",
+        "found.append(iter([make_refusal_events(document)]))",
+        "tests/border/test_stream_relay.py",
+    ),
     Mutation(
         "a wait for a home that lost ends",
         "border/owner_watch.py",
