Seal the holders of a program side by side at a takeover

The stop with a silent holder (test_a_stream_goes_on_while_its_next_home_recovers) kept its caller waiting for 2.0 s, the time of one message that is not answered: holders were asked one after the other, and none waited for only once the round was through. Change: ownership/sealing.py, a task for each holder; what is enough, and the second that others are given then, are as before. A task that is still at it when the round is over ends by itself: it is not killed in the middle of a write. The stateful test sets the same times to next to nothing at their new place.

--- a/src/cedarchute/ownership/recovery.py
+++ b/src/cedarchute/ownership/recovery.py
@@ -15,6 +15,7 @@
     SealRequest,
 )
 from cedarchute.copies.program_log import ProgramLog
+from cedarchute.ownership.sealing import Sealing
 from cedarchute.peers.peer_client import PeerError
 from cedarchute.programs.program import Program
 
@@ -31,8 +32,7 @@
 
 log = logging.getLogger("cedarchute.takeover")
 
-SEAL_WAIT_SECONDS: Final = 1.0
-SEAL_RETRY_SECONDS: Final = 0.3
+READ_RETRY_SECONDS: Final = 0.3
 READ_ATTEMPTS: Final = 5
 ADOPTING: Final = 32
 
@@ -115,23 +115,12 @@
 
     def seal(self, partition: OwnedPartition, owner_gone: bool) -> dict[str, SealReply]:
         """Return the replies of enough holders to meet every kept record."""
-        sealed: dict[str, SealReply] = {}
-        record = partition.record
-        started = self.clock.monotonic()
-        while not partition.is_lost:
-            for holder in record.holders:
-                if holder not in sealed:
-                    reply = self.seal_one(partition, holder, owner_gone)
-                    if reply is not None:
-                        sealed[holder] = reply
-            waited = self.clock.monotonic() - started
-            is_enough = len(sealed) >= record.seals_needed
-            if len(sealed) == len(record.holders):
-                break
-            if is_enough and waited >= SEAL_WAIT_SECONDS:
-                break
-            eventlet.sleep(SEAL_RETRY_SECONDS)
-        return sealed
+        sealing = Sealing(
+            partition,
+            lambda holder: self.seal_one(partition, holder, owner_gone),
+            self.clock,
+        )
+        return sealing.run()
 
     def seal_one(
         self, partition: OwnedPartition, holder: str, owner_gone: bool
@@ -172,7 +161,7 @@
                 reply = self.client.send(box.peer_address, "read", request, ReadReply)
                 return reply.records
             except PeerError:
-                eventlet.sleep(SEAL_RETRY_SECONDS)
+                eventlet.sleep(READ_RETRY_SECONDS)
         return None
 
 
--- a/tests/stateful/test_programs_machine.py
+++ b/tests/stateful/test_programs_machine.py
@@ -16,7 +16,7 @@
 )
 
 from cedarchute.copies import holder_link, replicator
-from cedarchute.ownership import partition_keeper, recovery, takeover
+from cedarchute.ownership import partition_keeper, recovery, sealing, takeover
 from cedarchute.problem import Problem
 from cedarchute.programs import home
 
@@ -24,8 +24,10 @@
     (holder_link, "RETRY_SECONDS"): 0.005,
     (replicator, "CONFIRM_POLL_SECONDS"): 0.005,
     (takeover, "STAGGER_SECONDS"): 0.0,
-    (recovery, "SEAL_WAIT_SECONDS"): 0.0,
-    (recovery, "SEAL_RETRY_SECONDS"): 0.005,
+    (sealing, "WAIT_SECONDS"): 0.0,
+    (sealing, "RETRY_SECONDS"): 0.005,
+    (sealing, "POLL_SECONDS"): 0.005,
+    (recovery, "READ_RETRY_SECONDS"): 0.005,
     (home, "RETRY_APPEND_SECONDS"): 0.01,
     (partition_keeper, "JOIN_SECONDS"): 0.3,
     (partition_keeper, "GATE_SECONDS"): 0.1,
