Read the position of a stream where its events are cut; log a refusal after waiting

Two places read positions. A request that waited for its home in vain leaves a line with the program, the time and the reason. No behaviour changes for callers.

--- a/src/cedarchute/border/call_exchange.py
+++ b/src/cedarchute/border/call_exchange.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import re
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
@@ -15,7 +14,6 @@
     from cedarchute.programs.requests import CallRequest
 
 ANSWER_MARGIN_SECONDS: Final = 5.0
-POSITION_LINE: Final = re.compile(rb"^id: (\d+)\.(\d+)$", re.MULTILINE)
 
 
 @dataclass
@@ -80,13 +78,3 @@
             headers=self.headers,
             seconds=self.seconds + 2 * ANSWER_MARGIN_SECONDS,
         )
-
-    def note_offset(self, data: bytes) -> None:
-        """Note how much of the stream the caller has after some whole events."""
-        # Only whole lines count: text may hold "id: ", and a position that is not
-        # noted for it lets the next home repeat what the caller has.
-        positions = POSITION_LINE.findall(data)
-        if positions:
-            attempt, offset = positions[-1]
-            self.attempt = int(attempt)
-            self.offset = int(offset)
--- a/src/cedarchute/border/home_follower.py
+++ b/src/cedarchute/border/home_follower.py
@@ -106,6 +106,7 @@
         if waited >= min(patience, exchange.seconds):
             refusal = recovering or make_home_lost_problem()
             self.metrics.count_refusal(refusal.code)
+            log.info("Refused %s after %.1f s: %s.", exchange.program, waited, refusal)
             raise refusal
         self.metrics.count_retry("home_lookup")
         eventlet.sleep(REROUTE_SECONDS)
--- a/src/cedarchute/border/stream_relay.py
+++ b/src/cedarchute/border/stream_relay.py
@@ -139,12 +139,13 @@
         Only whole events are passed on, so that a stream that breaks off can go on
         from another box at the offset of the last one.
         """
-        buffer = EventBuffer()
+        buffer = EventBuffer(exchange.attempt, exchange.offset)
         try:
             while chunk := self.read_chunk(exchange, box, answer):
                 data = buffer.feed(chunk)
                 if data:
-                    exchange.note_offset(data)
+                    exchange.attempt = buffer.attempt
+                    exchange.offset = buffer.offset
                     yield data
         except (urllib3.exceptions.HTTPError, OSError, RerouteError) as error:
             log.info("Stream of %s broke off: %s.", exchange.program, error)
--- a/tests/border/test_event_buffer.py
+++ b/tests/border/test_event_buffer.py
@@ -32,5 +32,7 @@
         given_out += buffer.feed(stream[start:end])
         assert len(given_out) in ends
         assert len(given_out) == max(e for e in ends if e <= end)
+        given = [n for n in range(len(texts)) if len(b"".join(events[: n + 2])) <= end]
+        assert buffer.offset == (given[-1] if given else 0)
     assert given_out == stream
     assert buffer.is_whole
