Wait for a holder's first line before its disk is taken in a test

Its logs show that holder-1 did catch up (26.298, 2 records from each of the others, 0.6 s after its restart). The test counts two lines 'Caught up.', one of the first start; holder-1 was killed before that one: holders 2 and 3 had said it by 24.45, which is enough for the first turn, and holder-1's log has none before its second 'Started.' at 25.67. So the check was wrong, not the product. Change: the first line is waited for before the kill, then the second as before; as strict, and the assumption of its comment is now checked.

--- a/tests/platform_site/test_turns_across_losses.py
+++ b/tests/platform_site/test_turns_across_losses.py
@@ -71,12 +71,14 @@
     site = turn_nodes
     assert take_turn(site.callers["entry-1"], "a", b"a", "p")[0] == 200
     for name in ("holder-1", "holder-2", "holder-3"):
+        log = site.processes[name]
+        # Turns need two of the three: one may be killed before it has said so, and
+        # says it once in all then (its first line came with the restart, 1.8 s later).
+        wait_until(lambda g=log: count_caught_up(g) == 1, f"{name} began")
         site.kill(name)
         for path in (site.folder / f"{name}-data").iterdir():
             path.unlink()
         site.restart(name)
-        log = site.processes[name]
-        # The first line is of its first start, when all disks were empty.
         wait_until(lambda g=log: count_caught_up(g) == 2, f"{name} caught up")
         wait_served(site, f"after-{name}", "a")
     assert site.target.requests[-1].body == b"aone\nb"
