--- a/tests/stateful/fake_targets.py
+++ b/tests/stateful/fake_targets.py
@@ -14,6 +14,7 @@
         self.network = network
         self.ran = Counter()
         self.order = []
+        self.on_run = None
         self.behaviour = "ok"
         self.before = None
         self.after = None
@@ -37,6 +38,8 @@
             raise TargetError("target_busy", "503", Verdict.NOT_RUN, 0.1)
         service.ran[key] += 1
         service.order.append(key)
+        if service.on_run:
+            service.on_run(key, self.box)
         if service.after:
             service.after(self.box)
             service.network.check_running(self.box)
--- a/tests/stateful/fake_world.py
+++ b/tests/stateful/fake_world.py
@@ -10,6 +10,7 @@
 from fake_targets import FakeEngines, FakeService
 
 from cedarchute.copies.owned_partition import PartitionMovedError
+from cedarchute.membership.partition_record import PartitionRecord
 from cedarchute.problem import Problem
 from cedarchute.programs.program_id import parse_partition
 from cedarchute.programs.requests import CallRequest, OpenRequest
@@ -109,6 +110,14 @@
                 return box
         return None
 
+    def is_owner(self, port, program):
+        """Return whether the store has the box with this port as a program's owner."""
+        entry = self.store.entries.get(f"x/partitions/{parse_partition(program)}")
+        if entry is None:
+            return False
+        owner = PartitionRecord.model_validate_json(entry.value).owner
+        return owner == f"b{port // 100}.{port % 100}"
+
     def open(self, number):
         box = self.boxes[number]
         if box.is_dead:
@@ -135,6 +144,12 @@
             return None
         return run.problem or run.outcome
 
+    def has_streamed(self, program, key):
+        """Return whether an engine was given a call."""
+        return any(
+            request.startswith(f"{program}:{key}:") for request in self.engines.streams
+        )
+
     def close(self):
         for box in [*self.old_boxes, *self.boxes.values()]:
             box.stop()
