Resolve writes of a partition record whose reply was lost

Found while looking for the fault of sealed partitions on other paths. The reply to a change of holders was lost: the owner kept its record and version, so that every later change failed by its version. It never replaced a holder again, and it counted quorums among holders that the store no longer listed. Callers would get copies_unavailable after the next loss.

Cause: the result of a write was judged by `won` alone. The operation id of a record, which is there to resolve lost replies, was not compared.

Change: a record is "proposed" from before its write until the result is known; quorums and confirmations are needed of the holders of both records meanwhile, and writing it again resolves it. A record of the same epoch that is not the owner's (the store went back) is written again, and a removal that got no reply counts as done when the key is gone.

--- a/src/cedarchute/copies/owned_partition.py
+++ b/src/cedarchute/copies/owned_partition.py
@@ -29,6 +29,10 @@
 
     Attributes
     ----------
+    proposed : PartitionRecord or None
+        A record with other holders, from before it is sent to the store until the
+        result of the write is known. The store may have either record meanwhile, so
+        a quorum is needed of the holders of both.
     gate : Semaphore
         Mutex of appends and of changes to the set of holders.
     confirmed_at : float
@@ -38,6 +42,7 @@
 
     def __init__(self, record: PartitionRecord, version: int) -> None:
         self.record = record
+        self.proposed: PartitionRecord | None = None
         self.version = version
         self.logs: dict[str, ProgramLog] = {}
         self.joining: tuple[str, ...] = ()
@@ -58,20 +63,42 @@
         """The epoch under which this box owns it."""
         return self.record.epoch
 
+    def is_record(self, record: PartitionRecord) -> bool:
+        """Return whether `record` is the one that this owner wrote or took last."""
+        return record.operation == self.record.operation
+
+    @property
+    def possible_records(self) -> tuple[PartitionRecord, ...]:
+        """The records that the store may have for this owner."""
+        if self.proposed is None:
+            return (self.record,)
+        return (self.record, self.proposed)
+
+    @property
+    def possible_holders(self) -> set[str]:
+        """The holders of all `possible_records`."""
+        return {h for record in self.possible_records for h in record.holders}
+
     @property
     def confirmed_at(self) -> float:
         """When a quorum of holders last accepted this box as the owner."""
-        quorum = self.record.quorum
-        if quorum == 0:
+        return min(self._find_confirmation_time(r) for r in self.possible_records)
+
+    def _find_confirmation_time(self, record: PartitionRecord) -> float:
+        if record.quorum == 0:
             return float("inf")
         times = sorted(
-            (
-                self.confirmation_times.get(h, float("-inf"))
-                for h in self.record.holders
-            ),
+            (self.confirmation_times.get(h, float("-inf")) for h in record.holders),
             reverse=True,
         )
-        return times[quorum - 1]
+        return times[record.quorum - 1]
+
+    def has_quorum(self, program_log: ProgramLog, length: int) -> bool:
+        """Return whether a quorum of holders has the first `length` records."""
+        return all(
+            program_log.count_holders(length, record.holders) >= record.quorum
+            for record in self.possible_records
+        )
 
     def lose(self) -> None:
         """Mark the partition as owned by another box and wake all waiters."""
--- a/src/cedarchute/copies/replicator.py
+++ b/src/cedarchute/copies/replicator.py
@@ -124,8 +124,7 @@
         is_spare_asked = False
         while True:
             partition.check_owned()
-            record = partition.record
-            if program_log.count_holders(length, record.holders) >= record.quorum:
+            if partition.has_quorum(program_log, length):
                 return
             waited = self.clock.monotonic() - started
             if waited >= self.settings.append_seconds:
@@ -134,7 +133,7 @@
             if not is_spare_asked and waited >= self.settings.spare_after_seconds:
                 is_spare_asked = True
                 self.metrics.count("copies.spare_asked")
-                for holder in record.holders:
+                for holder in partition.possible_holders:
                     self.link(holder).mark(partition.name, program)
             spare_delay = self.settings.spare_after_seconds - waited
             program_log.wait(spare_delay if spare_delay > 0 else 0.25)
@@ -155,7 +154,7 @@
         partition.check_owned()
         if self.is_recently_confirmed(partition):
             return
-        for holder in partition.record.holders:
+        for holder in partition.possible_holders:
             self.link(holder).ping(partition.name)
         deadline = self.clock.monotonic() + self.settings.append_seconds
         while not self.is_recently_confirmed(partition):
@@ -172,5 +171,5 @@
     def forget(self, partition: OwnedPartition, program: str) -> None:
         """Delete the log of a program here and on its holders."""
         partition.logs.pop(program, None)
-        for holder in partition.record.holders:
+        for holder in partition.possible_holders:
             self.link(holder).forget(partition.name, program)
--- a/src/cedarchute/ownership/partition_keeper.py
+++ b/src/cedarchute/ownership/partition_keeper.py
@@ -16,13 +16,17 @@
 from cedarchute.verdict import Verdict
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from cedarchute.clock import Clock
+    from cedarchute.copies.program_log import ProgramLog
     from cedarchute.copies.replicator import Replicator
     from cedarchute.membership.lease_keeper import LeaseKeeper
     from cedarchute.membership.store_keys import StoreKeys
     from cedarchute.membership.view import View
     from cedarchute.metrics import Metrics
     from cedarchute.platform.store_client import StoreClient
+    from cedarchute.platform.store_entry import StoreEntry
     from cedarchute.programs.program_registry import ProgramRegistry
     from cedarchute.settings.box_settings import CopiesSection
 
@@ -120,7 +124,9 @@
                 continue
             if partition.is_recovering or partition.is_handing_over:
                 continue
-            if record is None or record.epoch < partition.epoch:
+            if partition.proposed is not None:
+                self.write_record(partition, partition.proposed)
+            elif record is None or not partition.is_record(record):
                 self.repair(partition)
             elif self.is_empty_inherited(partition):
                 self.remove(partition)
@@ -192,19 +198,22 @@
     def remove(self, partition: OwnedPartition) -> None:
         """Delete the record of a partition without programs."""
         key = self.keys.partition(partition.name)
-        if self.store.delete(key, partition.version).won:
-            self.replicator.partitions.pop(partition.name, None)
-            self.view.drop_partition(partition.name)
-            log.info("Removed empty partition %s.", partition.name)
+        result = self.store.delete(key, partition.version)
+        if result.current is not None:
+            self.apply_stored(partition, result.current)
+            return
+        partition.lose()
+        self.replicator.partitions.pop(partition.name, None)
+        self.view.drop_partition(partition.name)
+        log.info("Removed empty partition %s.", partition.name)
 
     def repair(self, partition: OwnedPartition) -> None:
-        """Rewrite a record that the store has lost or reverted to a lower epoch."""
+        """Rewrite a record that the store has lost or reverted to an earlier one."""
         key = self.keys.partition(partition.name)
         entry = self.store.get(key)
         if entry is not None:
-            stored = PartitionRecord.model_validate_json(entry.value)
-            if stored.epoch >= partition.epoch:
-                self.view.put_partition(entry)
+            stored = self.apply_stored(partition, entry)
+            if stored.epoch > partition.epoch or partition.is_record(stored):
                 return
         value = partition.record.to_json()
         result = self.store.swap(key, value, entry.version if entry else 0)
@@ -223,11 +232,7 @@
         quorum of them then has each committed record, so they are listed in order of
         preference, other failure domains first, even those that joined late.
         """
-        usable = [
-            holder
-            for holder in partition.record.holders
-            if self.is_usable_holder(holder)
-        ]
+        usable = self.find_usable(partition.record.holders)
         wanted = self.choose()
         are_all_usable = len(usable) == len(partition.record.holders)
         if are_all_usable and len(usable) >= len(wanted):
@@ -237,6 +242,10 @@
             return
         self.join_holders(partition, wanted, quorum)
 
+    def find_usable(self, holders: Iterable[str]) -> tuple[str, ...]:
+        """Return those of `holders` that can be relied on, in the same order."""
+        return tuple(holder for holder in holders if self.is_usable_holder(holder))
+
     def is_usable_holder(self, holder: str) -> bool:
         """Return whether a holder runs on another box that is not leaving."""
         box = self.view.find_holder(holder)
@@ -261,7 +270,8 @@
                     self.replicate_all(partition, holders)
                     self.write_holders(partition, holders, quorum)
         finally:
-            partition.joining = ()
+            if partition.proposed is None:
+                partition.joining = ()
 
     def replicate_all(
         self, partition: OwnedPartition, holders: tuple[str, ...]
@@ -271,8 +281,11 @@
             for program, program_log in list(partition.logs.items()):
                 if program_log.matched.get(holder, 0) < len(program_log):
                     self.replicator.link(holder).mark(partition.name, program)
-        while not partition.is_lost and not is_fully_replicated(partition, holders):
-            eventlet.sleep(JOIN_POLL_SECONDS)
+        while not partition.is_lost:
+            late_log = find_late_log(partition, holders)
+            if late_log is None:
+                return
+            late_log.wait(JOIN_POLL_SECONDS)
 
     def write_holders(
         self, partition: OwnedPartition, holders: tuple[str, ...], quorum: int
@@ -287,22 +300,52 @@
                 "operation": self.next_operation_id(),
             }
         )
+        self.write_record(partition, record)
+
+    def write_record(self, partition: OwnedPartition, record: PartitionRecord) -> None:
+        """Write a record with other holders; it counts as proposed until it is known.
+
+        Writing the same record again resolves a write whose reply was lost.
+
+        Raises
+        ------
+        StoreUnavailableError
+            If the store does not respond; the write may still succeed.
+        """
+        partition.proposed = record
         key = self.keys.partition(partition.name)
         result = self.store.swap(key, record.to_json(), partition.version)
-        if not result.won or result.current is None:
-            if result.current is not None:
-                self.view.put_partition(result.current)
-            return
-        partition.record = record
-        partition.version = result.current.version
-        self.view.put_partition(result.current)
-        self.metrics.count("ownership.holders_replaced")
-        log.info("Partition %s held by %s.", partition.name, ", ".join(holders))
-
-
-def is_fully_replicated(partition: OwnedPartition, holders: tuple[str, ...]) -> bool:
-    """Return whether each of `holders` has every record of a partition."""
-    return all(
-        program_log.count_holders(len(program_log), holders) == len(holders)
-        for program_log in partition.logs.values()
-    )
+        if result.current is not None:
+            self.apply_stored(partition, result.current)
+        partition.proposed = None
+        partition.joining = ()
+
+    def apply_stored(
+        self, partition: OwnedPartition, entry: StoreEntry
+    ) -> PartitionRecord:
+        """Apply the current entry of a partition and return its record.
+
+        The version can be newer than known, and a proposed record can be in force,
+        if the reply to an earlier write was lost.
+        """
+        self.view.put_partition(entry)
+        stored = PartitionRecord.model_validate_json(entry.value)
+        proposed = partition.proposed
+        if proposed is not None and stored.operation == proposed.operation:
+            partition.record = proposed
+            holders = ", ".join(proposed.holders)
+            self.metrics.count("ownership.holders_replaced")
+            log.info("Partition %s held by %s.", partition.name, holders)
+        if partition.is_record(stored):
+            partition.version = entry.version
+        return stored
+
+
+def find_late_log(
+    partition: OwnedPartition, holders: tuple[str, ...]
+) -> ProgramLog | None:
+    """Return a log of which some of `holders` lack records; None if there is none."""
+    for program_log in partition.logs.values():
+        if program_log.count_holders(len(program_log), holders) < len(holders):
+            return program_log
+    return None
