Put a partition on other holders before a takeover ends

Cause, from the store's record, the boxes' views and copies printed at the failure: box 3 had won the partition, and of its holders b3.1, b2.1 and b0.2 (two seals needed) boxes 2 and 0 had started again without their copies. A new owner was one of its own holders until a later period replaced it, so its loss took the owner and a copy at once; three boxes lost in turn, each after the site had recovered, left one copy. Ruled out: a stale view, a box that may not take over.

Change: a takeover ends once the store has holders without the new owner: those that were sealed, which have nearly every record. Programs accept calls from then on; a partition without programs is removed there. The record of the takeover is appended to every log before the holders change, so that a tail that nobody acknowledged never outranks it.

--- a/src/cedarchute/ownership/partition_keeper.py
+++ b/src/cedarchute/ownership/partition_keeper.py
@@ -242,6 +242,36 @@
             return
         self.join_holders(partition, wanted, quorum)
 
+    def settle_inherited(
+        self, partition: OwnedPartition, sealed: tuple[str, ...]
+    ) -> bool:
+        """Put a partition that was taken over on holders other than this box.
+
+        The sealed holders have nearly every record, so they come first; `keep_once`
+        adds further ones later. A partition without programs is removed.
+
+        Returns whether it is done; it is lost if it was removed.
+
+        Raises
+        ------
+        StoreUnavailableError
+            If the store does not respond.
+        """
+        if partition.proposed is not None:
+            self.write_record(partition, partition.proposed)
+        if self.is_empty_inherited(partition):
+            self.remove(partition)
+            return partition.is_lost
+        wanted = self.choose()
+        if not wanted:
+            return True
+        if self.find_usable(partition.record.holders) == partition.record.holders:
+            return True
+        holders = self.find_usable(sealed) or wanted
+        quorum = min(self.settings.wanted, len(holders))
+        self.join_holders(partition, holders, quorum)
+        return self.find_usable(partition.record.holders) == partition.record.holders
+
     def find_usable(self, holders: Iterable[str]) -> tuple[str, ...]:
         """Return those of `holders` that can be relied on, in the same order."""
         return tuple(holder for holder in holders if self.is_usable_holder(holder))
--- a/src/cedarchute/ownership/recovery.py
+++ b/src/cedarchute/ownership/recovery.py
@@ -63,22 +63,36 @@
         self.clock = clock
         self.metrics = metrics
 
-    def recover(self, partition: OwnedPartition, owner_gone: bool) -> None:
-        """Seal the copies, read the most recent logs and resume the programs."""
+    def restore(
+        self, partition: OwnedPartition, owner_gone: bool
+    ) -> tuple[str, ...] | None:
+        """Seal the copies, read the most recent logs and rebuild the programs.
+
+        Returns
+        -------
+        tuple of str or None
+            The sealed holders, in the order of the record; None if the partition was
+            lost meanwhile.
+        """
         logs = None
+        sealed: dict[str, SealReply] = {}
         while logs is None and not partition.is_lost:
-            logs = self.read_all(partition, self.seal(partition, owner_gone))
+            sealed = self.seal(partition, owner_gone)
+            logs = self.read_all(partition, sealed)
         if logs is None or partition.is_lost:
-            return
+            return None
         partition.logs.update(logs)
-        programs = [
-            Program.replay(program_id, partition, program_log)
-            for program_id, program_log in logs.items()
-        ]
-        for program in programs:
+        for program_id, program_log in logs.items():
+            program = Program.replay(program_id, partition, program_log)
             program.is_ready = False
             program.last_active_at = self.clock.monotonic()
             self.home.programs[program.id] = program
+            self.adopter.record_takeover(program)
+        return tuple(h for h in partition.record.holders if h in sealed)
+
+    def resume(self, partition: OwnedPartition) -> None:
+        """Resume the restored programs; new calls are accepted from now on."""
+        programs = [p for p in self.home.programs.values() if p.partition is partition]
         partition.is_recovering = False
         self.metrics.count("takeover.programs", len(programs))
         log.info("Took over %d programs of %s.", len(programs), partition.name)
--- a/src/cedarchute/ownership/takeover.py
+++ b/src/cedarchute/ownership/takeover.py
@@ -26,6 +26,7 @@
 
 PERIOD_SECONDS: Final = 0.5
 STAGGER_SECONDS: Final = 1.0
+HOLDERS_RETRY_SECONDS: Final = 0.2
 
 
 class Takeover:
@@ -163,4 +164,25 @@
         partition = OwnedPartition(record, version)
         partition.is_recovering = True
         self.partitions.replicator.partitions[record.partition] = partition
-        eventlet.spawn_n(self.recovery.recover, partition, owner_gone)
+        eventlet.spawn_n(self.recover, partition, owner_gone)
+
+    def recover(self, partition: OwnedPartition, owner_gone: bool) -> None:
+        """Recover the programs of a partition, or remove it if it has none.
+
+        Its programs accept no calls before they are on holders that other boxes can
+        seal: this box is a holder of its own partition until then, and its failure
+        would take the owner and a copy at once.
+        """
+        sealed = self.recovery.restore(partition, owner_gone)
+        if sealed is None:
+            return
+        while not partition.is_lost:
+            try:
+                if self.partitions.settle_inherited(partition, sealed):
+                    break
+            except StoreUnavailableError as error:
+                log.info("Takeover of %s waits: %s", partition.name, error)
+            self.metrics.count_retry("takeover_holders")
+            eventlet.sleep(HOLDERS_RETRY_SECONDS)
+        if not partition.is_lost:
+            self.recovery.resume(partition)
--- a/src/cedarchute/programs/program_registry.py
+++ b/src/cedarchute/programs/program_registry.py
@@ -104,9 +104,18 @@
         """
         try:
             self.append(program, records)
-            return
         except Problem:
             self.metrics.count_retry("copies_unavailable")
+            self.wait_until_replicated(program)
+
+    def wait_until_replicated(self, program: Program) -> None:
+        """Wait until all records of a program are replicated, however long it takes.
+
+        Raises
+        ------
+        PartitionMovedError
+            When another box owns the program now.
+        """
         length = len(program.log)
         while True:
             try:
--- a/src/cedarchute/programs/program_resumer.py
+++ b/src/cedarchute/programs/program_resumer.py
@@ -44,8 +44,18 @@
         self.dispatcher = dispatcher
         self.metrics = metrics
 
+    def record_takeover(self, program: Program) -> None:
+        """Append a record under the new epoch, which outranks unacknowledged tails.
+
+        Raises
+        ------
+        PartitionMovedError
+            When another box owns the program now.
+        """
+        self.registry.append_without_waiting(program, TakenOver(owner=self.box))
+
     def resume(self, program: Program) -> None:
-        """Resume a program that this box has taken over.
+        """Resume a program that this box has taken over and recorded as such.
 
         An open call that is not repeatable is not sent again: its caller gets the
         verdict ``may have run``. The stream of a model call is resumed at the engine.
@@ -56,9 +66,7 @@
             runs[call_state.key] = program.runs[call_state.key] = run
         try:
             with program.turn_lock:
-                self.registry.append_until_replicated(
-                    program, [TakenOver(owner=self.box)]
-                )
+                self.registry.wait_until_replicated(program)
                 program.is_ready = True
                 for call_state in list(program.open_calls):
                     self.resolve_open_call(program, call_state, runs[call_state.key])
--- a/tests/ownership/test_takeover.py
+++ b/tests/ownership/test_takeover.py
@@ -81,3 +81,25 @@
     owners = {world.find_home(program).record.name for program in programs}
     assert len(owners) == 1
     assert world.network.sent["read"] == 0
+
+
+def test_a_new_owner_is_no_holder_of_what_it_took_over(world):
+    program = world.open(0)
+    world.kill(0)
+    world.settle()
+    home = world.find_home(program)
+    record = home.find_record(program)
+    assert home.record.holder not in record.holders
+    assert set(record.holders) <= {box.record.holder for box in world.boxes.values()}
+
+
+def test_a_takeover_is_not_done_before_its_holders_are_stored(world):
+    """The store is lost between the claim and the change of holders."""
+    program = world.open(0)
+    world.kill(0)
+    world.store.is_down_after = world.store.swap_count + 1
+    world.pass_lease()
+    owner = world.find_home(program)
+    assert owner.replicator.partitions["b0.1"].is_recovering
+    world.settle()
+    assert world.find_home(program) is owner
--- a/tests/stateful/fake_box.py
+++ b/tests/stateful/fake_box.py
@@ -30,6 +30,7 @@
 from cedarchute.programs.call_runner import CallRunner
 from cedarchute.programs.dispatcher import Dispatcher
 from cedarchute.programs.model_caller import ModelCaller
+from cedarchute.programs.program_id import parse_partition
 from cedarchute.programs.program_registry import ProgramRegistry
 from cedarchute.programs.program_resumer import ProgramResumer
 from cedarchute.programs.target_chooser import TargetChooser
@@ -202,6 +203,10 @@
     def is_cut(self):
         return self.port in self.world.network.cut
 
+    def find_record(self, program):
+        """Return the partition record of a program as this box, its owner, has it."""
+        return self.replicator.partitions[parse_partition(program)].record
+
     def look(self):
         """Do what the box's tasks do in one period."""
         if self.is_dead:
--- a/tests/stateful/fake_store.py
+++ b/tests/stateful/fake_store.py
@@ -12,6 +12,8 @@
         self.revision = 0
         self.is_down = False
         self.lost_replies = 0
+        self.swap_count = 0
+        self.is_down_after = None
 
     def client(self, network, box):
         return FakeStoreClient(self, network, box)
@@ -47,6 +49,9 @@
         self.store.revision += 1
         entry = StoreEntry(key, value, self.store.revision)
         self.store.entries[key] = entry
+        self.store.swap_count += 1
+        if self.store.swap_count == self.store.is_down_after:
+            self.store.is_down = True
         if self.store.lost_replies:
             self.store.lost_replies -= 1
             raise StoreUnavailableError("reply lost after the effect")
--- a/tests/stateful/test_failure_series.py
+++ b/tests/stateful/test_failure_series.py
@@ -39,6 +39,83 @@
         state.machine.teardown()
 
 
+def test_boxes_lost_one_after_the_other_leave_no_partition_sealed(state):
+    """A new owner was a holder of its own partition when it was lost too."""
+    state.mend()
+    state.kill(number=0)
+    state.mend()
+    state.kill(number=1)
+    state.kill(number=1)
+    state.mend()
+    state.cut(number=2)
+    state.kill(number=2)
+    state.cut(number=1)
+    state.mend()
+    state.break_store(is_down=True, lost=0)
+    state.cut(number=3)
+    state.kill(number=0)
+    state.mend()
+    state.break_store(is_down=True, lost=0)
+    state.kill(number=0)
+    state.kill(number=0)
+    state.mend()
+    state.kill(number=2)
+    state.mend()
+
+
+def test_a_box_lost_after_each_takeover_leaves_no_partition_sealed(state):
+    """The same with programs opened at the other boxes meanwhile."""
+    state.kill(number=2)
+    state.cut(number=2)
+    state.kill(number=1)
+    state.mend()
+    state.kill(number=0)
+    state.mend()
+    state.mend()
+    state.mend()
+    state.kill(number=1)
+    state.open_program(number=0)
+    state.open_program(number=1)
+    state.kill(number=0)
+    state.cut(number=3)
+    state.kill(number=3)
+    state.kill(number=1)
+    state.mend()
+
+
+def test_every_box_lost_in_turn_leaves_no_partition_sealed(state):
+    """The same with every box, each after the site had recovered."""
+    state.mend()
+    state.mend()
+    state.kill(number=3)
+    state.mend()
+    state.mend()
+    state.kill(number=2)
+    state.mend()
+    state.mend()
+    state.mend()
+    state.mend()
+    state.mend()
+    state.mend()
+    state.kill(number=0)
+    state.mend()
+    state.mend()
+    state.kill(number=1)
+    state.kill(number=2)
+    state.mend()
+
+
+@pytest.mark.parametrize("lost", ["0123", "1023", "2301", "3210", "0132", "1302"])
+def test_a_program_survives_boxes_that_are_lost_one_after_the_other(state, lost):
+    """Each new owner had a copy itself, so its loss took the owner and a copy."""
+    program = state.open_program(number=1)
+    state.transfer(program=program, behaviour="ok", trouble=None, is_before=False)
+    for number in lost:
+        state.kill(number=int(number))
+        state.mend()
+    state.ask_again(program=program, data=Drawn("k1"))
+
+
 def test_a_call_whose_answer_was_lost_keeps_its_place_before_a_model_call(state):
     """Its caller asks again only after the next call was answered."""
     program_0 = state.open_program(number=3)
