End a process that is being started when its site ends

Cause: a signal raises SystemExit in the main thread; between the fork and the assignment of the id nobody knows the box. Besides, a thread that plays a fault could start a box after the site's end.

Change: another thread starts the process; start and end exclude each other; a site that has ended starts nothing. Demo, bench and slopes end their boxes on SIGTERM and SIGHUP too.

--- a/src/experiments/bench.py
+++ b/src/experiments/bench.py
@@ -27,6 +27,7 @@
 from experiments.marked_page import replace_marked
 from experiments.program_plan import plan_programs
 from experiments.scenario import load_scenario
+from experiments.signals import exit_on_signals
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -238,6 +239,7 @@
 
 def main() -> None:
     """Run the scenarios and write the figures."""
+    exit_on_signals()
     parser = argparse.ArgumentParser()
     parser.add_argument("--scenarios", default="vanua,shrestha")
     parser.add_argument("--seeds", type=int, default=2)
--- a/src/experiments/demo.py
+++ b/src/experiments/demo.py
@@ -16,6 +16,7 @@
 from experiments.box_timing import BoxTiming
 from experiments.caller import Caller
 from experiments.local_site import LocalSite
+from experiments.signals import exit_on_signals
 
 PROGRAMS: Final = 36
 WORKERS: Final = 12
@@ -181,6 +182,7 @@
 
 def main() -> None:
     """Run the demo; exit with 0 when every program has finished."""
+    exit_on_signals()
     folder = Path(tempfile.mkdtemp(prefix="cedarchute-demo-")) / "run"
     print("starting a store, 5 engines, 2 plain services and 3 boxes", flush=True)
     with start_site(folder) as site:
--- a/src/experiments/local_site.py
+++ b/src/experiments/local_site.py
@@ -45,6 +45,7 @@
         self.links: dict[str, str] = {}
         self.store_port = 0
         self.ports = HeldPorts()
+        self.is_stopped = False
 
     def __enter__(self) -> LocalSite:
         return self
@@ -58,15 +59,18 @@
         self.stop()
 
     def stop(self) -> None:
-        """End every process of the site."""
-        for process in self.processes.values():
-            process.kill()
+        """End every process of the site, also one being started."""
+        self.is_stopped = True
+        for process in list(self.processes.values()):
+            process.close()
         self.ports.release()
 
     def add(self, name: str, arguments: list[str]) -> Process:
         """Start one process."""
         process = Process(name, arguments, self.folder)
         self.processes[name] = process
+        if self.is_stopped:
+            process.close()
         process.start()
         return process
 
--- a/src/experiments/node_site.py
+++ b/src/experiments/node_site.py
@@ -41,6 +41,7 @@
         self.store = ""
         self.version = 0
         self.ports = HeldPorts()
+        self.is_stopped = False
         folder.mkdir(parents=True, exist_ok=True)
 
     def __enter__(self) -> NodeSite:
@@ -50,9 +51,10 @@
         self.stop()
 
     def stop(self) -> None:
-        """End every process that this site started."""
-        for process in self.processes.values():
-            process.kill()
+        """End every process that this site started, also one being started."""
+        self.is_stopped = True
+        for process in list(self.processes.values()):
+            process.close()
         self.ports.release()
 
     def start_store(self) -> None:
@@ -66,6 +68,8 @@
         """Start one process."""
         process = Process(name, arguments, self.folder)
         self.processes[name] = process
+        if self.is_stopped:
+            process.close()
         process.start()
         return process
 
--- a/src/experiments/process.py
+++ b/src/experiments/process.py
@@ -6,6 +6,8 @@
 import signal
 import subprocess
 import sys
+import threading
+from concurrent.futures import ThreadPoolExecutor
 from typing import TYPE_CHECKING, Final
 
 if TYPE_CHECKING:
@@ -14,8 +16,21 @@
 STOP_SECONDS: Final = 60.0
 
 
+class ProcessClosedError(Exception):
+    """A process was to be started after its site had ended."""
+
+    code = "process_closed"
+
+
 class Process:
-    """A child process with its log; ended by its own id and no other."""
+    """A child process with its log; ended by its own id and no other.
+
+    Attributes
+    ----------
+    lock : Lock
+        Held while the process is started or ended, so that an end never misses a
+        process whose id is not known yet.
+    """
 
     def __init__(self, name: str, arguments: list[str], folder: Path) -> None:
         self.name = name
@@ -23,17 +38,35 @@
         self.log_path = folder / f"{name}.log"
         self.popen: subprocess.Popen[bytes] | None = None
         self.starts = 0
+        self.lock = threading.Lock()
+        self.is_closed = False
 
     def start(self) -> None:
-        """Start the process; its output goes to its log."""
-        self.starts += 1
-        with self.log_path.open("ab") as log:
-            self.popen = subprocess.Popen(
-                [sys.executable, "-W", "ignore", *self.arguments],
-                stdout=log,
-                stderr=log,
-                stdin=subprocess.DEVNULL,
-            )
+        """Start the process; its output goes to its log.
+
+        Signals raise in the main thread only, so another thread starts it: an
+        exception between the fork and the assignment would leave nobody to end it.
+
+        Raises
+        ------
+        ProcessClosedError
+            After `close`.
+        """
+        with ThreadPoolExecutor(1) as pool:
+            pool.submit(self._spawn).result()
+
+    def _spawn(self) -> None:
+        with self.lock:
+            if self.is_closed:
+                raise ProcessClosedError(self.name)
+            self.starts += 1
+            with self.log_path.open("ab") as log:
+                self.popen = subprocess.Popen(
+                    [sys.executable, "-W", "ignore", *self.arguments],
+                    stdout=log,
+                    stderr=log,
+                    stdin=subprocess.DEVNULL,
+                )
 
     @property
     def pid(self) -> int:
@@ -54,6 +87,12 @@
             assert self.popen is not None
             self.popen.wait(STOP_SECONDS)
 
+    def close(self) -> None:
+        """End the process for good: it is not started again, by any thread."""
+        with self.lock:
+            self.is_closed = True
+            self.kill()
+
     def pause(self) -> None:
         """Stop the process for a while."""
         os.kill(self.pid, signal.SIGSTOP)
--- a/src/experiments/slopes.py
+++ b/src/experiments/slopes.py
@@ -15,6 +15,7 @@
 from pathlib import Path
 from typing import Any, Final
 
+from experiments.signals import exit_on_signals
 from experiments.slope_control import (
     measure_configuration,
     measure_peers,
@@ -48,6 +49,7 @@
 
 def main() -> None:
     """Run the measurements and write the figures."""
+    exit_on_signals()
     parser = argparse.ArgumentParser()
     parser.add_argument("--runs", type=int, default=2)
     parser.add_argument("--only", default=",".join(MEASUREMENTS))
--- a/src/experiments/soak/main.py
+++ b/src/experiments/soak/main.py
@@ -3,25 +3,20 @@
 from __future__ import annotations
 
 import logging
-import signal
 import sys
 import tempfile
 import time
 from pathlib import Path
-from typing import TYPE_CHECKING, Final
+from typing import Final
 
 from absl import app, flags
 
+from experiments.signals import exit_on_signals
 from experiments.soak.soak_run import SoakResult, play_seed
 
-if TYPE_CHECKING:
-    from types import FrameType
-
 SECONDS_PER_MINUTE: Final = 60.0
 FAULT_SECONDS: Final = 12.0
 CALLERS: Final = 8
-# What a shell tells of a program that a signal ended.
-SIGNALLED: Final = 128
 
 SEED = flags.DEFINE_integer("seed", None, "The first seed; else drawn from the time.")
 MINUTES = flags.DEFINE_float("minutes", 2.0, "How long to begin new seeds.")
@@ -51,17 +46,10 @@
     return not result.broken
 
 
-def end(number: int, frame: FrameType | None) -> None:
-    """Leave by the way that ends the boxes too; without it they would run on."""
-    del frame
-    sys.exit(SIGNALLED + number)
-
-
 def run(argv: list[str]) -> int:
     """Play seeds until the time is over; 1 when a promise was broken."""
     del argv
-    for number in (signal.SIGHUP, signal.SIGTERM):
-        signal.signal(number, end)
+    exit_on_signals()
     logging.getLogger("urllib3").setLevel(logging.ERROR)
     first = SEED.value if SEED.value is not None else int(time.time())
     until = time.monotonic() + MINUTES.value * SECONDS_PER_MINUTE
