Leave a first listing to finish when the box registers faster

No caller notices; each listing has its price.

Cause: a successful registration restarts the reader while the store counts as lost, which it does until the first listing.

Change: a listing sent since the last failure is left to finish.

Red before: three cases in fleet/test_store_reader.py.

--- a/src/cedarchute/fleet/store_mirror.py
+++ b/src/cedarchute/fleet/store_mirror.py
@@ -42,6 +42,9 @@
         Key of the operators' configuration in the store.
     proof : ConfigurationProof
         When the configuration was last known to be the newest.
+    told_revision : int
+        Revision up to which other boxes alone have sent every entry; 0 if they have
+        not, so that the entries are complete by listings of the store only.
     """
 
     def __init__(
@@ -53,6 +56,7 @@
         self.entries: dict[str, MirroredEntry] = {}
         self.removals: deque[Removal] = deque(maxlen=MAX_KEPT_REMOVALS)
         self.revision = 0
+        self.told_revision = 0
         self.complete_after = 0
         self.unavailable_since: float | None = time.monotonic()
         self.available_since = time.monotonic()
@@ -172,6 +176,8 @@
             return False
         if self.unavailable_since is not None and self.is_fleet_wide_outage:
             self.start_lapse_grace()
+        if state.is_whole or self.told_revision == self.revision:
+            self.told_revision = state.revision
         if state.is_whole:
             self.replace_all(list(state.entries), state.revision)
             return True
--- a/src/cedarchute/fleet/store_reader.py
+++ b/src/cedarchute/fleet/store_reader.py
@@ -70,6 +70,7 @@
         self.consecutive_reader_failures = 0
         self.watch_seconds = WATCH_WAIT_SECONDS
         self.needs_listing = True
+        self.is_listing = False
         self.watch_started_at: float | None = None
         self.backoff = Backoff(MAX_RETRY_SECONDS)
         self.task: eventlet.greenthread.GreenThread | None = None
@@ -84,12 +85,14 @@
         """Record whether another store call of this box succeeded.
 
         A watch whose response was lost hangs until its timeout, so the reader task is
-        restarted once the store responds again.
+        restarted once the store responds again. A listing that was sent since the last
+        failure is left to finish, as it would only be sent once more.
         """
         self.reachable = reachable
         if not reachable:
+            self.is_listing = False
             self.record_failure("a renewal was not answered")
-        elif self.mirror.unavailable_since is not None:
+        elif self.mirror.unavailable_since is not None and not self.is_listing:
             self.start()
 
     def run_forever(self) -> None:
@@ -153,14 +156,32 @@
         self.start()
 
     def read_listing(self) -> None:
-        """List the store; repeat if another box has supplied a newer state meanwhile.
+        """List the store; repeat if other boxes have sent newer changes meanwhile.
 
         The first listing may be stale, which costs less: the first watch or a reader
-        supplies later changes.
+        supplies later changes. It is not repeated if other boxes have sent the whole
+        state meanwhile.
         """
-        listing = self.store.list(ALL_KEYS, may_be_old=self.mirror.revision == 0)
+        self.is_listing = True
+        try:
+            listing = self.store.list(ALL_KEYS, may_be_old=self.mirror.revision == 0)
+        finally:
+            self.is_listing = False
         self.record_success()
-        self.needs_listing = not self.mirror.apply_listing(listing)
+        self.needs_listing = False
+        if self.mirror.apply_listing(listing):
+            return
+        self.needs_listing = self.mirror.told_revision < listing.revision
+        self.metrics.count("store.listings_overtaken")
+        log.info(
+            "Listing is older than what other boxes have sent.",
+            extra={
+                "listed": listing.revision,
+                "known": self.mirror.revision,
+                "told_whole": self.mirror.told_revision,
+                "is_repeated": self.needs_listing,
+            },
+        )
         if self.needs_listing:
             eventlet.sleep(CHANGE_BATCH_SECONDS)
 
--- a/tests/fleet/test_store_reader.py
+++ b/tests/fleet/test_store_reader.py
@@ -70,8 +70,8 @@
         return self.boxes[poll_number % len(self.boxes)] if self.boxes else None
 
 
-@pytest.fixture
-def reader(monkeypatch):
+def make_reader(monkeypatch):
+    """Return a reader that has not listed the store yet."""
     monkeypatch.setattr(store_reader.eventlet, "sleep", lambda seconds: None)
     follower = RecordingFollower()
     mirror = StoreMirror({"k/": follower})
@@ -79,13 +79,19 @@
     reader = StoreReader(Store(), mirror, Readers(), Supervisor(metrics), metrics)
     reader.state_client = Boxes()
     reader.follower = follower
+    return reader
+
+
+@pytest.fixture
+def reader(monkeypatch):
+    reader = make_reader(monkeypatch)
     reader.read_once()
     return reader
 
 
-def tell(revision, value, steady_seconds=9.0):
+def tell(revision, value, steady_seconds=9.0, is_whole=False):
     entry = MirroredEntry("k/1", value, revision)
-    return State(revision, False, (entry,), (), steady_seconds)
+    return State(revision, is_whole, (entry,), (), steady_seconds)
 
 
 def test_a_box_with_readers_makes_no_call_to_the_store(reader):
@@ -181,6 +187,50 @@
     assert reader.mirror.unavailable_since is not None
 
 
+@pytest.mark.parametrize(("answered", "starts"), [([True], 0), ([False, True], 1)])
+def test_a_listing_under_way_is_restarted_only_after_an_unanswered_renewal(
+    monkeypatch, answered, starts
+):
+    """A registration that was faster than the first listing restarted it."""
+    reader = make_reader(monkeypatch)
+    started = []
+    reader.start = lambda: started.append(True)
+    list_store = reader.store.list
+
+    def list_slowly(prefix, may_be_old=False):
+        for is_answered in answered:
+            reader.note_reachable(is_answered)
+        return list_store(prefix, may_be_old)
+
+    reader.store.list = list_slowly
+    reader.read_once()
+    assert len(started) == starts
+
+
+@pytest.mark.parametrize("is_continued", [False, True])
+def test_a_first_listing_is_not_repeated_after_the_whole_state_of_another_box(
+    monkeypatch, is_continued
+):
+    """The listing was overtaken while it was under way, and read once more."""
+    reader = make_reader(monkeypatch)
+    list_store = reader.store.list
+
+    def list_overtaken(prefix, may_be_old=False):
+        listing = list_store(prefix, may_be_old)
+        reader.mirror.take_state(tell(5 if is_continued else 7, "told", is_whole=True))
+        if is_continued:
+            reader.mirror.take_state(tell(7, "told"))
+        return listing
+
+    reader.store.revision = 6 if is_continued else 4
+    reader.store.list = list_overtaken
+    reader.read_once()
+    assert not reader.needs_listing
+    assert reader.store.listings == [True]
+    assert reader.follower.entries == {"1": "told"}
+    assert reader.metrics.totals["store.listings_overtaken"] == 1
+
+
 def test_a_listing_older_than_what_a_box_told_meanwhile_is_read_anew(reader):
     reader.state_client.tell_all(tell(7, "told"))
     reader.read_once()
