Let a waiting call run after another request for its key was refused

Trace of the first: k2 was sent to an owner that was cut off, and its request waited there without an answer. A second request for k2 was refused before the first was looked up, 503 copies_unavailable, "may have run", for the owner could not confirm that it is one. Once reachable, the owner ran k2, once and before any other call of the program. The refusal is not final, so the first request still waits: the check dropped it. It is dropped by final answers only now; a run after nothing but refusals is a fault as before.

Trace of the second: a takeover removed an empty partition from the box's view while the box went through a list of it; such a record is no unseen win.

--- a/src/cedarchute/ownership/takeover.py
+++ b/src/cedarchute/ownership/takeover.py
@@ -76,6 +76,7 @@
         """Return whether the store shows a won takeover whose reply was lost."""
         return (
             record.owner == self.keeper.record.identity
+            and record.partition in self.view.partitions
             and record.partition != self.partitions.own_name
             and record.partition not in self.partitions.replicator.partitions
         )
--- a/tests/stateful/test_programs_machine.py
+++ b/tests/stateful/test_programs_machine.py
@@ -160,9 +160,11 @@
         answer = self.world.call(box, program, key, **request)
         self.asking = None
         self.check_runs()
-        self.waiting.discard(f"{program}:{key}")
         if answer is None:
             self.waiting.add(f"{program}:{key}")
+        elif answer.verdict != "may have run" or not isinstance(answer, Problem):
+            # Any other answer is final: the call has ended, or will not run.
+            self.waiting.discard(f"{program}:{key}")
         if self.world.has_streamed(program, key):
             self.order.on_accepted(program, key)
         _, earlier = self.told.get((program, key), (None, None))
