Remove a partition as empty only once its records are read

Found while looking for partitions that nobody takes over on other paths: a box that stops during a takeover found no logs yet, took the partition for empty and removed its record. Its programs would be lost for their callers.

Change: the stop waits until the records are read, within the time to drain; after that it leaves the partition to its holders.

Red before: the case of a recovering partition in daemon/test_stopper.py.

--- a/src/cedarchute/daemon/stopper.py
+++ b/src/cedarchute/daemon/stopper.py
@@ -101,7 +101,13 @@
         pool.waitall()
 
     def hand_over(self, partition: OwnedPartition) -> None:
-        """Hand one partition over, or remove it when it has no programs."""
+        """Hand one partition over, or remove it when it has no programs.
+
+        One whose records are still being read seems empty; it is left to its holders
+        if that takes too long.
+        """
+        if not self.wait_until(lambda: not partition.is_recovering, "records read"):
+            return
         partition.is_handing_over = True
         self.wait_until(lambda: not self.has_plain_calls(partition), "calls finished")
         if not partition.logs:
