Limit how long a silent holder delays the end of a takeover

Found in reading the change: a takeover waited for every sealed holder to have every record, up to 30 s for one that went silent after it was sealed, where a quorum had been enough before.

Change: the first attempt takes 2 s; after that the holders that have every record are enough, and others join later as usual.

Red before: 10 s are not enough in test_a_holder_that_goes_silent_after_it_was_sealed_delays_a_takeover_shortly with a first attempt of 0.1 s and a limit of 60 s; green after.

--- a/src/cedarchute/ownership/partition_keeper.py
+++ b/src/cedarchute/ownership/partition_keeper.py
@@ -240,7 +240,7 @@
         quorum = min(self.settings.wanted, len(wanted))
         if not wanted or quorum < min(partition.record.quorum, 1):
             return
-        self.join_holders(partition, wanted, quorum)
+        self.join_holders(partition, wanted, quorum, JOIN_SECONDS)
 
     def settle_inherited(
         self, partition: OwnedPartition, sealed: tuple[str, ...]
@@ -267,9 +267,13 @@
             return True
         if self.find_usable(partition.record.holders) == partition.record.holders:
             return True
-        holders = self.find_usable(sealed) or wanted
+        usable = self.find_usable(sealed)
+        # A sealed holder that has gone silent since delays the first attempt only.
+        complete = tuple(h for h in usable if find_late_log(partition, (h,)) is None)
+        holders = complete or usable or wanted
         quorum = min(self.settings.wanted, len(holders))
-        self.join_holders(partition, holders, quorum)
+        seconds = GATE_SECONDS if usable else JOIN_SECONDS
+        self.join_holders(partition, holders, quorum, seconds)
         return self.find_usable(partition.record.holders) == partition.record.holders
 
     def find_usable(self, holders: Iterable[str]) -> tuple[str, ...]:
@@ -286,15 +290,20 @@
         )
 
     def join_holders(
-        self, partition: OwnedPartition, holders: tuple[str, ...], quorum: int
+        self,
+        partition: OwnedPartition,
+        holders: tuple[str, ...],
+        quorum: int,
+        seconds: float,
     ) -> None:
         """Replicate to `holders`, then store them as the new holders.
 
-        Appends are blocked only for the last pass, limited to `GATE_SECONDS`.
+        Gives up after `seconds`. Appends are blocked only for the last pass, limited to
+        `GATE_SECONDS`.
         """
         partition.joining = holders
         try:
-            with eventlet.Timeout(JOIN_SECONDS, False):
+            with eventlet.Timeout(seconds, False):
                 self.replicate_all(partition, holders)
                 with partition.gate, eventlet.Timeout(GATE_SECONDS, False):
                     self.replicate_all(partition, holders)
--- a/tests/ownership/test_takeover.py
+++ b/tests/ownership/test_takeover.py
@@ -1,8 +1,10 @@
 from __future__ import annotations
 
+import eventlet
 import pytest
 from fake_world import FakeWorld
 
+from cedarchute.ownership import partition_keeper
 from cedarchute.problem import Problem
 from cedarchute.programs.requests import OpenRequest
 
@@ -103,3 +105,29 @@
     assert owner.replicator.partitions["b0.1"].is_recovering
     world.settle()
     assert world.find_home(program) is owner
+
+
+def test_a_holder_that_goes_silent_after_it_was_sealed_delays_a_takeover_shortly(
+    world, monkeypatch
+):
+    monkeypatch.setattr(partition_keeper, "GATE_SECONDS", 0.1)
+    monkeypatch.setattr(partition_keeper, "JOIN_SECONDS", 60.0)
+    program = world.open(0)
+    silent = []
+    for box in list(world.boxes.values())[1:]:
+        restore = box.takeover.recovery.restore
+
+        def restore_and_cut(partition, owner_gone, restore=restore, box=box):
+            sealed = restore(partition, owner_gone)
+            others = (b for b in world.boxes.values() if b.record.holder in sealed)
+            silent.append(next(b.port for b in others if b is not box))
+            world.network.cut.add(silent[0])
+            return sealed
+
+        monkeypatch.setattr(box.takeover.recovery, "restore", restore_and_cut)
+    world.kill(0)
+    world.pass_lease()
+    with eventlet.Timeout(10.0):
+        while world.find_home(program).find_partition(program).is_recovering:
+            eventlet.sleep(0.01)
+    assert silent
--- a/tests/stateful/fake_box.py
+++ b/tests/stateful/fake_box.py
@@ -205,7 +205,11 @@
 
     def find_record(self, program):
         """Return the partition record of a program as this box, its owner, has it."""
-        return self.replicator.partitions[parse_partition(program)].record
+        return self.find_partition(program).record
+
+    def find_partition(self, program):
+        """Return the partition of a program that this box owns."""
+        return self.replicator.partitions[parse_partition(program)]
 
     def look(self):
         """Do what the box's tasks do in one period."""
