Start processes of experiments from one thread that lives as long as they do

Cause: a thread for each start. The end of a thread runs weak reference callbacks in the main thread, and Python drops an exception that a signal handler raises in one.

Change: one thread starts all processes.

Besides, a takeover that is overtaken while its programs are recorded ends with a log line instead of an exception in its task; found in reading, with a test that was red before.

--- a/src/cedarchute/ownership/takeover.py
+++ b/src/cedarchute/ownership/takeover.py
@@ -7,7 +7,7 @@
 
 import eventlet
 
-from cedarchute.copies.owned_partition import OwnedPartition
+from cedarchute.copies.owned_partition import OwnedPartition, PartitionMovedError
 from cedarchute.ownership.hand_over import HandOver, HandOverReply
 from cedarchute.platform.store_client import StoreUnavailableError
 
@@ -174,7 +174,11 @@
         seal: this box is a holder of its own partition until then, and its failure
         would take the owner and a copy at once.
         """
-        sealed = self.recovery.restore(partition, owner_gone)
+        try:
+            sealed = self.recovery.restore(partition, owner_gone)
+        except PartitionMovedError as error:
+            log.info("Takeover of %s interrupted: %s.", partition.name, error)
+            return
         if sealed is None:
             return
         while not partition.is_lost:
--- a/src/experiments/process.py
+++ b/src/experiments/process.py
@@ -14,6 +14,9 @@
     from pathlib import Path
 
 STOP_SECONDS: Final = 60.0
+# One thread for the life of the experiment: the end of a thread runs weak reference
+# callbacks in the main thread, which drop an exception that a signal raises in them.
+STARTER: Final = ThreadPoolExecutor(1)
 
 
 class ProcessClosedError(Exception):
@@ -52,8 +55,7 @@
         ProcessClosedError
             After `close`.
         """
-        with ThreadPoolExecutor(1) as pool:
-            pool.submit(self._spawn).result()
+        STARTER.submit(self._spawn).result()
 
     def _spawn(self) -> None:
         with self.lock:
--- a/tests/ownership/test_takeover.py
+++ b/tests/ownership/test_takeover.py
@@ -4,6 +4,7 @@
 import pytest
 from fake_world import FakeWorld
 
+from cedarchute.copies.owned_partition import PartitionMovedError
 from cedarchute.ownership import partition_keeper
 from cedarchute.problem import Problem
 from cedarchute.programs.requests import OpenRequest
@@ -131,3 +132,19 @@
         while world.find_home(program).find_partition(program).is_recovering:
             eventlet.sleep(0.01)
     assert silent
+
+
+def test_a_takeover_ends_when_another_box_takes_the_partition_meanwhile(
+    world, monkeypatch, caplog
+):
+    """The records are read, and the takeover can't be recorded any more."""
+    caplog.set_level("INFO")
+    partition = world.boxes[0].replicator.partitions["b0.1"]
+
+    def move(partition, owner_gone):
+        raise PartitionMovedError(partition.name)
+
+    takeover = world.boxes[1].takeover
+    monkeypatch.setattr(takeover.recovery, "restore", move)
+    takeover.recover(partition, owner_gone=True)
+    assert "Takeover of b0.1 interrupted" in caplog.text
