Log and count the connections of callers that an entry closes

What callers saw: requests on open connections that ended without an answer around a planned stop. A connection that was closed as idle left no line, so one closed by the box and a caller that left looked alike.

Each connection closed without being asked now has a line with the reason, its age, the answers it carried and whether bytes lay unread, and a counter; the end of a stop tells how many requests are cut and how many connections are left.

The stand-in of the server in tests/daemon/test_entry_stop.py gets the two new members; no assertion changes.

--- a/src/cedarchute/daemon/entry_stop.py
+++ b/src/cedarchute/daemon/entry_stop.py
@@ -69,10 +69,20 @@
             self.server.close_idle()
             eventlet.sleep(STEP_SECONDS)
         self.end_registration()
-        seconds = round(time.monotonic() - started, 3)
-        log.info("Stopped.", extra={"seconds": seconds, "cut": self.server.is_busy})
+        self.record_end(time.monotonic() - started)
         self.done.send(None)
 
+    def record_end(self, seconds: float) -> None:
+        """Log how long the stop took and what it leaves behind."""
+        log.info(
+            "Stopped.",
+            extra={
+                "seconds": round(seconds, 3),
+                "cut": self.server.count_busy(),
+                "connections": len(self.server.connections),
+            },
+        )
+
     def end_registration(self) -> None:
         """Take this box's entry back, if the store answers in time."""
         ended = eventlet.spawn(self.registration.end)
--- a/src/cedarchute/relay/caller_connection.py
+++ b/src/cedarchute/relay/caller_connection.py
@@ -43,6 +43,7 @@
         # An error is queued behind the valid requests that were received before it.
         self.requests: LightQueue[CallerRequest | RequestError] = LightQueue()
         self.busy = False
+        self.answered = 0
         self.opened_at = time.monotonic()
         self.worker: eventlet.greenthread.GreenThread | None = None
 
@@ -99,6 +100,7 @@
                     raise RequestError(408, "request not sent in time") from None
                 if self.busy or not self.requests.empty():
                     continue
+                self.record_close("idle")
                 return
             if not data:
                 return
@@ -134,6 +136,7 @@
             except OSError:
                 keep_open = False
             self.busy = False
+            self.answered += 1
             if not keep_open:
                 self.shut_down()
                 return
@@ -176,6 +179,34 @@
             if not self.receive(remaining):
                 return
 
+    def close_for_stop(self) -> None:
+        """Close an idle connection because the process ends."""
+        self.record_close("stop")
+        self.shut_down()
+
+    def record_close(self, reason: str) -> None:
+        """Count and log that this side closes the connection without being asked."""
+        has_unread = self.has_unread_input()
+        self.server.metrics.count(f"connections.closed.{reason}")
+        if has_unread:
+            self.server.metrics.count("connections.closed.unread")
+        log.info(
+            "Closed a caller's connection.",
+            extra={
+                "why": reason,
+                "answered": self.answered,
+                "open_seconds": round(time.monotonic() - self.opened_at, 3),
+                "has_unread": has_unread,
+            },
+        )
+
+    def has_unread_input(self) -> bool:
+        """Return whether the socket has received bytes that are not read yet."""
+        try:
+            return bool(self.sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+        except OSError:
+            return False
+
     def shut_down(self) -> None:
         """Shut down both directions; the reading task then ends."""
         try:
--- a/src/cedarchute/relay/caller_server.py
+++ b/src/cedarchute/relay/caller_server.py
@@ -81,7 +81,7 @@
         """Close the idle connections."""
         for connection in list(self.connections):
             if connection.is_idle:
-                connection.shut_down()
+                connection.close_for_stop()
 
     def stop_accepting(self) -> None:
         """Close the listener; open connections go on."""
@@ -90,4 +90,8 @@
     @property
     def is_busy(self) -> bool:
         """Whether any request is in progress."""
-        return any(not connection.is_idle for connection in self.connections)
+        return self.count_busy() > 0
+
+    def count_busy(self) -> int:
+        """Return how many connections have a request in progress."""
+        return sum(not connection.is_idle for connection in self.connections)
--- a/tests/daemon/test_entry_stop.py
+++ b/tests/daemon/test_entry_stop.py
@@ -14,6 +14,10 @@
     """Stands in for the server of callers; nothing is under way."""
 
     is_busy = False
+    connections = frozenset()
+
+    def count_busy(self):
+        return 0
 
     def begin_closing(self):
         pass
