Keep connections that are about to carry a request in a planned stop

Cause: the stop closes idle connections every 0.1 s, and a connection counted as idle as long as the process had read no byte of a request: one taken a moment ago, and one whose request lay unread in the kernel.

A caller that sends before the server's next read loses its request on a kept connection as well (test).

A connection is now closed only if a look at the socket finds no unread bytes and, when it has received nothing yet, only 0.3 s after it was taken.

--- a/src/cedarchute/relay/caller_connection.py
+++ b/src/cedarchute/relay/caller_connection.py
@@ -27,6 +27,9 @@
 # After an error response, input is read for this long: closing a socket with unread
 # data sends a reset, which can discard the response.
 LINGER_SECONDS: Final = 0.5
+# A caller sends its first request right after it connects, so a connection this young
+# is about to carry one.
+FIRST_REQUEST_SECONDS: Final = 0.3
 
 
 class CallerConnection:
@@ -43,6 +46,8 @@
         # An error is queued behind the valid requests that were received before it.
         self.requests: LightQueue[CallerRequest | RequestError] = LightQueue()
         self.busy = False
+        self.has_received = False
+        self.is_shut_down = False
         self.answered = 0
         self.opened_at = time.monotonic()
         self.worker: eventlet.greenthread.GreenThread | None = None
@@ -52,6 +57,22 @@
         """Whether no request is being received, queued or handled."""
         return not self.busy and not self.reader.in_message and self.requests.empty()
 
+    @property
+    def can_close(self) -> bool:
+        """Whether a close now loses no request that the caller has sent."""
+        if self.is_shut_down:
+            return True
+        if not self.is_idle or self.awaits_first_request:
+            return False
+        return not self.has_unread_input()
+
+    @property
+    def awaits_first_request(self) -> bool:
+        """Whether the connection is new and its first request is probably under way."""
+        if self.has_received:
+            return False
+        return time.monotonic() - self.opened_at < FIRST_REQUEST_SECONDS
+
     def run(self) -> None:
         """Serve the connection until either side closes it."""
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -104,6 +125,7 @@
                 return
             if not data:
                 return
+            self.has_received = True
             self.reader.feed(data)
             if self.reader.expects_continue and self.reader.in_body:
                 self.reader.expects_continue = False
@@ -181,6 +203,8 @@
 
     def close_for_stop(self) -> None:
         """Close an idle connection because the process ends."""
+        if self.is_shut_down:
+            return
         self.record_close("stop")
         self.shut_down()
 
@@ -209,6 +233,7 @@
 
     def shut_down(self) -> None:
         """Shut down both directions; the reading task then ends."""
+        self.is_shut_down = True
         try:
             self.sock.shutdown(socket.SHUT_RDWR)
         except OSError:
--- a/src/cedarchute/relay/caller_server.py
+++ b/src/cedarchute/relay/caller_server.py
@@ -78,9 +78,9 @@
         self.closing = True
 
     def close_idle(self) -> None:
-        """Close the idle connections."""
+        """Close the connections that carry no request, neither read nor unread."""
         for connection in list(self.connections):
-            if connection.is_idle:
+            if connection.can_close:
                 connection.close_for_stop()
 
     def stop_accepting(self) -> None:
@@ -89,8 +89,8 @@
 
     @property
     def is_busy(self) -> bool:
-        """Whether any request is in progress."""
-        return self.count_busy() > 0
+        """Whether any connection carries a request, read or unread."""
+        return any(not connection.can_close for connection in self.connections)
 
     def count_busy(self) -> int:
         """Return how many connections have a request in progress."""
--- /dev/null
+++ b/tests/relay/test_caller_server.py
@@ -0,0 +1,105 @@
+"""Connections of callers around a planned stop."""
+
+from __future__ import annotations
+
+import eventlet
+import pytest
+
+from cedarchute.metrics import Metrics
+from cedarchute.relay import caller_connection
+from cedarchute.relay.caller_server import CallerServer
+from cedarchute.relay.headers import Headers
+from cedarchute.relay.input_limits import InputLimits
+from experiments.raw_caller import build_request
+
+# Long enough for any machine; reached only if an answer never comes.
+HANG_SECONDS = 30.0
+ENDLESS_SECONDS = 3600.0
+REQUEST = build_request(b"/once/x", b"c1", b"a")
+
+
+class Caller:
+    """A connection from the test to a server in the same process."""
+
+    def __init__(self, address):
+        self.sock = eventlet.connect(address)
+
+    def send(self, data=REQUEST):
+        self.sock.sendall(data)
+
+    def read_to_close(self):
+        parts = []
+        while part := self.sock.recv(65536):
+            parts.append(part)
+        return b"".join(parts)
+
+
+@pytest.fixture
+def serve():
+    """Return a function that starts a server and returns it."""
+    started = []
+
+    def start(handle=answer):
+        listener = eventlet.listen(("127.0.0.1", 0))
+        server = CallerServer(listener, handle, InputLimits, Metrics())
+        server.address = listener.getsockname()
+        started.append((server, eventlet.spawn(server.serve_forever)))
+        return server
+
+    with eventlet.Timeout(HANG_SECONDS):
+        yield start
+    for server, accepting in started:
+        accepting.kill()
+        server.listener.close()
+
+
+def answer(request, writer):
+    writer.write_whole(200, Headers(), b"done")
+
+
+def connect(server, count=1):
+    """Connect `count` callers; return them once the server has taken them all."""
+    before = len(server.connections)
+    callers = [Caller(server.address) for _ in range(count)]
+    while len(server.connections) < before + count:
+        eventlet.sleep(0.001)
+    return callers if count > 1 else callers[0]
+
+
+def test_a_connection_just_taken_is_not_closed_as_idle(serve, monkeypatch):
+    monkeypatch.setattr(
+        caller_connection, "FIRST_REQUEST_SECONDS", ENDLESS_SECONDS, raising=False
+    )
+    server = serve()
+    caller = connect(server)
+    server.begin_closing()
+    server.close_idle()
+    assert server.is_busy
+    caller.send()
+    assert caller.read_to_close().startswith(b"HTTP/1.1 200 ")
+
+
+def test_a_connection_that_never_sends_a_request_does_not_hold_a_stop(
+    serve, monkeypatch
+):
+    monkeypatch.setattr(caller_connection, "FIRST_REQUEST_SECONDS", 0.0, raising=False)
+    server = serve()
+    caller = connect(server)
+    server.begin_closing()
+    server.close_idle()
+    assert not server.is_busy
+    assert caller.read_to_close() == b""
+
+
+def test_a_request_that_lies_unread_is_not_closed_with_its_connection(serve):
+    server = serve()
+    caller = connect(server)
+    caller.send()
+    assert caller.sock.recv(65536).startswith(b"HTTP/1.1 200 ")
+    server.begin_closing()
+    # Nothing yields between these lines, so the server cannot have read it.
+    caller.send()
+    server.close_idle()
+    assert server.is_busy
+    assert caller.read_to_close().startswith(b"HTTP/1.1 200 ")
+    assert server.metrics.totals["connections.closed.unread"] == 0
