Close idle connections only in the last phase of a planned stop

What callers saw: a request on a connection that had been idle since before SIGTERM ended without an answer when it crossed the close at 3.6 s or later, while the box still took new connections and answered everything else.

Cause: idle connections were closed from 3.6 s on, though each answer of the stop says that its connection closes. Closing them as well tells a caller nothing that it could heed in time; the request that it sends at that moment is lost.

By reading, not by a run: that a crossing needs a close, and that these closes were not needed.

Idle connections now stay open until the listener is closed; the stop takes no longer than before, as nothing waits for them. The test was red before: the first close came 3.6 s after the stop began, 2.8 s before the listener closed. It runs in virtual time.

--- a/src/cedarchute/daemon/entry_stop.py
+++ b/src/cedarchute/daemon/entry_stop.py
@@ -15,9 +15,6 @@
 
 log = logging.getLogger("cedarchute.daemon")
 
-# Callers keep an answer for a second, some three times as long, and use their open
-# connections until then: one closed earlier may cross a request.
-CLOSE_IDLE_SECONDS: Final = 3.6
 # Some callers keep an answer three times as long as it says, so connections are taken
 # until this much of the grace is left: enough for what came in last.
 LAST_CALLS_SECONDS: Final = 1.6
@@ -30,7 +27,7 @@
 
 
 class EntryStop:
-    """Not ready at once, then no idle connections, no new ones, and the end."""
+    """Not ready at once, then no new connections, no idle ones, and the end."""
 
     def __init__(
         self, server: CallerServer, registration: Registration, grace_seconds: float
@@ -61,17 +58,23 @@
         last_calls = started + max(0.0, self.grace_seconds - LAST_CALLS_SECONDS)
         while time.monotonic() < last_calls:
             eventlet.sleep(STEP_SECONDS)
-            if time.monotonic() - started > CLOSE_IDLE_SECONDS:
-                self.server.close_idle()
         self.server.stop_accepting()
-        end = started + self.grace_seconds - EXIT_MARGIN_SECONDS
-        while self.server.is_busy and time.monotonic() < end:
-            self.server.close_idle()
-            eventlet.sleep(STEP_SECONDS)
+        self.finish_requests(started + self.grace_seconds - EXIT_MARGIN_SECONDS)
         self.end_registration()
         self.record_end(time.monotonic() - started)
         self.done.send(None)
 
+    def finish_requests(self, end: float) -> None:
+        """Close connections as they become idle, until all are or until `end`.
+
+        Idle connections stay open before: callers learn from the next response that
+        theirs closes, whereas a close may cross a request.
+        """
+        self.server.close_idle()
+        while self.server.is_busy and time.monotonic() < end:
+            eventlet.sleep(STEP_SECONDS)
+            self.server.close_idle()
+
     def record_end(self, seconds: float) -> None:
         """Log how long the stop took and what it leaves behind."""
         log.info(
--- a/tests/daemon/test_entry_stop.py
+++ b/tests/daemon/test_entry_stop.py
@@ -1,8 +1,10 @@
 from __future__ import annotations
 
 import eventlet
+import pytest
 from eventlet.event import Event
 
+from cedarchute.daemon import entry_stop
 from cedarchute.daemon.entry_stop import EntryStop
 
 # Long enough for any machine; reached only if the stop hangs.
@@ -50,3 +52,75 @@
         stop.ask()
         stop.wait()
     assert registration.asked_to_end.ready()
+
+
+class RecordingServer(IdleServer):
+    """Notes what the stop asks for, and when."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.asked = {}
+
+    def begin_closing(self):
+        self.note("begin_closing")
+
+    def stop_accepting(self):
+        self.note("stop_accepting")
+
+    def close_idle(self):
+        self.note("close_idle")
+
+    def note(self, what):
+        self.asked.setdefault(what, self.clock.now)
+
+
+class QuickRegistration:
+    """Stands in for the registration; the store answers at once."""
+
+    def leave(self):
+        pass
+
+    def end(self):
+        pass
+
+
+class VirtualClock:
+    """Time that passes only while something sleeps."""
+
+    def __init__(self):
+        self.now = 1000.0
+
+    def monotonic(self):
+        return self.now
+
+    def sleep(self, seconds):
+        self.now += seconds
+        eventlet.sleep(0)
+
+
+@pytest.fixture
+def clock(monkeypatch):
+    clock = VirtualClock()
+    monkeypatch.setattr(entry_stop, "time", clock)
+    monkeypatch.setattr(entry_stop, "eventlet", VirtualEventlet(clock))
+    return clock
+
+
+class VirtualEventlet:
+    """eventlet with a sleep in virtual time."""
+
+    def __init__(self, clock):
+        self.sleep = clock.sleep
+        self.spawn = eventlet.spawn
+        self.spawn_n = eventlet.spawn_n
+        self.Timeout = eventlet.Timeout
+
+
+def test_idle_connections_stay_open_while_new_ones_are_taken(clock):
+    server = RecordingServer(clock)
+    stop = EntryStop(server, QuickRegistration(), 8.0)
+    stop.run()
+    assert server.asked["begin_closing"] == 1000.0
+    assert server.asked["close_idle"] >= server.asked["stop_accepting"]
+    assert server.asked["stop_accepting"] == pytest.approx(1006.4, abs=0.11)
+    assert clock.now < 1008.0 - entry_stop.END_SECONDS
