Accept the connections in the queue of a listener before it closes

What callers saw, or would: a connection that the kernel had completed, with the request already sent, was reset when a planned stop closed the listener.

Cause: the accepting task takes connections one by one; those still in the kernel's queue are reset by the close. A connection just accepted was also not counted until its own task ran, so the stop could end before it.

Evidence: the test connects five callers that send at once, without letting the server run, and closes the listener: before, the server called itself idle, and none was answered.

The queue is emptied without waiting right before the close, a connection counts from its acceptance, and a line tells how many were taken this way. Between the last look and the close a connection can still arrive; that gap is some microseconds and cannot be closed from a process.

--- a/src/cedarchute/relay/caller_server.py
+++ b/src/cedarchute/relay/caller_server.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import logging
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 import eventlet
+from eventlet.greenio import GreenSocket
 
 from cedarchute.relay.caller_connection import CallerConnection
 
@@ -21,6 +22,9 @@
 
 log = logging.getLogger("cedarchute.relay")
 
+# More than any listener of this box queues.
+MAX_QUEUED_CONNECTIONS: Final = 4096
+
 
 class CallerServer:
     """Tracks the open caller connections and holds their shared settings."""
@@ -50,12 +54,16 @@
                 log.warning("Failed to accept a connection: %s", error)
                 eventlet.sleep(0.01)
                 continue
-            eventlet.spawn_n(self.serve, sock)
+            self.start_connection(sock)
 
-    def serve(self, sock: socket.socket) -> None:
-        """Serve one connection until it is closed."""
+    def start_connection(self, sock: socket.socket) -> None:
+        """Serve one connection in a task of its own; it counts from now on."""
         connection = CallerConnection(sock, self)
         self.connections.add(connection)
+        eventlet.spawn_n(self.serve, connection)
+
+    def serve(self, connection: CallerConnection) -> None:
+        """Serve one connection until it is closed."""
         try:
             connection.run()
         finally:
@@ -84,8 +92,30 @@
                 connection.close_for_stop()
 
     def stop_accepting(self) -> None:
-        """Close the listener; open connections go on."""
+        """Close the listener; open connections go on.
+
+        The kernel resets the connections that are still in the queue of a listener
+        that closes, so these are accepted first.
+        """
+        accepted = self.accept_queued()
         self.listener.close()
+        log.info(
+            "Accepting no more connections.",
+            extra={"queued": accepted, "open": len(self.connections)},
+        )
+
+    def accept_queued(self) -> int:
+        """Accept the connections in the listener's queue; return how many."""
+        for accepted in range(MAX_QUEUED_CONNECTIONS):
+            try:
+                sock, _ = self.listener.fd.accept()
+            except BlockingIOError:
+                return accepted
+            except OSError as error:
+                log.warning("Failed to accept a connection: %s", error)
+                return accepted
+            self.start_connection(GreenSocket(sock))
+        return MAX_QUEUED_CONNECTIONS
 
     @property
     def is_busy(self) -> bool:
--- a/tests/relay/test_caller_server.py
+++ b/tests/relay/test_caller_server.py
@@ -4,6 +4,8 @@
 
 import eventlet
 import pytest
+from eventlet.greenio import GreenSocket
+from eventlet.patcher import original
 
 from cedarchute.metrics import Metrics
 from cedarchute.relay import caller_connection
@@ -22,7 +24,8 @@
     """A connection from the test to a server in the same process."""
 
     def __init__(self, address):
-        self.sock = eventlet.connect(address)
+        # Blocks until the kernel has connected it; the server does not run meanwhile.
+        self.sock = GreenSocket(original("socket").create_connection(address))
 
     def send(self, data=REQUEST):
         self.sock.sendall(data)
@@ -103,3 +106,18 @@
     assert server.is_busy
     assert caller.read_to_close().startswith(b"HTTP/1.1 200 ")
     assert server.metrics.totals["connections.closed.unread"] == 0
+
+
+def test_connections_in_the_queue_of_a_closing_listener_are_not_reset(serve):
+    server = serve()
+    eventlet.sleep(0)
+    server.begin_closing()
+    # Nothing yields between these lines: the kernel completes the handshakes, and the
+    # server has accepted none of them.
+    callers = [Caller(server.address) for _ in range(5)]
+    for caller in callers:
+        caller.send()
+    server.stop_accepting()
+    assert server.is_busy
+    for caller in callers:
+        assert caller.read_to_close().startswith(b"HTTP/1.1 200 ")
