--- a/src/cedarchute/relay/caller_connection.py
+++ b/src/cedarchute/relay/caller_connection.py
@@ -27,6 +27,9 @@
 # After an error response, input is read for this long: closing a socket with unread
 # data sends a reset, which can discard the response.
 LINGER_SECONDS: Final = 0.5
+# A caller sends its first request right after it connects, so a connection this young
+# is about to carry one.
+FIRST_REQUEST_SECONDS: Final = 0.3
 
 
 class CallerConnection:
@@ -43,6 +46,9 @@
         # An error is queued behind the valid requests that were received before it.
         self.requests: LightQueue[CallerRequest | RequestError] = LightQueue()
         self.busy = False
+        self.has_received = False
+        self.is_shut_down = False
+        self.answered = 0
         self.opened_at = time.monotonic()
         self.worker: eventlet.greenthread.GreenThread | None = None
 
@@ -51,6 +57,22 @@
         """Whether no request is being received, queued or handled."""
         return not self.busy and not self.reader.in_message and self.requests.empty()
 
+    @property
+    def can_close(self) -> bool:
+        """Whether a close now loses no request that the caller has sent."""
+        if self.is_shut_down:
+            return True
+        if not self.is_idle or self.awaits_first_request:
+            return False
+        return not self.has_unread_input()
+
+    @property
+    def awaits_first_request(self) -> bool:
+        """Whether the connection is new and its first request is probably under way."""
+        if self.has_received:
+            return False
+        return time.monotonic() - self.opened_at < FIRST_REQUEST_SECONDS
+
     def run(self) -> None:
         """Serve the connection until either side closes it."""
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -99,9 +121,11 @@
                     raise RequestError(408, "request not sent in time") from None
                 if self.busy or not self.requests.empty():
                     continue
+                self.record_close("idle")
                 return
             if not data:
                 return
+            self.has_received = True
             self.reader.feed(data)
             if self.reader.expects_continue and self.reader.in_body:
                 self.reader.expects_continue = False
@@ -134,6 +158,7 @@
             except OSError:
                 keep_open = False
             self.busy = False
+            self.answered += 1
             if not keep_open:
                 self.shut_down()
                 return
@@ -176,8 +201,39 @@
             if not self.receive(remaining):
                 return
 
+    def close_for_stop(self) -> None:
+        """Close an idle connection because the process ends."""
+        if self.is_shut_down:
+            return
+        self.record_close("stop")
+        self.shut_down()
+
+    def record_close(self, reason: str) -> None:
+        """Count and log that this side closes the connection without being asked."""
+        has_unread = self.has_unread_input()
+        self.server.metrics.count(f"connections.closed.{reason}")
+        if has_unread:
+            self.server.metrics.count("connections.closed.unread")
+        log.info(
+            "Closed a caller's connection.",
+            extra={
+                "why": reason,
+                "answered": self.answered,
+                "open_seconds": round(time.monotonic() - self.opened_at, 3),
+                "has_unread": has_unread,
+            },
+        )
+
+    def has_unread_input(self) -> bool:
+        """Return whether the socket has received bytes that are not read yet."""
+        try:
+            return bool(self.sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+        except OSError:
+            return False
+
     def shut_down(self) -> None:
         """Shut down both directions; the reading task then ends."""
+        self.is_shut_down = True
         try:
             self.sock.shutdown(socket.SHUT_RDWR)
         except OSError:
--- a/src/cedarchute/relay/caller_server.py
+++ b/src/cedarchute/relay/caller_server.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import logging
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 import eventlet
+from eventlet.greenio import GreenSocket
 
 from cedarchute.relay.caller_connection import CallerConnection
 
@@ -21,6 +22,9 @@
 
 log = logging.getLogger("cedarchute.relay")
 
+# More than any listener of this box queues.
+MAX_QUEUED_CONNECTIONS: Final = 4096
+
 
 class CallerServer:
     """Tracks the open caller connections and holds their shared settings."""
@@ -50,12 +54,16 @@
                 log.warning("Failed to accept a connection: %s", error)
                 eventlet.sleep(0.01)
                 continue
-            eventlet.spawn_n(self.serve, sock)
+            self.start_connection(sock)
 
-    def serve(self, sock: socket.socket) -> None:
-        """Serve one connection until it is closed."""
+    def start_connection(self, sock: socket.socket) -> None:
+        """Serve one connection in a task of its own; it counts from now on."""
         connection = CallerConnection(sock, self)
         self.connections.add(connection)
+        eventlet.spawn_n(self.serve, connection)
+
+    def serve(self, connection: CallerConnection) -> None:
+        """Serve one connection until it is closed."""
         try:
             connection.run()
         finally:
@@ -78,16 +86,42 @@
         self.closing = True
 
     def close_idle(self) -> None:
-        """Close the idle connections."""
+        """Close the connections that carry no request, neither read nor unread."""
         for connection in list(self.connections):
-            if connection.is_idle:
-                connection.shut_down()
+            if connection.can_close:
+                connection.close_for_stop()
 
     def stop_accepting(self) -> None:
-        """Close the listener; open connections go on."""
+        """Close the listener; open connections go on.
+
+        The kernel resets the connections that are still in the queue of a listener
+        that closes, so these are accepted first.
+        """
+        accepted = self.accept_queued()
         self.listener.close()
+        log.info(
+            "Accepting no more connections.",
+            extra={"queued": accepted, "open": len(self.connections)},
+        )
+
+    def accept_queued(self) -> int:
+        """Accept the connections in the listener's queue; return how many."""
+        for accepted in range(MAX_QUEUED_CONNECTIONS):
+            try:
+                sock, _ = self.listener.fd.accept()
+            except BlockingIOError:
+                return accepted
+            except OSError as error:
+                log.warning("Failed to accept a connection: %s", error)
+                return accepted
+            self.start_connection(GreenSocket(sock))
+        return MAX_QUEUED_CONNECTIONS
 
     @property
     def is_busy(self) -> bool:
-        """Whether any request is in progress."""
-        return any(not connection.is_idle for connection in self.connections)
+        """Whether any connection carries a request, read or unread."""
+        return any(not connection.can_close for connection in self.connections)
+
+    def count_busy(self) -> int:
+        """Return how many connections have a request in progress."""
+        return sum(not connection.is_idle for connection in self.connections)
