Wait for holders that are starting before a copy counts as complete

What callers saw: 404 of a turn that was answered whole, after a disk was lost and all other boxes lost power (or were killed) at the same moment.

Cause: a holder that has started with a complete disk but does not serve yet rejected a copy as if its disk were empty. `CatchUp` counts an empty holder as read. So the holder with the lost disk became complete without the records of the others; of a turn on its old disk and one other, two of three holders then knew nothing, which proves absence.

Evidence: by reading, then a test with the real holders that was red on the old `Holder` (`run_once` returned True while both others were starting).

The rejection of a complete disk now counts as no answer, so the copy is tried again until that holder serves, which needs the seat table only.

--- a/src/cedarchute/daemon/holder_box.py
+++ b/src/cedarchute/daemon/holder_box.py
@@ -94,6 +94,7 @@
         self.holder = Holder(
             self.book, seats, identity.disk, SeatVersionFile(self.folder)
         )
+        self.holder.is_disk_complete = identity.complete
         client = HolderClient(metrics)
         self.keeper = SeatManager(
             self.parts.store,
--- a/src/cedarchute/turns/holder.py
+++ b/src/cedarchute/turns/holder.py
@@ -57,7 +57,14 @@
 
 
 class Holder:
-    """Serves requests made under the newest table; rejects all until caught up."""
+    """Serves requests made under the newest table; rejects all until caught up.
+
+    Attributes
+    ----------
+    is_disk_complete : bool
+        Whether the disk already had all its records when the process started. Such a
+        holder may not serve yet, but a copy that left it out could lack a record.
+    """
 
     def __init__(
         self,
@@ -70,6 +77,7 @@
         self.seats = seats
         self.disk = disk
         self.version_file = version_file
+        self.is_disk_complete = False
         self.caught_up = False
 
     def check_addressee(self, message: Addressed) -> None:
@@ -80,8 +88,15 @@
             raise HolderError("another disk holds this seat", table)
         if message.table_version < table.version:
             raise HolderError("the table of seats is old", table)
-        if not self.caught_up:
-            raise HolderError("catching up", is_empty=True)
+        self.check_caught_up()
+
+    def check_caught_up(self) -> None:
+        """Reject requests until this holder serves."""
+        if self.caught_up:
+            return
+        if self.is_disk_complete:
+            raise HolderError("starting")
+        raise HolderError("catching up", is_empty=True)
 
     def persist_table_version(self) -> None:
         """Persist the current table version; fail if a newer one was persisted."""
@@ -145,8 +160,7 @@
         if message.table.version < self.seats.table.version:
             raise HolderError("the table of seats is old", self.seats.table)
         self.persist_table_version()
-        if not self.caught_up:
-            raise HolderError("catching up", is_empty=True)
+        self.check_caught_up()
         records: list[Record] = []
         size = 0
         for program in sorted(p for p in self.storage.programs if p > message.after):
--- a/tests/turns/test_catch_up.py
+++ b/tests/turns/test_catch_up.py
@@ -5,9 +5,11 @@
 
 from cedarchute.turns.active_seat_table import ActiveSeatTable
 from cedarchute.turns.catch_up import CatchUp
+from cedarchute.turns.holder import Holder, HolderError
 from cedarchute.turns.holder_client import HolderRefusedError, HolderUnavailableError
 from cedarchute.turns.messages import CopiedRecords, Refused
 from cedarchute.turns.seat_table import Seat, SeatTable
+from cedarchute.turns.seat_version_file import SeatVersionFile
 
 WHOLE = "whole"
 EMPTY = "empty"
@@ -71,3 +73,44 @@
     tmp_path, losses, states, done
 ):
     assert run(tmp_path, losses, *states)[0] is done
+
+
+class DirectClient:
+    """Other holders, in this process."""
+
+    def __init__(self, holders):
+        self.holders = holders
+
+    def ask(self, address, path, message, answer):
+        try:
+            return self.holders[address].copy_records(message)
+        except HolderError as error:
+            refusal = Refused(error.reason, error.table, error.is_empty)
+            raise HolderRefusedError(refusal) from None
+
+
+def test_a_lost_disk_waits_for_the_copies_of_holders_that_are_starting(tmp_path):
+    names = ["lost", "box-1", "box-2"]
+    seats = tuple(Seat(name, name, f"disk-{name}", "a") for name in names)
+    table = SeatTable(5, True, 1, seats)
+    holders = {}
+    for name in names:
+        folder = tmp_path / name
+        folder.mkdir()
+        active_table = ActiveSeatTable()
+        active_table.update(table, "test")
+        version_file = SeatVersionFile(folder)
+        storage = make_storage(folder)
+        holder = Holder(storage, active_table, f"disk-{name}", version_file)
+        holders[name] = holder
+        if name != "lost":
+            storage.write([make_turn(f"of-{name}")])
+            holder.is_disk_complete = True
+    lost = holders["lost"]
+    catch_up = CatchUp(DirectClient(holders), lost.storage, lost.seats)
+    assert not catch_up.run_once(0)
+    holders["box-1"].caught_up = True
+    assert not catch_up.run_once(0)
+    holders["box-2"].caught_up = True
+    assert catch_up.run_once(0)
+    assert set(lost.storage.program_by_turn) == {"of-box-1", "of-box-2"}
