Let a disk catch up again when it takes a seat after it lost its own

What callers saw: 404 of a turn that was answered whole, after a holder that had been away longer than 2.5 s came back and took the seat of another one.

Cause: the disk stayed marked complete while another holder had its seat, so it served its next seat at once, without the records written meanwhile. It and one holder that had missed a turn then proved that the turn does not exist.

Evidence: real processes on with a spare: holder-1 away, holder-4 in its seat; a turn on holder-4 and holder-2; holder-1 back and in the seat of holder-2; then the turn was answered 404 with holder-1 and holder-3 up, and no `Caught up.` after the second start of holder-1.

A disk that is about to take a seat is marked incomplete first, durably, so it rejects requests until the copy is done, also across a restart.

--- a/src/cedarchute/turns/disk_identity.py
+++ b/src/cedarchute/turns/disk_identity.py
@@ -46,3 +46,9 @@
         identity = DiskIdentity(self.disk, complete=True)
         identity.save(folder)
         return identity
+
+    def mark_incomplete(self, folder: Path) -> DiskIdentity:
+        """Store and return this identity, marked incomplete."""
+        identity = DiskIdentity(self.disk, complete=False)
+        identity.save(folder)
+        return identity
--- a/src/cedarchute/turns/seat_manager.py
+++ b/src/cedarchute/turns/seat_manager.py
@@ -138,14 +138,22 @@
             self.write_table(empty.add_seat(self.own_seat))
             return
         number = table.find_box(self.own_seat.box)
-        if number is not None:
-            self.write_table(table.replace_seat(number, self.own_seat))
-        elif not table.closed:
+        if number is None and not table.closed:
             self.write_table(table.add_seat(self.own_seat))
-        else:
+            return
+        if number is None:
             number = self.find_free_seat(table)
-            if number is not None:
-                self.write_table(table.replace_seat(number, self.own_seat))
+        if number is not None:
+            self.require_catch_up()
+            self.write_table(table.replace_seat(number, self.own_seat))
+
+    def require_catch_up(self) -> None:
+        """Mark the disk incomplete: it got no records while it had no seat."""
+        self.holder.caught_up = False
+        self.holder.is_disk_complete = False
+        if self.identity.complete:
+            self.identity = self.identity.mark_incomplete(self.folder)
+            log.info("Disk without a seat has to catch up.")
 
     def close_table(self, table: SeatTable) -> None:
         """Make the number of seats final after the time to join has passed."""
--- a/tests/platform_site/test_turns_across_losses.py
+++ b/tests/platform_site/test_turns_across_losses.py
@@ -96,6 +96,33 @@
     assert site.target.requests[-1].body == b"aone\nb"
 
 
+def test_a_holder_that_comes_back_to_another_seat_knows_the_turns_since(turn_nodes):
+    site = turn_nodes
+
+    def wait_seated(name):
+        wait_until(lambda: name in (site.read("cedarchute/seats") or ""), name, 60)
+
+    site.kill("holder-1")
+    site.start_holder("holder-4", "d")
+    wait_seated("holder-4")
+    log = site.processes["holder-4"]
+    wait_until(lambda: "Caught up." in log.read_log(), "holder-4 caught up", 60)
+    site.kill("holder-3")
+    kept = wait_served(site, "a", "")
+    site.restart("holder-3")
+    site.restart("holder-1")
+    # The box that leaves must find the other two serving, or its seat stays taken.
+    for name in ("holder-1", "holder-3"):
+        wait_until(lambda n=name: site.answers(site.peers[n], "/metrics"), "it is back")
+    wait_served(site, "b", "")
+    site.kill("holder-2")
+    wait_seated("holder-1")
+    log = site.processes["holder-1"]
+    wait_until(lambda: count_caught_up(log) == 2, "holder-1 caught up", 60)
+    site.kill("holder-4")
+    wait_served(site, "c", kept)
+
+
 def test_a_holder_to_be_emptied_hands_over_what_it_has(turn_nodes):
     site = turn_nodes
     assert take_turn(site.callers["entry-1"], "a", b"a", "p")[0] == 200
--- a/tests/turns/test_seat_manager.py
+++ b/tests/turns/test_seat_manager.py
@@ -8,6 +8,7 @@
 from cedarchute.fleet.box_entry import BoxEntry, Role
 from cedarchute.turns import seat_manager
 from cedarchute.turns.active_seat_table import ActiveSeatTable
+from cedarchute.turns.disk_identity import DiskIdentity
 from cedarchute.turns.holder_client import HolderRefusedError, HolderUnavailableError
 from cedarchute.turns.messages import Refused
 from cedarchute.turns.seat_manager import SeatManager
@@ -181,3 +182,21 @@
     manager.seats.update(table.replace_seat(0, Seat("d", "d", "disk-d", "a")), "test")
     manager.step()
     assert [seat.box for seat in changes[0].seats] == ["d", "", "c"]
+
+
+def test_a_disk_that_comes_back_after_its_seat_was_taken_catches_up(clock, tmp_path):
+    manager, table = make_manager(("a", "c"), ())
+    DiskIdentity("disk-new", complete=True).save(tmp_path)
+    manager.folder = tmp_path
+    manager.identity = DiskIdentity.load(tmp_path)
+    manager.holder = SimpleNamespace(caught_up=True, is_disk_complete=True)
+    manager.write_table = lambda new: manager.seats.update(new, "test")
+    manager.catch_up = SimpleNamespace(run_once=lambda number: False)
+    manager.step()
+    clock.now += seat_manager.ABSENT_TIMEOUT_SECONDS + 1
+    manager.step()
+    assert manager.seats.table.find_disk("disk-new") == 1
+    manager.step()
+    assert not manager.holder.caught_up
+    assert not manager.holder.is_disk_complete
+    assert not DiskIdentity.load(tmp_path).complete
