--- a/src/cedarchute/turns/turn_journal.py
+++ b/src/cedarchute/turns/turn_journal.py
@@ -97,17 +97,21 @@
         """Write and sync; runs in an OS thread so as not to block green threads."""
         if self.file is None or self.written > SEGMENT_BYTES:
             self.open_segment()
-        view = memoryview(data)
-        while view:
-            view = view[os.write(self.file, view) :]
-        os.fdatasync(self.file)
+        try:
+            view = memoryview(data)
+            while view:
+                view = view[os.write(self.file, view) :]
+            os.fdatasync(self.file)
+        except OSError:
+            # The segment may end within a line, which the next one would continue.
+            self.close_segment()
+            raise
         self.written += len(data)
         self.since_compaction += len(data)
 
     def open_segment(self) -> None:
         """Open a new segment and sync its directory entry."""
-        if self.file is not None:
-            os.close(self.file)
+        self.close_segment()
         self.sequence += 1
         flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
         self.file = os.open(self.path(self.sequence), flags, 0o640)
@@ -119,6 +123,12 @@
             os.close(folder)
         self.written = 0
 
+    def close_segment(self) -> None:
+        """Close the open segment, if any; the next write opens a new one."""
+        if self.file is not None:
+            file, self.file = self.file, None
+            os.close(file)
+
     def roll_segment(self) -> int:
         """Make the next write open a new segment; return its number."""
         self.written = SEGMENT_BYTES + 1
--- a/tests/turns/test_turn_storage.py
+++ b/tests/turns/test_turn_storage.py
@@ -1,6 +1,11 @@
 from __future__ import annotations
 
+import os
+
+import pytest
+
 from cedarchute.metrics import Metrics
+from cedarchute.turns import turn_journal
 from cedarchute.turns.group_commit_writer import GroupCommitWriter
 from cedarchute.turns.program_state import ProgramState
 from cedarchute.turns.records import Reserved, Settled, Turn
@@ -116,3 +121,46 @@
         settled.apply(record)
     assert settled.budget == 50
     assert settled.spent == 7
+
+
+def test_a_write_that_fails_midway_spoils_no_later_record(tmp_path, monkeypatch):
+    storage = make_storage(tmp_path)
+    storage.write([make_turn("a")])
+    file = storage.writer.journal.file
+    write = os.write
+
+    def write_half(descriptor, data):
+        if descriptor != file:
+            return write(descriptor, data)
+        if len(data) < 50:
+            raise OSError("no room")
+        return write(descriptor, data[: len(data) // 2])
+
+    with monkeypatch.context() as patch:
+        patch.setattr(turn_journal.os, "write", write_half)
+        with pytest.raises(OSError, match="no room"):
+            storage.write([make_turn("b", "a")])
+    storage.write([make_turn("c", "a")])
+    again = make_storage(tmp_path)
+    again.load()
+    assert list(again.get_or_create("p").completed) == ["a", "c"]
+
+
+def test_a_segment_that_cannot_be_opened_closes_no_other_file(tmp_path, monkeypatch):
+    storage = make_storage(tmp_path)
+    storage.write([make_turn("a")])
+    storage.writer.journal.roll_segment()
+    file = storage.writer.journal.file
+
+    def fail(*arguments):
+        raise OSError("no room")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(turn_journal.os, "open", fail)
+        with pytest.raises(OSError, match="no room"):
+            storage.write([make_turn("b", "a")])
+    with (tmp_path / "other").open("wb") as other:
+        assert other.fileno() == file
+        storage.write([make_turn("c", "a")])
+        other.write(b"still open")
+    assert (tmp_path / "other").read_bytes() == b"still open"
