Check in the soak that requests end with an answer

The soak recorded an answer that did not come as None and checked nothing of it, so a stop that closed connections with a request on them broke no promise. Every try now keeps what its caller's socket saw: when the last byte was sent, how and when the connection ended, and how much of an answer had come. A request that was sent whole and got no whole answer, with no unplanned fault from 3 s before, breaks the promise if it ran at a target, ended later than 0.2 s after its last byte, or was the first of a connection that the entry had taken. The others are counted by reason.

--- a/src/experiments/soak/back_end.py
+++ b/src/experiments/soak/back_end.py
@@ -32,6 +32,7 @@
 MOST_WORK_SECONDS: Final = 0.06
 EVENT_SECONDS: Final = 0.01
 HANG_SECONDS: Final = 2.5
+SLOW_SECONDS: Final = 1.5
 
 
 class Manner(StrEnum):
@@ -43,6 +44,7 @@
     BREAK_OFF = "break_off"
     HANG = "hang"
     SURPLUS = "surplus"
+    SLOW = "slow"
 
 
 # Of a hundred requests.
@@ -54,23 +56,34 @@
     Manner.HANG: 1,
     Manner.SURPLUS: 2,
 }
+# Every request is answered whole.
+SOUND_SHARES: Final = {Manner.WELL: 92, Manner.SLOW: 8}
+UNSOUND: Final = frozenset((Manner.RESET, Manner.BREAK_OFF, Manner.HANG))
 
 
 class BackEnd:
     """One target; every run is recorded before any of its work is done."""
 
-    def __init__(self, name: str, service: str, seed: int, records: Records) -> None:
+    def __init__(
+        self,
+        name: str,
+        service: str,
+        seed: int,
+        records: Records,
+        shares: dict[Manner, int] = SHARES,
+    ) -> None:
         self.name = name
         self.service = service
         self.seed = seed
         self.records = records
+        self.shares = shares
         self.target = RawTarget(self.serve)
 
     def serve(self, request: RawRequest, connection: socket.socket) -> None:
         """Answer one request, in the manner drawn for it."""
         call_id = request.header("Attempt-Id") or ""
         chance = random.Random(f"{self.seed} {self.name} {call_id}")
-        manner = chance.choices(list(SHARES), list(SHARES.values()))[0]
+        manner = chance.choices(list(self.shares), list(self.shares.values()))[0]
         if manner is Manner.REFUSE:
             connection.sendall(refusal(request))
             return
@@ -85,6 +98,7 @@
                 produced,
                 workspace,
                 time.monotonic(),
+                manner not in UNSOUND,
             )
         )
         time.sleep(chance.uniform(0.0, MOST_WORK_SECONDS))
@@ -112,6 +126,7 @@
         manner: Manner,
     ) -> None:
         """Send events one by one."""
+        pause = SLOW_SECONDS / len(events) if manner is Manner.SLOW else EVENT_SECONDS
         connection.sendall(stream_head(request))
         for number, made in enumerate(events):
             if manner is Manner.BREAK_OFF and number == len(events) - 1:
@@ -119,7 +134,7 @@
                 reset(connection)
                 return
             connection.sendall(chunk(made))
-            time.sleep(EVENT_SECONDS)
+            time.sleep(pause)
         connection.sendall(LAST_CHUNK)
         if manner is Manner.SURPLUS:
             connection.sendall(b"more than an answer")
@@ -132,6 +147,8 @@
         manner: Manner,
     ) -> None:
         """Send one body."""
+        if manner is Manner.SLOW:
+            time.sleep(SLOW_SECONDS)
         whole = answer(request, body)
         if manner is Manner.BREAK_OFF:
             connection.sendall(whole[:-5])
--- a/src/experiments/soak/counting_caller.py
+++ b/src/experiments/soak/counting_caller.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import select
+import socket
 from typing import Final
 
 from experiments.raw_caller import RawCaller
@@ -10,14 +12,23 @@
 
 
 class CountingCaller(RawCaller):
-    """Counts events also of an answer that breaks off."""
+    """Counts events also of an answer that breaks off.
+
+    Attributes
+    ----------
+    requests : int
+        Requests begun on this connection.
+    """
 
     def __init__(self, address: str, seconds: float) -> None:
         super().__init__(address, seconds)
+        self.address = address
+        self.requests = 0
         self.seen = b""
 
     def start_request(self) -> None:
         """Begin to count anew."""
+        self.requests += 1
         self.seen = b""
 
     def receive(self) -> bytes:
@@ -30,3 +41,12 @@
     def event_count(self) -> int:
         """Events begun since the request."""
         return self.seen.count(EVENT_MARK)
+
+    @property
+    def is_closed(self) -> bool:
+        """Whether the other side has closed the connection, or reset it."""
+        readable, _, _ = select.select([self.sock], [], [], 0)
+        try:
+            return bool(readable) and not self.sock.recv(1, socket.MSG_PEEK)
+        except OSError:
+            return True
--- a/src/experiments/soak/fault_player.py
+++ b/src/experiments/soak/fault_player.py
@@ -4,6 +4,8 @@
 
 import threading
 import time
+from collections import Counter
+from contextlib import nullcontext
 from typing import TYPE_CHECKING, Final, TypeVar
 
 from experiments.soak.fault import Fault, FaultKind
@@ -17,6 +19,7 @@
 
 ThingT = TypeVar("ThingT")
 
+PLANNED: Final = frozenset((FaultKind.PLANNED_STOP, FaultKind.CONFIGURE))
 HARMS: Final = (Harm.DELAY, Harm.SILENCE, Harm.ONE_WAY, Harm.REFUSE)
 
 
@@ -29,6 +32,7 @@
         self.boxes = [*site.entries, *site.holders]
         self.locks = {name: threading.Lock() for name in [*self.boxes, "store"]}
         self.failures: list[str] = []
+        self.figures: Counter[str] = Counter()
         self.plays: dict[FaultKind, Callable[[Fault], None]] = {
             FaultKind.KILL: self.kill,
             FaultKind.PAUSE: self.pause,
@@ -44,6 +48,14 @@
             FaultKind.CONFIGURE: self.configure,
         }
 
+    @property
+    def count(self) -> int:
+        """How many faults are played."""
+        return len(self.faults)
+
+    def close(self) -> None:
+        """Leave the boxes as they are."""
+
     def play(self) -> None:
         """Play every fault at its time; return once all are over."""
         started = time.monotonic()
@@ -58,8 +70,10 @@
 
     def play_one(self, fault: Fault) -> None:
         """Play one fault; a failure to play it is a failure of the run."""
+        is_planned = fault.kind in PLANNED
         try:
-            self.plays[fault.kind](fault)
+            with nullcontext() if is_planned else self.site.records.disturbed():
+                self.plays[fault.kind](fault)
         except Exception as error:  # Reported with the run.
             self.failures.append(f"FAULT {fault.kind} was not played: {error!r}")
 
--- a/src/experiments/soak/program.py
+++ b/src/experiments/soak/program.py
@@ -10,6 +10,7 @@
 from experiments.raw_caller import build_request
 from experiments.soak.back_end import EVENT_TOKENS, MOST_EVENTS
 from experiments.soak.counting_caller import CountingCaller
+from experiments.soak.ending import Ending, How
 from experiments.soak.records import Kind, Try
 from experiments.soak.workspaces import (
     LIMITED_KEY,
@@ -112,6 +113,7 @@
         self, kind: Kind, program: str = "", budget: int = 0, previous: str = ""
     ) -> Try:
         """Send one try and record how it ended."""
+        self.pause()
         self.count += 1
         call_id = f"{self.name}t{self.count}"
         body = f"<{call_id} {self.chance.getrandbits(64):x}>".encode()
@@ -124,7 +126,7 @@
             PATHS[kind], call_id.encode(), body, headers=headers, patience=milliseconds
         )
         sent_at = time.monotonic()
-        status, answer, events = self.exchange(data)
+        status, answer, events, ending = self.exchange(data)
         tokens = events * EVENT_TOKENS if kind is Kind.TURN else 0
         tried = Try(
             call_id,
@@ -137,10 +139,14 @@
             tokens,
             key,
             sent_at,
+            ending,
         )
         self.records.add_try(tried)
         return tried
 
+    def pause(self) -> None:
+        """Wait before the next request: not at all."""
+
     def draw_key(self) -> str:
         """Return the key of a plain call."""
         drawn = self.key_chance.random()
@@ -148,21 +154,39 @@
             return self.records.passing.draw(self.key_chance)
         return LIMITED_KEY if drawn < PASSING_SHARE + LIMITED_SHARE else MAIN_KEY
 
-    def exchange(self, data: bytes) -> tuple[int | None, bytes, int]:
-        """Return status, body and events of an answer; no status if it is not whole."""
+    def exchange(self, data: bytes) -> tuple[int | None, bytes, int, Ending | None]:
+        """Return status, body, events and end of an answer.
+
+        There is no status if it is not whole, and no end without a connection.
+        """
         caller = self.connect()
         if caller is None:
-            return None, b"", 0
+            return None, b"", 0, None
+        was_closed = caller.is_closed
         caller.start_request()
+        status, headers, body = None, {}, b""
+        sent_at = None
         try:
             caller.send(data)
+            sent_at = time.monotonic()
             status, headers, body = caller.read_answer()
-        except (OSError, AssertionError, ValueError, IndexError):
-            self.leave()
-            return None, b"", caller.event_count
-        if headers.get("connection") == "close":
+            how = How.ANSWERED
+        except (OSError, AssertionError, ValueError, IndexError) as error:
+            how = tell_end(error)
+        now = time.monotonic()
+        ending = Ending(
+            caller.address,
+            caller.requests - 1,
+            sent_at,
+            now,
+            how,
+            len(caller.seen),
+            was_closed,
+            self.site.is_direct,
+        )
+        if how is not How.ANSWERED or headers.get("connection") == "close":
             self.leave()
-        return status, body, caller.event_count
+        return status, body, caller.event_count, ending
 
     def connect(self) -> CountingCaller | None:
         """Return the open connection, or a new one where an entry says."""
@@ -186,6 +210,13 @@
             self.caller = None
 
 
+def tell_end(error: Exception) -> How:
+    """Return how a request ended whose answer could not be read."""
+    if isinstance(error, TimeoutError):
+        return How.GIVEN_UP
+    return How.RESET if isinstance(error, OSError) else How.CLOSED
+
+
 def make_headers(program: str, budget: int, previous: str) -> bytes:
     """Return the header lines of a turn."""
     fields: dict[str, Any] = {
--- a/src/experiments/soak/promises.py
+++ b/src/experiments/soak/promises.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Final
 
 from experiments.soak.records import Kind
+from experiments.soak.unanswered import check_unanswered
 from experiments.soak.workspaces import (
     BURST,
     CALLS_PER_SECOND,
@@ -43,6 +44,7 @@
         *check_budgets(records, most_tokens),
         *check_keys(records),
         *check_limit(records),
+        *check_unanswered(records),
     ]
 
 
--- a/src/experiments/soak/records.py
+++ b/src/experiments/soak/records.py
@@ -3,12 +3,20 @@
 from __future__ import annotations
 
 import threading
+import time
 from collections import defaultdict
+from contextlib import contextmanager
 from dataclasses import dataclass
 from enum import StrEnum
+from typing import TYPE_CHECKING
 
 from experiments.soak.workspaces import PassingKeys
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from experiments.soak.ending import Ending
+
 
 class Kind(StrEnum):
     """What a try is."""
@@ -28,6 +36,8 @@
         Whose the target was told that the call is.
     at : float
         When it began, monotonic.
+    is_sound : bool
+        Whether the target means to answer it whole.
     """
 
     id: str
@@ -36,6 +46,7 @@
     produced: bytes
     workspace: str = ""
     at: float = 0.0
+    is_sound: bool = True
 
 
 @dataclass(frozen=True)
@@ -52,6 +63,8 @@
         The key that it carried, if any.
     sent_at : float
         When the caller sent it, monotonic.
+    ending : Ending or None
+        None when there was no connection to send it on.
     """
 
     id: str
@@ -64,6 +77,7 @@
     tokens: int = 0
     key: str = ""
     sent_at: float = 0.0
+    ending: Ending | None = None
 
 
 class Records:
@@ -75,6 +89,8 @@
         self.tries: dict[str, Try] = {}
         self.budgets: dict[str, int] = {}
         self.passing = PassingKeys()
+        # Beginnings and ends of unplanned faults, monotonic.
+        self.disturbances: dict[int, tuple[float, float]] = {}
 
     def add_run(self, run: Run) -> None:
         """Take in that a back end began to work."""
@@ -90,3 +106,20 @@
         """Take in a program and the tokens that it may be handed."""
         with self.lock:
             self.budgets[program] = budget
+
+    @contextmanager
+    def disturbed(self) -> Iterator[None]:
+        """Take in that an unplanned fault lasts until the block is left."""
+        began = time.monotonic()
+        with self.lock:
+            number = len(self.disturbances)
+            self.disturbances[number] = (began, float("inf"))
+        try:
+            yield
+        finally:
+            self.disturbances[number] = (began, time.monotonic())
+
+    def was_disturbed(self, first: float, last: float) -> bool:
+        """Whether an unplanned fault was under way between two moments."""
+        spans = self.disturbances.values()
+        return any(began <= last and ended >= first for began, ended in spans)
--- a/src/experiments/soak/soak_site.py
+++ b/src/experiments/soak/soak_site.py
@@ -8,7 +8,7 @@
 
 from cedarchute.decisions.quota_share import QuotaTolerance
 from experiments.node_site import NodeSite
-from experiments.soak.back_end import MODEL, PLAIN, BackEnd
+from experiments.soak.back_end import MODEL, PLAIN, SHARES, SOUND_SHARES, BackEnd
 from experiments.soak.link import Link
 from experiments.soak.records import Records
 from experiments.soak.workspaces import (
@@ -63,14 +63,21 @@
     Links stand before the store, one for each box, before each back end and before
     each entry's callers. Those between our own boxes have none: there, silence is a
     paused process, and a reset one that was killed.
+
+    Attributes
+    ----------
+    is_direct : bool
+        Whether callers reach the entries without a link between, which would take
+        connections for an entry that refuses them; all back ends then answer well.
     """
 
-    def __init__(self, folder: Path, seed: int) -> None:
+    def __init__(self, folder: Path, seed: int, is_direct: bool = False) -> None:
         self.records = Records()
         tolerance = QuotaTolerance(WINDOW_SECONDS, OVERRUN, SLACK)
         revoke_ms = int(REVOKE_SECONDS * 1000)
         self.nodes = NodeSite(folder, revoke_ms=revoke_ms, tolerance=tolerance)
         self.seed = seed
+        self.is_direct = is_direct
         self.store_links: dict[str, Link] = {}
         self.target_links: dict[str, Link] = {}
         self.caller_links: dict[str, Link] = {}
@@ -98,7 +105,8 @@
 
     def add_back_end(self, name: str, service: str) -> None:
         """Start a back end behind a link and register it."""
-        back_end = BackEnd(name, service, self.seed, self.records)
+        shares = SOUND_SHARES if self.is_direct else SHARES
+        back_end = BackEnd(name, service, self.seed, self.records, shares)
         link = Link(back_end.target.address)
         self.target_links[name] = link
         self.nodes.add_target(name, service, link.address)
@@ -121,6 +129,8 @@
             return []
         if reply.status != 200:
             return []
+        if self.is_direct:
+            return list(reply.document["Addresses"])
         links = {
             self.nodes.callers[entry]: link.address
             for entry, link in self.caller_links.items()
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -4,8 +4,10 @@
 
 import pytest
 
+from experiments.soak.ending import Ending, How
 from experiments.soak.promises import find_broken
 from experiments.soak.records import Kind, Records, Run, Try
+from experiments.soak.unanswered import Unanswered, count_unanswered
 
 MOST = 12
 
@@ -88,3 +90,96 @@
         records.add_run(run)
         records.add_try(Try(name, Kind.ONCE, b"x", 200, b"made"))
     assert bool(find_broken(records, MOST)) is is_broken
+
+
+SENT = 100.0
+
+
+def add_unanswered(records, seconds, how=How.CLOSED, number=3, **more):
+    """Add a request whose connection ended some time after its last byte."""
+    ending = Ending("entry", number, SENT, SENT + seconds, how, **more)
+    records.add_try(Try("u1", Kind.AGAIN, b"x", None, b"", ending=ending))
+
+
+def run_unanswered(records, is_sound=True):
+    records.add_run(Run("u1", "s-0", b"x", b"made", is_sound=is_sound))
+
+
+@pytest.mark.parametrize("how", [How.CLOSED, How.RESET])
+@pytest.mark.parametrize(
+    ("seconds", "number", "ran", "why"),
+    [
+        (0.01, 3, True, Unanswered.AFTER_RUN),
+        (2.9, 3, True, Unanswered.AFTER_RUN),
+        (0.21, 3, False, Unanswered.HELD),
+        (0.01, 0, False, Unanswered.NEW_CONNECTION),
+    ],
+)
+def test_a_request_that_ended_without_an_answer_is_found(
+    how, seconds, number, ran, why
+):
+    records = make_records()
+    add_unanswered(records, seconds, how, number)
+    if ran:
+        run_unanswered(records)
+    (line,) = find_broken(records, MOST)
+    assert line.startswith("LOST u1") and str(why) in line
+    assert count_unanswered(records) == {str(why): 1}
+
+
+def test_an_answer_that_broke_off_after_it_began_is_found():
+    records = make_records()
+    add_unanswered(records, 0.05, answer_bytes=40)
+    run_unanswered(records)
+    (line,) = find_broken(records, MOST)
+    assert "40 bytes of an answer" in line
+
+
+@pytest.mark.parametrize(
+    ("seconds", "how", "more", "why"),
+    [
+        (0.01, How.CLOSED, {}, Unanswered.AT_CLOSE),
+        (0.01, How.RESET, {}, Unanswered.AT_CLOSE),
+        (0.01, How.CLOSED, {"was_closed": True}, Unanswered.CLOSED_BEFORE),
+        (0.01, How.RESET, {"number": 0, "is_direct": False}, Unanswered.AT_CLOSE),
+        (4.0, How.GIVEN_UP, {}, Unanswered.GIVEN_UP),
+        (3.0, How.CLOSED, {}, Unanswered.TIMEOUT),
+    ],
+)
+def test_a_request_that_is_not_judged_is_counted(seconds, how, more, why):
+    records = make_records()
+    add_unanswered(records, seconds, how, **more)
+    assert find_broken(records, MOST) == []
+    assert count_unanswered(records) == {str(why): 1}
+
+
+def test_a_request_that_its_target_broke_off_is_counted():
+    records = make_records()
+    add_unanswered(records, 0.5)
+    run_unanswered(records, is_sound=False)
+    assert find_broken(records, MOST) == []
+    assert count_unanswered(records) == {str(Unanswered.TARGET): 1}
+
+
+@pytest.mark.parametrize(
+    ("began", "ended", "is_broken"),
+    [
+        (SENT - 9, SENT - 3.1, True),
+        (SENT - 9, SENT - 2.9, False),
+        (SENT + 0.1, SENT + 0.2, False),
+        (SENT - 9, float("inf"), False),
+        (SENT + 0.6, SENT + 9, True),
+    ],
+)
+def test_only_requests_beside_planned_work_alone_are_judged(began, ended, is_broken):
+    records = make_records()
+    records.disturbances[0] = (began, ended)
+    add_unanswered(records, 0.5)
+    assert bool(find_broken(records, MOST)) is is_broken
+    assert bool(count_unanswered(records)[Unanswered.DISTURBED]) is not is_broken
+
+
+def test_a_request_that_found_no_connection_is_none():
+    records = make_records()
+    records.add_try(Try("u1", Kind.AGAIN, b"x", None, b""))
+    assert not count_unanswered(records)
