Keep a signal during the start from ending the process

Callers saw connections reset: a caller that connected while a box was being started, and whose request lay in the queue of the early listener, got no answer when SIGHUP or SIGTERM came then. The process ended with -1 or -15.

Cause: handlers were installed by Signals, after all imports and after the box was built, while EarlyListener takes connections as the first thing that a start does. Until then the default action of both signals ended the process.

EarlySignals now installs one handler before any other import. It records number and time, stays for the life of the process, and never raises. Signals only adds the wakeup descriptor, and looks at what was recorded after that is in place, so there is no moment at which a signal is neither recorded nor looked at. Several signals are handled in their order; a handler that fails ends nothing. A stop asked for during the start is the planned one, with its grace counted from the signal, so the queue of the listener is served within it. What Python loads before our first line is not covered; nothing listens then.

--- a/src/cedarchute/daemon/entry_box.py
+++ b/src/cedarchute/daemon/entry_box.py
@@ -163,9 +163,9 @@
         """Whether callers should come here."""
         return self.routes.table is not None and not self.stop.asked
 
-    def ask_stop(self) -> None:
-        """Begin a planned stop, once."""
-        self.stop.ask()
+    def ask_stop(self, asked_at: float) -> None:
+        """Begin a planned stop, once; its grace began at `asked_at`."""
+        self.stop.ask(asked_at)
 
     def run(self) -> None:
         """Serve until a planned stop is done; callers are served first."""
--- a/src/cedarchute/daemon/entry_stop.py
+++ b/src/cedarchute/daemon/entry_stop.py
@@ -41,20 +41,19 @@
         self.asked = False
         self.done = Event()
 
-    def ask(self) -> None:
-        """Begin the stop, once."""
+    def ask(self, asked_at: float | None = None) -> None:
+        """Begin the stop, once; its grace began at `asked_at`, or begins now."""
         if self.asked:
             return
         self.asked = True
-        eventlet.spawn_n(self.run)
+        eventlet.spawn_n(self.run, time.monotonic() if asked_at is None else asked_at)
 
     def wait(self) -> None:
         """Return when the stop is done."""
         self.done.wait()
 
-    def run(self) -> None:
+    def run(self, started: float) -> None:
         """Carry the stop out."""
-        started = time.monotonic()
         log.info("Planned stop.", extra={"grace_seconds": self.grace_seconds})
         self.server.begin_closing()
         eventlet.spawn_n(self.registration.leave)
--- a/src/cedarchute/daemon/holder_box.py
+++ b/src/cedarchute/daemon/holder_box.py
@@ -119,8 +119,9 @@
         self.done = Event()
         self.asked = False
 
-    def ask_stop(self) -> None:
+    def ask_stop(self, asked_at: float) -> None:
         """Begin a planned stop, once."""
+        del asked_at
         if not self.asked:
             self.asked = True
             eventlet.spawn_n(self.finish)
--- a/src/cedarchute/daemon/main.py
+++ b/src/cedarchute/daemon/main.py
@@ -2,6 +2,11 @@
 
 from __future__ import annotations
 
+from cedarchute.daemon.early_signals import EARLY_SIGNALS
+
+# Before the slow imports and the early listener.
+EARLY_SIGNALS.install()
+
 import os
 import warnings
 
--- a/src/cedarchute/daemon/node_main.py
+++ b/src/cedarchute/daemon/node_main.py
@@ -7,8 +7,7 @@
 import sys
 from typing import TYPE_CHECKING, Final, Protocol
 
-import eventlet
-
+from cedarchute.daemon.early_signals import EARLY_SIGNALS
 from cedarchute.daemon.signals import Signals
 from cedarchute.fleet.box_entry import Role
 from cedarchute.metrics import Metrics
@@ -29,8 +28,8 @@
         """Serve until a planned stop is done."""
         ...
 
-    def ask_stop(self) -> None:
-        """Begin a planned stop, once."""
+    def ask_stop(self, asked_at: float) -> None:
+        """Begin a planned stop, once; its grace began at `asked_at`."""
         ...
 
 
@@ -46,17 +45,12 @@
     metrics = Metrics()
     box = build_box(settings, file, metrics)
 
-    def reload() -> None:
-        log.info("Settings changed; they apply from the next start.")
-
-    signals = Signals(
-        {
-            signal.SIGTERM: box.ask_stop,
-            signal.SIGINT: box.ask_stop,
-            signal.SIGHUP: reload,
-        }
-    )
-    eventlet.spawn_n(signals.run_forever)
+    handlers = {
+        signal.SIGTERM: box.ask_stop,
+        signal.SIGINT: box.ask_stop,
+        signal.SIGHUP: note_changed_settings,
+    }
+    Signals(EARLY_SIGNALS, handlers).start()
     log.info(
         "Started.", extra={"box": settings.box.name, "role": settings.box.role.value}
     )
@@ -65,6 +59,12 @@
     return OK
 
 
+def note_changed_settings(at_seconds: float) -> None:
+    """Log that a new settings file was not read."""
+    del at_seconds
+    log.info("Settings changed; they apply from the next start.")
+
+
 def build_box(settings: NodeSettings, file: str, metrics: Metrics) -> Box:
     """Return the box that the role asks for.
 
--- a/src/cedarchute/daemon/signals.py
+++ b/src/cedarchute/daemon/signals.py
@@ -2,29 +2,70 @@
 
 from __future__ import annotations
 
+import logging
 import signal
-import socket
-from typing import TYPE_CHECKING
+import time
+from typing import TYPE_CHECKING, Final
+
+import eventlet
+from eventlet.green import socket
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from cedarchute.daemon.early_signals import ArrivedSignal, EarlySignals
+
+log = logging.getLogger("cedarchute.daemon")
+
+READ_BYTES: Final = 64
+
 
 class Signals:
-    """Wakes a green thread for each signal; a handler alone would not wake the hub."""
+    """Wakes a green thread for each signal; a handler alone would not wake the hub.
 
-    def __init__(self, handlers: dict[signal.Signals, Callable[[], None]]) -> None:
+    Parameters
+    ----------
+    early : EarlySignals
+        Keeps every signal, also those from before this object was there.
+    handlers : dict
+        What each signal leads to, called with the time at which it arrived.
+    """
+
+    def __init__(
+        self,
+        early: EarlySignals,
+        handlers: dict[signal.Signals, Callable[[float], None]],
+    ) -> None:
+        self.early = early
         self.handlers = handlers
+        self.created_at = time.monotonic()
         self.reader, self.writer = socket.socketpair()
         self.writer.setblocking(False)
+
+    def start(self) -> None:
+        """Handle signals in a green thread, first those that have arrived already."""
+        # Before the first look at them, so that none arrives unseen in between.
         signal.set_wakeup_fd(self.writer.fileno(), warn_on_full_buffer=False)
-        for number in handlers:
-            signal.signal(number, lambda *_: None)
+        eventlet.spawn_n(self.run_forever)
 
     def run_forever(self) -> None:
-        """Call the handler of each signal that comes."""
+        """Handle each signal that arrives."""
         while True:
-            for number in self.reader.recv(64):
-                handler = self.handlers.get(signal.Signals(number))
-                if handler is not None:
-                    handler()
+            while self.early.arrived:
+                self.handle(self.early.arrived.popleft())
+            self.reader.recv(READ_BYTES)
+
+    def handle(self, arrived: ArrivedSignal) -> None:
+        """Log one signal and do what it asks for."""
+        log.info(
+            "Signal received.",
+            extra={
+                "signal": signal.Signals(arrived.number).name,
+                "during_start": arrived.at_seconds < self.created_at,
+                "ms_ago": round((time.monotonic() - arrived.at_seconds) * 1000, 1),
+            },
+        )
+        try:
+            self.handlers[signal.Signals(arrived.number)](arrived.at_seconds)
+        except Exception:
+            log.exception("Signal not handled.")
--- a/tests/daemon/test_entry_stop.py
+++ b/tests/daemon/test_entry_stop.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import time
+
 import eventlet
 from eventlet.event import Event
 
@@ -46,3 +48,10 @@
         stop.ask()
         stop.wait()
     assert registration.asked_to_end.ready()
+
+
+def test_the_grace_of_a_signal_during_the_start_began_after_the_start():
+    stop = EntryStop(IdleServer(), SilentRegistration(), 2 * HANG_SECONDS)
+    with eventlet.Timeout(HANG_SECONDS):
+        stop.ask(time.monotonic() - 2 * HANG_SECONDS)
+        stop.wait()
