--- a/tests/daemon/test_entry_stop.py
+++ b/tests/daemon/test_entry_stop.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import time
+
 import eventlet
 import pytest
 from eventlet.event import Event
@@ -119,8 +121,15 @@
 def test_idle_connections_stay_open_while_new_ones_are_taken(clock):
     server = RecordingServer(clock)
     stop = EntryStop(server, QuickRegistration(), 8.0)
-    stop.run()
+    stop.run(clock.now)
     assert server.asked["begin_closing"] == 1000.0
     assert server.asked["close_idle"] >= server.asked["stop_accepting"]
     assert server.asked["stop_accepting"] == pytest.approx(1006.4, abs=0.11)
     assert clock.now < 1008.0 - entry_stop.END_SECONDS
+
+
+def test_the_grace_of_a_signal_during_the_start_began_after_the_start():
+    stop = EntryStop(IdleServer(), SilentRegistration(), 2 * HANG_SECONDS)
+    with eventlet.Timeout(HANG_SECONDS):
+        stop.ask(time.monotonic() - 2 * HANG_SECONDS)
+        stop.wait()
