Answer the requests in progress before a stopped entry exits

What callers saw: the connection closed without an answer when the process ended with their request in progress.

Cause: after the grace of a planned stop the process exits, whatever is in progress. Nothing bounded calls by that time, and nothing told their callers.

A call that arrives in a stop now times out before the process ends. What is in progress at that time is interrupted where it waits: 503 if it was certainly sent to no target, otherwise 504, both with Connection: close. A request that is only half received gets 503. The stop takes no longer than before.

The unit tests use what is new here.

The stand-ins of the server in tests/daemon/test_entry_stop.py follow the new interface; no assertion changes.

--- a/src/cedarchute/calls/attempts.py
+++ b/src/cedarchute/calls/attempts.py
@@ -9,6 +9,8 @@
 import eventlet
 
 from cedarchute.calls.call_errors import CallRefusedError
+from cedarchute.calls.shutdown_deadline import STOPPING
+from cedarchute.relay.shutdown_error import ShutdownError
 from cedarchute.relay.target_failure import TargetFailureError
 from cedarchute.routing.route import Repeatability
 from cedarchute.verdict import Verdict
@@ -162,9 +164,16 @@
                 return target
             if time.monotonic() >= self.full_wait_deadline:
                 raise self.make_final_error("no target takes it")
-            eventlet.sleep(FULL_POLL_SECONDS)
+            self.wait_for_capacity()
             self.tried.clear()
 
+    def wait_for_capacity(self) -> None:
+        """Wait until targets are looked at again; raise if the box stops."""
+        try:
+            eventlet.sleep(FULL_POLL_SECONDS)
+        except ShutdownError:
+            raise self.make_final_error(STOPPING) from None
+
     def handle_attempt_failure(self, error: TargetFailureError) -> None:
         """Count a failed attempt; raise if the call must not be retried."""
         if error.verdict is Verdict.NOT_RUN:
--- a/src/cedarchute/calls/call_dispatcher.py
+++ b/src/cedarchute/calls/call_dispatcher.py
@@ -10,6 +10,7 @@
 from msgspec.structs import replace
 
 from cedarchute.calls.call_errors import CallRefusedError
+from cedarchute.calls.shutdown_deadline import STOPPING, make_shutdown_refusal
 from cedarchute.platform.call_headers import (
     ANSWER_ID,
     read_call,
@@ -17,6 +18,7 @@
     write_refusal_headers,
 )
 from cedarchute.relay.request_error import RequestError
+from cedarchute.relay.shutdown_error import ShutdownError
 from cedarchute.request_ids import set_request_id
 
 if TYPE_CHECKING:
@@ -24,11 +26,13 @@
     from cedarchute.calls.key_authenticator import KeyAuthenticator
     from cedarchute.calls.plain_call_handler import PlainCallHandler
     from cedarchute.calls.quota_check import QuotaCheck
+    from cedarchute.calls.shutdown_deadline import ShutdownDeadline
     from cedarchute.calls.stream_call_handler import StreamCallHandler
     from cedarchute.metrics import Metrics
     from cedarchute.relay.caller_request import CallerRequest
     from cedarchute.relay.reply_writer import ReplyWriter
     from cedarchute.routing.active_route_table import ActiveRouteTable
+    from cedarchute.routing.route import Route
 
 log = logging.getLogger("cedarchute.calls")
 
@@ -48,6 +52,7 @@
         quota_check: QuotaCheck,
         plain_handler: PlainCallHandler,
         stream_handler: StreamCallHandler,
+        shutdown: ShutdownDeadline,
         metrics: Metrics,
     ) -> None:
         self.routes = routes
@@ -55,6 +60,7 @@
         self.quota_check = quota_check
         self.plain_handler = plain_handler
         self.stream_handler = stream_handler
+        self.shutdown = shutdown
         self.metrics = metrics
 
     def handle(self, request: CallerRequest, writer: ReplyWriter) -> None:
@@ -69,6 +75,10 @@
         except RequestError as error:
             refusal = CallRefusedError(error.status, error.reason)
             self.send_refusal(request, writer, call_id, refusal)
+        except ShutdownError:
+            # The call may have run: what is certain not to have is refused elsewhere.
+            refusal = CallRefusedError(504, STOPPING)
+            self.send_refusal(request, writer, call_id, refusal)
         except (OSError, GreenletExit):
             self.record_caller_disconnect(request)
             raise
@@ -80,7 +90,19 @@
     def route_call(
         self, request: CallerRequest, writer: ReplyWriter, call: Call
     ) -> None:
-        """Authenticate a call, check its quota and pass it to its handler."""
+        """Pass a call that is admitted to the handler of its route."""
+        try:
+            call, route = self.admit(request, call)
+        except ShutdownError:
+            raise make_shutdown_refusal() from None
+        if route.is_stream:
+            self.stream_handler.run(request, writer, call, route)
+        else:
+            self.plain_handler.run(request, writer, call, route)
+        self.record_answer(request, writer, call, route)
+
+    def admit(self, request: CallerRequest, call: Call) -> tuple[Call, Route]:
+        """Authenticate a call and check its quota; return it with its route."""
         table = self.routes.wait(FIRST_CONFIGURATION_SECONDS)
         if table is None:
             wait = NO_CONFIGURATION_RETRY_SECONDS
@@ -91,16 +113,18 @@
                 404, "no route", facts=self.key_authenticator.describe_freshness()
             )
         call = replace(
-            call,
+            self.shutdown.limit(call, request.read_at),
             caller_identity=self.key_authenticator.authenticate(
                 request, call, route, table
             ),
         )
         self.quota_check.check(call, self.routes.version)
-        if route.is_stream:
-            self.stream_handler.run(request, writer, call, route)
-        else:
-            self.plain_handler.run(request, writer, call, route)
+        return call, route
+
+    def record_answer(
+        self, request: CallerRequest, writer: ReplyWriter, call: Call, route: Route
+    ) -> None:
+        """Count and log a call that was answered."""
         seconds = time.monotonic() - request.read_at
         self.metrics.count("calls.answered")
         self.metrics.time("calls.seconds", seconds)
--- a/src/cedarchute/calls/stream_call_handler.py
+++ b/src/cedarchute/calls/stream_call_handler.py
@@ -8,7 +8,9 @@
 
 from cedarchute.calls.attempts import Attempts
 from cedarchute.calls.call_errors import CallRefusedError
+from cedarchute.calls.shutdown_deadline import make_shutdown_refusal
 from cedarchute.relay.event_splitter import EventSplitter, read_data
+from cedarchute.relay.shutdown_error import ShutdownError
 from cedarchute.relay.target_failure import TargetFailureError
 from cedarchute.turns.chain_reader import NoSuchTurnError
 from cedarchute.turns.holder_fanout import NoQuorumError
@@ -60,9 +62,14 @@
     ) -> None:
         """Relay one call; raise `CallRefusedError` if it is rejected or fails."""
         service = self.target_client.load_balancer.select_service(route)
-        self.admission_controller.check(call, route, service)
         is_accounted = route.retains_turns or call.program.budget is not None
-        admission = self.admit(call) if is_accounted else TurnAdmission(b"", "")
+        try:
+            self.admission_controller.check(call, route, service)
+            admission = self.admit(call) if is_accounted else TurnAdmission(b"", "")
+        except ShutdownError:
+            if is_accounted:
+                self.quorum.cancel_reservation(call.program_key, call.id)
+            raise make_shutdown_refusal() from None
         relay = TurnRelay(self, request, writer, call, route, service, admission)
         try:
             relay.run()
--- a/src/cedarchute/daemon/entry_box.py
+++ b/src/cedarchute/daemon/entry_box.py
@@ -16,6 +16,7 @@
 from cedarchute.calls.plain_call_handler import PlainCallHandler
 from cedarchute.calls.program_admission_controller import ProgramAdmissionController
 from cedarchute.calls.quota_check import QuotaCheck
+from cedarchute.calls.shutdown_deadline import ShutdownDeadline
 from cedarchute.calls.stream_call_handler import StreamCallHandler
 from cedarchute.calls.target_client import TargetClient
 from cedarchute.daemon.entry_stop import EntryStop
@@ -112,7 +113,10 @@
         turns = StreamCallHandler(exchange, quorum, self.routes, self.gate, metrics)
         plain = PlainCallHandler(exchange, metrics)
         quota = QuotaCheck(QuotaClient(quorum.fanout, holders, box.name), metrics)
-        desk = CallDispatcher(self.routes, self.keys, quota, plain, turns, metrics)
+        shutdown = ShutdownDeadline()
+        desk = CallDispatcher(
+            self.routes, self.keys, quota, plain, turns, shutdown, metrics
+        )
         self.server = CallerServer(
             self.listen(listen.callers, file, "callers"),
             desk.handle,
@@ -120,7 +124,10 @@
             metrics,
         )
         self.stop = EntryStop(
-            self.server, self.parts.registration, settings.stop.grace_seconds
+            self.server,
+            self.parts.registration,
+            shutdown,
+            settings.stop.grace_seconds,
         )
         self.contact = HolderContact(
             quorum, self.parts.registration, lambda: self.stop.asked
--- a/src/cedarchute/daemon/entry_stop.py
+++ b/src/cedarchute/daemon/entry_stop.py
@@ -1,4 +1,4 @@
-"""The planned stop of an entry box: nothing under way is cut off."""
+"""The planned stop of an entry box: each request in progress is answered."""
 
 from __future__ import annotations
 
@@ -10,6 +10,7 @@
 from eventlet.event import Event
 
 if TYPE_CHECKING:
+    from cedarchute.calls.shutdown_deadline import ShutdownDeadline
     from cedarchute.fleet.registration import Registration
     from cedarchute.relay.caller_server import CallerServer
 
@@ -20,6 +21,8 @@
 LAST_CALLS_SECONDS: Final = 1.6
 # The process is gone this long before it would be killed.
 EXIT_MARGIN_SECONDS: Final = 0.4
+# Enough to write a response to each call that is still in progress.
+ANSWER_MARGIN_SECONDS: Final = 0.2
 # A store that answers takes the entry back within some 10 ms; one that is silent must
 # not hold the process up until it is killed, and the lease runs out by itself.
 END_SECONDS: Final = 0.2
@@ -30,9 +33,14 @@
     """Not ready at once, then no new connections, no idle ones, and the end."""
 
     def __init__(
-        self, server: CallerServer, registration: Registration, grace_seconds: float
+        self,
+        server: CallerServer,
+        registration: Registration,
+        deadline: ShutdownDeadline,
+        grace_seconds: float,
     ) -> None:
         self.server = server
+        self.deadline = deadline
         self.registration = registration
         self.grace_seconds = grace_seconds
         self.asked = False
@@ -53,15 +61,28 @@
         """Carry the stop out."""
         started = time.monotonic()
         log.info("Planned stop.", extra={"grace_seconds": self.grace_seconds})
+        end = started + self.grace_seconds - EXIT_MARGIN_SECONDS
+        self.deadline.begin(end - ANSWER_MARGIN_SECONDS)
         self.server.begin_closing()
         eventlet.spawn_n(self.registration.leave)
         last_calls = started + max(0.0, self.grace_seconds - LAST_CALLS_SECONDS)
         while time.monotonic() < last_calls:
             eventlet.sleep(STEP_SECONDS)
         self.server.stop_accepting()
-        self.finish_requests(started + self.grace_seconds - EXIT_MARGIN_SECONDS)
+        self.finish_requests(end - ANSWER_MARGIN_SECONDS)
+        interrupted = self.server.interrupt_requests()
+        self.finish_requests(end)
+        cut = self.server.interrupt_requests(include_started=True)
         self.end_registration()
-        self.record_end(time.monotonic() - started)
+        log.info(
+            "Stopped.",
+            extra={
+                "seconds": round(time.monotonic() - started, 3),
+                "interrupted": interrupted,
+                "cut": cut,
+                "connections": len(self.server.connections),
+            },
+        )
         self.done.send(None)
 
     def finish_requests(self, end: float) -> None:
@@ -75,17 +96,6 @@
             eventlet.sleep(STEP_SECONDS)
             self.server.close_idle()
 
-    def record_end(self, seconds: float) -> None:
-        """Log how long the stop took and what it leaves behind."""
-        log.info(
-            "Stopped.",
-            extra={
-                "seconds": round(seconds, 3),
-                "cut": self.server.count_busy(),
-                "connections": len(self.server.connections),
-            },
-        )
-
     def end_registration(self) -> None:
         """Take this box's entry back, if the store answers in time."""
         ended = eventlet.spawn(self.registration.end)
--- a/src/cedarchute/relay/caller_connection.py
+++ b/src/cedarchute/relay/caller_connection.py
@@ -14,6 +14,7 @@
 from cedarchute.relay.reply_writer import CONTINUE, ReplyWriter
 from cedarchute.relay.request_error import RequestError
 from cedarchute.relay.request_reader import RequestReader
+from cedarchute.relay.shutdown_error import ShutdownError
 
 if TYPE_CHECKING:
     from cedarchute.relay.caller_request import CallerRequest
@@ -51,6 +52,7 @@
         self.answered = 0
         self.opened_at = time.monotonic()
         self.worker: eventlet.greenthread.GreenThread | None = None
+        self.writer: ReplyWriter | None = None
 
     @property
     def is_idle(self) -> bool:
@@ -155,7 +157,7 @@
             self.busy = True
             try:
                 keep_open = self.answer(request)
-            except OSError:
+            except (OSError, ShutdownError):
                 keep_open = False
             self.busy = False
             self.answered += 1
@@ -166,9 +168,26 @@
     def answer(self, request: CallerRequest) -> bool:
         """Handle one request; return whether the connection stays open."""
         writer = ReplyWriter(request, self.send, self.server.must_close)
+        self.writer = writer
         self.server.handle(request, writer)
         return writer.finished and not writer.closes
 
+    def interrupt(self, include_started: bool) -> bool:
+        """End the request in progress; return whether there was one.
+
+        Raises `ShutdownError` in its handler. A response that has begun goes on unless
+        `include_started` is set.
+        """
+        if self.busy:
+            if self.writer.started and not include_started:
+                return False
+            eventlet.kill(self.worker, ShutdownError())
+            return True
+        if self.reader.in_message and not self.is_shut_down:
+            self.requests.put(RequestError(503, "box is stopping"))
+            return True
+        return False
+
     def send(self, data: bytes) -> None:
         """Write bytes; raise ``TimeoutError`` if the caller does not accept them."""
         with eventlet.Timeout(WRITE_TIMEOUT_SECONDS, TimeoutError("write timed out")):
--- a/src/cedarchute/relay/caller_server.py
+++ b/src/cedarchute/relay/caller_server.py
@@ -117,11 +117,18 @@
             self.start_connection(GreenSocket(sock))
         return MAX_QUEUED_CONNECTIONS
 
+    def interrupt_requests(self, include_started: bool = False) -> int:
+        """Have the requests in progress answered now; return how many there are.
+
+        Responses that have begun go on unless `include_started` is set.
+        """
+        interrupted = [
+            connection.interrupt(include_started)
+            for connection in list(self.connections)
+        ]
+        return sum(interrupted)
+
     @property
     def is_busy(self) -> bool:
         """Whether any connection carries a request, read or unread."""
         return any(not connection.can_close for connection in self.connections)
-
-    def count_busy(self) -> int:
-        """Return how many connections have a request in progress."""
-        return sum(not connection.is_idle for connection in self.connections)
--- a/tests/daemon/test_entry_stop.py
+++ b/tests/daemon/test_entry_stop.py
@@ -4,6 +4,7 @@
 import pytest
 from eventlet.event import Event
 
+from cedarchute.calls.shutdown_deadline import ShutdownDeadline
 from cedarchute.daemon import entry_stop
 from cedarchute.daemon.entry_stop import EntryStop
 
@@ -18,7 +19,7 @@
     is_busy = False
     connections = frozenset()
 
-    def count_busy(self):
+    def interrupt_requests(self, include_started=False):
         return 0
 
     def begin_closing(self):
@@ -47,7 +48,7 @@
 
 def test_a_silent_store_does_not_hold_the_stop_up():
     registration = SilentRegistration()
-    stop = EntryStop(IdleServer(), registration, GRACE_SECONDS)
+    stop = EntryStop(IdleServer(), registration, ShutdownDeadline(), GRACE_SECONDS)
     with eventlet.Timeout(HANG_SECONDS):
         stop.ask()
         stop.wait()
@@ -118,9 +119,30 @@
 
 def test_idle_connections_stay_open_while_new_ones_are_taken(clock):
     server = RecordingServer(clock)
-    stop = EntryStop(server, QuickRegistration(), 8.0)
+    stop = EntryStop(server, QuickRegistration(), ShutdownDeadline(), 8.0)
     stop.run()
     assert server.asked["begin_closing"] == 1000.0
     assert server.asked["close_idle"] >= server.asked["stop_accepting"]
     assert server.asked["stop_accepting"] == pytest.approx(1006.4, abs=0.11)
     assert clock.now < 1008.0 - entry_stop.END_SECONDS
+
+
+class BusyServer(RecordingServer):
+    """A server with a request that never ends by itself."""
+
+    is_busy = True
+
+    def interrupt_requests(self, include_started=False):
+        self.note("interrupt_started" if include_started else "interrupt")
+        return 1
+
+
+def test_requests_that_never_end_are_answered_within_the_grace(clock):
+    server = BusyServer(clock)
+    deadline = ShutdownDeadline()
+    stop = EntryStop(server, QuickRegistration(), deadline, 8.0)
+    stop.run()
+    assert deadline.answers_due_at == pytest.approx(1007.4)
+    assert server.asked["interrupt"] == pytest.approx(1007.4, abs=0.11)
+    assert server.asked["interrupt_started"] == pytest.approx(1007.6, abs=0.11)
+    assert clock.now < 1008.0 - entry_stop.END_SECONDS
--- a/tests/relay/test_caller_server.py
+++ b/tests/relay/test_caller_server.py
@@ -4,6 +4,7 @@
 
 import eventlet
 import pytest
+from eventlet.event import Event
 from eventlet.greenio import GreenSocket
 from eventlet.patcher import original
 
@@ -12,6 +13,7 @@
 from cedarchute.relay.caller_server import CallerServer
 from cedarchute.relay.headers import Headers
 from cedarchute.relay.input_limits import InputLimits
+from cedarchute.relay.shutdown_error import ShutdownError
 from experiments.raw_caller import build_request
 
 # Long enough for any machine; reached only if an answer never comes.
@@ -30,6 +32,12 @@
     def send(self, data=REQUEST):
         self.sock.sendall(data)
 
+    def read_until(self, mark):
+        data = b""
+        while mark not in data:
+            data += self.sock.recv(65536)
+        return data
+
     def read_to_close(self):
         parts = []
         while part := self.sock.recv(65536):
@@ -121,3 +129,50 @@
     assert server.is_busy
     for caller in callers:
         assert caller.read_to_close().startswith(b"HTTP/1.1 200 ")
+
+
+def test_a_request_in_progress_at_the_end_of_a_stop_is_answered(serve):
+    def wait(request, writer):
+        try:
+            Event().wait()
+        except ShutdownError:
+            writer.write_refusal(504, "box is stopping")
+
+    server = serve(wait)
+    caller = connect(server)
+    caller.send()
+    while not any(connection.busy for connection in server.connections):
+        eventlet.sleep(0.001)
+    server.begin_closing()
+    assert server.interrupt_requests() == 1
+    received = caller.read_to_close()
+    assert received.startswith(b"HTTP/1.1 504 ")
+    assert b"Connection: close" in received
+
+
+def test_a_response_that_has_begun_is_not_interrupted_before_the_very_end(serve):
+    finish = Event()
+
+    def stream(request, writer):
+        writer.start_stream(200, Headers())
+        finish.wait()
+        writer.end_stream(b"last")
+
+    server = serve(stream)
+    caller = connect(server)
+    caller.send()
+    assert caller.sock.recv(65536).startswith(b"HTTP/1.1 200 ")
+    server.begin_closing()
+    assert server.interrupt_requests() == 0
+    finish.send(None)
+    assert caller.read_to_close().endswith(b"last\r\n0\r\n\r\n")
+
+
+def test_a_request_that_is_half_received_at_the_end_of_a_stop_is_refused(serve):
+    server = serve()
+    caller = connect(server)
+    caller.send(REQUEST[:-1])
+    while not any(c.reader.in_message for c in server.connections):
+        eventlet.sleep(0.001)
+    assert server.interrupt_requests() == 1
+    assert b" 503 " in caller.read_until(b"\r\n")
