Refuse late calls that a planned stop would cut off

What callers saw, or would: a call taken seconds into a planned stop was sent to a target and cut off at the end of the process; a stream or a call that may run once only is then lost to its caller.

Cause: the box takes calls until 1.6 s before the end of its grace and started each of them, however long calls of its route take.

Evidence: the test handles calls 4 s into a stop whose route is known to take longer than the time left.

From 3 s after the start of a stop a call is refused at once, with 503, Retry-After and Connection: close, if less time is left than the longest recent calls of its route took. Where nothing is known of the route, a stream counts as taking its whole timeout and another call as taking twice its objective. Calls that are expected to finish go on, because refusing everything whose timeout reaches beyond the end would turn away nearly all calls from 3 s on.

--- a/src/cedarchute/calls/call_dispatcher.py
+++ b/src/cedarchute/calls/call_dispatcher.py
@@ -112,6 +112,7 @@
             raise CallRefusedError(
                 404, "no route", facts=self.key_authenticator.describe_freshness()
             )
+        self.shutdown.check(call, route, request.read_at)
         call = replace(
             self.shutdown.limit(call, request.read_at),
             caller_identity=self.key_authenticator.authenticate(
@@ -126,6 +127,7 @@
     ) -> None:
         """Count and log a call that was answered."""
         seconds = time.monotonic() - request.read_at
+        self.shutdown.record_duration(route, seconds)
         self.metrics.count("calls.answered")
         self.metrics.time("calls.seconds", seconds)
         log.info(
--- a/src/cedarchute/daemon/entry_stop.py
+++ b/src/cedarchute/daemon/entry_stop.py
@@ -62,7 +62,7 @@
         started = time.monotonic()
         log.info("Planned stop.", extra={"grace_seconds": self.grace_seconds})
         end = started + self.grace_seconds - EXIT_MARGIN_SECONDS
-        self.deadline.begin(end - ANSWER_MARGIN_SECONDS)
+        self.deadline.begin(started, end - ANSWER_MARGIN_SECONDS)
         self.server.begin_closing()
         eventlet.spawn_n(self.registration.leave)
         last_calls = started + max(0.0, self.grace_seconds - LAST_CALLS_SECONDS)
--- a/tests/calls/test_shutdown.py
+++ b/tests/calls/test_shutdown.py
@@ -9,6 +9,7 @@
 import eventlet
 import pytest
 from eventlet.event import Event
+from msgspec.structs import replace
 
 from cedarchute.calls.attempts import Attempts
 from cedarchute.calls.call import Call, ProgramContext
@@ -73,6 +74,72 @@
     assert interrupt(waiting, handler=waiting) == 504
 
 
+class Answering:
+    """A handler that answers at once."""
+
+    def __init__(self):
+        self.calls = 0
+
+    def run(self, request, writer, call, route):
+        self.calls += 1
+        writer.write_whole(200, Headers(), b"done")
+
+
+def handle_late(seconds_left, seconds_used=None, route=ROUTE, late=4.0):
+    """Handle a call `late` seconds into a stop; return its status."""
+    handler = Answering()
+    table = SimpleNamespace(find=lambda *_: route)
+    routes = SimpleNamespace(wait=lambda _: table, version=1)
+    deadline = ShutdownDeadline()
+    dispatcher = CallDispatcher(
+        routes, NOTHING, NOTHING, handler, handler, deadline, Metrics()
+    )
+    if seconds_used is not None:
+        deadline.record_duration(route, seconds_used)
+    request = make_request()
+    deadline.begin(request.read_at - late, request.read_at + seconds_left)
+    sent = []
+    writer = ReplyWriter(request, sent.append, lambda: True)
+    dispatcher.handle(request, writer)
+    assert handler.calls == (writer.status == 200)
+    if writer.status == 503:
+        assert b"Retry-After: " in sent[0]
+        assert b"Connection: close" in sent[0]
+    return writer.status
+
+
+STREAM = replace(ROUTE, repeatability=Repeatability.STREAM)
+
+
+@pytest.mark.parametrize(
+    ("status", "arguments"),
+    [
+        (503, {"seconds_left": 1.0, "seconds_used": 2.0}),
+        (200, {"seconds_left": 3.0, "seconds_used": 2.0}),
+        (503, {"seconds_left": 1.0, "seconds_used": 2.0, "route": STREAM}),
+        (200, {"seconds_left": 3.0, "seconds_used": 2.0, "route": STREAM}),
+        # Nothing is known of the route.
+        (503, {"seconds_left": 0.7}),
+        (200, {"seconds_left": 0.9}),
+        (503, {"seconds_left": 7.0, "route": STREAM}),
+        (200, {"seconds_left": 9.0, "route": STREAM}),
+        # Sent before callers can have learned of the stop.
+        (200, {"seconds_left": 1.0, "seconds_used": 2.0, "late": 2.9}),
+        (200, {"seconds_left": 1.0, "route": STREAM, "late": 2.9}),
+    ],
+)
+def test_a_late_call_that_the_stop_would_cut_off_is_refused_at_once(status, arguments):
+    assert handle_late(**arguments) == status
+
+
+def test_one_long_call_is_forgotten_after_many_short_ones():
+    deadline = ShutdownDeadline()
+    deadline.record_duration(ROUTE, 8.0)
+    for _ in range(500):
+        deadline.record_duration(ROUTE, 0.1)
+    assert 0.1 <= deadline.longest_seconds[ROUTE.name] < 0.2
+
+
 def wait_for_capacity(possible_runs):
     call = Call("a1", None, ProgramContext("", None, "", 0))
     attempts = Attempts(None, Metrics(), make_request(), call, ROUTE, "s", b"")
@@ -95,6 +162,6 @@
     deadline = ShutdownDeadline()
     assert deadline.answers_due_at == math.inf
     assert deadline.limit(call, 100.0) is call
-    deadline.begin(105.0)
+    deadline.begin(99.0, 105.0)
     assert deadline.limit(call, 100.0).caller_timeout_seconds == 5.0
     assert deadline.limit(call, 90.0).caller_timeout_seconds == 8.0
