Read on for a moment after the last response of a connection

What callers saw, or would: a response cut short by a reset, on a connection that the box closes after it, when more input arrived meanwhile.

Cause: both directions were shut down right after the last response. Input that arrives then makes the kernel send a reset and drop what it has not sent yet.

Evidence: the test has a caller with a small receive buffer send a few bytes after the response was written.

After a complete response only the sending direction is shut down; input is discarded until the caller closes, for 0.5 s at most, as it was after an error response already. Such a connection holds no stop up. A response that broke off is closed at once as before.

--- a/src/cedarchute/relay/caller_connection.py
+++ b/src/cedarchute/relay/caller_connection.py
@@ -25,7 +25,7 @@
 READ_BYTES: Final = 65_536
 # A caller that accepts no data for this long counts as disconnected.
 WRITE_TIMEOUT_SECONDS: Final = 10.0
-# After an error response, input is read for this long: closing a socket with unread
+# After the last response, input is read for this long: closing a socket with unread
 # data sends a reset, which can discard the response.
 LINGER_SECONDS: Final = 0.5
 # A caller sends its first request right after it connects, so a connection this young
@@ -119,6 +119,8 @@
             try:
                 data = self.receive(wait_seconds)
             except TimeoutError:
+                if self.is_shut_down:
+                    return
                 if self.reader.in_message:
                     raise RequestError(408, "request not sent in time") from None
                 if self.busy or not self.requests.empty():
@@ -127,6 +129,8 @@
                 return
             if not data:
                 return
+            if self.is_shut_down:
+                continue
             self.has_received = True
             self.reader.feed(data)
             if self.reader.expects_continue and self.reader.in_body:
@@ -162,7 +166,7 @@
             self.busy = False
             self.answered += 1
             if not keep_open:
-                self.shut_down()
+                self.end(linger=self.writer.finished)
                 return
 
     def answer(self, request: CallerRequest) -> bool:
@@ -250,11 +254,18 @@
         except OSError:
             return False
 
-    def shut_down(self) -> None:
-        """Shut down both directions; the reading task then ends."""
+    def end(self, linger: bool) -> None:
+        """Close after the last response; its caller may still be receiving it."""
+        if linger:
+            self.shut_down(socket.SHUT_WR)
+            eventlet.sleep(LINGER_SECONDS)
+        self.shut_down()
+
+    def shut_down(self, how: int = socket.SHUT_RDWR) -> None:
+        """Shut down the connection; the reading task ends with its direction."""
         self.is_shut_down = True
         try:
-            self.sock.shutdown(socket.SHUT_RDWR)
+            self.sock.shutdown(how)
         except OSError:
             log.debug("Connection was already closed.")
 
--- a/tests/relay/test_caller_server.py
+++ b/tests/relay/test_caller_server.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from socket import SO_RCVBUF, SOL_SOCKET
+
 import eventlet
 import pytest
 from eventlet.event import Event
@@ -25,9 +27,13 @@
 class Caller:
     """A connection from the test to a server in the same process."""
 
-    def __init__(self, address):
+    def __init__(self, address, receive_buffer=None):
+        sock = original("socket").socket()
+        if receive_buffer is not None:
+            sock.setsockopt(SOL_SOCKET, SO_RCVBUF, receive_buffer)
         # Blocks until the kernel has connected it; the server does not run meanwhile.
-        self.sock = GreenSocket(original("socket").create_connection(address))
+        sock.connect(address)
+        self.sock = GreenSocket(sock)
 
     def send(self, data=REQUEST):
         self.sock.sendall(data)
@@ -176,3 +182,42 @@
         eventlet.sleep(0.001)
     assert server.interrupt_requests() == 1
     assert b" 503 " in caller.read_until(b"\r\n")
+
+
+def test_input_after_the_last_request_does_not_discard_its_response(serve):
+    body = b"x" * 1_000_000
+
+    def respond(request, writer):
+        writer.write_whole(200, Headers(), body)
+
+    server = serve(respond)
+    # Most of the response has to stay in the server's send buffer.
+    caller = Caller(server.address, receive_buffer=4096)
+    while not server.connections:
+        eventlet.sleep(0.001)
+    (connection,) = server.connections
+    server.begin_closing()
+    caller.send()
+    received = b""
+    while not connection.is_shut_down:
+        received += caller.sock.recv(4096)
+    assert len(received) < len(body)
+    caller.send(b"more")
+    received += caller.read_to_close()
+    assert received.count(b"x") == len(body)
+
+
+def test_a_caller_that_never_closes_is_closed_soon_after_its_last_response(serve):
+    server = serve()
+    server.begin_closing()
+    caller = connect(server)
+    caller.send()
+    received = caller.read_to_close()
+    while server.connections:
+        eventlet.sleep(0.01)
+    assert received.startswith(b"HTTP/1.1 200 ")
+    # Sent after the close of both directions; the second write finds that out.
+    with pytest.raises(OSError):
+        for _ in range(2):
+            caller.send()
+            eventlet.sleep(0.01)
