--- a/src/cedarchute/relay/caller_connection.py
+++ b/src/cedarchute/relay/caller_connection.py
@@ -14,6 +14,7 @@
 from cedarchute.relay.reply_writer import CONTINUE, ReplyWriter
 from cedarchute.relay.request_error import RequestError
 from cedarchute.relay.request_reader import RequestReader
+from cedarchute.relay.shutdown_error import ShutdownError
 
 if TYPE_CHECKING:
     from cedarchute.relay.caller_request import CallerRequest
@@ -24,7 +25,7 @@
 READ_BYTES: Final = 65_536
 # A caller that accepts no data for this long counts as disconnected.
 WRITE_TIMEOUT_SECONDS: Final = 10.0
-# After an error response, input is read for this long: closing a socket with unread
+# After the last response, input is read for this long: closing a socket with unread
 # data sends a reset, which can discard the response.
 LINGER_SECONDS: Final = 0.5
 # A caller sends its first request right after it connects, so a connection this young
@@ -51,6 +52,7 @@
         self.answered = 0
         self.opened_at = time.monotonic()
         self.worker: eventlet.greenthread.GreenThread | None = None
+        self.writer: ReplyWriter | None = None
 
     @property
     def is_idle(self) -> bool:
@@ -117,6 +119,8 @@
             try:
                 data = self.receive(wait_seconds)
             except TimeoutError:
+                if self.is_shut_down:
+                    return
                 if self.reader.in_message:
                     raise RequestError(408, "request not sent in time") from None
                 if self.busy or not self.requests.empty():
@@ -125,6 +129,8 @@
                 return
             if not data:
                 return
+            if self.is_shut_down:
+                continue
             self.has_received = True
             self.reader.feed(data)
             if self.reader.expects_continue and self.reader.in_body:
@@ -155,20 +161,37 @@
             self.busy = True
             try:
                 keep_open = self.answer(request)
-            except OSError:
+            except (OSError, ShutdownError):
                 keep_open = False
             self.busy = False
             self.answered += 1
             if not keep_open:
-                self.shut_down()
+                self.end(linger=self.writer.finished)
                 return
 
     def answer(self, request: CallerRequest) -> bool:
         """Handle one request; return whether the connection stays open."""
         writer = ReplyWriter(request, self.send, self.server.must_close)
+        self.writer = writer
         self.server.handle(request, writer)
         return writer.finished and not writer.closes
 
+    def interrupt(self, include_started: bool) -> bool:
+        """End the request in progress; return whether there was one.
+
+        Raises `ShutdownError` in its handler. A response that has begun goes on unless
+        `include_started` is set.
+        """
+        if self.busy:
+            if self.writer.started and not include_started:
+                return False
+            eventlet.kill(self.worker, ShutdownError())
+            return True
+        if self.reader.in_message and not self.is_shut_down:
+            self.requests.put(RequestError(503, "box is stopping"))
+            return True
+        return False
+
     def send(self, data: bytes) -> None:
         """Write bytes; raise ``TimeoutError`` if the caller does not accept them."""
         with eventlet.Timeout(WRITE_TIMEOUT_SECONDS, TimeoutError("write timed out")):
@@ -231,11 +254,18 @@
         except OSError:
             return False
 
-    def shut_down(self) -> None:
-        """Shut down both directions; the reading task then ends."""
+    def end(self, linger: bool) -> None:
+        """Close after the last response; its caller may still be receiving it."""
+        if linger:
+            self.shut_down(socket.SHUT_WR)
+            eventlet.sleep(LINGER_SECONDS)
+        self.shut_down()
+
+    def shut_down(self, how: int = socket.SHUT_RDWR) -> None:
+        """Shut down the connection; the reading task ends with its direction."""
         self.is_shut_down = True
         try:
-            self.sock.shutdown(socket.SHUT_RDWR)
+            self.sock.shutdown(how)
         except OSError:
             log.debug("Connection was already closed.")
 
