calls: answer a call that an error of another socket ends

What callers saw: the connection closed without a status while the caller was still there; the log said "Caller disconnected.".

Cause: CallDispatcher took every OSError for the caller's own socket. TimeoutError and "Too many open files" are OSErrors too, so one that reaches the dispatcher from a target, a holder or the store ended the request in silence.

Evidence: routes that raise TimeoutError or EMFILE, on a real connection. Before, the caller read an end of file for both; MemoryError was answered with 502 before as well. No run of ours has shown which call raises such an error today: those of targets and holders are translated where they occur.

Fix: the writer raises an error type of its own for the caller's socket. It stays a ConnectionError, so the connection handles it as before; every other OSError becomes a 502, which promises nothing about the call.

--- a/src/cedarchute/calls/call_dispatcher.py
+++ b/src/cedarchute/calls/call_dispatcher.py
@@ -16,6 +16,7 @@
     read_program,
     write_refusal_headers,
 )
+from cedarchute.relay.reply_writer import CallerDisconnectedError
 from cedarchute.relay.request_error import RequestError
 from cedarchute.request_ids import set_request_id
 
@@ -69,7 +70,7 @@
         except RequestError as error:
             refusal = CallRefusedError(error.status, error.reason)
             self.send_refusal(request, writer, call_id, refusal)
-        except (OSError, GreenletExit):
+        except (CallerDisconnectedError, GreenletExit):
             self.record_caller_disconnect(request)
             raise
         except Exception as error:
--- a/src/cedarchute/relay/reply_writer.py
+++ b/src/cedarchute/relay/reply_writer.py
@@ -16,13 +16,19 @@
 CONTINUE: Final = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
+class CallerDisconnectedError(ConnectionError):
+    """The caller's connection accepts no more bytes."""
+
+    code = "caller_disconnected"
+
+
 class ReplyWriter:
     """Writes a response, whole or as a chunked stream, and tracks its progress.
 
     Parameters
     ----------
     send : Callable
-        Writes bytes to the caller; raises ``OSError`` if it has disconnected.
+        Writes bytes to the caller's socket; raises ``OSError`` if that fails.
     must_close : Callable
         Returns whether the connection is closed after this response.
 
@@ -43,7 +49,7 @@
         must_close: Callable[[], bool],
     ) -> None:
         self.request = request
-        self.send = send
+        self.send_bytes = send
         self.must_close = must_close
         self.started = False
         self.finished = False
@@ -85,6 +91,13 @@
         fields = (headers or Headers()).extend((b"Content-Type", b"text/plain"))
         self.write_whole(status, fields, reason.encode() + b"\n")
 
+    def send(self, data: bytes) -> None:
+        """Send bytes; raise `CallerDisconnectedError` if the caller's socket fails."""
+        try:
+            self.send_bytes(data)
+        except OSError as error:
+            raise CallerDisconnectedError(str(error)) from error
+
     def build_head(self, status: int, headers: Headers) -> bytes:
         """Return the status line and headers; adds ``Connection: close`` if due."""
         try:
