calls: store a finished turn for as long as its call has time

What callers saw: all events of a turn, then the connection closed without the last chunk. Two of three holders stopped by SIGTERM and started again 3 s later, twice, on real processes with 20 callers on kept connections: 17 streams ended so, 3.3 to 3.9 s after they were sent, and their turns were lost, though the callers had 8 s.

Cause: the record of a turn's end was tried for 3 s, whatever time the call had left. The write retries under the newest seat table all that while, so time was all that it lacked: the holders were back within 4 s.

The test failed before: the stream was refused with the time of the call half used.

Fix: the write lasts at least until the deadline of the call.

--- a/src/cedarchute/calls/stream_call_handler.py
+++ b/src/cedarchute/calls/stream_call_handler.py
@@ -270,7 +270,10 @@
         self.writer.end_stream()
 
     def store_turn(self, opened: OpenResponse) -> None:
-        """Store the turn at a quorum of holders."""
+        """Store the turn at a quorum of holders, trying for as long as the call has.
+
+        The turn has run, so giving up early would only cost the caller its output.
+        """
         context = self.call.program
         turn = Turn(
             program=self.call.program_key,
@@ -282,8 +285,9 @@
             target=opened.target.incarnation,
             keep_seconds=self.route.retention_seconds,
         )
+        seconds_left = self.attempts.deadline - time.monotonic()
         try:
-            self.handler.quorum.write(turn)
+            self.handler.quorum.write(turn, seconds_left)
         except NoQuorumError as error:
             raise CallRefusedError(503, str(error)) from None
         self.is_stored = True
--- a/src/cedarchute/turns/turn_quorum.py
+++ b/src/cedarchute/turns/turn_quorum.py
@@ -46,7 +46,7 @@
 
 AnswerT = TypeVar("AnswerT")
 
-# Longer timeout for the final record of a turn, without which the turn is lost.
+# Shortest timeout for the final record of a turn, without which the turn is lost.
 FINISH_SECONDS: Final = 3.0
 
 
@@ -203,8 +203,14 @@
                 "Turn not settled; its reservation stays.", extra={"turn": record.turn}
             )
 
-    def write(self, record: Record) -> None:
-        """Write a record at a quorum; raise `NoQuorumError` on failure."""
+    def write(self, record: Record, min_seconds: float = 0.0) -> None:
+        """Write a record at a quorum; raise `NoQuorumError` on failure.
+
+        Parameters
+        ----------
+        min_seconds : float
+            Raises the timeout to at least this.
+        """
 
         def build(table: SeatTable, number: int) -> TakeRecords:
             return TakeRecords(
@@ -219,7 +225,7 @@
             path,
             RecordsTaken,
             build,
-            FINISH_SECONDS,
+            max(FINISH_SECONDS, min_seconds),
             uses_full_timeout=True,
         )
 
--- /dev/null
+++ b/tests/calls/test_stream_call_handler.py
@@ -0,0 +1,123 @@
+"""Streams whose turn the holders cannot store at once."""
+
+from __future__ import annotations
+
+import random
+import time
+from collections import deque
+
+from cedarchute.address import Address
+from cedarchute.calls.call import Call, ProgramContext
+from cedarchute.calls.call_errors import CallRefusedError
+from cedarchute.calls.program_admission_controller import ProgramAdmissionController
+from cedarchute.calls.stream_call_handler import StreamCallHandler
+from cedarchute.calls.target_client import TargetClient
+from cedarchute.metrics import Metrics
+from cedarchute.relay.caller_request import CallerRequest
+from cedarchute.relay.headers import Headers
+from cedarchute.relay.reply_writer import ReplyWriter
+from cedarchute.relay.target_answer import TargetAnswer
+from cedarchute.routing.load_balancer import LoadBalancer
+from cedarchute.routing.route import Repeatability, Route, ServiceShare
+from cedarchute.routing.target_entry import TargetEntry
+from cedarchute.routing.target_registry import TargetRegistry
+from cedarchute.turns.holder_fanout import NoQuorumError
+from cedarchute.turns.turn_admission import TurnAdmission
+
+TIMEOUT_SECONDS = 20.0
+EVENT = b"data: one\n\n"
+LAST_CHUNK = b"0\r\n\r\n"
+
+
+class Connection:
+    """A connection to a target that answers with one body at once."""
+
+    def __init__(self, body):
+        self.body = body
+
+    def send(self, data, seconds):
+        pass
+
+    def read_answer(self, request_id, header_name, deadline):
+        answer = TargetAnswer()
+        answer.status = 200
+        answer.is_complete = True
+        answer.parts = deque([self.body])
+        return answer
+
+    def finish(self, answer):
+        pass
+
+
+class Pool:
+    def __init__(self, body):
+        self.body = body
+
+    def take(self, address, seconds):
+        return Connection(self.body)
+
+    def give_back(self, connection):
+        pass
+
+
+class Keys:
+    def revalidate(self, call):
+        pass
+
+
+class Routes:
+    table = None
+
+
+class SlowQuorum:
+    """Holders that store a turn only after `needed_seconds`."""
+
+    def __init__(self, needed_seconds):
+        self.needed_seconds = needed_seconds
+        self.seats = type("Seats", (), {"table": type("Table", (), {"version": 1})})
+
+    def begin(self, *arguments):
+        return TurnAdmission(b"", "")
+
+    def write(self, record, min_seconds=0.0):
+        if min_seconds < self.needed_seconds:
+            raise NoQuorumError("only 1 holders answer")
+
+    def settle(self, *arguments):
+        pass
+
+
+def relay(quorum, body):
+    """Relay one turn; return what the caller received."""
+    registry = TargetRegistry(lambda entry: None)
+    registry.put(TargetEntry("t", "s", Address("10.0.0.1", 1), "a", True, 8))
+    balancer = LoadBalancer(registry, "a", random.Random(7), lambda address: True)
+    metrics = Metrics()
+    client = TargetClient(Pool(body), balancer, Keys(), metrics)
+    gate = ProgramAdmissionController(quorum, Routes(), metrics)
+    handler = StreamCallHandler(client, quorum, Routes(), gate, metrics)
+    request = CallerRequest(b"POST", b"/", Headers(), b"a", True, time.monotonic())
+    received = []
+    writer = ReplyWriter(request, received.append, lambda: False)
+    call = Call("t1", None, ProgramContext("p", None, "t0", 1))
+    route = Route(
+        "r",
+        "h",
+        b"/",
+        Repeatability.STREAM,
+        (ServiceShare("s", 1.0),),
+        TIMEOUT_SECONDS,
+        1.0,
+        retains_turns=True,
+    )
+    try:
+        handler.run(request, writer, call, route)
+    except CallRefusedError as error:
+        return error, b"".join(received)
+    return None, b"".join(received)
+
+
+def test_a_finished_stream_is_not_broken_off_while_its_call_has_time():
+    error, received = relay(SlowQuorum(TIMEOUT_SECONDS / 2), EVENT)
+    assert error is None
+    assert received.endswith(LAST_CHUNK)
