calls: answer a turn without events that cannot be stored with 502

What callers saw: a turn whose response has no events and whose record too few holders take got the head of a stream, and then the connection closed: no status that says so.

Cause: the head was sent before the turn was stored. The refusal behind it was a 503, which promises that the call has not run; it did not reach the caller only because the head was out.

Evidence: the test failed before: 503 instead of 502 with and without events, bytes sent without events.

Fix: store first, then send the head if no event has; the failure is a 502. A stream that has begun is still broken off without its last chunk.

--- a/src/cedarchute/calls/stream_call_handler.py
+++ b/src/cedarchute/calls/stream_call_handler.py
@@ -262,11 +262,11 @@
         The order matters: the caller's next turn can only continue a turn that a
         quorum has stored.
         """
+        if self.route.retains_turns:
+            self.store_turn(opened)
         if not self.writer.started:
             headers = opened.answer.headers.select_end_to_end()
             self.writer.start_stream(opened.answer.status, headers)
-        if self.route.retains_turns:
-            self.store_turn(opened)
         self.writer.end_stream()
 
     def store_turn(self, opened: OpenResponse) -> None:
@@ -289,7 +289,7 @@
         try:
             self.handler.quorum.write(turn, seconds_left)
         except NoQuorumError as error:
-            raise CallRefusedError(503, str(error)) from None
+            raise CallRefusedError(502, str(error)) from None
         self.is_stored = True
         log.info(
             "Turn stored.", extra={"program": context.program, "tokens": self.tokens}
--- a/tests/calls/test_stream_call_handler.py
+++ b/tests/calls/test_stream_call_handler.py
@@ -6,6 +6,8 @@
 import time
 from collections import deque
 
+import pytest
+
 from cedarchute.address import Address
 from cedarchute.calls.call import Call, ProgramContext
 from cedarchute.calls.call_errors import CallRefusedError
@@ -121,3 +123,11 @@
     error, received = relay(SlowQuorum(TIMEOUT_SECONDS / 2), EVENT)
     assert error is None
     assert received.endswith(LAST_CHUNK)
+
+
+@pytest.mark.parametrize("body", [b"", EVENT])
+def test_a_turn_that_was_not_stored_looks_neither_complete_nor_unrun(body):
+    error, received = relay(SlowQuorum(TIMEOUT_SECONDS * 2), body)
+    assert error.status == 502
+    assert not received.endswith(LAST_CHUNK)
+    assert bool(received) == bool(body)
