relay: end the response to HEAD with its head

What callers saw: each HEAD request was held until its deadline and got 504, while the target had answered it at once.

Cause: the parser of responses does not know the method of the request, so it waited for the body that Content-Length, chunks or a close announce.

Evidence: HEAD to a target that answers 200 with a length, with chunks and with neither, on a real entry: 504 after 3 s in all three before.

Fix: the reader is told when no body comes and ends the response with its head. The parser still expects a body, so that connection is not used again.

--- a/src/cedarchute/calls/target_client.py
+++ b/src/cedarchute/calls/target_client.py
@@ -113,7 +113,9 @@
             self.key_authenticator.revalidate(call)
             connection.send(head + body, deadline - time.monotonic())
             call_id = call.id.encode("latin-1")
-            answer = connection.read_answer(call_id, ANSWER_ID, read_deadline)
+            answer = connection.read_answer(
+                call_id, ANSWER_ID, read_deadline, request.method != b"HEAD"
+            )
             if says_not_run(answer):
                 refused, connection = connection, None
                 self.drain_refusal(refused, answer, deadline)
--- a/src/cedarchute/relay/answer_reader.py
+++ b/src/cedarchute/relay/answer_reader.py
@@ -18,10 +18,16 @@
 
     There may be more responses than requests; the consumer of `answers` matches them
     to requests.
+
+    Attributes
+    ----------
+    expects_body : bool
+        Whether the next response may have a body; a response to HEAD has none.
     """
 
     def __init__(self) -> None:
         self.parser = httptools.HttpResponseParser(self)
+        self.expects_body = True
         self.answers: deque[TargetAnswer] = deque()
         self.current: TargetAnswer | None = None
 
@@ -61,6 +67,10 @@
         has_body = answer.status not in BODILESS_STATUSES and not answer.is_interim
         answer.is_close_delimited = has_body and not has_length and not is_chunked
         answer.headers_complete = True
+        if not self.expects_body and not answer.is_interim:
+            # The parser goes on to read a body, so it parses no further response.
+            answer.keep_alive = False
+            self.on_message_complete()
 
     def on_body(self, body: bytes) -> None:
         """Store bytes of the body."""
--- a/src/cedarchute/relay/target_connection.py
+++ b/src/cedarchute/relay/target_connection.py
@@ -109,7 +109,11 @@
             raise TargetFailureError(reason, Verdict.MAY_HAVE_RUN) from None
 
     def read_answer(
-        self, request_id: bytes, header_name: bytes, deadline: float
+        self,
+        request_id: bytes,
+        header_name: bytes,
+        deadline: float,
+        expects_body: bool = True,
     ) -> TargetAnswer:
         """Return the response to `request_id` once its headers are complete.
 
@@ -122,7 +126,10 @@
             The header in which the target echoes the request id, in lower case.
         deadline : float
             Monotonic time at which `TargetFailureError` is raised.
+        expects_body : bool
+            Whether the response may have a body; a response to HEAD has none.
         """
+        self.reader.expects_body = expects_body
         while True:
             answer = self.wait_for_headers(deadline)
             echoed = answer.headers.get(header_name)
--- a/tests/calls/test_stream_call_handler.py
+++ b/tests/calls/test_stream_call_handler.py
@@ -40,7 +40,7 @@
     def send(self, data, seconds):
         pass
 
-    def read_answer(self, request_id, header_name, deadline):
+    def read_answer(self, request_id, header_name, deadline, expects_body):
         answer = TargetAnswer()
         answer.status = 200
         answer.is_complete = True
--- /dev/null
+++ b/tests/platform_site/test_odd_answers.py
@@ -0,0 +1,102 @@
+"""Answers of targets that are rare in HTTP, through a real entry box."""
+
+from __future__ import annotations
+
+import threading
+
+import pytest
+
+from experiments.raw_caller import RawCaller, build_request
+from experiments.waiting import wait_until
+from standins.raw_target import answer, read_id
+
+HEAD_END = b"\r\n\r\n"
+# Well below the timeout of the routes.
+PATIENCE_MS = 3000
+
+
+def read_head(caller):
+    """Return the status line and the headers of the next answer."""
+    head = caller.read_until(HEAD_END)
+    assert head.endswith(HEAD_END), "closed without an answer"
+    return head
+
+
+def write_head(request, status, fields=b""):
+    return b"HTTP/1.1 %s\r\nAttempt-Id: %s\r\nServer-Seal: s\r\n%s\r\n" % (
+        status,
+        read_id(request),
+        fields,
+    )
+
+
+def send(caller, path, call_id, method=b"POST"):
+    caller.send(build_request(path, call_id, method=method, patience=PATIENCE_MS))
+
+
+@pytest.mark.parametrize(
+    ("method", "status", "fields"),
+    [
+        (b"HEAD", b"200 OK", b"Content-Length: 5\r\n"),
+        (b"HEAD", b"200 OK", b"Transfer-Encoding: chunked\r\n"),
+        (b"HEAD", b"200 OK", b""),
+        (b"GET", b"304 Not Modified", b"Content-Length: 5\r\n"),
+        (b"GET", b"304 Not Modified", b""),
+        (b"GET", b"204 No Content", b""),
+    ],
+)
+def test_an_answer_that_has_no_body_is_not_waited_for(
+    serve, entry, method, status, fields
+):
+    target = serve("plain", lambda r, c: c.sendall(write_head(r, status, fields)))
+    with RawCaller(entry) as caller:
+        for number in range(2):
+            send(caller, b"/once/x", b"oa%d" % number, method)
+            assert read_head(caller).startswith(b"HTTP/1.1 " + status[:3])
+    assert len(target.requests) == 2
+
+
+@pytest.mark.parametrize(
+    "status",
+    [b"101 Switching Protocols", b"199 Odd", b"299 Odd", b"700 Odd", b"999 Odd"],
+)
+def test_a_call_whose_answer_has_a_rare_status_gets_a_status(serve, entry, status):
+    serve("plain", lambda r, c: (c.sendall(answer(r, status=status)), c.close()))
+    with RawCaller(entry) as caller:
+        send(caller, b"/once/x", b"ob1")
+        assert read_head(caller).startswith(b"HTTP/1.1 ")
+
+
+@pytest.mark.parametrize("status", [b"204 No Content", b"304 Not Modified"])
+def test_a_body_where_none_may_be_reaches_nobody(serve, entry, status):
+    serve("plain", lambda r, c: c.sendall(answer(r, b"surplus", status)))
+    with RawCaller(entry) as caller:
+        for number in range(3):
+            send(caller, b"/again/x", b"oc%d" % number)
+            head = read_head(caller)
+            assert head.startswith(b"HTTP/1.1 " + status[:3])
+            assert b"Attempt-Id: oc%d\r\n" % number in head
+        assert caller.rest == b""
+
+
+@pytest.mark.parametrize("path", [b"/once/x", b"/again/x"])
+def test_a_kept_connection_that_closes_as_a_call_comes_gets_a_status(
+    serve, entry, path
+):
+    closing = threading.Event()
+
+    def close_second(request, connection):
+        if closing.is_set():
+            connection.close()
+            return
+        connection.sendall(answer(request))
+
+    target = serve("plain", close_second)
+    with RawCaller(entry) as caller:
+        send(caller, path, b"od1")
+        assert caller.read_answer()[0] == 200
+        closing.set()
+        send(caller, path, b"od2")
+        status = caller.read_answer()[0]
+    assert status in (502, 503)
+    wait_until(lambda: len(target.requests) >= 2, "the call was sent")
