--- a/src/cedarchute/calls/call_dispatcher.py
+++ b/src/cedarchute/calls/call_dispatcher.py
@@ -17,6 +17,7 @@
     read_program,
     write_refusal_headers,
 )
+from cedarchute.relay.reply_writer import CallerDisconnectedError
 from cedarchute.relay.request_error import RequestError
 from cedarchute.relay.shutdown_error import ShutdownError
 from cedarchute.request_ids import set_request_id
@@ -79,7 +80,7 @@
             # The call may have run: what is certain not to have is refused elsewhere.
             refusal = CallRefusedError(504, STOPPING)
             self.send_refusal(request, writer, call_id, refusal)
-        except (OSError, GreenletExit):
+        except (CallerDisconnectedError, GreenletExit):
             self.record_caller_disconnect(request)
             raise
         except Exception as error:
--- a/src/cedarchute/calls/stream_call_handler.py
+++ b/src/cedarchute/calls/stream_call_handler.py
@@ -269,15 +269,18 @@
         The order matters: the caller's next turn can only continue a turn that a
         quorum has stored.
         """
+        if self.route.retains_turns:
+            self.store_turn(opened)
         if not self.writer.started:
             headers = opened.answer.headers.select_end_to_end()
             self.writer.start_stream(opened.answer.status, headers)
-        if self.route.retains_turns:
-            self.store_turn(opened)
         self.writer.end_stream()
 
     def store_turn(self, opened: OpenResponse) -> None:
-        """Store the turn at a quorum of holders."""
+        """Store the turn at a quorum of holders, trying for as long as the call has.
+
+        The turn has run, so giving up early would only cost the caller its output.
+        """
         context = self.call.program
         turn = Turn(
             program=self.call.program_key,
@@ -289,10 +292,11 @@
             target=opened.target.incarnation,
             keep_seconds=self.route.retention_seconds,
         )
+        seconds_left = self.attempts.deadline - time.monotonic()
         try:
-            self.handler.quorum.write(turn)
+            self.handler.quorum.write(turn, seconds_left)
         except NoQuorumError as error:
-            raise CallRefusedError(503, str(error)) from None
+            raise CallRefusedError(502, str(error)) from None
         self.is_stored = True
         log.info(
             "Turn stored.", extra={"program": context.program, "tokens": self.tokens}
