--- a/src/cedarchute/turns/group_commit_writer.py
+++ b/src/cedarchute/turns/group_commit_writer.py
@@ -27,23 +27,40 @@
         self.lines: list[bytes] = []
         self.done = Event()
         self.writing = False
+        self.starts_segment = False
 
     def write(self, records: list[Record]) -> None:
         """Write `records` and wait until durable; raise ``OSError`` on failure."""
         self.lines.extend(encode_line(record) for record in records)
+        self.wait_written()
+
+    def start_segment(self) -> int:
+        """Open a segment for all records from now on, and return its number.
+
+        Raises
+        ------
+        OSError
+            If it cannot be opened.
+        """
+        self.starts_segment = True
+        return self.wait_written()
+
+    def wait_written(self) -> int:
+        """Wait until all that is pending is durable; return its segment."""
         done = self.done
         if not self.writing:
             self.writing = True
             eventlet.spawn_n(self.write_pending)
-        done.wait()
+        return done.wait()
 
     def write_pending(self) -> None:
         """Write groups until no lines are pending."""
-        while self.lines:
+        while self.lines or self.starts_segment:
             lines, self.lines = self.lines, []
+            starts_segment, self.starts_segment = self.starts_segment, False
             done, self.done = self.done, Event()
             try:
-                self.journal.append(lines)
+                segment = self.journal.append(lines, starts_segment)
             except OSError as error:
                 self.metrics.count("journal.failures")
                 log.error(
@@ -52,5 +69,5 @@
                 done.send_exception(error)
                 continue
             self.metrics.count("journal.syncs")
-            done.send(None)
+            done.send(segment)
         self.writing = False
--- a/src/cedarchute/turns/turn_journal.py
+++ b/src/cedarchute/turns/turn_journal.py
@@ -83,20 +83,25 @@
                     extra={"segment": segment, "lines": torn},
                 )
 
-    def append(self, lines: list[bytes]) -> None:
-        """Write `lines` and wait until they are durable.
+    def append(self, lines: list[bytes], in_new_segment: bool = False) -> int:
+        """Write `lines`, wait until they are durable, and return their segment.
+
+        The segments belong to the thread that writes, so a new one is opened there.
 
         Raises
         ------
         OSError
             If the write or sync fails; none of the lines counts as durable.
         """
-        tpool.execute(self.write, b"".join(lines))
+        tpool.execute(self.write, b"".join(lines), in_new_segment)
+        return self.sequence
 
-    def write(self, data: bytes) -> None:
+    def write(self, data: bytes, in_new_segment: bool = False) -> None:
         """Write and sync; runs in an OS thread so as not to block green threads."""
-        if self.file is None or self.written > SEGMENT_BYTES:
+        if self.file is None or in_new_segment or self.written > SEGMENT_BYTES:
             self.open_segment()
+        if in_new_segment:
+            self.since_compaction = 0
         try:
             view = memoryview(data)
             while view:
@@ -129,12 +134,6 @@
             file, self.file = self.file, None
             os.close(file)
 
-    def roll_segment(self) -> int:
-        """Make the next write open a new segment; return its number."""
-        self.written = SEGMENT_BYTES + 1
-        self.since_compaction = 0
-        return self.sequence + 1
-
     def delete_before(self, segment: int) -> None:
         """Delete the segments older than `segment`."""
         for number in self.list_segments():
--- a/src/cedarchute/turns/turn_storage.py
+++ b/src/cedarchute/turns/turn_storage.py
@@ -80,7 +80,7 @@
 
     def compact(self) -> None:
         """Rewrite the live records to new segments and delete the older ones."""
-        keep_from = self.writer.journal.roll_segment()
+        keep_from = self.writer.start_segment()
         for program in list(self.programs):
             state = self.programs.get(program)
             if state is not None:
--- a/tests/stateful/test_quorum_machine.py
+++ b/tests/stateful/test_quorum_machine.py
@@ -68,8 +68,9 @@
 class DirectJournal(TurnJournal):
     """Writes in the calling thread: no other thread runs in this test."""
 
-    def append(self, lines):
-        self.write(b"".join(lines))
+    def append(self, lines, in_new_segment=False):
+        self.write(b"".join(lines), in_new_segment)
+        return self.sequence
 
 
 class FakeHolder:
--- a/tests/turns/test_turn_storage.py
+++ b/tests/turns/test_turn_storage.py
@@ -2,6 +2,7 @@
 
 import os
 
+import eventlet
 import pytest
 
 from cedarchute.metrics import Metrics
@@ -149,7 +150,7 @@
 def test_a_segment_that_cannot_be_opened_closes_no_other_file(tmp_path, monkeypatch):
     storage = make_storage(tmp_path)
     storage.write([make_turn("a")])
-    storage.writer.journal.roll_segment()
+    storage.writer.journal.written = turn_journal.SEGMENT_BYTES + 1
     file = storage.writer.journal.file
 
     def fail(*arguments):
@@ -164,3 +165,31 @@
         storage.write([make_turn("c", "a")])
         other.write(b"still open")
     assert (tmp_path / "other").read_bytes() == b"still open"
+
+
+class GreenJournal(turn_journal.TurnJournal):
+    """Yields to other green threads while a segment is being opened."""
+
+    def append(self, lines, *arguments):
+        self.write(b"".join(lines), *arguments)
+        return self.sequence
+
+    def open_segment(self):
+        super().open_segment()
+        eventlet.sleep(0.01)
+        self.written = 0
+
+
+def test_compaction_beside_a_full_segment_keeps_every_record(tmp_path):
+    storage = TurnStorage(GroupCommitWriter(GreenJournal(tmp_path), Metrics()))
+    storage.write([make_turn("a")])
+    storage.writer.journal.written = turn_journal.SEGMENT_BYTES + 1
+    writing = eventlet.spawn(storage.write, [make_turn("b", "a")])
+    eventlet.sleep(0)
+    eventlet.sleep(0)
+    assert storage.writer.journal.sequence == 2
+    storage.compact()
+    writing.wait()
+    again = make_storage(tmp_path)
+    again.load()
+    assert list(again.get_or_create("p").completed) == ["a", "b"]
