--- a/src/experiments/soak/supervisor.py
+++ b/src/experiments/soak/supervisor.py
@@ -17,6 +17,9 @@
 
 RESTART_SECONDS: Final = 0.3
 LOOK_SECONDS: Final = 0.05
+# A thread that wakes up this much later stood still, the callers' threads as well.
+STALL_SECONDS: Final = 0.1
+STALLED: Final = "times the playing process stood still"
 # What the results call a process that a signal ended before it ran any of our code.
 ENDED_EARLY: Final = "processes ended before their program ran"
 
@@ -30,13 +33,10 @@
         Held by whoever keeps a box from being started again.
     logged : dict of str to int
         Bytes that the log of a box had at its last start.
-    asked : dict of str to set of int
+    asked, killed : dict of str to set of int
         Starts of a box that were asked to stop, or killed.
     early : dict of str to set of int
         Starts of a box that were sent a signal before they ran any of our code.
-    longest_stall : float
-        By how many seconds this thread woke up late, at most: the callers' threads
-        stood still as well.
     """
 
     def __init__(self, site: SoakSite, names: list[str]) -> None:
@@ -50,7 +50,6 @@
         self.early: dict[str, set[int]] = {name: set() for name in names}
         self.failures: list[str] = []
         self.figures: Counter[str] = Counter()
-        self.longest_stall = 0.0
         self.going = True
         self.thread = threading.Thread(target=self.run, daemon=True)
 
@@ -65,8 +64,8 @@
                         self.locks[name].release()
             began = time.monotonic()
             time.sleep(LOOK_SECONDS)
-            stall = time.monotonic() - began - LOOK_SECONDS
-            self.longest_stall = max(self.longest_stall, stall)
+            if time.monotonic() - began > LOOK_SECONDS + STALL_SECONDS:
+                self.figures[STALLED] += 1
 
     def close(self) -> None:
         """Start nothing any more."""
