Publish a planned stop that the first write of the entry missed

Callers were sent to a box that was stopping: its entry said for the whole stop that it took new work, so they met its last seconds instead of another box.

Cause: the draining state is written under the lease. While the first write of the entry was under way the lease was not known yet, so leave() wrote nothing, and that write had the old state. A write that failed while the store was unavailable was not repeated either: renewals only renew.

Evidence: tests/fleet/test_registration.py, both cases red before (the last entry in the store was not leaving). A planned stop during a start, which used to end the process, makes the first one likely; the second is a store that is unavailable when SIGTERM comes.

The registration now knows which entry the store has confirmed last. A renewal writes the entry again when another one is to be published; otherwise it costs no call more than before.

--- a/src/cedarchute/fleet/registration.py
+++ b/src/cedarchute/fleet/registration.py
@@ -36,7 +36,13 @@
 
 
 class Registration:
-    """Writes the entry, renews its lease and registers again after a lost lease."""
+    """Writes the entry, renews its lease and registers again after a lost lease.
+
+    Attributes
+    ----------
+    published : BoxEntry or None
+        The entry that the store has confirmed last.
+    """
 
     def __init__(
         self,
@@ -49,6 +55,7 @@
         self.store = store
         self.entry = entry
         self.metrics = metrics
+        self.published: BoxEntry | None = None
         self.lease: int | None = None
         self.backoff = Backoff(MAX_RETRY_SECONDS)
         self.next_call_log_at = 0.0
@@ -72,14 +79,17 @@
                     eventlet.sleep(self.backoff.next_seconds())
 
     def renew_once(self) -> None:
-        """Renew the lease, or acquire one and write the entry under it."""
-        if self.lease is not None:
+        """Renew the lease, or acquire one; write an entry that is not published."""
+        if self.lease is None:
+            lease = self.store.grant_lease(LEASE_SECONDS)
+            self.write(lease)
+            self.lease = lease
+            log.info("Registered.", extra={"lease": lease})
+        else:
             self.store.renew_lease(self.lease)
-            return
-        lease = self.store.grant_lease(LEASE_SECONDS)
-        self.write(lease)
-        self.lease = lease
-        log.info("Registered.", extra={"lease": lease})
+        # It may have changed during the write, or while the store was unavailable.
+        if self.published is not self.entry:
+            self.write(self.lease)
 
     def log_store_calls(self) -> None:
         """Log the counts of store calls once per period."""
@@ -93,8 +103,10 @@
 
     def write(self, lease: int) -> None:
         """Write the current entry under `lease`."""
-        text = msgspec.json.encode(self.entry).decode()
-        self.store.put(BOXES_PREFIX + self.entry.name, text, lease)
+        entry = self.entry
+        text = msgspec.json.encode(entry).decode()
+        self.store.put(BOXES_PREFIX + entry.name, text, lease)
+        self.published = entry
 
     def leave(self) -> None:
         """Mark this box as draining: it accepts no new work."""
--- a/tests/fleet/test_registration.py
+++ b/tests/fleet/test_registration.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import msgspec
 import pytest
 
 from cedarchute.fleet import registration
@@ -61,3 +62,53 @@
 def test_once_it_answers_all_is_as_before(run):
     waits = run([False, False, True, False])
     assert waits == [RENEW_SECONDS, 0.5, 1.0, RENEW_SECONDS, 0.5]
+
+
+class WrittenStore:
+    """Fake store that keeps entries; `during` runs within its next write."""
+
+    def __init__(self):
+        self.written = []
+        self.during = lambda: None
+        self.is_down = False
+
+    def grant_lease(self, seconds):
+        return 7
+
+    def renew_lease(self, lease):
+        pass
+
+    def put(self, key, value, lease):
+        if self.is_down:
+            raise StoreUnavailableError("down")
+        during, self.during = self.during, lambda: None
+        during()
+        self.written.append(msgspec.json.decode(value, type=BoxEntry))
+
+
+@pytest.fixture
+def store():
+    return WrittenStore()
+
+
+@pytest.fixture
+def box_registration(store):
+    return Registration(store, ENTRY, lambda reachable: None, Metrics())
+
+
+def test_a_stop_during_the_first_write_was_not_published(store, box_registration):
+    store.during = box_registration.leave
+    box_registration.renew_once()
+    assert store.written[-1].leaving
+
+
+def test_a_stop_while_the_store_was_down_was_never_published(store, box_registration):
+    box_registration.renew_once()
+    store.is_down = True
+    box_registration.leave()
+    assert not store.written[-1].leaving
+    store.is_down = False
+    box_registration.renew_once()
+    assert store.written[-1].leaving
+    box_registration.renew_once()
+    assert len(store.written) == 2
