--- a/tests/relay/test_caller_server.py
+++ b/tests/relay/test_caller_server.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from socket import SO_RCVBUF, SOL_SOCKET
 
 import eventlet
