Read what has arrived before a connection counts as idle

What callers saw, or would: after a pause of the process a connection with an unread request was closed as idle, or the request was refused with 408 although all of it had arrived.

Cause: the hub fires its timers before it looks at its sockets. When the process was held up past the idle or header timeout, the timeout is raised first, and the bytes that arrived meanwhile were left unread.

Evidence: two tests let the process stand still where it has just read input, while the rest of another caller's request arrives. Before: the connection was closed without an answer, and 408. It is not shown that the users' machines were held up that long.

A timeout of a read now looks at the socket once more and reads what is there.

--- a/src/cedarchute/relay/caller_connection.py
+++ b/src/cedarchute/relay/caller_connection.py
@@ -146,9 +146,16 @@
     def receive(self, seconds: float) -> bytes:
         """Return the next bytes; raise ``TimeoutError`` after `seconds`.
 
-        A timeout on the socket would also apply to the writes of the other task.
+        A timeout on the socket would also apply to the writes of the other task. After
+        a pause of the process timers fire before sockets are looked at, so a timeout
+        does not mean that nothing was received.
         """
-        with eventlet.Timeout(max(0.001, seconds), TimeoutError("read timed out")):
+        try:
+            with eventlet.Timeout(max(0.001, seconds), TimeoutError("read timed out")):
+                return self.sock.recv(READ_BYTES)
+        except TimeoutError:
+            if not self.has_unread_input():
+                raise
             return self.sock.recv(READ_BYTES)
 
     def answer_forever(self) -> None:
--- a/tests/relay/test_caller_server.py
+++ b/tests/relay/test_caller_server.py
@@ -56,9 +56,10 @@
     """Return a function that starts a server and returns it."""
     started = []
 
-    def start(handle=answer):
+    def start(handle=answer, limits=None):
         listener = eventlet.listen(("127.0.0.1", 0))
-        server = CallerServer(listener, handle, InputLimits, Metrics())
+        limits = limits or InputLimits()
+        server = CallerServer(listener, handle, lambda: limits, Metrics())
         server.address = listener.getsockname()
         started.append((server, eventlet.spawn(server.serve_forever)))
         return server
@@ -221,3 +222,42 @@
         for _ in range(2):
             caller.send()
             eventlet.sleep(0.01)
+
+
+IDLE_SECONDS = 0.4
+
+
+def hold_up(server, arrive):
+    """Let the process stand still where it has just read input; see `arrive` then.
+
+    Timers are looked at before sockets after that, as after any pause.
+    """
+    limits = server.limits()
+
+    def stand_still():
+        server.limits = lambda: limits
+        arrive()
+        original("time").sleep(1.5 * IDLE_SECONDS)
+        return limits
+
+    other = connect(server)
+    eventlet.sleep(0.01)
+    server.limits = stand_still
+    other.send(REQUEST[:20])
+
+
+def test_a_request_that_came_while_the_process_was_held_up_is_answered(serve):
+    server = serve(limits=InputLimits(idle_seconds=IDLE_SECONDS))
+    caller = connect(server)
+    hold_up(server, lambda: caller.sock.fd.sendall(REQUEST))
+    assert caller.sock.recv(65536).startswith(b"HTTP/1.1 200 ")
+
+
+def test_a_request_whose_end_came_while_the_process_was_held_up_is_answered(serve):
+    server = serve(limits=InputLimits(header_seconds=IDLE_SECONDS))
+    caller = connect(server)
+    caller.send(REQUEST[:20])
+    while not any(c.reader.in_message for c in server.connections):
+        eventlet.sleep(0.001)
+    hold_up(server, lambda: caller.sock.fd.sendall(REQUEST[20:]))
+    assert caller.sock.recv(65536).startswith(b"HTTP/1.1 200 ")
