Count a caller's connection as idle from its last response on

What callers saw, or would: a kept connection that closes right after a long response, while the next request is on its way; such a request ends without an answer. Callers expect an idle connection to stay open for the idle timeout.

Cause: the idle timeout ran from the last byte received and was started again only when it ended during a request. A call that took three quarters of it left its connection a quarter. A wait in progress also kept the timeout of an earlier configuration, so a connection closed sooner than a new one allows.

Evidence: two tests.

Idle time now runs from the last input or the last response, and the timeout in force is looked at again when it ends.

--- a/src/cedarchute/relay/caller_connection.py
+++ b/src/cedarchute/relay/caller_connection.py
@@ -19,6 +19,7 @@
 if TYPE_CHECKING:
     from cedarchute.relay.caller_request import CallerRequest
     from cedarchute.relay.caller_server import CallerServer
+    from cedarchute.relay.input_limits import InputLimits
 
 log = logging.getLogger("cedarchute.relay")
 
@@ -50,7 +51,7 @@
         self.has_received = False
         self.is_shut_down = False
         self.answered = 0
-        self.opened_at = time.monotonic()
+        self.opened_at = self.active_at = time.monotonic()
         self.worker: eventlet.greenthread.GreenThread | None = None
         self.writer: ReplyWriter | None = None
 
@@ -115,7 +116,7 @@
                 wait_seconds = header_deadline - time.monotonic()
             else:
                 header_deadline = None
-                wait_seconds = limits.idle_seconds
+                wait_seconds = self.compute_idle_wait(limits)
             try:
                 data = self.receive(wait_seconds)
             except TimeoutError:
@@ -123,7 +124,7 @@
                     return
                 if self.reader.in_message:
                     raise RequestError(408, "request not sent in time") from None
-                if self.busy or not self.requests.empty():
+                if self.compute_idle_wait(self.server.limits()) > 0:
                     continue
                 self.record_close("idle")
                 return
@@ -132,12 +133,19 @@
             if self.is_shut_down:
                 continue
             self.has_received = True
+            self.active_at = time.monotonic()
             self.reader.feed(data)
             if self.reader.expects_continue and self.reader.in_body:
                 self.reader.expects_continue = False
                 self.sock.sendall(CONTINUE)
             self.enqueue_ready()
 
+    def compute_idle_wait(self, limits: InputLimits) -> float:
+        """Return for how long no input may come, from now on."""
+        if not self.is_idle:
+            return limits.idle_seconds
+        return self.active_at + limits.idle_seconds - time.monotonic()
+
     def enqueue_ready(self) -> None:
         """Queue the complete requests for the responding task."""
         while self.reader.ready:
@@ -171,6 +179,7 @@
             except (OSError, ShutdownError):
                 keep_open = False
             self.busy = False
+            self.active_at = time.monotonic()
             self.answered += 1
             if not keep_open:
                 self.end(linger=self.writer.finished)
--- a/tests/relay/test_caller_server.py
+++ b/tests/relay/test_caller_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from socket import SO_RCVBUF, SOL_SOCKET
 
 import eventlet
@@ -261,3 +262,28 @@
         eventlet.sleep(0.001)
     hold_up(server, lambda: caller.sock.fd.sendall(REQUEST[20:]))
     assert caller.sock.recv(65536).startswith(b"HTTP/1.1 200 ")
+
+
+def test_a_connection_is_idle_from_its_last_response_on(serve):
+    answered_at = []
+
+    def wait(request, writer):
+        eventlet.sleep(0.75 * IDLE_SECONDS)
+        answered_at.append(time.monotonic())
+        writer.write_whole(200, Headers(), b"done")
+
+    server = serve(wait, InputLimits(idle_seconds=IDLE_SECONDS))
+    caller = connect(server)
+    caller.send()
+    assert caller.read_to_close().endswith(b"done")
+    assert time.monotonic() - answered_at[0] >= IDLE_SECONDS
+
+
+def test_a_longer_idle_timeout_applies_to_open_connections(serve):
+    server = serve(limits=InputLimits(idle_seconds=IDLE_SECONDS))
+    caller = connect(server)
+    eventlet.sleep(0)
+    server.limits = lambda: InputLimits(idle_seconds=2 * IDLE_SECONDS)
+    changed_at = time.monotonic()
+    assert caller.read_to_close() == b""
+    assert time.monotonic() - changed_at >= 1.5 * IDLE_SECONDS
