Let a box that waits for its store be stopped, and survive SIGHUP

Seen on boxes without a role: SIGHUP ended the process at any time, with every request under way. A box that waited for its store could be ended by SIGKILL only once it had its handlers, and by the default of the signal before. The planned stop could begin late on an idle box.

Cause: run_peer handled SIGTERM and SIGINT only, and only after the box was wired. Both waits for the store, for the incarnation and to join, tried again for ever. The handler sent the event from within the hub's wait, which goes on with its timeout after a signal.

That the hub is not woken is read from its code, not from a run.

Boxes without a role now use Signals as the others do, from before they are wired. What they are asked for is a StopRequest, which the waits for the store look at: a box that has not joined has taken nothing, and ends with 0. Once joined, the stop is the planned one. tests/daemon/test_stopper.py only passes the new argument.

--- a/src/cedarchute/daemon/composition.py
+++ b/src/cedarchute/daemon/composition.py
@@ -31,16 +31,22 @@
 
     from cedarchute.clock import Clock
     from cedarchute.daemon.listeners import Listeners
+    from cedarchute.daemon.stop_request import StopRequest
     from cedarchute.settings.box_settings import BoxSettings
 
 CONNECTIONS: Final = 4096
 KEEP_ALIVE_SECONDS: Final = 60
 
 
-def compose(settings: BoxSettings, listeners: Listeners) -> Daemon:
+def compose(settings: BoxSettings, listeners: Listeners, stop: StopRequest) -> Daemon:
     """Wire the daemon; returns once the box has its incarnation.
 
     The listeners answer from the start, with a refusal until the box is ready.
+
+    Raises
+    ------
+    StopAskedError
+        When a planned stop is asked for while the store is unavailable.
     """
     clock = SystemClock()
     chance = random.Random(f"{settings.box.name}/{clock.wall()}")
@@ -50,7 +56,7 @@
     for listener, app in zip((listeners.caller, listeners.peer), active, strict=True):
         serve(listener, app)
 
-    shared = SharedParts(settings, clock, metrics)
+    shared = SharedParts(settings, clock, metrics, stop)
     scheduling = SchedulingParts(settings, shared, chance, clock, metrics)
     programs = ProgramParts(settings, shared, scheduling, chance, clock, metrics)
     border = BorderParts(settings, shared, scheduling, programs, chance, clock, metrics)
@@ -62,6 +68,7 @@
         active,
         settings.serving,
         clock,
+        stop,
     )
 
     def open_fronts() -> None:
@@ -87,7 +94,7 @@
             settings.box.name,
             shared.view,
             scheduling.book,
-            stopper.ask,
+            stop.ask,
             metrics,
         )
         tasks.append(box_list.watch_forever)
--- a/src/cedarchute/daemon/daemon.py
+++ b/src/cedarchute/daemon/daemon.py
@@ -50,7 +50,13 @@
         self.stopper.run()
 
     def join(self) -> None:
-        """Read what is shared, take the newest configuration, register."""
+        """Read what is shared, take the newest configuration, register.
+
+        Raises
+        ------
+        StopAskedError
+            When a planned stop is asked for while the store is unavailable.
+        """
         while True:
             try:
                 self.watcher.read_all()
@@ -60,7 +66,7 @@
                 return
             except StoreUnavailableError as error:
                 log.warning("Store unavailable, waiting to join: %s", error)
-                eventlet.sleep(START_RETRY_SECONDS)
+                self.stopper.asked.pause_start(START_RETRY_SECONDS)
 
     def run_task(self, task: Callable[[], None]) -> None:
         """Run a task for ever; a fault in it is logged and it goes on."""
--- a/src/cedarchute/daemon/main.py
+++ b/src/cedarchute/daemon/main.py
@@ -41,7 +41,6 @@
 eventlet.monkey_patch(thread=False, subprocess=False, psycopg=False)
 
 import logging
-import signal
 import sys
 from typing import Final
 
@@ -50,6 +49,7 @@
 from cedarchute.daemon.listeners import PortInUseError, open_listeners
 from cedarchute.daemon.logs import set_up_bounded_logs, set_up_logs
 from cedarchute.daemon.node_main import run_node
+from cedarchute.daemon.signals import handle_signals
 from cedarchute.ini import IniError, read_sections
 
 log = logging.getLogger("cedarchute.daemon")
@@ -94,19 +94,21 @@
     let_modules_in()
     from cedarchute.copies.disk_storage import FolderInUseError
     from cedarchute.daemon.composition import compose
+    from cedarchute.daemon.stop_request import StopAskedError, StopRequest
     from cedarchute.settings.loader import load_settings
 
     settings = load_settings(file)
     listeners = open_listeners(settings.box, file)
+    stop = StopRequest()
+    handle_signals(lambda _: stop.ask())
     try:
-        daemon = compose(settings, listeners)
+        compose(settings, listeners, stop).run()
     except FolderInUseError as error:
         sys.stderr.write(f"{file}: {error}\n")
         return EXIT_BAD_SETTINGS
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: daemon.stopper.ask())
-    daemon.run()
-    return 0
+    except StopAskedError:
+        log.info("Stopped before joining.")
+    return EXIT_OK
 
 
 def main() -> None:
--- a/src/cedarchute/daemon/node_main.py
+++ b/src/cedarchute/daemon/node_main.py
@@ -3,12 +3,10 @@
 from __future__ import annotations
 
 import logging
-import signal
 import sys
 from typing import TYPE_CHECKING, Final, Protocol
 
-from cedarchute.daemon.early_signals import EARLY_SIGNALS
-from cedarchute.daemon.signals import Signals
+from cedarchute.daemon.signals import handle_signals
 from cedarchute.fleet.box_entry import Role
 from cedarchute.metrics import Metrics
 from cedarchute.settings.node_settings import load_node_settings
@@ -45,12 +43,7 @@
     metrics = Metrics()
     box = build_box(settings, file, metrics)
 
-    handlers = {
-        signal.SIGTERM: box.ask_stop,
-        signal.SIGINT: box.ask_stop,
-        signal.SIGHUP: note_changed_settings,
-    }
-    Signals(EARLY_SIGNALS, handlers).start()
+    handle_signals(box.ask_stop)
     log.info(
         "Started.", extra={"box": settings.box.name, "role": settings.box.role.value}
     )
@@ -59,12 +52,6 @@
     return OK
 
 
-def note_changed_settings(at_seconds: float) -> None:
-    """Log that a new settings file was not read."""
-    del at_seconds
-    log.info("Settings changed; they apply from the next start.")
-
-
 def build_box(settings: NodeSettings, file: str, metrics: Metrics) -> Box:
     """Return the box that the role asks for.
 
--- a/src/cedarchute/daemon/shared_parts.py
+++ b/src/cedarchute/daemon/shared_parts.py
@@ -22,6 +22,7 @@
     from pathlib import Path
 
     from cedarchute.clock import Clock
+    from cedarchute.daemon.stop_request import StopRequest
     from cedarchute.metrics import Metrics
     from cedarchute.settings.box_settings import BoxSettings
 
@@ -29,12 +30,20 @@
 class SharedParts:
     """Store, membership, configuration and copies; takes the box's incarnation."""
 
-    def __init__(self, settings: BoxSettings, clock: Clock, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        settings: BoxSettings,
+        clock: Clock,
+        metrics: Metrics,
+        stop: StopRequest,
+    ) -> None:
         box = settings.box
         takeover_seconds = settings.membership.takeover_seconds
         self.store = StoreClient(settings.platform.store, metrics)
         self.keys = StoreKeys(settings.platform.key_prefix)
-        number = take_incarnation(self.store, self.keys.incarnation(box.name), clock)
+        number = take_incarnation(
+            self.store, self.keys.incarnation(box.name), clock, stop.pause_start
+        )
         storage, holder_name = open_storage(box.data_folder, f"{box.name}.{number}")
         self.record = BoxRecord(
             name=box.name,
--- a/src/cedarchute/daemon/signals.py
+++ b/src/cedarchute/daemon/signals.py
@@ -10,6 +10,8 @@
 import eventlet
 from eventlet.green import socket
 
+from cedarchute.daemon.early_signals import EARLY_SIGNALS
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -69,3 +71,19 @@
             self.handlers[signal.Signals(arrived.number)](arrived.at_seconds)
         except Exception:
             log.exception("Signal not handled.")
+
+
+def handle_signals(ask_stop: Callable[[float], None]) -> None:
+    """Handle the signals of this process from now on, and those from before."""
+    handlers = {
+        signal.SIGTERM: ask_stop,
+        signal.SIGINT: ask_stop,
+        signal.SIGHUP: note_changed_settings,
+    }
+    Signals(EARLY_SIGNALS, handlers).start()
+
+
+def note_changed_settings(at_seconds: float) -> None:
+    """Log that a new settings file was not read."""
+    del at_seconds
+    log.info("Settings changed; they apply from the next start.")
--- a/src/cedarchute/daemon/stopper.py
+++ b/src/cedarchute/daemon/stopper.py
@@ -6,7 +6,6 @@
 from typing import TYPE_CHECKING, Final
 
 import eventlet
-from eventlet.event import Event
 
 from cedarchute.operators.site_file import ServiceKind
 from cedarchute.ownership.hand_over import HandOver, HandOverReply
@@ -19,6 +18,7 @@
     from cedarchute.clock import Clock
     from cedarchute.copies.owned_partition import OwnedPartition
     from cedarchute.daemon.active_requests import ActiveRequests
+    from cedarchute.daemon.stop_request import StopRequest
     from cedarchute.membership.lease_keeper import LeaseKeeper
     from cedarchute.membership.view import View
     from cedarchute.ownership.partition_keeper import PartitionKeeper
@@ -42,6 +42,7 @@
         active: Sequence[ActiveRequests],
         settings: ServingSection,
         clock: Clock,
+        asked: StopRequest,
     ) -> None:
         self.keeper = keeper
         self.view = view
@@ -50,12 +51,7 @@
         self.active = active
         self.settings = settings
         self.clock = clock
-        self.asked = Event()
-
-    def ask(self) -> None:
-        """Begin the stop; asking twice changes nothing."""
-        if not self.asked.ready():
-            self.asked.send(None)
+        self.asked = asked
 
     def run(self) -> None:
         """Return when the process may end."""
--- a/src/cedarchute/membership/incarnation.py
+++ b/src/cedarchute/membership/incarnation.py
@@ -12,6 +12,8 @@
 from cedarchute.platform.store_client import StoreUnavailableError
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from cedarchute.clock import Clock
     from cedarchute.platform.store_client import StoreClient
 
@@ -20,12 +22,22 @@
 RETRY_SECONDS: Final = 0.5
 
 
-def take_incarnation(store: StoreClient, key: str, clock: Clock) -> int:
+def take_incarnation(
+    store: StoreClient,
+    key: str,
+    clock: Clock,
+    pause: Callable[[float], None] = eventlet.sleep,
+) -> int:
     """Return a number higher than all earlier incarnations of the box.
 
     Blocks while the store is unavailable, because the ids that the box creates are
     unique only with a new incarnation. The number is at least the wall clock in
     seconds, so that it increases even if the store was restored from a backup.
+
+    Parameters
+    ----------
+    pause : Callable
+        Waits for some seconds before the next try; may raise to give up.
     """
     has_logged = False
     while True:
@@ -37,7 +49,7 @@
             if not has_logged:
                 log.warning("Store unavailable, waiting to start: %s", error)
             has_logged = True
-            eventlet.sleep(RETRY_SECONDS)
+            pause(RETRY_SECONDS)
 
 
 def try_incarnation(store: StoreClient, key: str, clock: Clock) -> int | None:
--- a/tests/daemon/test_stopper.py
+++ b/tests/daemon/test_stopper.py
@@ -3,6 +3,7 @@
 import pytest
 from fake_world import FakeWorld
 
+from cedarchute.daemon.stop_request import StopRequest
 from cedarchute.daemon.stopper import Stopper
 from cedarchute.settings.box_settings import ServingSection
 
@@ -25,6 +26,7 @@
         [],
         ServingSection(drain_seconds=DRAIN_SECONDS),
         world.clock,
+        StopRequest(),
     )
 
 
