Keep a full disk under the log from hanging a box

Callers would see every request of a box stand still.

Cause: a write of the log that failed for want of room, or of a reader, was an error of the handler, and logging tells each of those with its trace on standard error. That is written with blocking calls, so a pipe there that nobody reads stopped the process after 64 KB, some forty lines of the log.

Evidence: test_a_full_disk_under_the_log_filled_standard_error_until_the_box_hung, with /dev/full as standard output and a pipe as standard error: it did not end within 30 s before. Not known to have happened to a user.

The handler now treats every failed write as one that takes nothing: lines are kept up to their bound, then counted as dropped, and written when there is room again.

--- a/src/cedarchute/daemon/bounded_log.py
+++ b/src/cedarchute/daemon/bounded_log.py
@@ -81,16 +81,18 @@
         self.kept_bytes += len(data)
 
     def flush_kept(self) -> None:
-        """Write as much as the other side takes now.
+        """Write as much as the other side takes now; keep the rest.
 
-        By the system's own call: that of `os` is one that waits in a box, and its task
-        stopped at a full pipe.
+        A disk without room and a pipe without a reader count as one that takes nothing:
+        telling standard error of each line could block the process there. By the
+        system's own call: that of `os` is one that waits in a box, and its task stopped
+        at a full pipe.
         """
         while self.kept:
             data = self.kept[0]
             try:
                 count = posix.write(self.descriptor, data)
-            except BlockingIOError:
+            except OSError:
                 return
             self.kept_bytes -= count
             if count == len(data):
--- a/tests/daemon/test_bounded_log.py
+++ b/tests/daemon/test_bounded_log.py
@@ -127,3 +127,40 @@
         os.close(reader)
         os.close(writer)
     assert done.stderr == "every line was taken or dropped"
+
+
+# Writes more lines than any pipe holds, and says by its exit code that it went on.
+FULL_DISK = """
+import logging, sys
+from cedarchute.daemon.bounded_log import BoundedHandler
+from cedarchute.daemon.logs import JsonFormatter
+handler = BoundedHandler(sys.stdout.fileno())
+handler.setFormatter(JsonFormatter())
+for number in range(2000):
+    handler.emit(logging.LogRecord("cedarchute", 20, "", 0, "Said.", None, None))
+sys.exit(7)
+"""
+
+
+def test_a_full_disk_under_the_log_filled_standard_error_until_the_box_hung():
+    with open("/dev/full", "wb") as full:
+        process = subprocess.Popen(
+            [sys.executable, "-c", FULL_DISK], stdout=full, stderr=subprocess.PIPE
+        )
+    try:
+        assert process.wait(30) == 7
+    finally:
+        process.kill()
+        process.wait()
+        process.stderr.close()
+
+
+def test_lines_from_before_a_full_disk_are_written_once_there_is_room(pipe):
+    reader, writer = pipe
+    handler = make_handler(writer, Clock())
+    with open("/dev/full", "wb") as full:
+        handler.descriptor = full.fileno()
+        say(handler, "First.")
+    handler.descriptor = writer
+    say(handler, "Second.")
+    assert [line["message"] for line in read_lines(reader)] == ["First.", "Second."]
