Answer all requests that were sent together in a planned stop

What callers saw, or would: of several requests sent without waiting only the first was answered in a planned stop; the others, already read, were dropped when their connection closed.

Cause: each response of a stop said that its connection closes, also when more requests had been received on it.

Evidence: the test sends three requests in one write; before, one was answered.

Only the response to the last request that was received closes the connection. The look at unread input moves to a module of its own.

--- a/src/cedarchute/relay/caller_connection.py
+++ b/src/cedarchute/relay/caller_connection.py
@@ -15,6 +15,7 @@
 from cedarchute.relay.request_error import RequestError
 from cedarchute.relay.request_reader import RequestReader
 from cedarchute.relay.shutdown_error import ShutdownError
+from cedarchute.relay.unread_input import has_unread_input
 
 if TYPE_CHECKING:
     from cedarchute.relay.caller_request import CallerRequest
@@ -67,7 +68,7 @@
             return True
         if not self.is_idle or self.awaits_first_request:
             return False
-        return not self.has_unread_input()
+        return not has_unread_input(self.sock)
 
     @property
     def awaits_first_request(self) -> bool:
@@ -162,7 +163,7 @@
             with eventlet.Timeout(max(0.001, seconds), TimeoutError("read timed out")):
                 return self.sock.recv(READ_BYTES)
         except TimeoutError:
-            if not self.has_unread_input():
+            if not has_unread_input(self.sock):
                 raise
             return self.sock.recv(READ_BYTES)
 
@@ -187,11 +188,15 @@
 
     def answer(self, request: CallerRequest) -> bool:
         """Handle one request; return whether the connection stays open."""
-        writer = ReplyWriter(request, self.send, self.server.must_close)
+        writer = ReplyWriter(request, self.send, self.must_close)
         self.writer = writer
         self.server.handle(request, writer)
         return writer.finished and not writer.closes
 
+    def must_close(self) -> bool:
+        """Return whether the response being written is the last one."""
+        return self.server.must_close() and self.requests.empty()
+
     def interrupt(self, include_started: bool) -> bool:
         """End the request in progress; return whether there was one.
 
@@ -249,7 +254,7 @@
 
     def record_close(self, reason: str) -> None:
         """Count and log that this side closes the connection without being asked."""
-        has_unread = self.has_unread_input()
+        has_unread = has_unread_input(self.sock)
         self.server.metrics.count(f"connections.closed.{reason}")
         if has_unread:
             self.server.metrics.count("connections.closed.unread")
@@ -263,13 +268,6 @@
             },
         )
 
-    def has_unread_input(self) -> bool:
-        """Return whether the socket has received bytes that are not read yet."""
-        try:
-            return bool(self.sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
-        except OSError:
-            return False
-
     def end(self, linger: bool) -> None:
         """Close after the last response; its caller may still be receiving it."""
         if linger:
--- /dev/null
+++ b/src/cedarchute/relay/unread_input.py
@@ -0,0 +1,13 @@
+"""Tells whether a socket has received bytes that are not read yet."""
+
+from __future__ import annotations
+
+import socket
+
+
+def has_unread_input(sock: socket.socket) -> bool:
+    """Return whether bytes wait in the kernel; a close or an error is none."""
+    try:
+        return bool(sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+    except OSError:
+        return False
--- a/tests/relay/test_caller_server.py
+++ b/tests/relay/test_caller_server.py
@@ -287,3 +287,13 @@
     changed_at = time.monotonic()
     assert caller.read_to_close() == b""
     assert time.monotonic() - changed_at >= 1.5 * IDLE_SECONDS
+
+
+def test_requests_that_were_sent_together_are_all_answered_in_a_stop(serve):
+    server = serve()
+    caller = connect(server)
+    server.begin_closing()
+    caller.send(3 * REQUEST)
+    received = caller.read_to_close()
+    assert received.count(b"HTTP/1.1 200 ") == 3
+    assert received.count(b"Connection: close") == 1
