Answer a request whose handler fails

What callers saw, or would: no answer and no close, for good. The connection counted as busy from then on, so it never became idle, and a planned stop waited for it until the end of its grace.

Cause: the task that answers the requests of a connection ended with any exception but a failed write; the task that reads went on.

Evidence: the test's handler raises once; before, its caller waited until the test gave up after 30 s. The handler of the product answers its own exceptions, so only a fault in writing that answer could lead here: none is known, and it is not what the users saw.

Such a request gets 502, and the connection goes on.

--- a/src/cedarchute/relay/caller_connection.py
+++ b/src/cedarchute/relay/caller_connection.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING, Final
 
 import eventlet
-from eventlet.queue import Empty, LightQueue
+from eventlet.queue import LightQueue
 
 from cedarchute.relay.reply_writer import CONTINUE, ReplyWriter
 from cedarchute.relay.request_error import RequestError
@@ -190,7 +190,14 @@
         """Handle one request; return whether the connection stays open."""
         writer = ReplyWriter(request, self.send, self.must_close)
         self.writer = writer
-        self.server.handle(request, writer)
+        try:
+            self.server.handle(request, writer)
+        except (OSError, ShutdownError):
+            raise
+        except Exception:
+            log.exception("Unhandled exception in the handler of a request.")
+            if not writer.started:
+                writer.write_refusal(502, "fault of this box")
         return writer.finished and not writer.closes
 
     def must_close(self) -> bool:
@@ -286,12 +293,5 @@
     def close(self) -> None:
         """Close the socket and drop the queued requests."""
         self.sock.close()
-        self.discard_requests()
-
-    def discard_requests(self) -> None:
-        """Drop the requests that were queued when the connection ended."""
-        while True:
-            try:
-                self.requests.get_nowait()
-            except Empty:
-                return
+        while not self.requests.empty():
+            self.requests.get_nowait()
--- a/tests/relay/test_caller_server.py
+++ b/tests/relay/test_caller_server.py
@@ -297,3 +297,22 @@
     received = caller.read_to_close()
     assert received.count(b"HTTP/1.1 200 ") == 3
     assert received.count(b"Connection: close") == 1
+
+
+def test_a_fault_of_a_handler_does_not_leave_its_caller_waiting(serve):
+    faults = [RuntimeError("fault")]
+
+    def fail_once(request, writer):
+        if faults:
+            raise faults.pop()
+        answer(request, writer)
+
+    server = serve(fail_once)
+    caller = connect(server)
+    caller.send()
+    caller.send()
+    received = caller.read_until(b"done")
+    assert [line for line in received.split(b"\r\n") if b"HTTP/1.1" in line] == [
+        b"HTTP/1.1 502 Bad Gateway",
+        b"fault of this box\nHTTP/1.1 200 OK",
+    ]
