calls: say in the log why a request ended and whether a target got it

What was missing: a line "Caller disconnected." for a caller that left, for one that accepts no bytes and for an error elsewhere alike; no line said whether a target had the request, and no counter told responses broken off from refusals.

Each end of a call now leaves one line with its id: "Call answered.", "Call given up." or "Caller disconnected.", the latter two with why and sends; calls.broken_off counts responses that had begun.

--- a/src/cedarchute/calls/attempts.py
+++ b/src/cedarchute/calls/attempts.py
@@ -93,6 +93,7 @@
         while True:
             target = self.choose_target()
             self.tried.add(target.id)
+            self.call.progress.sends += 1
             log.info(
                 "Call sent.",
                 extra={
--- a/src/cedarchute/calls/call.py
+++ b/src/cedarchute/calls/call.py
@@ -4,6 +4,9 @@
 
 from typing import TYPE_CHECKING
 
+import msgspec
+
+from cedarchute.calls.call_progress import CallProgress
 from cedarchute.record import Record
 from cedarchute.turns.program_key import make_program_key
 
@@ -47,12 +50,15 @@
         The caller's timeout, counted from the start of its request.
     caller_identity : CallerIdentity or None
         The authenticated caller; None if no workspace has keys configured.
+    progress : CallProgress
+        How far the call has come; shared by the copies of this record.
     """
 
     id: str
     caller_timeout_seconds: float | None
     program: ProgramContext
     caller_identity: CallerIdentity | None = None
+    progress: CallProgress = msgspec.field(default_factory=CallProgress)
 
     @property
     def workspace(self) -> str:
--- a/src/cedarchute/calls/call_dispatcher.py
+++ b/src/cedarchute/calls/call_dispatcher.py
@@ -10,6 +10,7 @@
 from msgspec.structs import replace
 
 from cedarchute.calls.call_errors import CallRefusedError
+from cedarchute.calls.call_progress import CallProgress
 from cedarchute.platform.call_headers import (
     ANSWER_ID,
     read_call,
@@ -62,21 +63,25 @@
         """Handle one request."""
         call_id = request.headers.get_text(ANSWER_ID)
         set_request_id(call_id)
+        progress = CallProgress()
         try:
-            call = read_call(request)
+            call = replace(read_call(request), progress=progress)
             self.route_call(request, writer, call)
         except CallRefusedError as error:
-            self.send_refusal(request, writer, call_id, error)
+            self.send_refusal(request, writer, call_id, error, progress)
         except RequestError as error:
             refusal = CallRefusedError(error.status, error.reason)
-            self.send_refusal(request, writer, call_id, refusal)
-        except (CallerDisconnectedError, GreenletExit):
-            self.record_caller_disconnect(request)
+            self.send_refusal(request, writer, call_id, refusal, progress)
+        except CallerDisconnectedError as error:
+            self.record_caller_disconnect(request, str(error), progress)
+            raise
+        except GreenletExit:
+            self.record_caller_disconnect(request, "connection closed", progress)
             raise
         except Exception as error:
             log.exception("Unhandled exception while handling a call.")
             refusal = CallRefusedError(502, f"fault of this box: {error}")
-            self.send_refusal(request, writer, call_id, refusal)
+            self.send_refusal(request, writer, call_id, refusal, progress)
 
     def route_call(
         self, request: CallerRequest, writer: ReplyWriter, call: Call
@@ -116,13 +121,17 @@
             },
         )
 
-    def record_caller_disconnect(self, request: CallerRequest) -> None:
+    def record_caller_disconnect(
+        self, request: CallerRequest, reason: str, progress: CallProgress
+    ) -> None:
         """Log that the caller disconnected before its response was complete."""
         self.metrics.count("calls.caller_left")
         seconds = time.monotonic() - request.read_at
         log.info(
             "Caller disconnected.",
             extra={
+                "why": reason,
+                "sends": progress.sends,
                 "path": request.path.decode("latin-1"),
                 "program": read_program(request),
                 "ms": round(seconds * 1000, 1),
@@ -135,9 +144,12 @@
         writer: ReplyWriter,
         call_id: str,
         error: CallRefusedError,
+        progress: CallProgress,
     ) -> None:
         """Send an error response, or end a response that has already begun."""
         self.metrics.count_refusal(f"status_{error.status}")
+        if writer.started:
+            self.metrics.count("calls.broken_off")
         seconds = time.monotonic() - request.read_at
         log.info(
             "Call given up.",
@@ -149,6 +161,7 @@
                 "ms": round(seconds * 1000, 1),
                 "version": self.routes.version,
                 "broken_off": writer.started,
+                "sends": progress.sends,
                 **error.facts,
             },
         )
--- /dev/null
+++ b/src/cedarchute/calls/call_progress.py
@@ -0,0 +1,17 @@
+"""How far a call has come, for the log line of its end."""
+
+from __future__ import annotations
+
+from cedarchute.record import MutableRecord
+
+
+class CallProgress(MutableRecord):
+    """Updated while a call is handled.
+
+    Attributes
+    ----------
+    sends : int
+        How many times the call was sent to a target.
+    """
+
+    sends: int = 0
