relay: refuse a request for another protocol once, and handle it not at all

What callers saw: a request with "Upgrade" was sent to a target without its body, and its caller got two responses: the target's, then 400 "protocol upgrades are not supported", which a client takes for the answer to its next request.

Cause: the parser ends such a message at its head and reports the upgrade afterwards; the reader had queued the request by then.

Evidence: POST with a body of 2 bytes and "Upgrade: h2c" gave both a request with an empty body and the error. The test failed before: [/a, /b] instead of [/a].

Fix: the reader does not queue a request that asks for another protocol; those before it on the connection are still answered.

--- a/src/cedarchute/relay/request_reader.py
+++ b/src/cedarchute/relay/request_reader.py
@@ -104,7 +104,12 @@
         self.parts.append(body)
 
     def on_message_complete(self) -> None:
-        """Append the request to `ready`."""
+        """Append the request to `ready`, unless it asks for another protocol.
+
+        The parser reads no body of such a request.
+        """
+        if self.parser.should_upgrade():
+            return
         request = CallerRequest(
             method=self.parser.get_method(),
             target=self.target,
--- a/tests/relay/test_readers.py
+++ b/tests/relay/test_readers.py
@@ -116,3 +116,15 @@
     )
     kept = headers.select_end_to_end(frozenset((b"hold",)))
     assert kept.fields == ((b"X-End", b"a"), (b"x-end", b"b"))
+
+
+def test_a_request_for_another_protocol_is_refused_and_not_handled_without_its_body():
+    reader = RequestReader(InputLimits())
+    with pytest.raises(RequestError) as refused:
+        reader.feed(
+            b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab"
+            b"POST /b HTTP/1.1\r\nHost: h\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n"
+            b"Content-Length: 2\r\n\r\nab"
+        )
+    assert refused.value.status == 400
+    assert [request.target for request in reader.ready] == [b"/a"]
