turns: cancel the reservation of a turn that is not admitted

What callers saw: turns refused with 402 though their program had tokens left. Two of three holders killed, four turns of a program (budget 60, at most 30 each) refused with 503, the holders started again: the next turn got 402.

Cause: the holders that are left keep a reservation that reaches no quorum, and each try has an id of its own, so tries add up. begin() cancelled only what failed after the reservation, and nothing when the caller left meanwhile: GreenletExit is no Exception.

A caller that leaves while holders are asked for the reservation or for the chain: no record followed before (the test waited 10 s for it).

Fix: whatever ends an admission cancels its reservation.

--- a/src/cedarchute/turns/turn_quorum.py
+++ b/src/cedarchute/turns/turn_quorum.py
@@ -85,9 +85,15 @@
         Raises
         ------
         NoQuorumError, NoSuchTurnError, BudgetSpentError
-            The reservation is cancelled, or did not reach a quorum.
+            The reservation is cancelled.
         """
-        begun = self.reserve(program, turn, tokens, previous, budget)
+        try:
+            begun = self.reserve(program, turn, tokens, previous, budget)
+        except BaseException:
+            # Some holders may have stored it. While a quorum is away each refused turn
+            # may cost them one more request, not a series of tries.
+            self.settle(program, turn, 0, uses_full_timeout=False)
+            raise
         budgets = [a.budget for a in begun.values() if a.budget is not None]
         try:
             if budgets:
@@ -95,7 +101,7 @@
             admission = self.chains.read_previous(program, previous, begun)
             age = max_age([answer.age_seconds for answer in begun.values()])
             return replace(admission, age_seconds=age)
-        except Exception:
+        except BaseException:
             self.cancel_reservation(program, turn)
             raise
 
@@ -189,27 +195,34 @@
         """Cancel a reservation in the background."""
         self.settle(program, turn, 0)
 
-    def settle(self, program: str, turn: str, tokens: int) -> None:
+    def settle(
+        self, program: str, turn: str, tokens: int, uses_full_timeout: bool = True
+    ) -> None:
         """Record the tokens of a turn that did not complete, in the background."""
-        eventlet.spawn_n(self.settle_or_log, Settled(program, turn, tokens))
+        record = Settled(program, turn, tokens)
+        eventlet.spawn_n(self.settle_or_log, record, uses_full_timeout)
 
-    def settle_or_log(self, record: Settled) -> None:
+    def settle_or_log(self, record: Settled, uses_full_timeout: bool = True) -> None:
         """Settle a turn; if that fails, its whole reservation counts as used."""
         try:
-            self.write(record)
+            self.write(record, uses_full_timeout=uses_full_timeout)
         except NoQuorumError:
             self.metrics.count("turns.not_settled")
             log.warning(
                 "Turn not settled; its reservation stays.", extra={"turn": record.turn}
             )
 
-    def write(self, record: Record, min_seconds: float = 0.0) -> None:
+    def write(
+        self, record: Record, min_seconds: float = 0.0, uses_full_timeout: bool = True
+    ) -> None:
         """Write a record at a quorum; raise `NoQuorumError` on failure.
 
         Parameters
         ----------
         min_seconds : float
             Raises the timeout to at least this.
+        uses_full_timeout : bool
+            Whether to wait that long even on an isolated box.
         """
 
         def build(table: SeatTable, number: int) -> TakeRecords:
@@ -226,7 +239,7 @@
             RecordsTaken,
             build,
             max(FINISH_SECONDS, min_seconds),
-            uses_full_timeout=True,
+            uses_full_timeout=uses_full_timeout,
         )
 
     def find_nearest(self, program: str) -> int | None:
