relay: count a caller as disconnected only if it takes nothing for 10 s

What callers saw: a long response that they were reading ended 10 s after its start: 12 MB read at about 0.4 MB/s through a real entry stopped after 7.7 MB, and the entry logged "Caller disconnected.".

Cause: the write timeout covered the whole response, not the time in which the caller takes no bytes, which is what its comment says.

Fix: each send has the timeout of its own. A caller that takes nothing is still given up after 10 s.

--- a/src/cedarchute/relay/caller_connection.py
+++ b/src/cedarchute/relay/caller_connection.py
@@ -146,8 +146,11 @@
 
     def send(self, data: bytes) -> None:
         """Write bytes; raise ``TimeoutError`` if the caller does not accept them."""
-        with eventlet.Timeout(WRITE_TIMEOUT_SECONDS, TimeoutError("write timed out")):
-            self.sock.sendall(data)
+        rest = memoryview(data)
+        while rest:
+            error = TimeoutError("write timed out")
+            with eventlet.Timeout(WRITE_TIMEOUT_SECONDS, error):
+                rest = rest[self.sock.send(rest) :]
 
     def send_error(self, error: RequestError) -> None:
         """Send an error response and close the sending direction."""
