--- a/src/cedarchute/daemon/holder_box.py
+++ b/src/cedarchute/daemon/holder_box.py
@@ -29,6 +29,7 @@
 from cedarchute.supervisor import Supervisor
 from cedarchute.turns.catch_up import CatchUp
 from cedarchute.turns.disk_identity import DiskIdentity
+from cedarchute.turns.durable_file import make_folder
 from cedarchute.turns.evacuation import Evacuation
 from cedarchute.turns.group_commit_writer import GroupCommitWriter
 from cedarchute.turns.holder import Holder
@@ -62,7 +63,7 @@
         box = settings.box
         self.metrics = metrics
         self.folder = Path(box.data_folder)
-        self.folder.mkdir(parents=True, exist_ok=True)
+        make_folder(self.folder)
         is_restarted = DiskIdentity.is_stored(self.folder)
         identity = DiskIdentity.load(self.folder)
         self.journal = TurnJournal(self.folder)
--- a/src/cedarchute/turns/durable_file.py
+++ b/src/cedarchute/turns/durable_file.py
@@ -1,4 +1,4 @@
-"""Atomic, durable replacement of small files."""
+"""Durable creation of folders and atomic, durable replacement of small files."""
 
 from __future__ import annotations
 
@@ -23,7 +23,29 @@
         file.flush()
         os.fsync(file.fileno())
     new.replace(path)
-    folder = os.open(path.parent, os.O_RDONLY)
+    sync_folder(path.parent)
+
+
+def make_folder(path: Path) -> None:
+    """Create a folder and its missing parents durably.
+
+    A file in a folder whose own name was not synced is lost with that name.
+
+    Raises
+    ------
+    OSError
+        If a folder cannot be created or synced.
+    """
+    if path.is_dir():
+        return
+    make_folder(path.parent)
+    path.mkdir(exist_ok=True)
+    sync_folder(path.parent)
+
+
+def sync_folder(path: Path) -> None:
+    """Wait until the names in a folder are durable."""
+    folder = os.open(path, os.O_RDONLY)
     try:
         os.fsync(folder)
     finally:
--- a/src/cedarchute/turns/turn_journal.py
+++ b/src/cedarchute/turns/turn_journal.py
@@ -10,6 +10,7 @@
 import msgspec
 from eventlet import tpool
 
+from cedarchute.turns.durable_file import sync_folder
 from cedarchute.turns.records import Record
 
 if TYPE_CHECKING:
@@ -121,11 +122,7 @@
         flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
         self.file = os.open(self.path(self.sequence), flags, 0o640)
         os.fsync(self.file)
-        folder = os.open(self.folder, os.O_RDONLY)
-        try:
-            os.fsync(folder)
-        finally:
-            os.close(folder)
+        sync_folder(self.folder)
         self.written = 0
 
     def close_segment(self) -> None:
