Log which disks do not know a turn, and what a holder's disk held at its start

A 404 of a turn did not tell a turn that no disk has from one whose holders were not reached, nor under which table of seats; a holder's start did not tell a new disk from a known or torn one; nothing told when programs were dropped. The test of the line of an unknown turn was red before it was there.

--- a/src/cedarchute/daemon/holder_box.py
+++ b/src/cedarchute/daemon/holder_box.py
@@ -64,7 +64,7 @@
         self.metrics = metrics
         self.folder = Path(box.data_folder)
         make_folder(self.folder)
-        is_restarted = DiskIdentity.is_stored(self.folder)
+        is_restarted = self.has_known_disk = DiskIdentity.is_stored(self.folder)
         identity = DiskIdentity.load(self.folder)
         self.journal = TurnJournal(self.folder)
         self.book = TurnStorage(GroupCommitWriter(self.journal, metrics))
@@ -141,7 +141,16 @@
         started = time.monotonic()
         count = self.book.load()
         seconds = round(time.monotonic() - started, 3)
-        log.info("Disk read.", extra={"records": count, "seconds": seconds})
+        facts = {
+            "records": count,
+            "seconds": seconds,
+            "disk": self.holder.disk,
+            "is_known": self.has_known_disk,
+            "is_complete": self.holder.is_disk_complete,
+            "torn_lines": self.journal.torn_lines,
+            "seats_version": self.holder.version_file.version,
+        }
+        log.info("Disk read.", extra=facts)
         load_server()
         let_modules_in()
         start = self.supervisor.start
@@ -156,7 +165,9 @@
         """Forget programs that are over, and keep the journal short."""
         while True:
             eventlet.sleep(TIDY_SECONDS)
-            self.book.drop_expired()
+            dropped = self.book.drop_expired()
+            if dropped:
+                log.info("Expired programs dropped.", extra={"programs": dropped})
             if self.journal.since_compaction > COMPACT_BYTES:
                 self.compact()
 
--- a/src/cedarchute/turns/chain_reader.py
+++ b/src/cedarchute/turns/chain_reader.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from typing import TYPE_CHECKING
 
 from cedarchute.turns.holder import is_other_workspace, join_chain
@@ -14,6 +15,8 @@
     from cedarchute.turns.holder_fanout import HolderFanout
     from cedarchute.turns.messages import TurnBegun
 
+log = logging.getLogger("cedarchute.turns")
+
 
 class NoSuchTurnError(Exception):
     """No holder has the turn, and enough of them answered to be sure."""
@@ -85,5 +88,24 @@
         answers = self.fanout.ask(request)
         longest = max(answers.values(), key=lambda chain: len(chain.turns))
         if not longest.turns:
+            self.log_absence(turn, set(answers))
             raise NoSuchTurnError(f"no turn {turn}")
         return longest
+
+    def log_absence(self, turn: str, answered: set[int]) -> None:
+        """Log which disks do not know a turn, and which gave no answer."""
+        table = self.fanout.seats.table
+        unknown, silent = [], []
+        for number in table.list_occupied():
+            seat = table.seats[number]
+            group = unknown if number in answered else silent
+            group.append(f"{seat.box}/{seat.disk}")
+        log.warning(
+            "Turn is unknown to the holders.",
+            extra={
+                "turn": turn,
+                "unknown_at": unknown,
+                "no_answer_from": silent,
+                "seats_version": table.version,
+            },
+        )
--- a/src/cedarchute/turns/turn_journal.py
+++ b/src/cedarchute/turns/turn_journal.py
@@ -58,6 +58,7 @@
         self.file: int | None = None
         self.written = 0
         self.since_compaction = 0
+        self.torn_lines = 0
 
     def list_segments(self) -> list[int]:
         """Return the numbers of the segments on disk, oldest first."""
@@ -78,6 +79,7 @@
                     yield record
                 elif line:
                     torn += 1
+            self.torn_lines += torn
             if torn:
                 log.warning(
                     "Skipped torn journal lines.",
--- a/tests/turns/test_turn_quorum.py
+++ b/tests/turns/test_turn_quorum.py
@@ -72,6 +72,16 @@
         quorum.chains.read("t")
 
 
+def test_an_unknown_turn_is_logged_with_the_disks_that_lack_it(caplog):
+    quorum, _ = make_quorum({"a": "lacks", "b": "lacks", "c": "silent"})
+    with pytest.raises(NoSuchTurnError):
+        quorum.chains.read("t")
+    [line] = [r for r in caplog.records if r.message.startswith("Turn is unknown")]
+    assert line.unknown_at == ["a/disk-a", "b/disk-b"]
+    assert line.no_answer_from == ["c/disk-c"]
+    assert (line.turn, line.seats_version) == ("t", 2)
+
+
 def test_with_too_few_answers_nothing_is_said():
     quorum, _ = make_quorum({"a": "lacks", "b": "silent", "c": "silent"})
     with pytest.raises(NoQuorumError):
