--- a/src/cedarchute/daemon/holder_box.py
+++ b/src/cedarchute/daemon/holder_box.py
@@ -29,6 +29,7 @@
 from cedarchute.supervisor import Supervisor
 from cedarchute.turns.catch_up import CatchUp
 from cedarchute.turns.disk_identity import DiskIdentity
+from cedarchute.turns.durable_file import make_folder
 from cedarchute.turns.evacuation import Evacuation
 from cedarchute.turns.group_commit_writer import GroupCommitWriter
 from cedarchute.turns.holder import Holder
@@ -62,8 +63,8 @@
         box = settings.box
         self.metrics = metrics
         self.folder = Path(box.data_folder)
-        self.folder.mkdir(parents=True, exist_ok=True)
-        is_restarted = DiskIdentity.is_stored(self.folder)
+        make_folder(self.folder)
+        is_restarted = self.has_known_disk = DiskIdentity.is_stored(self.folder)
         identity = DiskIdentity.load(self.folder)
         self.journal = TurnJournal(self.folder)
         self.book = TurnStorage(GroupCommitWriter(self.journal, metrics))
@@ -141,7 +142,16 @@
         started = time.monotonic()
         count = self.book.load()
         seconds = round(time.monotonic() - started, 3)
-        log.info("Disk read.", extra={"records": count, "seconds": seconds})
+        facts = {
+            "records": count,
+            "seconds": seconds,
+            "disk": self.holder.disk,
+            "is_known": self.has_known_disk,
+            "is_complete": self.holder.is_disk_complete,
+            "torn_lines": self.journal.torn_lines,
+            "seats_version": self.holder.version_file.version,
+        }
+        log.info("Disk read.", extra=facts)
         load_server()
         let_modules_in()
         start = self.supervisor.start
@@ -156,7 +166,9 @@
         """Forget programs that are over, and keep the journal short."""
         while True:
             eventlet.sleep(TIDY_SECONDS)
-            self.book.drop_expired()
+            dropped = self.book.drop_expired()
+            if dropped:
+                log.info("Expired programs dropped.", extra={"programs": dropped})
             if self.journal.since_compaction > COMPACT_BYTES:
                 self.compact()
 
