Tell the end of an interpreter from the end of a box in the soak

A signal ends any program before the interpreter has reached it, and no caller can have come that far. The soak took it for that only until the interpreter caught SIGINT, after 4 to 12 ms of processor time; the handlers of SIGTERM and SIGHUP, the first thing that the program does, were there after 27 to 44 ms (8 starts of beside load). Now the bound is the processor time that a start up to the package takes, measured at the beginning of each play (33 to 54 ms), and half as much again, since starts vary by that beside load. Such ends are counted and printed. A start takes 0.22 s of processor time up to its flags alone, so that a signal which ends it later still breaks the promise.

--- a/tests/soak/test_supervisor.py
+++ b/tests/soak/test_supervisor.py
@@ -8,7 +8,12 @@
 import pytest
 
 from experiments.process import Process
-from experiments.soak.supervisor import ENDED_EARLY, Supervisor
+from experiments.soak.supervisor import (
+    ENDED_EARLY,
+    Supervisor,
+    measure_start_seconds,
+    read_cpu_seconds,
+)
 from experiments.waiting import wait_until
 
 NAME = "box"
@@ -27,6 +32,7 @@
         process.start()
         site = SimpleNamespace(nodes=SimpleNamespace(processes={NAME: process}))
         supervisor = Supervisor(site, [NAME])
+        supervisor.start_seconds = 0.0
         wait_until(lambda: supervisor.has_started(NAME), "it has started")
         return supervisor, process
 
@@ -73,10 +79,23 @@
     assert "unasked" in supervisor.failures[0]
 
 
-def test_a_signal_before_the_interpreter_runs_is_counted_and_no_failure():
-    process = SimpleNamespace(starts=1, wait=lambda: -1)
-    supervisor = Supervisor(SimpleNamespace(), [NAME])
-    supervisor.early[NAME].add(1)
-    supervisor.judge_end(NAME, process)
+def test_a_signal_before_the_program_runs_is_counted_and_no_failure(play):
+    supervisor, process = play(WAITS + STARTS)
+    supervisor.start_seconds = float("inf")
+    supervisor.send(NAME, signal.SIGHUP)
+    process.wait()
+    look_until_started_again(supervisor, process)
     assert supervisor.failures == []
     assert supervisor.figures[ENDED_EARLY] == 1
+
+
+def test_a_box_runs_for_longer_than_until_its_program_begins(tmp_path):
+    process = Process(NAME, ["-m", "cedarchute.daemon.main", "--help"], tmp_path)
+    process.start()
+    try:
+        used = 0.0
+        while process.is_running:
+            used = read_cpu_seconds(process.pid)
+    finally:
+        process.close()
+    assert 0 < measure_start_seconds() < used
