--- a/src/cedarchute/relay/caller_connection.py
+++ b/src/cedarchute/relay/caller_connection.py
@@ -9,16 +9,18 @@
 from typing import TYPE_CHECKING, Final
 
 import eventlet
-from eventlet.queue import Empty, LightQueue
+from eventlet.queue import LightQueue
 
 from cedarchute.relay.reply_writer import CONTINUE, ReplyWriter
 from cedarchute.relay.request_error import RequestError
 from cedarchute.relay.request_reader import RequestReader
 from cedarchute.relay.shutdown_error import ShutdownError
+from cedarchute.relay.unread_input import has_unread_input
 
 if TYPE_CHECKING:
     from cedarchute.relay.caller_request import CallerRequest
     from cedarchute.relay.caller_server import CallerServer
+    from cedarchute.relay.input_limits import InputLimits
 
 log = logging.getLogger("cedarchute.relay")
 
@@ -50,7 +52,7 @@
         self.has_received = False
         self.is_shut_down = False
         self.answered = 0
-        self.opened_at = time.monotonic()
+        self.opened_at = self.active_at = time.monotonic()
         self.worker: eventlet.greenthread.GreenThread | None = None
         self.writer: ReplyWriter | None = None
 
@@ -66,7 +68,7 @@
             return True
         if not self.is_idle or self.awaits_first_request:
             return False
-        return not self.has_unread_input()
+        return not has_unread_input(self.sock)
 
     @property
     def awaits_first_request(self) -> bool:
@@ -115,7 +117,7 @@
                 wait_seconds = header_deadline - time.monotonic()
             else:
                 header_deadline = None
-                wait_seconds = limits.idle_seconds
+                wait_seconds = self.compute_idle_wait(limits)
             try:
                 data = self.receive(wait_seconds)
             except TimeoutError:
@@ -123,7 +125,7 @@
                     return
                 if self.reader.in_message:
                     raise RequestError(408, "request not sent in time") from None
-                if self.busy or not self.requests.empty():
+                if self.compute_idle_wait(self.server.limits()) > 0:
                     continue
                 self.record_close("idle")
                 return
@@ -132,12 +134,19 @@
             if self.is_shut_down:
                 continue
             self.has_received = True
+            self.active_at = time.monotonic()
             self.reader.feed(data)
             if self.reader.expects_continue and self.reader.in_body:
                 self.reader.expects_continue = False
                 self.sock.sendall(CONTINUE)
             self.enqueue_ready()
 
+    def compute_idle_wait(self, limits: InputLimits) -> float:
+        """Return for how long no input may come, from now on."""
+        if not self.is_idle:
+            return limits.idle_seconds
+        return self.active_at + limits.idle_seconds - time.monotonic()
+
     def enqueue_ready(self) -> None:
         """Queue the complete requests for the responding task."""
         while self.reader.ready:
@@ -154,7 +163,7 @@
             with eventlet.Timeout(max(0.001, seconds), TimeoutError("read timed out")):
                 return self.sock.recv(READ_BYTES)
         except TimeoutError:
-            if not self.has_unread_input():
+            if not has_unread_input(self.sock):
                 raise
             return self.sock.recv(READ_BYTES)
 
@@ -171,6 +180,7 @@
             except (OSError, ShutdownError):
                 keep_open = False
             self.busy = False
+            self.active_at = time.monotonic()
             self.answered += 1
             if not keep_open:
                 self.end(linger=self.writer.finished)
@@ -178,11 +188,22 @@
 
     def answer(self, request: CallerRequest) -> bool:
         """Handle one request; return whether the connection stays open."""
-        writer = ReplyWriter(request, self.send, self.server.must_close)
+        writer = ReplyWriter(request, self.send, self.must_close)
         self.writer = writer
-        self.server.handle(request, writer)
+        try:
+            self.server.handle(request, writer)
+        except (OSError, ShutdownError):
+            raise
+        except Exception:
+            log.exception("Unhandled exception in the handler of a request.")
+            if not writer.started:
+                writer.write_refusal(502, "fault of this box")
         return writer.finished and not writer.closes
 
+    def must_close(self) -> bool:
+        """Return whether the response being written is the last one."""
+        return self.server.must_close() and self.requests.empty()
+
     def interrupt(self, include_started: bool) -> bool:
         """End the request in progress; return whether there was one.
 
@@ -240,7 +261,7 @@
 
     def record_close(self, reason: str) -> None:
         """Count and log that this side closes the connection without being asked."""
-        has_unread = self.has_unread_input()
+        has_unread = has_unread_input(self.sock)
         self.server.metrics.count(f"connections.closed.{reason}")
         if has_unread:
             self.server.metrics.count("connections.closed.unread")
@@ -254,13 +275,6 @@
             },
         )
 
-    def has_unread_input(self) -> bool:
-        """Return whether the socket has received bytes that are not read yet."""
-        try:
-            return bool(self.sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
-        except OSError:
-            return False
-
     def end(self, linger: bool) -> None:
         """Close after the last response; its caller may still be receiving it."""
         if linger:
@@ -279,12 +293,5 @@
     def close(self) -> None:
         """Close the socket and drop the queued requests."""
         self.sock.close()
-        self.discard_requests()
-
-    def discard_requests(self) -> None:
-        """Drop the requests that were queued when the connection ended."""
-        while True:
-            try:
-                self.requests.get_nowait()
-            except Empty:
-                return
+        while not self.requests.empty():
+            self.requests.get_nowait()
--- a/tests/relay/test_caller_server.py
+++ b/tests/relay/test_caller_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from socket import SO_RCVBUF, SOL_SOCKET
 
 import eventlet
@@ -261,3 +262,57 @@
         eventlet.sleep(0.001)
     hold_up(server, lambda: caller.sock.fd.sendall(REQUEST[20:]))
     assert caller.sock.recv(65536).startswith(b"HTTP/1.1 200 ")
+
+
+def test_a_connection_is_idle_from_its_last_response_on(serve):
+    answered_at = []
+
+    def wait(request, writer):
+        eventlet.sleep(0.75 * IDLE_SECONDS)
+        answered_at.append(time.monotonic())
+        writer.write_whole(200, Headers(), b"done")
+
+    server = serve(wait, InputLimits(idle_seconds=IDLE_SECONDS))
+    caller = connect(server)
+    caller.send()
+    assert caller.read_to_close().endswith(b"done")
+    assert time.monotonic() - answered_at[0] >= IDLE_SECONDS
+
+
+def test_a_longer_idle_timeout_applies_to_open_connections(serve):
+    server = serve(limits=InputLimits(idle_seconds=IDLE_SECONDS))
+    caller = connect(server)
+    eventlet.sleep(0)
+    server.limits = lambda: InputLimits(idle_seconds=2 * IDLE_SECONDS)
+    changed_at = time.monotonic()
+    assert caller.read_to_close() == b""
+    assert time.monotonic() - changed_at >= 1.5 * IDLE_SECONDS
+
+
+def test_requests_that_were_sent_together_are_all_answered_in_a_stop(serve):
+    server = serve()
+    caller = connect(server)
+    server.begin_closing()
+    caller.send(3 * REQUEST)
+    received = caller.read_to_close()
+    assert received.count(b"HTTP/1.1 200 ") == 3
+    assert received.count(b"Connection: close") == 1
+
+
+def test_a_fault_of_a_handler_does_not_leave_its_caller_waiting(serve):
+    faults = [RuntimeError("fault")]
+
+    def fail_once(request, writer):
+        if faults:
+            raise faults.pop()
+        answer(request, writer)
+
+    server = serve(fail_once)
+    caller = connect(server)
+    caller.send()
+    caller.send()
+    received = caller.read_until(b"done")
+    assert [line for line in received.split(b"\r\n") if b"HTTP/1.1" in line] == [
+        b"HTTP/1.1 502 Bad Gateway",
+        b"fault of this box\nHTTP/1.1 200 OK",
+    ]
