relay: answer a request whose handler fails

Cause: only OSError ended the answering task of a connection in order. Any other error, such as one in the dispatcher's own refusal, ended the task alone: the connection stayed open and counted as busy, so a planned stop waits for it too.

Evidence: a handler that raises ValueError before and within a response.

Fix: the error is logged; the caller gets 502 if nothing was sent, and otherwise the connection closes without a last chunk.

--- a/src/cedarchute/relay/caller_connection.py
+++ b/src/cedarchute/relay/caller_connection.py
@@ -141,7 +141,14 @@
     def answer(self, request: CallerRequest) -> bool:
         """Handle one request; return whether the connection stays open."""
         writer = ReplyWriter(request, self.send, self.server.must_close)
-        self.server.handle(request, writer)
+        try:
+            self.server.handle(request, writer)
+        except OSError:
+            raise
+        except Exception:
+            log.exception("Unhandled exception while responding to a request.")
+            if not writer.started:
+                writer.write_refusal(502, "fault of this box")
         return writer.finished and not writer.closes
 
     def send(self, data: bytes) -> None:
--- a/tests/relay/test_caller_connection.py
+++ b/tests/relay/test_caller_connection.py
@@ -1,18 +1,25 @@
-"""Writing to callers that read slowly."""
+"""Responses on the connections of callers."""
 
 from __future__ import annotations
 
+import contextlib
+
 import eventlet
 import pytest
+from eventlet.green import socket
 
 from cedarchute.relay import caller_connection
 from cedarchute.relay.caller_connection import CallerConnection
+from cedarchute.relay.headers import Headers
 from cedarchute.relay.input_limits import InputLimits
+from experiments.raw_caller import build_request
 
 TIMEOUT_SECONDS = 0.5
 # The whole body takes longer than the timeout, each part less.
 PART_SECONDS = 0.2
 PARTS = 5
+# Reached only by a connection that is neither answered nor closed.
+HANG_SECONDS = 10.0
 
 
 class SlowSocket:
@@ -33,9 +40,29 @@
 
 
 class Server:
+    """What a connection needs of the server of callers."""
+
+    def __init__(self, handle=None):
+        self.handle = handle
+
     def limits(self):
         return InputLimits()
 
+    def must_close(self):
+        return False
+
+
+@contextlib.contextmanager
+def connect(handle):
+    """Give the caller's end of a connection whose requests `handle` gets."""
+    with contextlib.closing(eventlet.listen(("127.0.0.1", 0))) as listener:
+        caller = socket.create_connection(listener.getsockname())
+        accepted, _ = listener.accept()
+    served = eventlet.spawn(CallerConnection(accepted, Server(handle)).run)
+    with contextlib.closing(caller), eventlet.Timeout(HANG_SECONDS):
+        yield caller
+    served.wait()
+
 
 @pytest.fixture(autouse=True)
 def short_timeout(monkeypatch):
@@ -52,3 +79,27 @@
     sock = SlowSocket(TIMEOUT_SECONDS * 20)
     with pytest.raises(TimeoutError):
         CallerConnection(sock, Server()).send(b"x")
+
+
+def test_a_handler_that_fails_leaves_no_caller_without_an_answer():
+    def fail(request, writer):
+        raise ValueError
+
+    with connect(fail) as caller:
+        for number in range(2):
+            caller.sendall(build_request(b"/x", b"a%d" % number))
+            assert caller.recv(65_536).startswith(b"HTTP/1.1 502 ")
+
+
+def test_a_handler_that_fails_within_a_stream_ends_it_as_incomplete():
+    def fail(request, writer):
+        writer.start_stream(200, Headers())
+        raise ValueError
+
+    received = b""
+    with connect(fail) as caller:
+        caller.sendall(build_request(b"/x", b"a1"))
+        while data := caller.recv(65_536):
+            received += data
+    assert received.startswith(b"HTTP/1.1 200 ")
+    assert not received.endswith(b"0\r\n\r\n")
