Keep traces that nobody reads from hanging a box

Callers would see every request of a box stand still.

Cause: the loop of tasks writes the trace of each failed task to standard error by itself, with blocking calls. Only standard output was set to take what it can; where standard error is a pipe of its own that nobody reads, the loop stopped in a write.

Evidence: test_traces_of_tasks_that_nobody_read_hung_the_box; with a pipe of its own it did not end within 30 s before, with the same pipe as standard output it passed. Not known to have happened to a user.

Standard error is set to take what it can as well. Traces that do not fit are lost, as on a shared pipe before.

--- a/src/cedarchute/daemon/logs.py
+++ b/src/cedarchute/daemon/logs.py
@@ -4,6 +4,7 @@
 
 import json
 import logging
+import os
 import sys
 from typing import Final
 
@@ -63,7 +64,12 @@
 
 
 def set_up_bounded_logs(form: str, level: str) -> None:
-    """Send logs to standard output; writing them never waits for a reader."""
+    """Send logs to standard output; writing them never waits for a reader.
+
+    Nor does the loop of tasks, which writes traces to standard error by itself.
+    """
+    if sys.stderr is not None:
+        os.set_blocking(sys.stderr.fileno(), False)
     attach_handler(BoundedHandler(sys.stdout.fileno()), form, level)
 
 
--- a/tests/daemon/test_bounded_log.py
+++ b/tests/daemon/test_bounded_log.py
@@ -164,3 +164,35 @@
     handler.descriptor = writer
     say(handler, "Second.")
     assert [line["message"] for line in read_lines(reader)] == ["First.", "Second."]
+
+
+# Tasks whose traces are more than a pipe holds, and one after them.
+FAILING_TASKS = """
+import cedarchute.daemon.main
+import os
+import eventlet
+from cedarchute.daemon.logs import set_up_bounded_logs
+set_up_bounded_logs("json", "info")
+def fail():
+    raise ValueError("in a task")
+for _ in range(600):
+    eventlet.spawn_n(fail)
+eventlet.sleep(0)
+eventlet.spawn(eventlet.sleep, 0.01).wait()
+os._exit(7)
+"""
+
+
+@pytest.mark.parametrize("is_shared", [False, True])
+def test_traces_of_tasks_that_nobody_read_hung_the_box(pipe, is_shared):
+    _, writer = pipe
+    process = subprocess.Popen(
+        [sys.executable, "-c", FAILING_TASKS],
+        stdout=writer if is_shared else subprocess.DEVNULL,
+        stderr=writer,
+    )
+    try:
+        assert process.wait(30) == 7
+    finally:
+        process.kill()
+        process.wait()
