Keep a pipe that nobody reads from hanging a box without a role

Callers would see every request of such a box stand still.

Cause: its logs went to standard error by blocking writes. A reader that stopped reading, a pager or a collector that hangs, stopped the box after 64 KB.

Evidence: test_lines_that_nobody_read_hung_a_box_without_a_role; it did not end within 30 s before. Not known to have happened to a user.

These boxes now write with the bounded handler that boxes with a role have.

--- a/src/cedarchute/daemon/logs.py
+++ b/src/cedarchute/daemon/logs.py
@@ -59,8 +59,8 @@
 
 
 def set_up_logs(form: str, level: str) -> None:
-    """Send logs to standard error in the given form."""
-    attach_handler(logging.StreamHandler(sys.stderr), form, level)
+    """Send logs to standard error; writing them never waits for a reader."""
+    attach_handler(BoundedHandler(sys.stderr.fileno()), form, level)
 
 
 def set_up_bounded_logs(form: str, level: str) -> None:
--- a/tests/daemon/test_bounded_log.py
+++ b/tests/daemon/test_bounded_log.py
@@ -196,3 +196,24 @@
     finally:
         process.kill()
         process.wait()
+
+
+# A box without a role, whose lines are more than a pipe holds.
+PEER_LINES = """
+import logging, os
+from cedarchute.daemon.logs import set_up_logs
+set_up_logs("text", "info")
+for number in range(300):
+    logging.getLogger("cedarchute.daemon").info("line %s", "x" * 500)
+os._exit(7)
+"""
+
+
+def test_lines_that_nobody_read_hung_a_box_without_a_role(pipe):
+    _, writer = pipe
+    process = subprocess.Popen([sys.executable, "-c", PEER_LINES], stderr=writer)
+    try:
+        assert process.wait(30) == 7
+    finally:
+        process.kill()
+        process.wait()
