Ignore signals once the work of a process is done

Operators saw a planned stop end with -1 or -15 instead of 0 when another signal came at its very end. Callers saw nothing: everything was answered by then.

Cause: an interpreter that ends gives its own signal handlers back to the default action before it tears its modules down, which takes some tens of milliseconds.

Evidence: test_a_signal_while_the_interpreter_ended_changed_the_exit_code holds the teardown open; SIGHUP and SIGTERM there ended the process with -1 before.

An ignored signal stays ignored to the end, so signals are ignored after the run.

--- a/src/cedarchute/daemon/early_signals.py
+++ b/src/cedarchute/daemon/early_signals.py
@@ -41,6 +41,11 @@
         for number in RECORDED_SIGNALS:
             signal.signal(number, self.record)
 
+    def ignore(self) -> None:
+        """Ignore signals from now on: everything is done."""
+        for number in RECORDED_SIGNALS:
+            signal.signal(number, signal.SIG_IGN)
+
     def record(self, number: int, frame: FrameType | None) -> None:
         """Keep one signal; runs between any two instructions and never raises."""
         del frame
--- a/src/cedarchute/daemon/main.py
+++ b/src/cedarchute/daemon/main.py
@@ -126,7 +126,10 @@
     if flags.FLAGS.help:
         sys.stdout.write(f"cedarchuted [flags]\n{flags.FLAGS.get_help()}\n")
         sys.exit(EXIT_OK)
-    sys.exit(run(argv))
+    code = run(argv)
+    # An interpreter that ends gives its own handlers up before it is gone.
+    EARLY_SIGNALS.ignore()
+    sys.exit(code)
 
 
 if __name__ == "__main__":
--- a/tests/daemon/test_signals.py
+++ b/tests/daemon/test_signals.py
@@ -2,6 +2,8 @@
 
 import os
 import signal
+import subprocess
+import sys
 
 import eventlet
 import pytest
@@ -76,3 +78,28 @@
         os.kill(os.getpid(), signal.SIGTERM)
         seen.done.wait()
     assert seen.names == ["SIGTERM"]
+
+
+# A process whose interpreter takes a while to end, after its work is done.
+SLOW_END = """
+import posix, sys, time
+from time import sleep
+import cedarchute.daemon.main as daemon
+class Slow:
+    def __del__(self, write=posix.write, sleep=sleep):
+        write(1, b"ending")
+        sleep(1)
+slow = Slow()
+daemon.run = lambda argv: 0
+sys.argv = ["cedarchuted"]
+daemon.main()
+"""
+
+
+def test_a_signal_while_the_interpreter_ended_changed_the_exit_code():
+    process = subprocess.Popen([sys.executable, "-c", SLOW_END], stdout=subprocess.PIPE)
+    with process:
+        assert process.stdout.read(6) == b"ending"
+        process.send_signal(signal.SIGHUP)
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(HANG_SECONDS) == 0
