--- a/src/cedarchute/daemon/logs.py
+++ b/src/cedarchute/daemon/logs.py
@@ -4,6 +4,7 @@
 
 import json
 import logging
+import os
 import sys
 from typing import Final
 
@@ -58,12 +59,17 @@
 
 
 def set_up_logs(form: str, level: str) -> None:
-    """Send logs to standard error in the given form."""
-    attach_handler(logging.StreamHandler(sys.stderr), form, level)
+    """Send logs to standard error; writing them never waits for a reader."""
+    attach_handler(BoundedHandler(sys.stderr.fileno()), form, level)
 
 
 def set_up_bounded_logs(form: str, level: str) -> None:
-    """Send logs to standard output; writing them never waits for a reader."""
+    """Send logs to standard output; writing them never waits for a reader.
+
+    Nor does the loop of tasks, which writes traces to standard error by itself.
+    """
+    if sys.stderr is not None:
+        os.set_blocking(sys.stderr.fileno(), False)
     attach_handler(BoundedHandler(sys.stdout.fileno()), form, level)
 
 
