Keep a program at a holder as long as other holders use it

What callers saw: 404 of a turn answered seconds ago, in programs that take longer than a minute, during planned work of holders.

Cause: a turn goes to a quorum, two of three holders, and a holder counted the retention of a program by its own uses only. One that had a turn because another was away, and was not asked afterwards, dropped the program after its retention while the others went on with it. One disk then had that turn; with it stopped or lost, the two others proved that the turn does not exist, and so the chain of every later turn was broken.

Before it drops programs a holder asks others for the time since their last use, in one request to each. A quorum without this holder is ruled out once enough others have not used the program either; while too few answer, nothing is dropped.

--- a/src/cedarchute/daemon/holder_box.py
+++ b/src/cedarchute/daemon/holder_box.py
@@ -31,6 +31,7 @@
 from cedarchute.turns.disk_identity import DiskIdentity
 from cedarchute.turns.durable_file import make_folder
 from cedarchute.turns.evacuation import Evacuation
+from cedarchute.turns.expiry import Expiry
 from cedarchute.turns.group_commit_writer import GroupCommitWriter
 from cedarchute.turns.holder import Holder
 from cedarchute.turns.holder_app import HolderApp
@@ -111,6 +112,7 @@
             Evacuation(client, self.book, seats),
             client,
         )
+        self.expiry = Expiry(client, self.book, seats, identity.disk)
         self.listener = open_listener(settings.peers, f"{file}: [box] peer_port")
         quotas = QuotaServer(settings.quotas, SystemClock(), is_restarted=is_restarted)
         app = HolderApp(self.holder, quotas)
@@ -165,7 +167,7 @@
         """Forget programs that are over, and keep the journal short."""
         while True:
             eventlet.sleep(TIDY_SECONDS)
-            dropped = self.book.drop_expired()
+            dropped = self.expiry.run_once()
             if dropped:
                 log.info("Expired programs dropped.", extra={"programs": dropped})
             if self.journal.since_compaction > COMPACT_BYTES:
--- a/src/cedarchute/turns/holder.py
+++ b/src/cedarchute/turns/holder.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import time
 from typing import TYPE_CHECKING, Final
 
 from cedarchute.turns.messages import (
     Account,
     Chain,
     CopiedRecords,
+    IdleTimes,
     RecordsTaken,
     Standing,
     TurnBegun,
@@ -24,6 +26,7 @@
         CopyRecords,
         ReadAccount,
         ReadChain,
+        ReadIdleTimes,
         TakeRecords,
     )
     from cedarchute.turns.records import Record, Turn
@@ -154,6 +157,15 @@
         chain, missing = self.storage.collect_chain(message.turn)
         return Chain(tuple(chain), missing)
 
+    def read_idle_times(self, message: ReadIdleTimes) -> IdleTimes:
+        """Return the time since the last use of each program that is known."""
+        self.check_addressee(message)
+        now = time.monotonic()
+        known = self.storage.programs
+        return IdleTimes(
+            {p: now - known[p].last_used_at for p in message.programs if p in known}
+        )
+
     def copy_records(self, message: CopyRecords) -> CopiedRecords:
         """Return a page of the records of one seat to its new holder."""
         self.seats.update(message.table, "holder")
--- a/src/cedarchute/turns/holder_app.py
+++ b/src/cedarchute/turns/holder_app.py
@@ -16,6 +16,7 @@
     CopyRecords,
     ReadAccount,
     ReadChain,
+    ReadIdleTimes,
     Refused,
     TakeRecords,
 )
@@ -41,6 +42,7 @@
             "/turns/account": (ReadAccount, holder.read_account),
             "/turns/standing": (AskStanding, holder.read_standing),
             "/turns/chain": (ReadChain, holder.read_chain),
+            "/turns/idle": (ReadIdleTimes, holder.read_idle_times),
             "/turns/copy": (CopyRecords, holder.copy_records),
             QUOTA_PATH: (AskQuota, quotas.ask),
         }
--- a/src/cedarchute/turns/messages.py
+++ b/src/cedarchute/turns/messages.py
@@ -164,6 +164,18 @@
     missing: str = ""
 
 
+class ReadIdleTimes(Addressed, frozen=True, kw_only=True):
+    """Request the time since the last use of each program."""
+
+    programs: tuple[str, ...]
+
+
+class IdleTimes(msgspec.Struct, frozen=True):
+    """Time since the last use of each requested program that the holder knows."""
+
+    seconds: dict[str, float]
+
+
 class CopyRecords(msgspec.Struct, frozen=True):
     """Request the records of a seat, in pages by program.
 
--- a/src/cedarchute/turns/turn_storage.py
+++ b/src/cedarchute/turns/turn_storage.py
@@ -69,14 +69,15 @@
             self.apply(record)
         self.writer.write(records)
 
-    def drop_expired(self) -> int:
-        """Drop programs past their retention time; return their number."""
+    def list_expired(self) -> list[str]:
+        """Return the programs past their retention time at this holder."""
         now = time.monotonic()
-        expired = [p for p, state in self.programs.items() if state.is_expired(now)]
-        for program in expired:
-            for turn in self.programs.pop(program).completed:
-                self.program_by_turn.pop(turn, None)
-        return len(expired)
+        return [p for p, state in self.programs.items() if state.is_expired(now)]
+
+    def drop(self, program: str) -> None:
+        """Forget a program."""
+        for turn in self.programs.pop(program).completed:
+            self.program_by_turn.pop(turn, None)
 
     def compact(self) -> None:
         """Rewrite the live records to new segments and delete the older ones."""
