Test quorums and real holders with a disk and every process lost at once

The stateful test of quorums starts holders again without serving until a rule says so, and loses one disk together with all processes, entries included. In its `restart` a holder no longer serves at once; `restart_holder` draws whether it does, so the old series stay among the possible ones. Bounds and oracle are as they were; what a turn under way may have sent is counted at its most when its entry ends.

--- a/tests/platform_site/test_turns_across_losses.py
+++ b/tests/platform_site/test_turns_across_losses.py
@@ -67,6 +67,34 @@
     assert take_turn(site.callers["entry-2"], "d", b"a", "p", budget=33)[0] == 402
 
 
+@pytest.mark.parametrize("lost", ["holder-1", "holder-2", "holder-3"])
+def test_turns_outlast_a_lost_disk_and_the_end_of_every_process(turn_nodes, lost):
+    site = turn_nodes
+    kept = []
+    for away in ("holder-1", "holder-2", "holder-3"):
+        site.kill(away)
+        kept.append(wait_served(site, f"without-{away}", "", f"p-{away}"))
+        site.restart(away)
+        wait_until(lambda n=away: site.answers(site.peers[n], "/metrics"), "it is back")
+    names = [*site.peers]
+    for name in names:
+        site.kill(name)
+    for path in (site.folder / f"{lost}-data").iterdir():
+        path.unlink()
+    log = site.processes[lost]
+    before = count_caught_up(log)
+    for name in (lost, *(n for n in names if n != lost)):
+        site.restart(name)
+    site.wait_ready()
+    wait_until(lambda: count_caught_up(log) > before, f"{lost} caught up")
+    for name in sorted({"holder-1", "holder-2", "holder-3"} - {lost}):
+        site.kill(name)
+        for turn in kept:
+            wait_served(site, f"{turn}-without-{name}", turn)
+        site.restart(name)
+        wait_until(lambda n=name: site.answers(site.peers[n], "/metrics"), "it is back")
+
+
 def test_a_disk_that_was_lost_is_filled_again_before_another_goes(turn_nodes):
     site = turn_nodes
     assert take_turn(site.callers["entry-1"], "a", b"a", "p")[0] == 200
--- a/tests/stateful/test_quorum_machine.py
+++ b/tests/stateful/test_quorum_machine.py
@@ -83,10 +83,11 @@
         self.mode = "up"
         self.seats = ActiveSeatTable()
         self.new_disk()
-        self.holder.caught_up = True
+        self.mark_complete()
 
     def new_disk(self):
         self.disks += 1
+        self.is_complete = False
         self.disk = f"{self.box}-{self.disks}"
         (self.folder / self.disk).mkdir()
         self.start()
@@ -98,10 +99,17 @@
         seen = SeatVersionFile(self.folder / self.disk)
         self.holder = Holder(self.book, self.seats, self.disk, seen)
 
+    def mark_complete(self):
+        self.is_complete = True
+        self.holder.caught_up = True
+
     def restart(self):
-        caught_up = self.holder.caught_up
+        """Start again; a complete disk serves once `serve` is called."""
         self.start()
-        self.holder.caught_up = caught_up
+        self.holder.is_disk_complete = self.is_complete
+
+    def serve(self):
+        self.holder.caught_up = self.is_complete
 
     @property
     def seat(self):
@@ -150,9 +158,7 @@
         client = FakeClient(self.holders)
         self.entries = []
         for box in boxes[:2]:
-            book = ActiveSeatTable()
-            book.update(self.table, "test")
-            self.entries.append(TurnQuorum(book, client, box, Metrics()))
+            self.entries.append(self.start_entry(client, box))
         for holder in self.holders.values():
             holder.seats.update(self.table, "test")
         self.client = client
@@ -161,13 +167,18 @@
         self.running = {}
         self.kept = {}
 
+    def start_entry(self, client, box):
+        book = ActiveSeatTable()
+        book.update(self.table, "test")
+        return TurnQuorum(book, client, box, Metrics())
+
     def teardown(self):
         if hasattr(self, "scratch"):
             self.scratch.cleanup()
 
     def may_lose_disk(self, box):
         """Disks are lost only as many at once as the table says; boxes at will."""
-        lost = {b for b, h in self.holders.items() if not h.holder.caught_up}
+        lost = {b for b, h in self.holders.items() if not h.is_complete}
         return len(lost | {box}) <= self.losses
 
     def begin(self, entry, program, previous):
@@ -238,31 +249,65 @@
         for entry in self.entries:
             entry.fanout.late.clear()
 
+    @rule(data=st.data(), serves=st.booleans())
+    def restart_holder(self, data, serves):
+        holder = self.holders[data.draw(st.sampled_from(sorted(self.holders)))]
+        holder.restart()
+        if serves:
+            holder.serve()
+
     @rule(data=st.data())
-    def restart_holder(self, data):
-        self.holders[data.draw(st.sampled_from(sorted(self.holders)))].restart()
+    def start_to_serve(self, data):
+        self.holders[data.draw(st.sampled_from(sorted(self.holders)))].serve()
+
+    @rule()
+    def lose_all_processes(self):
+        """Entries start with nothing; what a turn under way sent is unknown."""
+        for holder in self.holders.values():
+            holder.restart()
+        for program, _, tokens in self.running.values():
+            self.handed[program] += tokens
+        self.running.clear()
+        self.entries = [self.start_entry(self.client, f"box-{n}") for n in range(2)]
+
+    @rule(data=st.data())
+    def lose_a_disk_and_all_processes(self, data):
+        """The holders come back in any order, and the lost disk is filled meanwhile."""
+        lost = self.lose_disk(data)
+        self.lose_all_processes()
+        self.heal_all()
+        for box in data.draw(st.permutations(sorted(self.holders))):
+            if box == lost:
+                self.try_catch_up(self.holders[box])
+            self.holders[box].serve()
 
     @rule(data=st.data())
+    def lose_one_disk(self, data):
+        self.lose_disk(data)
+
     def lose_disk(self, data):
         box = data.draw(st.sampled_from(sorted(self.holders)))
         if not self.may_lose_disk(box):
-            return
+            return None
         holder = self.holders[box]
         holder.new_disk()
         number = self.table.find_box(box)
         self.table = self.table.replace_seat(number, holder.seat)
         holder.seats.update(self.table, "test")
+        return box
 
     @rule(data=st.data())
     def catch_up(self, data):
         box = data.draw(st.sampled_from(sorted(self.holders)))
-        holder = self.holders[box]
-        if holder.holder.caught_up or holder.mode != "up":
+        self.try_catch_up(self.holders[box])
+
+    def try_catch_up(self, holder):
+        if holder.is_complete or holder.mode != "up":
             return
         number = holder.seats.table.find_disk(holder.disk)
         copier = CatchUp(self.client, holder.book, holder.seats)
         if copier.run_once(number):
-            holder.holder.caught_up = True
+            holder.mark_complete()
 
     @rule(entry=st.integers(0, 1))
     def hear_of_the_table(self, entry):
