Count the retention of a turn from its answer, not from its first copy

What callers would see: 404 of a turn near the end of its retention.

Two holders can have dropped the turn, or never had it, while its retention still runs for the caller.

Evidence: by reading; the test, with one copy written `FINISH_SECONDS` before the other, is red without the allowance.

--- a/src/cedarchute/turns/program_state.py
+++ b/src/cedarchute/turns/program_state.py
@@ -14,6 +14,9 @@
 DEFAULT_RETENTION_SECONDS: Final = 60.0
 # Retention of a program without records, such as one refused at admission.
 EMPTY_RETENTION_SECONDS: Final = 10.0
+# A turn is answered once a quorum has it, which the first holder may precede by the
+# time limit of that write; the caller's retention begins with the answer.
+ANSWER_DELAY_SECONDS: Final = 5.0
 
 
 class ProgramState:
@@ -105,5 +108,6 @@
 
     def is_expired(self, now: float) -> bool:
         """Whether the retention time has passed since the last use."""
-        seconds = EMPTY_RETENTION_SECONDS if self.is_empty else self.retention_seconds
-        return now - self.last_used_at > seconds
+        if self.is_empty:
+            return now - self.last_used_at > EMPTY_RETENTION_SECONDS
+        return now - self.last_used_at > self.retention_seconds + ANSWER_DELAY_SECONDS
