Tell runs from calls where a limited workspace ran too many

The check counts runs at back ends. The check stays as strict as it was; its line now says how many calls the runs belong to.

--- a/src/experiments/soak/promises.py
+++ b/src/experiments/soak/promises.py
@@ -135,12 +135,18 @@
     within = CALLS_PER_SECOND * WINDOW_SECONDS + BURST
     most = within * (1 + OVERRUN) + SLACK
     runs = [run for some in records.runs.values() for run in some]
-    times = sorted(run.at for run in runs if run.workspace == LIMITED)
+    limited = sorted(
+        (run for run in runs if run.workspace == LIMITED), key=lambda run: run.at
+    )
     first = 0
-    for number, at in enumerate(times):
-        while at - times[first] > WINDOW_SECONDS:
+    for number, run in enumerate(limited):
+        while run.at - limited[first].at > WINDOW_SECONDS:
             first += 1
-        count = number - first + 1
-        if count > most:
-            yield f"QUOTA {count} calls in {WINDOW_SECONDS} s, {most:.0f} allowed"
+        within_window = limited[first : number + 1]
+        if len(within_window) > most:
+            calls = len({run.id for run in within_window})
+            yield (
+                f"QUOTA {len(within_window)} runs of {calls} calls in "
+                f"{WINDOW_SECONDS} s, {most:.0f} allowed"
+            )
             return
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -92,6 +92,17 @@
     assert bool(find_broken(records, MOST)) is is_broken
 
 
+def test_a_span_with_too_many_runs_tells_of_how_many_calls():
+    records = make_records()
+    for number in range(40):
+        name = f"q{number // 2}"
+        run = Run(name, "s-0", b"x", b"made", "limited", 1.0 + number / 100)
+        records.add_run(run)
+        records.add_try(Try(name, Kind.AGAIN, b"x", 200, b"made"))
+    (line,) = find_broken(records, MOST)
+    assert line.startswith("QUOTA 35 runs of 18 calls")
+
+
 SENT = 100.0
 
 
