List a kept turn that is forgotten when a seat moves beside a lost disk

What callers see: 404 of a turn that was answered whole, though one disk only was lost: holder-1 is away with its disk, the disk of holder-2 is lost, and a spare takes the seat of holder-1 meanwhile.

Cause: the spare gives up the disk of holder-1 while another disk is lost, and `CatchUp` accepts an empty holder beside the one with records, so both new disks become complete with the records of holder-3 only.

Not fixed: a rule for when a spare has to wait touches the availability after more losses than allowed.

--- a/tests/platform_site/test_turns_across_losses.py
+++ b/tests/platform_site/test_turns_across_losses.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import time
+
 import pytest
 from conftest_nodes import wait_known
 from turn_callers import say, take_turn
 
+from cedarchute.turns.seat_manager import ABSENT_TIMEOUT_SECONDS
 from experiments.waiting import wait_until
 from standins.raw_target import RawTarget
 
@@ -151,6 +154,25 @@
     wait_served(site, "c", kept)
 
 
+def test_a_seat_taken_while_another_disk_is_lost_forgets_no_turn(turn_nodes):
+    site = turn_nodes
+    site.kill("holder-3")
+    kept = wait_served(site, "a", "")
+    site.restart("holder-3")
+    wait_until(lambda: site.answers(site.peers["holder-3"], "/metrics"), "it is back")
+    wait_served(site, "b", "")
+    for name in ("holder-1", "holder-2"):
+        site.kill(name)
+    for path in (site.folder / "holder-2-data").iterdir():
+        path.unlink()
+    site.restart("holder-2")
+    site.start_holder("holder-4", "d")
+    # Longer than the seat of a holder that is away is left alone.
+    time.sleep(3 * ABSENT_TIMEOUT_SECONDS)
+    site.restart("holder-1")
+    wait_served(site, "c", kept)
+
+
 def test_a_holder_to_be_emptied_hands_over_what_it_has(turn_nodes):
     site = turn_nodes
     assert take_turn(site.callers["entry-1"], "a", b"a", "p")[0] == 200
