Have each further run of a call granted by the limit of its workspace

Cause: a repeatable call that fails over to another target runs twice, and only its first send had been granted by a quota server.

A call asks again before each run beyond the first, by the version of the configuration that its own workspace is from. Sends that no target ran need no grant.

--- a/src/cedarchute/calls/attempts.py
+++ b/src/cedarchute/calls/attempts.py
@@ -50,6 +50,8 @@
         Ids of targets that are excluded from the next attempt.
     possible_runs : int
         Number of targets that have run the call or may have.
+    granted_runs : int
+        Number of runs that the limit of the caller's workspace allows.
     deadline : float
         Monotonic time at which the call times out.
     """
@@ -77,6 +79,7 @@
         self.slowdown_meter = slowdown_meter
         self.tried: set[str] = set()
         self.possible_runs = 0
+        self.granted_runs = 1
         self.deadline = request.read_at + route.timeout_seconds
         if call.caller_timeout_seconds is not None:
             caller_deadline = request.read_at + call.caller_timeout_seconds
@@ -93,6 +96,7 @@
             When no target or no time is left.
         """
         while True:
+            self.check_quota()
             target = self.choose_target()
             self.tried.add(target.id)
             self.call.progress.sends += 1
@@ -118,6 +122,19 @@
             self.possible_runs += 1
             return opened
 
+    def check_quota(self) -> None:
+        """Have a further run granted; the first one was before this object was made.
+
+        Each run counts for the limit of the workspace, also of the same call.
+        """
+        if self.possible_runs < self.granted_runs:
+            return
+        try:
+            self.target_client.quota_check.check(self.call)
+        except CallRefusedError as error:
+            raise self.resolve_refusal(error) from None
+        self.granted_runs += 1
+
     def send(self, target: TargetEntry) -> OpenResponse:
         """Send the call to `target`; report its wait to the slowdown meter."""
         wait = None
--- a/src/cedarchute/calls/call.py
+++ b/src/cedarchute/calls/call.py
@@ -52,6 +52,8 @@
         The authenticated caller; None if no workspace has keys configured.
     progress : CallProgress
         How far the call has come; shared by the copies of this record.
+    configuration_version : int
+        The version that the limit of the caller's workspace is from.
     """
 
     id: str
@@ -59,6 +61,7 @@
     program: ProgramContext
     caller_identity: CallerIdentity | None = None
     progress: CallProgress = msgspec.field(default_factory=CallProgress)
+    configuration_version: int = 0
 
     @property
     def workspace(self) -> str:
--- a/src/cedarchute/calls/call_dispatcher.py
+++ b/src/cedarchute/calls/call_dispatcher.py
@@ -124,8 +124,9 @@
             caller_identity=self.key_authenticator.authenticate(
                 request, call, route, table
             ),
+            configuration_version=self.routes.version,
         )
-        self.quota_check.check(call, self.routes.version)
+        self.quota_check.check(call)
         return call, route
 
     def record_answer(
--- a/src/cedarchute/calls/quota_check.py
+++ b/src/cedarchute/calls/quota_check.py
@@ -43,14 +43,9 @@
         self.metrics = metrics
         self.counted_workspaces: set[str] = set()
 
-    def check(self, call: Call, version: int) -> None:
+    def check(self, call: Call) -> None:
         """Return once the call is within its workspace's limit.
 
-        Parameters
-        ----------
-        version : int
-            The version of the configuration that the limit is from.
-
         Raises
         ------
         CallRefusedError
@@ -59,7 +54,9 @@
         workspace = call.caller_identity.workspace if call.caller_identity else None
         if workspace is None or not workspace.is_limited:
             return
-        limit = QuotaLimit(version, workspace.calls_per_second, workspace.burst)
+        limit = QuotaLimit(
+            call.configuration_version, workspace.calls_per_second, workspace.burst
+        )
         begins = call.begins_program
         max_wait = compute_max_wait(call)
         try:
--- a/src/cedarchute/calls/target_client.py
+++ b/src/cedarchute/calls/target_client.py
@@ -19,6 +19,7 @@
     from cedarchute.calls.call import Call
     from cedarchute.calls.caller_identity import CallerIdentity
     from cedarchute.calls.key_authenticator import KeyAuthenticator
+    from cedarchute.calls.quota_check import QuotaCheck
     from cedarchute.metrics import Metrics
     from cedarchute.relay.caller_request import CallerRequest
     from cedarchute.relay.target_answer import TargetAnswer
@@ -68,9 +69,11 @@
         pool: TargetPool,
         load_balancer: LoadBalancer,
         key_authenticator: KeyAuthenticator,
+        quota_check: QuotaCheck,
         metrics: Metrics,
     ) -> None:
         self.pool = pool
+        self.quota_check = quota_check
         self.key_authenticator = key_authenticator
         self.load_balancer = load_balancer
         self.metrics = metrics
--- a/src/cedarchute/daemon/entry_box.py
+++ b/src/cedarchute/daemon/entry_box.py
@@ -106,13 +106,13 @@
         )
         trust = ProofAgeLimit(settings.keys.revoke_ms / 1000)
         self.keys = KeyAuthenticator(self.routes, trust, self.parts.prover, metrics)
-        exchange = TargetClient(self.pool, self.choice, self.keys, metrics)
         holders = HolderClient(metrics)
         quorum = TurnQuorum(self.parts.seats, holders, box.failure_domain, metrics)
+        quota = QuotaCheck(QuotaClient(quorum.fanout, holders, box.name), metrics)
+        exchange = TargetClient(self.pool, self.choice, self.keys, quota, metrics)
         self.gate = ProgramAdmissionController(quorum, self.routes, metrics)
         turns = StreamCallHandler(exchange, quorum, self.routes, self.gate, metrics)
         plain = PlainCallHandler(exchange, metrics)
-        quota = QuotaCheck(QuotaClient(quorum.fanout, holders, box.name), metrics)
         shutdown = ShutdownDeadline()
         desk = CallDispatcher(
             self.routes, self.keys, quota, plain, turns, shutdown, metrics
--- a/tests/calls/test_key_authenticator.py
+++ b/tests/calls/test_key_authenticator.py
@@ -156,7 +156,7 @@
     target = TargetEntry("t", "s", Address("10.0.0.1", 1), "a", True, 8)
     load_balancer = LoadBalancer(registry, "a", random.Random(7), lambda address: True)
     pool = WaitingPool(meanwhile)
-    client = TargetClient(pool, load_balancer, check, Metrics())
+    client = TargetClient(pool, load_balancer, check, None, Metrics())
     deadline = time.monotonic() + 4.0
     with pytest.raises((CallRefusedError, TargetFailureError)) as caught:
         client.open(make_request(), call, target, b"", deadline, deadline)
--- a/tests/calls/test_quota_check.py
+++ b/tests/calls/test_quota_check.py
@@ -6,6 +6,7 @@
 import pytest
 from eventlet.event import Event
 from greenlet import GreenletExit
+from msgspec.structs import replace
 
 from cedarchute.calls import quota_check
 from cedarchute.calls.call import Call, ProgramContext
@@ -46,7 +47,7 @@
 
 def check(answer, call):
     client = Client(answer)
-    QuotaCheck(client, Metrics()).check(call, 7)
+    QuotaCheck(client, Metrics()).check(replace(call, configuration_version=7))
     return client.asked
 
 
@@ -99,7 +100,7 @@
     def handle(request, writer):
         waiting.send(None)
         try:
-            limit.check(make_call(), 1)
+            limit.check(replace(make_call(), configuration_version=1))
             sent.append(request)
             ended.send("sent")
         except GreenletExit:
--- a/tests/calls/test_stream_call_handler.py
+++ b/tests/calls/test_stream_call_handler.py
@@ -95,7 +95,7 @@
     registry.put(TargetEntry("t", "s", Address("10.0.0.1", 1), "a", True, 8))
     balancer = LoadBalancer(registry, "a", random.Random(7), lambda address: True)
     metrics = Metrics()
-    client = TargetClient(Pool(body), balancer, Keys(), metrics)
+    client = TargetClient(Pool(body), balancer, Keys(), None, metrics)
     gate = ProgramAdmissionController(quorum, Routes(), metrics)
     handler = StreamCallHandler(client, quorum, Routes(), gate, metrics)
     request = CallerRequest(b"POST", b"/", Headers(), b"a", True, time.monotonic())
--- a/tests/calls/test_target_client.py
+++ b/tests/calls/test_target_client.py
@@ -35,7 +35,7 @@
         address = Address("10.0.0.1", number)
         registry.put(TargetEntry(f"t-{number}", "s", address, "a", True, 8))
     load_balancer = LoadBalancer(registry, "a", random.Random(7), lambda address: True)
-    return TargetClient(Pool(), load_balancer, None, Metrics())
+    return TargetClient(Pool(), load_balancer, None, None, Metrics())
 
 
 def finish(client, target_id, status, seconds):
