--- a/src/experiments/soak/supervisor.py
+++ b/src/experiments/soak/supervisor.py
@@ -148,5 +148,11 @@
 
 
 def read_cpu_seconds(pid: int) -> float:
-    """Return the processor time of a process, in finer steps than its clock ticks."""
-    return int(Path(f"/proc/{pid}/schedstat").read_text().split()[0]) / 1e9
+    """Return the processor time of a process, in finer steps than its clock ticks.
+
+    It is without end for a process that is gone.
+    """
+    try:
+        return int(Path(f"/proc/{pid}/schedstat").read_text().split()[0]) / 1e9
+    except OSError:
+        return float("inf")
--- a/tests/soak/test_supervisor.py
+++ b/tests/soak/test_supervisor.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import signal
 from types import SimpleNamespace
 
@@ -95,7 +96,15 @@
     try:
         used = 0.0
         while process.is_running:
-            used = read_cpu_seconds(process.pid)
+            now_used = read_cpu_seconds(process.pid)
+            used = now_used if math.isfinite(now_used) else used
     finally:
         process.close()
     assert 0 < measure_start_seconds() < used
+
+
+def test_a_process_that_is_gone_is_past_its_start(tmp_path):
+    process = Process(NAME, ["-c", "pass"], tmp_path)
+    process.start()
+    process.wait()
+    assert read_cpu_seconds(process.pid) == math.inf
