--- a/tests/platform_site/test_turns_across_losses.py
+++ b/tests/platform_site/test_turns_across_losses.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import time
+
 import pytest
 from conftest_nodes import wait_known
 from turn_callers import say, take_turn
 
+from cedarchute.turns.seat_manager import ABSENT_TIMEOUT_SECONDS
 from experiments.waiting import wait_until
 from standins.raw_target import RawTarget
 
@@ -67,6 +70,34 @@
     assert take_turn(site.callers["entry-2"], "d", b"a", "p", budget=33)[0] == 402
 
 
+@pytest.mark.parametrize("lost", ["holder-1", "holder-2", "holder-3"])
+def test_turns_outlast_a_lost_disk_and_the_end_of_every_process(turn_nodes, lost):
+    site = turn_nodes
+    kept = []
+    for away in ("holder-1", "holder-2", "holder-3"):
+        site.kill(away)
+        kept.append(wait_served(site, f"without-{away}", "", f"p-{away}"))
+        site.restart(away)
+        wait_until(lambda n=away: site.answers(site.peers[n], "/metrics"), "it is back")
+    names = [*site.peers]
+    for name in names:
+        site.kill(name)
+    for path in (site.folder / f"{lost}-data").iterdir():
+        path.unlink()
+    log = site.processes[lost]
+    before = count_caught_up(log)
+    for name in (lost, *(n for n in names if n != lost)):
+        site.restart(name)
+    site.wait_ready()
+    wait_until(lambda: count_caught_up(log) > before, f"{lost} caught up")
+    for name in sorted({"holder-1", "holder-2", "holder-3"} - {lost}):
+        site.kill(name)
+        for turn in kept:
+            wait_served(site, f"{turn}-without-{name}", turn)
+        site.restart(name)
+        wait_until(lambda n=name: site.answers(site.peers[n], "/metrics"), "it is back")
+
+
 def test_a_disk_that_was_lost_is_filled_again_before_another_goes(turn_nodes):
     site = turn_nodes
     assert take_turn(site.callers["entry-1"], "a", b"a", "p")[0] == 200
@@ -123,6 +154,25 @@
     wait_served(site, "c", kept)
 
 
+def test_a_seat_taken_while_another_disk_is_lost_forgets_no_turn(turn_nodes):
+    site = turn_nodes
+    site.kill("holder-3")
+    kept = wait_served(site, "a", "")
+    site.restart("holder-3")
+    wait_until(lambda: site.answers(site.peers["holder-3"], "/metrics"), "it is back")
+    wait_served(site, "b", "")
+    for name in ("holder-1", "holder-2"):
+        site.kill(name)
+    for path in (site.folder / "holder-2-data").iterdir():
+        path.unlink()
+    site.restart("holder-2")
+    site.start_holder("holder-4", "d")
+    # Longer than the seat of a holder that is away is left alone.
+    time.sleep(3 * ABSENT_TIMEOUT_SECONDS)
+    site.restart("holder-1")
+    wait_served(site, "c", kept)
+
+
 def test_a_holder_to_be_emptied_hands_over_what_it_has(turn_nodes):
     site = turn_nodes
     assert take_turn(site.callers["entry-1"], "a", b"a", "p")[0] == 200
