--- a/src/experiments/soak/planned_player.py
+++ b/src/experiments/soak/planned_player.py
@@ -161,8 +161,10 @@
             return name
 
     def is_past(self, name: str, starts: int) -> bool:
-        """Whether a box was started again."""
-        return self.site.nodes.processes[name].starts > starts
+        """Whether a box was started again and runs."""
+        process = self.site.nodes.processes[name]
+        # The start is counted before its process is there.
+        return process.starts > starts and process.is_running
 
     def send_start_signals(self, name: str, step: Step) -> None:
         """Send a process that is starting what the step says."""
