Put back the reasons and numbers that comments lost when they were reworded

Left out: how values were chosen, and facts that depend on a site's settings (a quarter of the time for a configuration). No code changes: the syntax trees of all 25 files are the same before and after.

--- a/src/cedarchute/calls/attempts.py
+++ b/src/cedarchute/calls/attempts.py
@@ -26,14 +26,16 @@
 
 log = logging.getLogger("cedarchute.calls")
 
-# Interval between checks for capacity while all targets are full.
+# Interval between checks for capacity while all targets are full; one of them has
+# capacity again within about this time.
 FULL_POLL_SECONDS: Final = 0.03
 # Share of the route's objective that a call may wait for capacity before it is
 # rejected; the caller may find capacity at another box.
 MAX_FULL_WAIT_SHARE: Final = 0.25
 RETRY_AFTER_SECONDS: Final = 0.15
 # A repeatable call fails over once a target has not answered for this many times the
-# route's objective and this many times the target's mean latency.
+# route's objective and this many times the target's mean latency: longer than nearly
+# every answer, short enough for another target to be in time.
 FAILOVER_OBJECTIVES: Final = 1.25
 FAILOVER_MEAN_LATENCIES: Final = 4.0
 
--- a/src/cedarchute/calls/call_dispatcher.py
+++ b/src/cedarchute/calls/call_dispatcher.py
@@ -39,7 +39,8 @@
 log = logging.getLogger("cedarchute.calls")
 
 # How long a call waits for the first configuration after the start of a box before it
-# is rejected, which would cost the caller one of its attempts.
+# is rejected, which would cost the caller one of its attempts. A box reads its
+# configuration within some 20 ms.
 FIRST_CONFIGURATION_SECONDS = 0.25
 NO_CONFIGURATION_RETRY_SECONDS = 0.3
 
--- a/src/cedarchute/calls/key_authenticator.py
+++ b/src/cedarchute/calls/key_authenticator.py
@@ -21,7 +21,8 @@
     from cedarchute.routing.workspace import Workspace
 
 # How long a call waits for a freshness proof after the start or a pause of the box
-# before it is rejected, which would cost the caller one of its attempts.
+# before it is rejected, which would cost the caller one of its attempts. The box gets
+# its proof within some 10 ms.
 REFRESH_WAIT_SECONDS: Final = 0.05
 # Callers retry at another box, whose configuration may be fresh.
 RETRY_AFTER_SECONDS: Final = 0.3
--- a/src/cedarchute/calls/program_admission_controller.py
+++ b/src/cedarchute/calls/program_admission_controller.py
@@ -30,7 +30,8 @@
 
 log = logging.getLogger("cedarchute.calls")
 
-# Admitted or running programs that this box remembers; the oldest are dropped first.
+# Admitted or running programs that this box remembers, about those of a minute; the
+# oldest are dropped first.
 MAX_ADMITTED_PROGRAMS: Final = 4096
 
 
--- a/src/cedarchute/calls/quota_check.py
+++ b/src/cedarchute/calls/quota_check.py
@@ -24,7 +24,7 @@
 MAX_COUNTED_WORKSPACES: Final = 128
 # Share of the caller's timeout that a call may wait for its rate limit.
 MAX_WAIT_TIMEOUT_SHARE: Final = 0.25
-# Minimum retry delay.
+# Minimum retry delay: a caller that returns at once competes with all others that do.
 MIN_RETRY_SECONDS: Final = 0.1
 
 
--- a/src/cedarchute/calls/target_client.py
+++ b/src/cedarchute/calls/target_client.py
@@ -36,7 +36,8 @@
 GATEWAY_TIMEOUT = 504
 # Another target listens at the address: it was reassigned, or the entry is wrong.
 MISDIRECTED_REQUEST = 421
-# How long a target that rejected a call for lack of capacity gets no calls.
+# How long a target that rejected a call for lack of capacity gets no calls; it has
+# capacity again once one of its requests ends.
 FULL_TARGET_PAUSE_SECONDS = 0.05
 # If a caller disconnects after its target was silent for this long, the target counts
 # as failed: callers of streams wait at least two seconds for an event.
--- a/src/cedarchute/decisions/aim_use.py
+++ b/src/cedarchute/decisions/aim_use.py
@@ -9,17 +9,18 @@
 
 from typing import Final
 
-# Assumed until the first window is full; low, so that programs are admitted rather
-# than shed while nothing is known.
+# Assumed until the first window is full: the usage of programs that may take 2.5 times
+# as long. Low, so that programs are admitted rather than shed while nothing is known.
 DEFAULT_USAGE: Final = 0.4
-# Turns per window.
+# Turns per window; a busy box sees them within seconds.
 WINDOW_TURNS: Final = 20
 # Most turns end midway through a program, so a high quantile stands for its end; a
 # higher one would pick up programs that loop without end.
 QUANTILE: Final = 0.8
 # Above this slowdown the time used includes queueing, not the engines alone.
 MAX_SLOWDOWN: Final = 1.5
-# The first turns that a new box sees are those of programs that have just begun.
+# The first turns that a new or idle box sees are those of programs that have just
+# begun, which look as if they used little of their time.
 WARMUP_SECONDS: Final = 5.0
 # Bounds of the share; above the upper one a program is late.
 MAX_USAGE: Final = 1.0
--- a/src/cedarchute/decisions/knowledge_age.py
+++ b/src/cedarchute/decisions/knowledge_age.py
@@ -16,7 +16,7 @@
 
 # Fractions of the time within which a change has to be known, counted from the last
 # confirmed read of the store. The last box queries early enough for one response and
-# for an event loop that wakes up late.
+# for an event loop that wakes up late: with 2 s, at 1.7 s.
 FIRST_READER_FRACTION: Final = 0.4
 # Leaves the first reader time to pass on what it read.
 SECOND_READER_FRACTION: Final = 0.5
--- a/src/cedarchute/decisions/pace_meter.py
+++ b/src/cedarchute/decisions/pace_meter.py
@@ -13,8 +13,9 @@
 from cedarchute.decisions.usual_pace import BaselineLatency, LatencySums
 from cedarchute.record import Record
 
-# Time constant of recent samples. Engine queues grow in tenths of a second and programs
-# last for seconds: a shorter one is noisy, a longer one notices a burst too late.
+# Time constant of recent samples: one of this age has a third of the weight. Engine
+# queues grow in tenths of a second and programs last for seconds: a shorter one is
+# noisy, a longer one notices a burst too late.
 RECENT_DECAY_SECONDS: Final = 0.8
 # With fewer samples, of about three streams, single engines dominate the result.
 MIN_SAMPLES: Final = 24.0
--- a/src/cedarchute/decisions/program_admission.py
+++ b/src/cedarchute/decisions/program_admission.py
@@ -15,9 +15,9 @@
 # Below this slowdown the engines have spare capacity, and no program is rejected.
 MIN_SHEDDING_SLOWDOWN: Final = 1.1
 # Shares of the soft deadline that a program is expected to use at which the first
-# programs are rejected, and all of them. Shedding starts below 1, because many programs
-# take longer than expected and those just admitted slow the engines down only later;
-# but not so early that a burst within capacity is shed.
+# programs are rejected, and all of them. Shedding starts below 1, because half of all
+# programs take longer than expected and those just admitted slow the engines down only
+# later; but not so early that a burst within capacity is shed.
 SHEDDING_START_USAGE: Final = 0.85
 FULL_SHEDDING_USAGE: Final = 1.0
 # Usage by which programs of a more important route are rejected later, per rank below
@@ -26,7 +26,7 @@
 MAX_RANK_ALLOWANCE: Final = 0.08
 
 # Weight of the time lost before admission: a program that was rejected before is more
-# likely to be late than a new one.
+# likely to be late than a new one, and would take the place of one that is not.
 WAIT_WEIGHT: Final = 4.0
 # Share of the time left after which a rejected caller should retry: early enough to
 # still finish in time, late enough for other programs to have ended.
--- a/src/cedarchute/decisions/quota_share.py
+++ b/src/cedarchute/decisions/quota_share.py
@@ -25,7 +25,8 @@
 # Fraction of a share that is reserved for programs under way; with more, programs are
 # rejected at their start below the limit.
 START_RESERVE: Final = 0.15
-# Longest wait for a token, short relative to the soft deadline of a program.
+# Longest wait of a call of a running program for a token, short relative to the soft
+# deadline: a program lasts for seconds, and its caller waits for a tool once.
 MAX_WAIT_SECONDS: Final = 1.0
 # Fractions of the tolerance by which limits are raised, since a small workspace needs
 # room for whole programs at once. The rest covers servers on new disks and calls that
--- a/src/cedarchute/decisions/usual_pace.py
+++ b/src/cedarchute/decisions/usual_pace.py
@@ -13,7 +13,8 @@
 # Lets the baseline follow a lasting change of the engines within minutes, but not an
 # overload of half a minute.
 BASELINE_RISE_PER_SECOND: Final = 0.003
-# Shorter times are those of the network and the box, not of an engine.
+# Shorter times are those of the network and the box, not of an engine: a token takes
+# some milliseconds, and an event carries several.
 MIN_FIRST_EVENT_SECONDS: Final = 0.02
 MIN_GAP_SECONDS: Final = 0.01
 
--- a/src/cedarchute/fleet/backoff.py
+++ b/src/cedarchute/fleet/backoff.py
@@ -4,7 +4,7 @@
 
 from typing import Final
 
-# Delay after the first failure.
+# Delay after the first failure; covers an answer that was lost on the way.
 INITIAL_SECONDS: Final = 0.5
 FACTOR: Final = 2.0
 
--- a/src/cedarchute/fleet/reader_choice.py
+++ b/src/cedarchute/fleet/reader_choice.py
@@ -11,8 +11,9 @@
     from cedarchute.fleet.box_directory import BoxDirectory
     from cedarchute.fleet.box_entry import BoxEntry
 
-# Store calls are billed, so only the first reader watches the store. The second polls
-# the first and takes over when that one fails.
+# Store calls are billed, so only the first reader watches the store. One alone would
+# leave its domain without changes when it fails: the second polls the first and takes
+# over then.
 READERS_PER_DOMAIN: Final = 2
 
 
--- a/src/cedarchute/fleet/registration.py
+++ b/src/cedarchute/fleet/registration.py
@@ -31,7 +31,8 @@
 # Upper bound of the retry delay. Store calls are billed, also rejected ones, but
 # entries have to be back within about 2 s of the end of an outage.
 MAX_RETRY_SECONDS: Final = 1.5
-# How often the counts of store calls are logged, by kind.
+# How often the counts of store calls are logged, by kind: they are the largest cost of
+# a large fleet at rest.
 CALL_LOG_PERIOD_SECONDS: Final = 5.0
 
 
--- a/src/cedarchute/fleet/state_client.py
+++ b/src/cedarchute/fleet/state_client.py
@@ -13,7 +13,8 @@
 if TYPE_CHECKING:
     from cedarchute.address import Address
 
-# Response timeout, in addition to the long poll at the other box.
+# Response timeout, in addition to the long poll at the other box; the response is small
+# and the network path short.
 ANSWER_SECONDS: Final = 0.4
 MAX_POOLED_HOSTS: Final = 4
 JSON_HEADERS: Final = {"Content-Type": "application/json"}
--- a/src/cedarchute/limits/rate_split.py
+++ b/src/cedarchute/limits/rate_split.py
@@ -8,5 +8,6 @@
 # because a program calls at one home and most boxes have no call of a workspace.
 STATIC_SHARE: Final = 0.5
 BURST_SECONDS: Final = 2.0
-# Lets a box with a very low rate accept a few calls that arrive close together.
+# Lets a box with a very low rate accept a few calls that arrive close together: calls
+# arrive at random, and its rate may be one call in ten seconds.
 MIN_BURST: Final = 4.0
--- a/src/cedarchute/relay/target_pool.py
+++ b/src/cedarchute/relay/target_pool.py
@@ -10,8 +10,8 @@
     from cedarchute.address import Address
     from cedarchute.metrics import Metrics
 
-# Well above the time to connect within a region, so that another target is tried soon
-# if an address is unreachable.
+# Connecting within a region takes a few milliseconds; after this time the address
+# counts as unreachable and another target is tried.
 CONNECT_TIMEOUT_SECONDS: Final = 0.4
 
 
--- a/src/cedarchute/routing/load_balancer.py
+++ b/src/cedarchute/routing/load_balancer.py
@@ -17,8 +17,8 @@
     from cedarchute.routing.target_registry import TargetRegistry
 
 
-# Penalty for a target in another failure domain: calls there take longer, and traffic
-# between domains is billed.
+# Penalty for a target in another failure domain: the way there takes a few
+# milliseconds, and traffic between domains is billed.
 CROSS_DOMAIN_FACTOR: Final = 1.5
 # Penalty for a target without an open connection: a new one takes a round trip and a
 # slot, and is billed.
@@ -29,7 +29,8 @@
 # Added to response times, so that the load still counts where they are near zero.
 MIN_LATENCY_SECONDS: Final = 0.01
 # Caps the slots of a target relative to the median, so that an entry that claims far
-# too many doesn't attract every call.
+# too many doesn't attract every call. Targets of one service differ in size by a few
+# times.
 MAX_SLOTS_FACTOR: Final = 8
 
 
--- a/src/cedarchute/scheduling/prefix_pinner.py
+++ b/src/cedarchute/scheduling/prefix_pinner.py
@@ -27,7 +27,8 @@
 MIN_PREFIX_TOKENS: Final = 128
 LOWEST_PRIORITY: Final = 2**31 - 1
 REQUEST_TIMEOUT_SECONDS: Final = 10.0
-# Minimum time between attempts to pin a prefix on a target after a failure.
+# Minimum time between attempts to pin a prefix on a target after a failure, so that a
+# busy engine isn't asked again with each call that ends there.
 RETRY_SECONDS: Final = 5.0
 MAX_TRACKED_KEYS: Final = 4096
 
--- a/src/cedarchute/turns/holder_fanout.py
+++ b/src/cedarchute/turns/holder_fanout.py
@@ -31,7 +31,8 @@
 # Extra wait for the preferred holder once the quorum has answered; about the cost of
 # a separate request for the chain's text.
 PREFERRED_WAIT_SECONDS: Final = 0.01
-# Delay before a hedged request to another holder; longer than a synced write takes.
+# Delay before a hedged request to another holder: several times what an answer with a
+# synced write takes.
 HEDGE_SECONDS: Final = 0.04
 # How long a late holder is asked last.
 LATE_SECONDS: Final = 2.0
@@ -39,9 +40,11 @@
 # callers should use another box.
 ISOLATED_AFTER_SECONDS: Final = 0.5
 # Timeout of an isolated box for requests whose caller can retry at another box; enough
-# to notice that holders answer again.
+# to notice that holders answer again. Other requests wait longer, since the holders may
+# only be slow.
 ISOLATED_TIMEOUT_SECONDS: Final = 0.1
-# Timeout for a quorum of answers.
+# Timeout for a quorum of answers. Holders answer within milliseconds; one that is
+# partitioned says nothing.
 ANSWER_SECONDS: Final = 1.5
 
 
--- a/src/cedarchute/turns/program_state.py
+++ b/src/cedarchute/turns/program_state.py
@@ -12,7 +12,8 @@
 
 # Retention of a program without a completed turn; covers its pauses between retries.
 DEFAULT_RETENTION_SECONDS: Final = 60.0
-# Retention of a program without records, such as one refused at admission.
+# Retention of a program without records, such as one refused at admission: it is
+# retried within seconds or not at all.
 EMPTY_RETENTION_SECONDS: Final = 10.0
 # A turn is answered once a quorum has it, which the first holder may precede by the
 # time limit of that write; the caller's retention begins with the answer.
--- a/src/cedarchute/turns/quota_client.py
+++ b/src/cedarchute/turns/quota_client.py
@@ -24,13 +24,13 @@
 
 log = logging.getLogger("cedarchute.turns")
 
-# Well above the usual latency; the next quota server is asked after it.
+# Some ten times the usual latency; the next quota server is asked after it.
 ANSWER_TIMEOUT: Final = urllib3.Timeout(connect=0.1, read=0.1)
 # Longest time for which a refusal is cached, which limits the requests of a workspace
 # that is far above its limit.
 REFUSAL_CACHE_SECONDS: Final = 0.1
-# How long an unreachable quota server is skipped while others answer, so that calls do
-# not each wait for its timeout.
+# How long an unreachable quota server is skipped while others answer: waiting for its
+# timeout would cost each call of a workspace over its limit a tenth of a second.
 UNREACHABLE_SKIP_SECONDS: Final = 2.0
 CACHE_SIZE: Final = 1024
 
--- a/src/cedarchute/turns/quota_server.py
+++ b/src/cedarchute/turns/quota_server.py
@@ -16,7 +16,8 @@
 
 log = logging.getLogger("cedarchute.turns")
 
-# Bounds memory; the least recently used share is evicted beyond it.
+# Bounds memory; the least recently used share is evicted beyond it. Several times the
+# workspaces of a fleet of hundreds of boxes.
 MAX_SHARES: Final = 4096
 
 
--- a/src/cedarchute/turns/seat_manager.py
+++ b/src/cedarchute/turns/seat_manager.py
@@ -38,10 +38,11 @@
 POLL_SECONDS: Final = 0.25
 # Used by a restarted holder with a complete disk until it serves again.
 STARTUP_POLL_SECONDS: Final = 0.02
-# How long holders of a new system can add seats; later ones wait for a free seat.
+# How long holders of a new system can add seats; later ones wait for a free seat. All
+# holders of a new system start within a second.
 JOIN_SECONDS: Final = 3.0
 # Extra wait for more holders if there are fewer than ``2 * losses + 1``; nothing is
-# served until then.
+# served until then, and callers come some 12 s after the boxes.
 UNDERSIZED_EXTRA_SECONDS: Final = 3.0
 # Spreads the table writes of the holders of a new system, which would otherwise
 # conflict with each other.
