--- a/src/cedarchute/turns/turn_journal.py
+++ b/src/cedarchute/turns/turn_journal.py
@@ -101,17 +101,18 @@
 
     def write(self, data: bytes, in_new_segment: bool = False) -> None:
         """Write and sync; runs in an OS thread so as not to block green threads."""
-        if self.file is None or in_new_segment or self.written > SEGMENT_BYTES:
-            self.open_segment()
-        if in_new_segment:
-            self.since_compaction = 0
         try:
+            if self.file is None or in_new_segment or self.written > SEGMENT_BYTES:
+                self.open_segment()
+            if in_new_segment:
+                self.since_compaction = 0
             view = memoryview(data)
             while view:
                 view = view[os.write(self.file, view) :]
             os.fdatasync(self.file)
         except OSError:
-            # The segment may end within a line, which the next one would continue.
+            # The segment may end within a line, which the next one would continue, or
+            # its name may not be durable.
             self.close_segment()
             raise
         self.written += len(data)
--- a/tests/turns/test_turn_storage.py
+++ b/tests/turns/test_turn_storage.py
@@ -167,6 +167,25 @@
     assert (tmp_path / "other").read_bytes() == b"still open"
 
 
+@pytest.mark.parametrize("in_new_segment", [False, True])
+def test_no_record_is_acknowledged_in_a_segment_whose_name_was_not_synced(
+    tmp_path, monkeypatch, in_new_segment
+):
+    journal = turn_journal.TurnJournal(tmp_path)
+    synced = []
+
+    def fail_once(folder):
+        synced.append(journal.sequence)
+        if len(synced) == 1:
+            raise OSError("no room")
+
+    monkeypatch.setattr(turn_journal, "sync_folder", fail_once)
+    with pytest.raises(OSError, match="no room"):
+        journal.write(b"a", in_new_segment)
+    journal.write(b"b")
+    assert synced[1:] == [journal.sequence]
+
+
 class GreenJournal(turn_journal.TurnJournal):
     """Yields to other green threads while a segment is being opened."""
 
