Copy from a disk that may lack records as well

What callers would see: 404 of a turn that was answered whole. A turn is on the disks of a and b; a is cut off, a spare takes its seat and waits for b; b is lost for good, and a comes back and takes b's seat.

The spare copied the third holder only and counted as complete; the last copy of the turn was on a's disk all the while.

The test here was red: the spare's copy ended complete without the turn.

An incomplete disk hands out what it has; the copy still counts it as empty.

--- a/src/cedarchute/turns/catch_up.py
+++ b/src/cedarchute/turns/catch_up.py
@@ -65,6 +65,7 @@
         """Copy all pages from one holder."""
         after = ""
         count = 0
+        is_complete = True
         while True:
             message = CopyRecords(table, number, after)
             try:
@@ -86,10 +87,15 @@
             if page.records:
                 self.storage.write(list(page.records))
             count += len(page.records)
+            is_complete = is_complete and page.is_complete
             after = page.next
             if not after:
                 log.info(
                     "Copied records from another holder.",
-                    extra={"box": seat.box, "records": count},
+                    extra={
+                        "box": seat.box,
+                        "records": count,
+                        "is_complete": is_complete,
+                    },
                 )
-                return CopyOutcome.WHOLE
+                return CopyOutcome.WHOLE if is_complete else CopyOutcome.EMPTY
--- a/src/cedarchute/turns/holder.py
+++ b/src/cedarchute/turns/holder.py
@@ -167,12 +167,18 @@
         )
 
     def copy_records(self, message: CopyRecords) -> CopiedRecords:
-        """Return a page of the records of one seat to its new holder."""
+        """Return a page of the records of one seat to its new holder.
+
+        A disk that may lack records hands out those that it has: they can be the last
+        copies, if it had a seat before.
+        """
         self.seats.update(message.table, "holder")
         if message.table.version < self.seats.table.version:
             raise HolderError("the table of seats is old", self.seats.table)
         self.persist_table_version()
-        self.check_caught_up()
+        if self.is_disk_complete:
+            self.check_caught_up()
+        is_complete = self.caught_up
         records: list[Record] = []
         size = 0
         for program in sorted(p for p in self.storage.programs if p > message.after):
@@ -182,8 +188,8 @@
             records.extend(found)
             size += sum(estimate_bytes(record) for record in found)
             if size > PAGE_BYTES:
-                return CopiedRecords(tuple(records), program)
-        return CopiedRecords(tuple(records))
+                return CopiedRecords(tuple(records), program, is_complete)
+        return CopiedRecords(tuple(records), is_complete=is_complete)
 
 
 def is_other_workspace(turn: Turn, program: str) -> bool:
--- a/src/cedarchute/turns/messages.py
+++ b/src/cedarchute/turns/messages.py
@@ -189,10 +189,17 @@
 
 
 class CopiedRecords(msgspec.Struct, frozen=True):
-    """One page; `next` is the `after` of the next request, empty at the end."""
+    """One page; `next` is the `after` of the next request, empty at the end.
+
+    Attributes
+    ----------
+    is_complete : bool
+        False from a disk that may lack records; a copy needs another source as well.
+    """
 
     records: tuple[Record, ...]
     next: str = ""
+    is_complete: bool = True
 
 
 class Refused(msgspec.Struct, frozen=True):
--- a/tests/turns/test_catch_up.py
+++ b/tests/turns/test_catch_up.py
@@ -114,3 +114,23 @@
     holders["box-2"].caught_up = True
     assert catch_up.run_once(0)
     assert set(lost.storage.program_by_turn) == {"of-box-1", "of-box-2"}
+
+
+def test_a_disk_that_took_another_seat_still_hands_out_what_it_has(tmp_path):
+    names = ["spare", "returned", "box-3"]
+    seats = tuple(Seat(name, name, f"disk-{name}", "a") for name in names)
+    table = SeatTable(7, True, 1, seats)
+    holders = {}
+    for name in names:
+        (tmp_path / name).mkdir()
+        active_table = ActiveSeatTable()
+        active_table.update(table, "test")
+        version_file = SeatVersionFile(tmp_path / name)
+        storage = make_storage(tmp_path / name)
+        holders[name] = Holder(storage, active_table, f"disk-{name}", version_file)
+    # Of the two disks with the turn one is lost, and the other has another seat now.
+    holders["returned"].storage.write([make_turn("kept")])
+    holders["box-3"].is_disk_complete = holders["box-3"].caught_up = True
+    spare = holders["spare"]
+    assert CatchUp(DirectClient(holders), spare.storage, spare.seats).run_once(0)
+    assert set(spare.storage.program_by_turn) == {"kept"}
