Keep a planned stop published when the holders respond again

What callers would see: the directory names a box that is stopping, and their calls there are refused from 3 s on.

Cause: a box that is isolated from the holders probes them. A stop that began during the probe published the box as draining; the end of the probe then published it as not draining.

The result of a probe is ignored once a stop has begun.

--- a/src/cedarchute/fleet/holder_contact.py
+++ b/src/cedarchute/fleet/holder_contact.py
@@ -46,7 +46,8 @@
         if self.quorum.fanout.failing_since is not None:
             self.try_probe()
         isolated = self.quorum.fanout.is_isolated
-        if isolated == self.isolated:
+        # A stop that began during the probe has published this box as draining.
+        if isolated == self.isolated or self.is_stopping():
             return
         self.isolated = isolated
         log.warning("Holders unreachable." if isolated else "Holders reachable again.")
--- /dev/null
+++ b/tests/fleet/test_holder_contact.py
@@ -0,0 +1,52 @@
+"""A box that loses and finds the holders."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+
+from cedarchute.fleet.holder_contact import HolderContact
+
+
+class Registration:
+    """Records what the box has published."""
+
+    def __init__(self):
+        self.published = []
+
+    def publish_draining(self, draining):
+        self.published.append(draining)
+
+
+class Quorum:
+    """Holders that respond again to a probe, during which a stop may begin."""
+
+    def __init__(self, during_probe):
+        self.fanout = SimpleNamespace(failing_since=1.0, is_isolated=True)
+        self.during_probe = during_probe
+
+    def probe(self):
+        self.during_probe()
+        self.fanout.failing_since = None
+        self.fanout.is_isolated = False
+
+
+def probe(begins_stop):
+    """Let an isolated box find the holders; return what it has published."""
+    stop = SimpleNamespace(asked=False)
+
+    def during_probe():
+        stop.asked = begins_stop
+
+    registration = Registration()
+    contact = HolderContact(Quorum(during_probe), registration, lambda: stop.asked)
+    contact.isolated = True
+    contact.check_once()
+    return registration.published
+
+
+def test_a_box_that_finds_the_holders_again_takes_callers():
+    assert probe(begins_stop=False) == [False]
+
+
+def test_a_stop_that_begins_during_a_probe_is_not_taken_back():
+    assert probe(begins_stop=True) == []
