Let the stand-in of a target close at once, and a test of the soak survive nohup

Cause: the stand-in's watch for a close read the socket without a limit once it was readable. When the thread that serves had taken those bytes meanwhile, that read blocked and held the socket open beyond the script's close, so the entry saw a target that stays silent. The product is not changed.

Two tests of the soak's supervisor were red in the same run because it was started by nohup: processes inherit that SIGHUP is ignored. Their children set its default action themselves; green with SIGHUP ignored.

--- a/src/standins/raw_target.py
+++ b/src/standins/raw_target.py
@@ -83,6 +83,17 @@
     return b"id: %d\ndata: %s\n\n" % (number, data)
 
 
+def is_closed(connection: socket.socket) -> bool:
+    """Return whether the other side has closed; never waits.
+
+    What was readable may have been read by another thread meanwhile.
+    """
+    try:
+        return not connection.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+
+
 class RawTarget:
     """Calls `script(request, connection)` for each request; it writes what it likes."""
 
@@ -142,7 +153,7 @@
         try:
             while True:
                 readable, _, _ = select.select([connection], [], [], 0.02)
-                if readable and not connection.recv(1, socket.MSG_PEEK):
+                if readable and is_closed(connection):
                     break
                 time.sleep(0.01)
         except (OSError, ValueError):
--- a/tests/soak/test_supervisor.py
+++ b/tests/soak/test_supervisor.py
@@ -18,7 +18,8 @@
 from experiments.waiting import wait_until
 
 NAME = "box"
-WAITS = "import signal, sys, time\n"
+# A run in the background may have had SIGHUP ignored, which processes inherit.
+WAITS = "import signal, sys, time\nsignal.signal(signal.SIGHUP, signal.SIG_DFL)\n"
 STOPS = "signal.signal(signal.SIGTERM, lambda *_: sys.exit({code}))\n"
 STARTS = 'print(\'"message": "Started."\', flush=True)\ntime.sleep(60)\n'
 
