Log which disks a copy of a seat was read from, and count copies that wait

`Copy of a seat is complete.` and `Copy of a seat is not complete.` name each disk with its outcome and the version of the table; seats.copies_not_complete counts the attempts that have to wait. No logic changes.

--- a/src/cedarchute/daemon/holder_box.py
+++ b/src/cedarchute/daemon/holder_box.py
@@ -106,7 +106,7 @@
             self.folder,
             Seat(box.name, peers, identity.disk, box.failure_domain),
             settings.losses.holders,
-            CatchUp(client, self.book, seats),
+            CatchUp(client, self.book, seats, metrics),
             self.parts.directory,
             retirements,
             Evacuation(client, self.book, seats),
--- a/src/cedarchute/turns/catch_up.py
+++ b/src/cedarchute/turns/catch_up.py
@@ -13,6 +13,7 @@
 from cedarchute.turns.messages import CopiedRecords, CopyRecords
 
 if TYPE_CHECKING:
+    from cedarchute.metrics import Metrics
     from cedarchute.turns.active_seat_table import ActiveSeatTable
     from cedarchute.turns.holder_client import HolderClient
     from cedarchute.turns.seat_table import Seat, SeatTable
@@ -38,11 +39,17 @@
     """
 
     def __init__(
-        self, client: HolderClient, storage: TurnStorage, seats: ActiveSeatTable
+        self,
+        client: HolderClient,
+        storage: TurnStorage,
+        seats: ActiveSeatTable,
+        metrics: Metrics,
     ) -> None:
         self.client = client
         self.storage = storage
         self.seats = seats
+        self.metrics = metrics
+        self.last_facts: dict[str, object] = {}
 
     def run_once(self, number: int) -> bool:
         """Copy from every other holder; return whether the copy is complete."""
@@ -52,14 +59,43 @@
             for other, seat in enumerate(table.seats)
             if other != number and not seat.is_vacant
         ]
-        outcomes = [self.copy_from(seat, table, number) for seat in others]
+        outcomes = {
+            f"{seat.box}/{seat.disk}": self.copy_from(seat, table, number)
+            for seat in others
+        }
         if self.seats.table.version != table.version:
             return False
-        silent = outcomes.count(CopyOutcome.SILENT)
-        empty = outcomes.count(CopyOutcome.EMPTY)
+        silent = sum(o is CopyOutcome.SILENT for o in outcomes.values())
+        empty = sum(o is CopyOutcome.EMPTY for o in outcomes.values())
         # This disk counts as one of the tolerated failures. If any holder did not
         # answer, it and the empty ones have to fit into the remaining failures.
-        return silent == 0 or silent + empty <= table.losses - 1
+        done = silent == 0 or silent + empty <= table.losses - 1
+        self.log_outcomes(table, number, outcomes, done)
+        return done
+
+    def log_outcomes(
+        self,
+        table: SeatTable,
+        number: int,
+        outcomes: dict[str, CopyOutcome],
+        done: bool,
+    ) -> None:
+        """Log which disks were read, unless nothing changed since the last attempt."""
+        facts = {
+            "seat": number,
+            "seats_version": table.version,
+            **{
+                str(outcome): [disk for disk, o in outcomes.items() if o is outcome]
+                for outcome in CopyOutcome
+            },
+        }
+        if done:
+            log.info("Copy of a seat is complete.", extra=facts)
+            return
+        self.metrics.count("seats.copies_not_complete")
+        if facts != self.last_facts:
+            log.warning("Copy of a seat is not complete.", extra=facts)
+        self.last_facts = facts
 
     def copy_from(self, seat: Seat, table: SeatTable, number: int) -> CopyOutcome:
         """Copy all pages from one holder."""
--- a/tests/stateful/test_quorum_machine.py
+++ b/tests/stateful/test_quorum_machine.py
@@ -305,7 +305,7 @@
         if holder.is_complete or holder.mode != "up":
             return
         number = holder.seats.table.find_disk(holder.disk)
-        copier = CatchUp(self.client, holder.book, holder.seats)
+        copier = CatchUp(self.client, holder.book, holder.seats, Metrics())
         if copier.run_once(number):
             holder.mark_complete()
 
--- a/tests/turns/test_catch_up.py
+++ b/tests/turns/test_catch_up.py
@@ -3,6 +3,7 @@
 import pytest
 from test_turn_storage import make_storage, make_turn
 
+from cedarchute.metrics import Metrics
 from cedarchute.turns.active_seat_table import ActiveSeatTable
 from cedarchute.turns.catch_up import CatchUp
 from cedarchute.turns.holder import Holder, HolderError
@@ -44,7 +45,7 @@
     active_table = ActiveSeatTable()
     active_table.update(table, "test")
     client = ScriptedClient(table, dict(zip(names[1:], states, strict=True)))
-    done = CatchUp(client, storage, active_table).run_once(0)
+    done = CatchUp(client, storage, active_table, Metrics()).run_once(0)
     return done, set(storage.program_by_turn)
 
 
@@ -107,7 +108,7 @@
             storage.write([make_turn(f"of-{name}")])
             holder.is_disk_complete = True
     lost = holders["lost"]
-    catch_up = CatchUp(DirectClient(holders), lost.storage, lost.seats)
+    catch_up = CatchUp(DirectClient(holders), lost.storage, lost.seats, Metrics())
     assert not catch_up.run_once(0)
     holders["box-1"].caught_up = True
     assert not catch_up.run_once(0)
@@ -132,5 +133,7 @@
     holders["returned"].storage.write([make_turn("kept")])
     holders["box-3"].is_disk_complete = holders["box-3"].caught_up = True
     spare = holders["spare"]
-    assert CatchUp(DirectClient(holders), spare.storage, spare.seats).run_once(0)
+    assert CatchUp(
+        DirectClient(holders), spare.storage, spare.seats, Metrics()
+    ).run_once(0)
     assert set(spare.storage.program_by_turn) == {"kept"}
