Add failing tests of kept turns while seats change hands

The real seat managers, holders, journals and quorum in one process, on a store and a clock of the test.

--- /dev/null
+++ b/tests/turns/test_seat_changes.py
@@ -0,0 +1,125 @@
+"""Kept turns while seats change hands and disks are lost."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+
+import pytest
+from seat_site import SeatSite
+from test_turn_storage import make_turn
+
+from cedarchute.turns import holder_fanout, program_state, seat_manager, turn_quorum
+from cedarchute.turns.holder_fanout import NoQuorumError
+
+LONG_SECONDS = 1000.0
+
+
+@pytest.fixture
+def site(tmp_path, monkeypatch):
+    clock = SimpleNamespace(now=100.0)
+    monkeypatch.setattr(seat_manager.time, "monotonic", lambda: clock.now)
+    monkeypatch.setattr(program_state.time, "monotonic", lambda: clock.now)
+    monkeypatch.setattr(turn_quorum, "ANSWER_SECONDS", LONG_SECONDS)
+    monkeypatch.setattr(turn_quorum, "FINISH_SECONDS", LONG_SECONDS)
+    monkeypatch.setattr(holder_fanout, "RETRY_DELAY_SECONDS", 2 * LONG_SECONDS)
+    monkeypatch.setattr(holder_fanout, "HEDGE_SECONDS", LONG_SECONDS)
+    return SeatSite(tmp_path, clock)
+
+
+def keep_without(site, away, turn):
+    """Keep a turn on all holders but one, which is there again afterwards."""
+    site.kill(away)
+    site.keep(turn)
+    site.start(away)
+    site.settle(2, 0.2)
+    return turn
+
+
+def assert_waits(site, turn):
+    """A turn that is not readable is not denied either."""
+    with pytest.raises(NoQuorumError):
+        site.read(turn)
+
+
+def test_a_seat_taken_while_another_disk_is_lost_waits_for_the_disk_away(site):
+    site.form("a", "b", "c")
+    kept = keep_without(site, "c", make_turn("kept"))
+    site.kill("a", "b")
+    site.wipe("b")
+    site.start("b", "spare")
+    site.settle()
+    assert_waits(site, kept)
+    site.start("a")
+    site.settle()
+    assert site.read(kept) == b"in-keptout-kept"
+
+
+def test_a_disk_lost_after_a_spare_took_a_seat_waits_for_the_disk_away(site):
+    site.form("a", "b", "c")
+    kept = keep_without(site, "c", make_turn("kept"))
+    site.kill("a")
+    site.start("spare")
+    for _ in range(4):
+        site.step(1.0, only=["b", "c"])
+    # The spare has the seat of the holder that is away, and has read nothing yet.
+    site.step(0.0, only=["spare"])
+    site.step(3.0, only=["spare"])
+    assert site.table.find_box("spare") is not None
+    site.kill("b")
+    site.wipe("b")
+    site.start("b")
+    site.settle()
+    assert_waits(site, kept)
+    site.start("a")
+    site.settle()
+    assert site.read(kept) == b"in-keptout-kept"
+
+
+def test_two_seats_taken_in_a_row_forget_no_turn(site):
+    site.form("a", "b", "c")
+    kept = keep_without(site, "c", make_turn("kept"))
+    site.kill("a", "b")
+    site.start("spare-1", "spare-2")
+    site.settle()
+    assert_waits(site, kept)
+    site.start("a")
+    site.settle()
+    assert site.read(kept) == b"in-keptout-kept"
+    site.start("b")
+    site.settle()
+    assert site.read(kept) == b"in-keptout-kept"
+
+
+def test_a_disk_lost_beside_a_holder_that_is_emptied_reads_its_records(site):
+    site.form("a", "b", "c")
+    kept = keep_without(site, "c", make_turn("kept"))
+    site.retirements.asked.add("a")
+    site.step(0.0, only=["a"])
+    assert site.table.find_box("a") is None
+    site.kill("b")
+    site.wipe("b")
+    site.start("b")
+    site.step(0.0, only=["b"])
+    site.step(0.2, only=["b"])
+    site.step(0.2, only=["b"])
+    assert site.read(kept) == b"in-keptout-kept"
+    site.settle()
+    assert site.retired == ["a"]
+    site.kill("a")
+    assert site.read(kept) == b"in-keptout-kept"
+
+
+def test_a_holder_is_not_emptied_while_another_disk_is_filled_again(site):
+    site.form("a", "b", "c")
+    kept = keep_without(site, "c", make_turn("kept"))
+    site.kill("b")
+    site.wipe("b")
+    site.start("b")
+    site.step(0.0, only=["b"])
+    site.retirements.asked.add("a")
+    site.step(0.0, only=["a"])
+    assert site.table.find_box("a") is not None
+    site.settle()
+    assert site.retired == ["a"]
+    site.kill("a")
+    assert site.read(kept) == b"in-keptout-kept"
