Keep in the table of seats which disk last had all records of a seat

Callers saw 404 of the last turn of every program, with one disk lost, or none.

Cause: an incomplete disk counted as complete once no other seat was silent. A spare that took the seat of a holder that was away made a silent seat an empty one, so the disk that was away, one of two with the turns, was never read. Class: a holder is trusted for being in a seat, not for what its disk holds. Evidence: `Copy of a seat is complete.` on the code before, seat 2: whole holder-3, empty holder-4, silent none, 2.5 s after `not complete`, silent holder-1; holder-1 had the turn.

The table now says for each seat whether its disk is complete and, if not, which disk was the last complete one. A record is acknowledged by complete disks only, so a quorum of last complete disks always has it, and a copy is complete only if it was read from its predecessor or from so many last complete disks that every quorum has one of them. Being written by compare-and-swap before the disk acknowledges anything, this holds for two changes in a row and for two boxes at once. A disk counts as lost only if its own box says so; one that is away is waited for.

Tables of earlier versions have no such field: there the disks tell themselves, as before. Of existing tests only fakes changed: a holder that tells about table versions, the same checks.

--- a/src/cedarchute/daemon/holder_box.py
+++ b/src/cedarchute/daemon/holder_box.py
@@ -37,8 +37,8 @@
 from cedarchute.turns.holder_app import HolderApp
 from cedarchute.turns.holder_client import HolderClient
 from cedarchute.turns.quota_server import QuotaServer
+from cedarchute.turns.seat import Seat
 from cedarchute.turns.seat_manager import SeatManager
-from cedarchute.turns.seat_table import Seat
 from cedarchute.turns.seat_version_file import SeatVersionFile
 from cedarchute.turns.turn_journal import TurnJournal
 from cedarchute.turns.turn_storage import TurnStorage
@@ -94,7 +94,7 @@
         self.parts.mirror.followers[RETIRE] = retirements
         seats = self.parts.seats
         self.holder = Holder(
-            self.book, seats, identity.disk, SeatVersionFile(self.folder)
+            self.book, seats, identity.disk, SeatVersionFile(self.folder), box.name
         )
         self.holder.is_disk_complete = identity.complete
         client = HolderClient(metrics)
--- a/src/cedarchute/turns/catch_up.py
+++ b/src/cedarchute/turns/catch_up.py
@@ -1,41 +1,38 @@
-"""Copies records to the empty disk of a new holder from the other holders."""
+"""Copies records to the incomplete disk of a seat from the other disks."""
 
 from __future__ import annotations
 
 import logging
-from enum import StrEnum
 from typing import TYPE_CHECKING
 
+from cedarchute.turns.copy_outcome import CopyOutcome
 from cedarchute.turns.holder_client import (
     HolderRefusedError,
     HolderUnavailableError,
 )
-from cedarchute.turns.messages import CopiedRecords, CopyRecords
+from cedarchute.turns.messages import CopiedRecords, CopyRecords, Refused
 
 if TYPE_CHECKING:
     from cedarchute.metrics import Metrics
     from cedarchute.turns.active_seat_table import ActiveSeatTable
+    from cedarchute.turns.disk_location import DiskLocation
     from cedarchute.turns.holder_client import HolderClient
-    from cedarchute.turns.seat_table import Seat, SeatTable
+    from cedarchute.turns.seat import Seat
+    from cedarchute.turns.seat_table import SeatTable
     from cedarchute.turns.turn_storage import TurnStorage
 
 log = logging.getLogger("cedarchute.turns")
 
 
-class CopyOutcome(StrEnum):
-    """Result of copying from another holder."""
-
-    WHOLE = "whole"
-    EMPTY = "empty"
-    SILENT = "silent"
-
-
 class CatchUp:
-    """Copies the records of a seat from the holders in all other seats.
+    """Copies the records of a seat from the last complete disks of all seats.
 
-    Only one holder besides the replaced one may have an acknowledged record, so every
-    holder that is not empty itself is read. Each installs the new table before it
-    answers, so no write under the old table can be acknowledged afterwards.
+    An acknowledged record is on a quorum of those disks, which are not always the
+    ones in the seats: a disk that is away keeps its records while its seat goes to
+    another box. So the copy is complete if it was read from the last complete disk
+    of this seat, or from so many of the others that each quorum has one of them.
+    Each holder installs the new table before it answers, so no write under the old
+    table can be acknowledged afterwards.
     """
 
     def __init__(
@@ -52,72 +49,86 @@
         self.last_facts: dict[str, object] = {}
 
     def run_once(self, number: int) -> bool:
-        """Copy from every other holder; return whether the copy is complete."""
+        """Copy from every other disk; return whether the copy is complete."""
         table = self.seats.table
+        # Keyed by disk, for the log.
+        outcomes: dict[str, CopyOutcome] = {}
         others = [
-            seat
+            self.copy_seat(seat, table, number, outcomes)
             for other, seat in enumerate(table.seats)
-            if other != number and not seat.is_vacant
+            if other != number and not is_handed_over(seat)
         ]
-        outcomes = {
-            f"{seat.box}/{seat.disk}": self.copy_from(seat, table, number)
-            for seat in others
-        }
+        own = self.copy_predecessor(table.seats[number], table, number, outcomes)
         if self.seats.table.version != table.version:
             return False
-        silent = sum(o is CopyOutcome.SILENT for o in outcomes.values())
-        empty = sum(o is CopyOutcome.EMPTY for o in outcomes.values())
-        # This disk counts as one of the tolerated failures. If any holder did not
-        # answer, it and the empty ones have to fit into the remaining failures.
-        done = silent == 0 or silent + empty <= table.losses - 1
+        done = is_enough(own, others, table.losses)
         self.log_outcomes(table, number, outcomes, done)
         return done
 
-    def log_outcomes(
+    def copy_seat(
         self,
+        seat: Seat,
         table: SeatTable,
         number: int,
         outcomes: dict[str, CopyOutcome],
-        done: bool,
-    ) -> None:
-        """Log which disks were read, unless nothing changed since the last attempt."""
-        facts = {
-            "seat": number,
-            "seats_version": table.version,
-            **{
-                str(outcome): [disk for disk, o in outcomes.items() if o is outcome]
-                for outcome in CopyOutcome
-            },
-        }
-        if done:
-            log.info("Copy of a seat is complete.", extra=facts)
-            return
-        self.metrics.count("seats.copies_not_complete")
-        if facts != self.last_facts:
-            log.warning("Copy of a seat is not complete.", extra=facts)
-        self.last_facts = facts
+    ) -> CopyOutcome:
+        """Copy from the last complete disk of another seat."""
+        if seat.is_vacant:
+            return self.copy_predecessor(seat, table, number, outcomes)
+        outcome = self.copy_from(seat.location, table, number, outcomes)
+        if seat.is_complete is False:
+            return self.copy_predecessor(seat, table, number, outcomes)
+        if seat.is_complete:
+            return as_complete(outcome, if_lost=CopyOutcome.SILENT)
+        if outcome is CopyOutcome.PARTIAL:
+            return CopyOutcome.EMPTY
+        # The box of a lost disk writes its new one into the table first.
+        return CopyOutcome.SILENT if outcome is CopyOutcome.LOST else outcome
 
-    def copy_from(self, seat: Seat, table: SeatTable, number: int) -> CopyOutcome:
-        """Copy all pages from one holder."""
+    def copy_predecessor(
+        self,
+        seat: Seat,
+        table: SeatTable,
+        number: int,
+        outcomes: dict[str, CopyOutcome],
+    ) -> CopyOutcome:
+        """Copy from the disk that had a seat before, if it is not lost."""
+        if seat.predecessor is None:
+            return CopyOutcome.LOST
+        outcome = self.copy_from(seat.predecessor, table, number, outcomes)
+        return as_complete(outcome, if_lost=CopyOutcome.LOST)
+
+    def copy_from(
+        self,
+        source: DiskLocation,
+        table: SeatTable,
+        number: int,
+        outcomes: dict[str, CopyOutcome],
+    ) -> CopyOutcome:
+        """Copy all pages from one disk, and note the outcome."""
+        outcome = self.copy_pages(source, table, number)
+        outcomes[f"{source.box}/{source.disk}"] = outcome
+        return outcome
+
+    def copy_pages(
+        self, source: DiskLocation, table: SeatTable, number: int
+    ) -> CopyOutcome:
+        """Copy all pages from one disk."""
         after = ""
         count = 0
         is_complete = True
         while True:
-            message = CopyRecords(table, number, after)
+            message = CopyRecords(table, number, after, source.box, source.disk)
             try:
                 page = self.client.ask(
-                    seat.address, "/turns/copy", message, CopiedRecords
+                    source.address, "/turns/copy", message, CopiedRecords
                 )
             except HolderRefusedError as error:
-                if error.refusal.table is not None:
-                    self.seats.update(error.refusal.table, seat.box)
-                if error.refusal.is_empty:
-                    return CopyOutcome.EMPTY
-                return CopyOutcome.SILENT
+                return self.read_refusal(source, error.refusal)
             except HolderUnavailableError as error:
                 log.info(
                     "Copying from another holder failed.",
-                    extra={"box": seat.box, "why": str(error)},
+                    extra={"box": source.box, "why": str(error)},
                 )
                 return CopyOutcome.SILENT
             if page.records:
@@ -129,9 +140,85 @@
                 log.info(
                     "Copied records from another holder.",
                     extra={
-                        "box": seat.box,
+                        "box": source.box,
                         "records": count,
                         "is_complete": is_complete,
                     },
                 )
-                return CopyOutcome.WHOLE if is_complete else CopyOutcome.EMPTY
+                return CopyOutcome.WHOLE if is_complete else CopyOutcome.PARTIAL
+
+    def read_refusal(self, source: DiskLocation, refusal: Refused) -> CopyOutcome:
+        """Return what a refusal means, and install a newer table."""
+        if refusal.table is not None:
+            self.seats.update(refusal.table, source.box)
+        log.info(
+            "Copying from another holder failed.",
+            extra={"box": source.box, "why": refusal.reason},
+        )
+        if refusal.is_disk_lost:
+            return CopyOutcome.LOST
+        return CopyOutcome.EMPTY if refusal.is_empty else CopyOutcome.SILENT
+
+    def log_outcomes(
+        self,
+        table: SeatTable,
+        number: int,
+        outcomes: dict[str, CopyOutcome],
+        done: bool,
+    ) -> None:
+        """Log which disks were read, unless nothing changed since the last attempt."""
+        facts = {
+            "seat": number,
+            "seats_version": table.version,
+            **{
+                str(outcome): [disk for disk, o in outcomes.items() if o is outcome]
+                for outcome in CopyOutcome
+            },
+        }
+        if done:
+            log.info("Copy of a seat is complete.", extra=facts)
+            return
+        self.metrics.count("seats.copies_not_complete")
+        if facts != self.last_facts:
+            log.warning("Copy of a seat is not complete.", extra=facts)
+        self.last_facts = facts
+
+
+def is_handed_over(seat: Seat) -> bool:
+    """Whether the last holder of a vacant seat has stored its records elsewhere."""
+    return seat.is_vacant and seat.is_complete is not False
+
+
+def as_complete(outcome: CopyOutcome, if_lost: CopyOutcome) -> CopyOutcome:
+    """Return the outcome for a disk that the table says has all records.
+
+    Its holder may say otherwise: it has not seen that table yet, or has another seat
+    by now.
+    """
+    if outcome in (CopyOutcome.WHOLE, CopyOutcome.PARTIAL):
+        return CopyOutcome.WHOLE
+    return if_lost if outcome is CopyOutcome.LOST else CopyOutcome.SILENT
+
+
+def is_enough(own: CopyOutcome, others: list[CopyOutcome], losses: int) -> bool:
+    """Whether a copy has every acknowledged record of its seat.
+
+    Parameters
+    ----------
+    own : CopyOutcome
+        What the last complete disk of the seat itself gave.
+    others : list of CopyOutcome
+        What those of the other seats gave.
+    losses : int
+        Number of simultaneous failures to tolerate; the last complete disk of this
+        seat counts as one of them.
+    """
+    if own is CopyOutcome.WHOLE:
+        return True
+    silent = others.count(CopyOutcome.SILENT)
+    whole = others.count(CopyOutcome.WHOLE)
+    if len(others) - whole <= losses - 1:
+        return True
+    # After more losses than are tolerated, nothing else can be had once every disk
+    # that exists was read.
+    return silent == 0 and own is not CopyOutcome.SILENT
--- a/src/cedarchute/turns/holder.py
+++ b/src/cedarchute/turns/holder.py
@@ -46,17 +46,24 @@
         The current table, so that a requester with an older one can update.
     is_empty : bool
         Whether the holder is still catching up.
+    is_disk_lost : bool
+        Whether this box has lost the disk that was asked for.
     """
 
     code = "holder_error"
 
     def __init__(
-        self, reason: str, table: SeatTable | None = None, is_empty: bool = False
+        self,
+        reason: str,
+        table: SeatTable | None = None,
+        is_empty: bool = False,
+        is_disk_lost: bool = False,
     ) -> None:
         super().__init__(reason)
         self.reason = reason
         self.table = table
         self.is_empty = is_empty
+        self.is_disk_lost = is_disk_lost
 
 
 class Holder:
@@ -75,11 +82,13 @@
         seats: ActiveSeatTable,
         disk: str,
         version_file: SeatVersionFile,
+        box: str = "",
     ) -> None:
         self.storage = storage
         self.seats = seats
         self.disk = disk
         self.version_file = version_file
+        self.box = box
         self.is_disk_complete = False
         self.caught_up = False
 
@@ -101,6 +110,10 @@
             raise HolderError("starting")
         raise HolderError("catching up", is_empty=True)
 
+    def may_use(self, table: SeatTable) -> bool:
+        """Whether no newer table than `table` is known to this disk."""
+        return table.version >= self.version_file.version
+
     def persist_table_version(self) -> None:
         """Persist the current table version; fail if a newer one was persisted."""
         version = self.seats.table.version
@@ -166,17 +179,27 @@
             {p: now - known[p].last_used_at for p in message.programs if p in known}
         )
 
+    def check_disk(self, message: CopyRecords) -> None:
+        """Reject a request for a disk that this box does not have."""
+        if message.disk in ("", self.disk):
+            return
+        if message.box != self.box:
+            raise HolderError("another box has this address")
+        raise HolderError("the disk was lost", is_disk_lost=True)
+
     def copy_records(self, message: CopyRecords) -> CopiedRecords:
         """Return a page of the records of one seat to its new holder.
 
-        A disk that may lack records hands out those that it has: they can be the last
-        copies, if it had a seat before.
+        A disk without a seat, or one that may lack records, hands out those that it
+        has: they can be the last copies, if it had a seat before.
         """
+        self.check_disk(message)
         self.seats.update(message.table, "holder")
-        if message.table.version < self.seats.table.version:
-            raise HolderError("the table of seats is old", self.seats.table)
+        table = self.seats.table
+        if message.table.version < table.version:
+            raise HolderError("the table of seats is old", table)
         self.persist_table_version()
-        if self.is_disk_complete:
+        if self.is_disk_complete and table.find_disk(self.disk) is not None:
             self.check_caught_up()
         is_complete = self.caught_up
         records: list[Record] = []
--- a/src/cedarchute/turns/holder_app.py
+++ b/src/cedarchute/turns/holder_app.py
@@ -70,7 +70,10 @@
         try:
             return "200 OK", handle(message)
         except HolderError as error:
-            return "409 Conflict", Refused(error.reason, error.table, error.is_empty)
+            refusal = Refused(
+                error.reason, error.table, error.is_empty, error.is_disk_lost
+            )
+            return "409 Conflict", refusal
         except OSError as error:
             return "503 Service Unavailable", Refused(f"disk: {error}")
         except Exception as error:
--- a/src/cedarchute/turns/holder_fanout.py
+++ b/src/cedarchute/turns/holder_fanout.py
@@ -20,7 +20,8 @@
 
     from cedarchute.turns.active_seat_table import ActiveSeatTable
     from cedarchute.turns.holder_client import HolderClient
-    from cedarchute.turns.seat_table import Seat, SeatTable
+    from cedarchute.turns.seat import Seat
+    from cedarchute.turns.seat_table import SeatTable
 
 log = logging.getLogger("cedarchute.turns")
 
--- a/src/cedarchute/turns/messages.py
+++ b/src/cedarchute/turns/messages.py
@@ -181,11 +181,18 @@
 
     Carries the new table. The holder installs it first and accepts no writes under
     an older one afterwards.
+
+    Attributes
+    ----------
+    box, disk : str
+        Whose records are asked for; empty in requests of earlier versions.
     """
 
     table: SeatTable
     seat: int
     after: str = ""
+    box: str = ""
+    disk: str = ""
 
 
 class CopiedRecords(msgspec.Struct, frozen=True):
@@ -211,8 +218,11 @@
         The holder's table, when the requester's is older.
     is_empty : bool
         Whether the holder is still catching up itself.
+    is_disk_lost : bool
+        Whether the box has lost the disk that was asked for.
     """
 
     reason: str
     table: SeatTable | None = None
     is_empty: bool = False
+    is_disk_lost: bool = False
--- a/src/cedarchute/turns/quota_client.py
+++ b/src/cedarchute/turns/quota_client.py
@@ -20,7 +20,7 @@
     from cedarchute.decisions.quota_share import QuotaLimit
     from cedarchute.turns.holder_client import HolderClient
     from cedarchute.turns.holder_fanout import HolderFanout
-    from cedarchute.turns.seat_table import Seat
+    from cedarchute.turns.seat import Seat
 
 log = logging.getLogger("cedarchute.turns")
 
--- a/src/cedarchute/turns/seat_manager.py
+++ b/src/cedarchute/turns/seat_manager.py
@@ -11,14 +11,15 @@
 import msgspec
 
 from cedarchute.fleet.box_entry import Role
-from cedarchute.fleet.followers import SEATS_KEY, read_seats
 from cedarchute.platform.store_client import StoreUnavailableError
+from cedarchute.turns.holder import HolderError
 from cedarchute.turns.holder_client import (
     HolderRefusedError,
     HolderUnavailableError,
 )
 from cedarchute.turns.messages import Account, ReadAccount
-from cedarchute.turns.seat_table import EMPTY_TABLE, Seat, SeatTable
+from cedarchute.turns.seat_table import EMPTY_TABLE, SeatTable
+from cedarchute.turns.seat_table_writer import SeatTableWriter
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -32,6 +33,7 @@
     from cedarchute.turns.evacuation import Evacuation
     from cedarchute.turns.holder import Holder
     from cedarchute.turns.holder_client import HolderClient
+    from cedarchute.turns.seat import Seat
 
 log = logging.getLogger("cedarchute.turns")
 
@@ -71,7 +73,7 @@
         evacuation: Evacuation,
         client: HolderClient,
     ) -> None:
-        self.store = store
+        self.write_table = SeatTableWriter(store, seats).write
         self.seats = seats
         self.holder = holder
         self.identity = identity
@@ -116,18 +118,35 @@
             self.acquire_seat(table)
         elif not table.closed:
             self.close_table(table)
-        elif not self.holder.caught_up:
-            self.catch_up_and_serve(number)
+        elif not self.holder.caught_up and self.holder.may_use(table):
+            self.catch_up_and_serve(table, number)
 
-    def catch_up_and_serve(self, number: int) -> None:
-        """Catch up unless the disk is complete, then start to serve requests."""
-        if not self.identity.complete:
-            started = time.monotonic()
+    def catch_up_and_serve(self, table: SeatTable, number: int) -> None:
+        """Catch up unless the disk is complete, then start to serve requests.
+
+        The table says that the disk is complete before any record is acknowledged by
+        it, so whoever replaces another seat knows whether to wait for this disk.
+        """
+        started = time.monotonic()
+        is_complete = table.seats[number].is_complete
+        if is_complete is None and self.identity.complete:
+            self.serve(number, started)
+            self.write_table(table.complete_seat(number))
+            return
+        if not is_complete:
             if not self.catch_up.run_once(number):
                 return
+            if not self.write_table(table.complete_seat(number)):
+                return
+        self.serve(number, started)
+
+    def serve(self, number: int, started: float) -> None:
+        """Start to serve requests with a disk that is complete."""
+        if not self.identity.complete:
             self.identity = self.identity.mark_complete(self.folder)
             seconds = round(time.monotonic() - started, 3)
             log.info("Caught up.", extra={"seat": number, "seconds": seconds})
+        self.holder.is_disk_complete = True
         self.holder.caught_up = True
 
     def acquire_seat(self, table: SeatTable) -> None:
@@ -142,19 +161,31 @@
         if number is None and not table.closed:
             self.write_table(table.add_seat(self.own_seat))
             return
+        if not table.closed:
+            self.write_table(table.replace_seat(number, self.own_seat))
+            return
         if number is None:
             number = self.find_free_seat(table)
-        if number is not None:
-            self.require_catch_up()
-            self.write_table(table.replace_seat(number, self.own_seat))
+        if number is not None and self.require_catch_up():
+            self.write_table(table.take_seat(number, self.own_seat))
 
-    def require_catch_up(self) -> None:
-        """Mark the disk incomplete: it got no records while it had no seat."""
+    def require_catch_up(self) -> bool:
+        """Mark the disk incomplete: it got no records while it had no seat.
+
+        Also stores that its old seat is gone, which an older table would give back to
+        it. Returns whether both are durable.
+        """
         self.holder.caught_up = False
         self.holder.is_disk_complete = False
         if self.identity.complete:
             self.identity = self.identity.mark_incomplete(self.folder)
             log.info("Disk without a seat has to catch up.")
+        try:
+            self.holder.persist_table_version()
+        except HolderError as error:
+            log.warning("Seat not taken.", extra={"why": error.reason})
+            return False
+        return True
 
     def close_table(self, table: SeatTable) -> None:
         """Make the number of seats final after the time to join has passed."""
@@ -224,68 +255,41 @@
             return True
         return False
 
-    def write_table(self, table: SeatTable) -> None:
-        """Write the next table by compare-and-swap; on conflict, use the stored one."""
-        current = self.store.get(SEATS_KEY)
-        if current is not None:
-            stored = self.parse_stored(current.value)
-            if stored.version == 0:
-                return
-            if stored.version != table.version - 1:
-                self.seats.update(stored, "store")
-                return
-        elif table.version != 1:
-            return
-        text = msgspec.json.encode(table).decode()
-        result = self.store.swap(SEATS_KEY, text, current.version if current else 0)
-        if result.won:
-            self.seats.update(table, "own change")
-        elif result.current is not None:
-            self.seats.update(self.parse_stored(result.current.value), "store")
-
-    def parse_stored(self, text: str) -> SeatTable:
-        """Decode the table in the store; return the current one if it is invalid.
-
-        The next change by a holder with a table then repairs the store; one without a
-        table leaves it alone.
-        """
-        try:
-            return read_seats(text)
-        except (msgspec.MsgspecError, RecursionError, ValueError) as error:
-            log.error("Seat table in the store is invalid.", extra={"why": str(error)})
-            return self.seats.table
-
     def retire(self, table: SeatTable) -> None:
-        """Release the seat, and copy all records to the other holders."""
+        """Release the seat, then copy all records to the other holders."""
         if self.retired:
             return
         self.retirements.tell_started(self.own_seat.box)
         number = table.find_box(self.own_seat.box)
         if number is None:
-            self.retired = self.evacuation.run_once()
-            if self.retired:
-                self.retirements.tell_completed(self.own_seat.box)
+            self.hand_over_records(table)
             return
-        if not self.can_vacate_seat(table):
+        if not table.can_vacate(number):
+            self.warn_once(table)
             return
         self.retiring_since = self.retiring_since or time.monotonic()
         waited = time.monotonic() - self.retiring_since
         if waited > SUCCESSOR_WAIT_SECONDS or not self.has_spare_holder(table):
-            self.write_table(table.replace_seat(number, Seat()))
+            self.write_table(table.vacate_seat(number, self.own_seat.disk))
 
-    def can_vacate_seat(self, table: SeatTable) -> bool:
-        """Whether every program still has a quorum with one more vacant seat.
+    def hand_over_records(self, table: SeatTable) -> None:
+        """Store all records at the other holders, so that nobody needs this disk."""
+        if not self.evacuation.run_once():
+            return
+        released = table.release_disk(self.own_seat.disk)
+        if released.seats != table.seats and not self.write_table(released):
+            return
+        self.retired = True
+        self.retirements.tell_completed(self.own_seat.box)
 
-        Otherwise this holder keeps serving until a spare takes a vacant seat.
-        """
-        vacant = sum(seat.is_vacant for seat in table.seats)
-        can_spare = vacant + 1 <= table.max_vacant
-        if not can_spare and not self.has_warned:
+    def warn_once(self, table: SeatTable) -> None:
+        """Log that this holder keeps its seat until others can do without it."""
+        if not self.has_warned:
             self.has_warned = True
             log.warning(
-                "Seat kept until another holder joins.", extra={"vacant": vacant}
+                "Seat kept until another holder joins.",
+                extra={"seats_version": table.version},
             )
-        return can_spare
 
     def has_spare_holder(self, table: SeatTable) -> bool:
         """Whether a holder without a seat is available to take one over."""
--- a/src/cedarchute/turns/seat_table.py
+++ b/src/cedarchute/turns/seat_table.py
@@ -6,25 +6,7 @@
 
 import msgspec
 
-
-class Seat(msgspec.Struct, frozen=True):
-    """A numbered position in the set of holders, occupied by one holder or vacant.
-
-    Attributes
-    ----------
-    disk : str
-        Identifies the contents of the disk; changes when the disk is lost.
-    """
-
-    box: str = ""
-    address: str = ""
-    disk: str = ""
-    failure_domain: str = ""
-
-    @property
-    def is_vacant(self) -> bool:
-        """Whether no box occupies the seat."""
-        return not self.box
+from cedarchute.turns.seat import Seat
 
 
 class SeatTable(msgspec.Struct, frozen=True):
@@ -66,6 +48,13 @@
         """Number of vacant seats with which every program still has a quorum."""
         return self.replication_factor - self.quorum
 
+    def can_vacate(self, number: int) -> bool:
+        """Whether every program has a quorum without the holder of one seat."""
+        vacant = sum(
+            seat.is_vacant for other, seat in enumerate(self.seats) if other != number
+        )
+        return vacant + 1 <= self.max_vacant
+
     def find_seats(self, program: str) -> list[int]:
         """Return the seats of `program`, by rendezvous hashing."""
         ranks = []
@@ -106,14 +95,73 @@
         seats = (*self.seats[:number], seat, *self.seats[number + 1 :])
         return SeatTable(self.version + 1, self.closed, self.losses, seats)
 
+    def take_seat(self, number: int, seat: Seat) -> SeatTable:
+        """Return the next version of the table, with another disk in a seat.
+
+        The disk counts as complete only if it is the last one that was. A box that
+        takes its own seat again has lost the disk that was there.
+        """
+        before = self.seats[number]
+        is_disk_lost = before.box == seat.box
+        source = before.predecessor if is_disk_lost else before.last_complete
+        is_complete = source is not None and source.disk == seat.disk
+        taken = msgspec.structs.replace(
+            seat,
+            is_complete=is_complete,
+            predecessor=None if is_complete else source,
+        )
+        return self.replace_seat(number, taken)
+
+    def complete_seat(self, number: int) -> SeatTable:
+        """Return the next version of the table, with the disk of a seat complete."""
+        seat = msgspec.structs.replace(
+            self.seats[number], is_complete=True, predecessor=None
+        )
+        return self.replace_seat(number, seat)
+
+    def vacate_seat(self, number: int, disk: str) -> SeatTable:
+        """Return the next version of the table, without the holder of a seat.
+
+        Parameters
+        ----------
+        disk : str
+            The present disk of that holder, which has lost the one in the table if
+            it is another.
+        """
+        before = self.seats[number]
+        is_disk_lost = before.disk != disk
+        source = before.predecessor if is_disk_lost else before.last_complete
+        return self.replace_seat(number, Seat(is_complete=False, predecessor=source))
+
+    def needs_disk(self, number: int, disk: str) -> bool:
+        """Whether a disk without the seat is still the last complete one of it."""
+        source = self.seats[number].predecessor
+        return source is not None and source.disk == disk
+
+    def release_disk(self, disk: str) -> SeatTable:
+        """Return the next version of the table, with no vacant seat needing a disk."""
+        seats = tuple(
+            Seat(is_complete=True)
+            if seat.is_vacant and self.needs_disk(number, disk)
+            else seat
+            for number, seat in enumerate(self.seats)
+        )
+        return SeatTable(self.version + 1, self.closed, self.losses, seats)
+
     def add_seat(self, seat: Seat) -> SeatTable:
         """Return the next version of the table, with one more seat."""
         seats = (*self.seats, seat)
         return SeatTable(self.version + 1, self.closed, self.losses, seats)
 
     def close(self) -> SeatTable:
-        """Return the next version of the table, with a final number of seats."""
-        return SeatTable(self.version + 1, True, self.losses, self.seats)
+        """Return the next version of the table, with a final number of seats.
+
+        No record was acknowledged before, so no disk lacks one.
+        """
+        seats = tuple(
+            msgspec.structs.replace(seat, is_complete=True) for seat in self.seats
+        )
+        return SeatTable(self.version + 1, True, self.losses, seats)
 
 
 EMPTY_TABLE = SeatTable(version=0, closed=False, losses=0, seats=())
--- a/tests/stateful/test_quorum_machine.py
+++ b/tests/stateful/test_quorum_machine.py
@@ -33,7 +33,8 @@
 from cedarchute.turns.holder_fanout import NoQuorumError
 from cedarchute.turns.messages import Refused
 from cedarchute.turns.records import Settled, Turn
-from cedarchute.turns.seat_table import Seat, SeatTable
+from cedarchute.turns.seat import Seat
+from cedarchute.turns.seat_table import SeatTable
 from cedarchute.turns.seat_version_file import SeatVersionFile
 from cedarchute.turns.turn_journal import TurnJournal
 from cedarchute.turns.turn_quorum import BudgetSpentError, TurnQuorum
--- a/tests/turns/seat_site.py
+++ b/tests/turns/seat_site.py
@@ -20,8 +20,8 @@
 from cedarchute.turns.holder_app import HolderApp
 from cedarchute.turns.holder_client import HolderRefusedError, HolderUnavailableError
 from cedarchute.turns.messages import Refused
+from cedarchute.turns.seat import Seat
 from cedarchute.turns.seat_manager import SeatManager
-from cedarchute.turns.seat_table import Seat
 from cedarchute.turns.seat_version_file import SeatVersionFile
 from cedarchute.turns.turn_journal import TurnJournal
 from cedarchute.turns.turn_quorum import TurnQuorum
@@ -66,7 +66,7 @@
         self.storage.load()
         self.seats = ActiveSeatTable()
         versions = SeatVersionFile(folder)
-        self.holder = Holder(self.storage, self.seats, self.disk, versions)
+        self.holder = Holder(self.storage, self.seats, self.disk, versions, name)
         self.holder.is_disk_complete = identity.complete
         self.app = HolderApp(self.holder, SimpleNamespace(ask=None))
         self.manager = SeatManager(
--- a/tests/turns/test_cancelled_reservations.py
+++ b/tests/turns/test_cancelled_reservations.py
@@ -10,7 +10,8 @@
 from cedarchute.turns.chain_reader import NoSuchTurnError
 from cedarchute.turns.messages import Chain, RecordsTaken, TurnBegun
 from cedarchute.turns.records import Settled
-from cedarchute.turns.seat_table import Seat, SeatTable
+from cedarchute.turns.seat import Seat
+from cedarchute.turns.seat_table import SeatTable
 from cedarchute.turns.turn_quorum import TurnQuorum
 
 # Reached only if no record arrives.
--- a/tests/turns/test_catch_up.py
+++ b/tests/turns/test_catch_up.py
@@ -9,7 +9,8 @@
 from cedarchute.turns.holder import Holder, HolderError
 from cedarchute.turns.holder_client import HolderRefusedError, HolderUnavailableError
 from cedarchute.turns.messages import CopiedRecords, Refused
-from cedarchute.turns.seat_table import Seat, SeatTable
+from cedarchute.turns.seat import Seat
+from cedarchute.turns.seat_table import SeatTable
 from cedarchute.turns.seat_version_file import SeatVersionFile
 
 WHOLE = "whole"
--- a/tests/turns/test_expiry.py
+++ b/tests/turns/test_expiry.py
@@ -12,7 +12,8 @@
 from cedarchute.turns.holder_client import HolderRefusedError, HolderUnavailableError
 from cedarchute.turns.messages import Refused
 from cedarchute.turns.records import Reserved
-from cedarchute.turns.seat_table import Seat, SeatTable
+from cedarchute.turns.seat import Seat
+from cedarchute.turns.seat_table import SeatTable
 from cedarchute.turns.seat_version_file import SeatVersionFile
 
 NAMES = ("a", "b", "c")
--- a/tests/turns/test_holder.py
+++ b/tests/turns/test_holder.py
@@ -7,7 +7,8 @@
 from cedarchute.turns.active_seat_table import ActiveSeatTable
 from cedarchute.turns.holder import Holder, HolderError
 from cedarchute.turns.messages import BeginTurn, ReadAccount, ReadChain
-from cedarchute.turns.seat_table import Seat, SeatTable
+from cedarchute.turns.seat import Seat
+from cedarchute.turns.seat_table import SeatTable
 from cedarchute.turns.seat_version_file import SeatVersionFile
 
 
--- a/tests/turns/test_quota_client.py
+++ b/tests/turns/test_quota_client.py
@@ -10,7 +10,8 @@
 from cedarchute.turns.holder_fanout import HolderFanout
 from cedarchute.turns.messages import QuotaAnswered
 from cedarchute.turns.quota_client import NoQuotaServerError, QuotaClient
-from cedarchute.turns.seat_table import Seat, SeatTable
+from cedarchute.turns.seat import Seat
+from cedarchute.turns.seat_table import SeatTable
 
 LIMIT = QuotaLimit(1, 10.0, 10.0)
 GRANTED = QuotaAnswered(True)
--- a/tests/turns/test_seat_manager.py
+++ b/tests/turns/test_seat_manager.py
@@ -11,8 +11,9 @@
 from cedarchute.turns.disk_identity import DiskIdentity
 from cedarchute.turns.holder_client import HolderRefusedError, HolderUnavailableError
 from cedarchute.turns.messages import Refused
+from cedarchute.turns.seat import Seat
 from cedarchute.turns.seat_manager import SeatManager
-from cedarchute.turns.seat_table import Seat, SeatTable
+from cedarchute.turns.seat_table import SeatTable
 
 
 class ScriptedClient:
@@ -27,6 +28,12 @@
         raise HolderUnavailableError(address)
 
 
+def make_holder(**state):
+    return SimpleNamespace(
+        may_use=lambda table: True, persist_table_version=lambda: None, **state
+    )
+
+
 def make_manager(registered, alive, asked=(), vacant=()):
     seats = tuple(
         Seat() if box in vacant else Seat(box, box, f"disk-{box}", "a")
@@ -41,7 +48,7 @@
     manager = SeatManager(
         store=None,
         seats=active_table,
-        holder=SimpleNamespace(caught_up=False),
+        holder=make_holder(caught_up=False),
         identity=SimpleNamespace(complete=False),
         folder=None,
         own_seat=Seat("new", "new", "disk-new", "a"),
@@ -157,6 +164,7 @@
 def retire(manager, box):
     """Make a manager that of a retiring holder; return the tables it writes."""
     changes = []
+    manager.holder.caught_up = True
     manager.own_seat = Seat(box, box, f"disk-{box}", "a")
     manager.write_table = changes.append
     manager.retirements = SimpleNamespace(asked={box}, tell_started=lambda box: None)
@@ -189,7 +197,7 @@
     DiskIdentity("disk-new", complete=True).save(tmp_path)
     manager.folder = tmp_path
     manager.identity = DiskIdentity.load(tmp_path)
-    manager.holder = SimpleNamespace(caught_up=True, is_disk_complete=True)
+    manager.holder = make_holder(caught_up=True, is_disk_complete=True)
     manager.write_table = lambda new: manager.seats.update(new, "test")
     manager.catch_up = SimpleNamespace(run_once=lambda number: False)
     manager.step()
--- a/tests/turns/test_turn_quorum.py
+++ b/tests/turns/test_turn_quorum.py
@@ -14,7 +14,8 @@
 from cedarchute.turns.holder_client import HolderUnavailableError
 from cedarchute.turns.holder_fanout import NoQuorumError
 from cedarchute.turns.messages import Account, Chain, TurnBegun
-from cedarchute.turns.seat_table import Seat, SeatTable
+from cedarchute.turns.seat import Seat
+from cedarchute.turns.seat_table import SeatTable
 from cedarchute.turns.turn_quorum import TurnQuorum
 
 
