Keep the seat of a holder to be emptied while another disk is incomplete

Callers saw turns refused: a holder that was asked to be emptied vacated its seat although the disk of another was still being filled, so programs had one complete holder of three. Cause: only vacant seats counted as places without records. Class: a seat counts as usable because it is occupied. Incomplete seats count like vacant ones now.

--- a/src/cedarchute/turns/seat_table.py
+++ b/src/cedarchute/turns/seat_table.py
@@ -50,10 +50,12 @@
 
     def can_vacate(self, number: int) -> bool:
         """Whether every program has a quorum without the holder of one seat."""
-        vacant = sum(
-            seat.is_vacant for other, seat in enumerate(self.seats) if other != number
+        unusable = sum(
+            seat.is_vacant or seat.is_complete is False
+            for other, seat in enumerate(self.seats)
+            if other != number
         )
-        return vacant + 1 <= self.max_vacant
+        return unusable + 1 <= self.max_vacant
 
     def find_seats(self, program: str) -> list[int]:
         """Return the seats of `program`, by rendezvous hashing."""
