Keep what a disk without a seat has until its successor has read it

By reading: a disk that is the last complete one of a seat, and has none itself, dropped programs past its own retention without asking the others, which may still use them. Cause: only a disk in a seat of the program counted as one that stores it. Class: the same, a seat taken for what a disk holds. Red before: test_a_disk_that_its_successor_has_not_read_drops_nothing_others_use (t1 dropped).

--- a/src/cedarchute/turns/expiry.py
+++ b/src/cedarchute/turns/expiry.py
@@ -59,11 +59,18 @@
         """
         if self.storage.programs[program].is_empty:
             return 0
-        number = table.find_disk(self.disk)
-        if table.closed and number not in table.find_seats(program):
+        if table.closed and not self.is_stored_here(table, program):
             return 0
         return table.replication_factor - table.quorum if table.closed else 1
 
+    def is_stored_here(self, table: SeatTable, program: str) -> bool:
+        """Whether this disk counts as one that has the records of a program."""
+        own = table.find_disk(self.disk)
+        return any(
+            number == own or table.needs_disk(number, self.disk)
+            for number in table.find_seats(program)
+        )
+
     def count_confirmations(self, table: SeatTable, expired: list[str]) -> Counter[str]:
         """Ask the other holders; return how many agree, by program."""
         confirmed: Counter[str] = Counter()
--- a/tests/turns/test_expiry.py
+++ b/tests/turns/test_expiry.py
@@ -115,6 +115,17 @@
     assert expire(site, "a") == set()
 
 
+def test_a_disk_that_its_successor_has_not_read_drops_nothing_others_use(site, clock):
+    holder = site.holders["a"]
+    table = holder.seats.table
+    spare = Seat("spare", "spare", "disk-spare", "a")
+    holder.seats.update(table.take_seat(0, spare), "test")
+    write(site, "a", "t1")
+    clock.now += RETENTION_SECONDS + 1
+    site.down = {"spare", "b", "c"}
+    assert expire(site, "a") == {"t1"}
+
+
 def test_reservations_alone_are_kept_as_long_as_others_use_the_program(site, clock):
     site.holders["a"].storage.write([Reserved("p", "t1", 5)])
     clock.now += RETENTION_SECONDS - 1
