Serve with a holder that is to be emptied as long as it keeps its seat

Callers saw turns refused for as long as the seat could not be vacated: a holder that started again while it was asked to be emptied did only that, and never began to serve. Red before: test_a_holder_that_restarts_while_it_cannot_be_emptied_serves (caught_up False).

--- a/src/cedarchute/turns/seat_manager.py
+++ b/src/cedarchute/turns/seat_manager.py
@@ -109,13 +109,13 @@
 
     def step(self) -> None:
         """Run the next transition of this holder, if any."""
+        is_retiring = self.own_seat.box in self.retirements.asked
+        if is_retiring:
+            self.retire(self.seats.table)
         table = self.seats.table
-        if self.own_seat.box in self.retirements.asked:
-            self.retire(table)
-            return
         number = table.find_disk(self.own_seat.disk)
         if number is None:
-            self.acquire_seat(table)
+            self.acquire_seat(table, is_retiring)
         elif not table.closed:
             self.close_table(table)
         elif not self.holder.caught_up and self.holder.may_use(table):
@@ -149,9 +149,9 @@
         self.holder.is_disk_complete = True
         self.holder.caught_up = True
 
-    def acquire_seat(self, table: SeatTable) -> None:
+    def acquire_seat(self, table: SeatTable, is_retiring: bool) -> None:
         """Reclaim the seat of this box, add a new seat, or take a free one."""
-        if not table.closed and time.monotonic() < self.join_at:
+        if is_retiring or not table.closed and time.monotonic() < self.join_at:
             return
         if table.version == 0:
             empty = msgspec.structs.replace(EMPTY_TABLE, losses=self.losses)
--- a/tests/turns/test_seat_changes.py
+++ b/tests/turns/test_seat_changes.py
@@ -123,3 +123,21 @@
     assert site.retired == ["a"]
     site.kill("a")
     assert site.read(kept) == b"in-keptout-kept"
+
+
+def test_a_holder_that_restarts_while_it_cannot_be_emptied_serves(site):
+    site.form("a", "b", "c")
+    kept = keep_without(site, "c", make_turn("kept"))
+    site.kill("b")
+    site.wipe("b")
+    site.start("b")
+    site.step(0.0, only=["b"])
+    site.retirements.asked.add("a")
+    site.kill("a", "c")
+    site.start("a")
+    site.settle(3, 0.1)
+    assert site.boxes["a"].holder.caught_up
+    site.start("c")
+    site.settle()
+    assert site.read(kept) == b"in-keptout-kept"
+    assert site.retired == ["a"]
