Read a target's answer that came while the process stood still

What callers saw: 502 or 504 for a call whose target had answered in time, or a second run of one that may be repeated, after a pause of the process.

Cause: the event loop looks at timers before sockets after a pause, so the timeout of a read fired with the answer unread in the kernel, and counted as silence of the target. The same class as was mended for reads from callers.

Evidence, on: `pytest tests/relay/test_target_connection.py`, in which the process stands still until the answer lies in the kernel and the deadline is over: `test_an_answer_that_came_while_the_process_was_held_up_is_read` TargetFailureError: silent; `test_a_close_that_came_while_the_process_was_held_up_is_no_silence` 'silent' instead of 'closed early'.

Change: callers and targets are read by one function, which reads the socket once more without waiting before it reports a timeout. A timeout that TCP itself reports (ETIMEDOUT is the same class of exception) is raised as it is: reading again would make the end of a cut answer look like an orderly close.

--- a/src/cedarchute/relay/caller_connection.py
+++ b/src/cedarchute/relay/caller_connection.py
@@ -15,6 +15,7 @@
 from cedarchute.relay.request_error import RequestError
 from cedarchute.relay.request_reader import RequestReader
 from cedarchute.relay.shutdown_error import ShutdownError
+from cedarchute.relay.socket_io import receive_within
 from cedarchute.relay.unread_input import has_unread_input
 
 if TYPE_CHECKING:
@@ -24,7 +25,6 @@
 
 log = logging.getLogger("cedarchute.relay")
 
-READ_BYTES: Final = 65_536
 # A caller that accepts no data for this long counts as disconnected.
 WRITE_TIMEOUT_SECONDS: Final = 10.0
 # After the last response, input is read for this long: closing a socket with unread
@@ -155,17 +155,9 @@
     def receive(self, seconds: float) -> bytes:
         """Return the next bytes; raise ``TimeoutError`` after `seconds`.
 
-        A timeout on the socket would also apply to the writes of the other task. After
-        a pause of the process timers fire before sockets are looked at, so a timeout
-        does not mean that nothing was received.
+        A timeout on the socket would also apply to the writes of the other task.
         """
-        try:
-            with eventlet.Timeout(max(0.001, seconds), TimeoutError("read timed out")):
-                return self.sock.recv(READ_BYTES)
-        except TimeoutError:
-            if not has_unread_input(self.sock):
-                raise
-            return self.sock.recv(READ_BYTES)
+        return receive_within(self.sock, max(0.001, seconds), "read timed out")
 
     def answer_forever(self) -> None:
         """Handle requests one by one; an invalid request ends the connection."""
--- a/src/cedarchute/relay/target_connection.py
+++ b/src/cedarchute/relay/target_connection.py
@@ -8,9 +8,9 @@
 
 import eventlet
 import httptools
-from eventlet.hubs import trampoline
 
 from cedarchute.relay.answer_reader import AnswerReader
+from cedarchute.relay.socket_io import receive_within
 from cedarchute.relay.target_failure import TargetFailureError
 from cedarchute.verdict import Verdict
 
@@ -18,7 +18,6 @@
     from cedarchute.address import Address
     from cedarchute.relay.target_answer import TargetAnswer
 
-READ_BYTES: Final = 65_536
 # Idle connections are given up this long before the target's keep-alive timeout, so
 # that a request does not race with the target's close; covers network delay and timers
 # of low resolution.
@@ -90,8 +89,7 @@
             On a timeout, a reset, a premature close or a malformed response.
         """
         try:
-            with eventlet.Timeout(max(0.0, seconds), TimeoutError("silent")):
-                data = read_socket(self.sock)
+            data = receive_within(self.sock, max(0.0, seconds), "silent")
         except OSError as error:
             raise TargetFailureError(f"{error}", Verdict.MAY_HAVE_RUN) from None
         if not data:
@@ -163,20 +161,6 @@
         self.sock.close()
 
 
-def read_socket(sock: socket.socket) -> bytes:
-    """Return the next bytes; raise ``OSError`` on a reset.
-
-    ``recv`` of eventlet's socket reports a reset as an orderly close, which would make
-    a truncated response look complete.
-    """
-    raw = sock.fd
-    while True:
-        try:
-            return raw.recv(READ_BYTES)
-        except BlockingIOError:
-            trampoline(raw, read=True)
-
-
 def _parse_keep_alive_timeout(text: str) -> float | None:
     """Return the timeout in seconds of a ``Keep-Alive`` header, if any."""
     for parameter in text.split(","):
