Answer a call with 503 when a stop interrupts it before it was sent

What callers saw: 504 at the end of a planned stop for a call that no target had got: one that was connecting to a target, or whose target was just refusing it. 504 promises nothing, so a call that may not be repeated was lost to its caller.

Cause: an interrupt within an attempt was taken for one of a call that may have run, whatever the attempt had sent.

Evidence, on: `pytest tests/calls/test_shutdown.py`: `test_a_call_interrupted_while_it_connects_may_be_sent_elsewhere` and `test_a_call_interrupted_within_a_refusal_may_be_sent_elsewhere`, both "assert 504 == 503".

Change: the client of targets turns an interrupt into the refusal of a stop while it connects and while it reads the rest of a target's refusal. `Attempts` answers 502 or 504 instead, as for every refusal, if an earlier attempt may have run. After the request was sent the interrupt passes through as before, and the answer is 504.

--- a/src/cedarchute/calls/target_client.py
+++ b/src/cedarchute/calls/target_client.py
@@ -6,12 +6,14 @@
 import time
 from typing import TYPE_CHECKING
 
+from cedarchute.calls.shutdown_deadline import make_shutdown_refusal
 from cedarchute.platform.call_headers import (
     ANSWER_ID,
     says_not_run,
     write_target_headers,
 )
 from cedarchute.record import MutableRecord
+from cedarchute.relay.shutdown_error import ShutdownError
 from cedarchute.relay.target_failure import TargetFailureError
 from cedarchute.verdict import Verdict
 
@@ -102,14 +104,15 @@
         TargetFailureError
             When the target fails; the verdict tells whether the call may have run.
         CallRefusedError
-            When the caller's key is no longer valid; this target has not run the call.
+            When the caller's key is no longer valid or the process ends; this target
+            has not run the call.
         """
         load = self.load_balancer.loads[target.incarnation]
         load.active += 1
         sent_at = time.monotonic()
         connection = None
         try:
-            connection = self.pool.take(target.address, deadline - sent_at)
+            connection = self.connect(target, deadline - sent_at)
             seconds_left = deadline - time.monotonic()
             head = build_request(
                 request, target, body, seconds_left, call.caller_identity
@@ -140,6 +143,13 @@
             raise
         return OpenResponse(target, connection, answer, sent_at, read_deadline)
 
+    def connect(self, target: TargetEntry, seconds: float) -> TargetConnection:
+        """Return a connection to `target`; nothing is sent on it yet."""
+        try:
+            return self.pool.take(target.address, seconds)
+        except ShutdownError:
+            raise make_shutdown_refusal() from None
+
     def drain_refusal(
         self, connection: TargetConnection, answer: TargetAnswer, deadline: float
     ) -> None:
@@ -151,6 +161,9 @@
             self.pool.give_back(connection)
         except TargetFailureError:
             connection.close()
+        except ShutdownError:
+            connection.close()
+            raise make_shutdown_refusal() from None
 
     def handle_failure(
         self, target: TargetEntry, call: Call, error: TargetFailureError
--- a/tests/calls/test_shutdown.py
+++ b/tests/calls/test_shutdown.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import random
 import time
 from types import SimpleNamespace
 
@@ -11,17 +12,23 @@
 from eventlet.event import Event
 from msgspec.structs import replace
 
+from cedarchute.address import Address
 from cedarchute.calls.attempts import Attempts
 from cedarchute.calls.call import Call, ProgramContext
 from cedarchute.calls.call_dispatcher import CallDispatcher
 from cedarchute.calls.call_errors import CallRefusedError
 from cedarchute.calls.shutdown_deadline import ShutdownDeadline
+from cedarchute.calls.target_client import TargetClient
 from cedarchute.metrics import Metrics
 from cedarchute.relay.caller_request import CallerRequest
 from cedarchute.relay.headers import Headers
 from cedarchute.relay.reply_writer import ReplyWriter
 from cedarchute.relay.shutdown_error import ShutdownError
+from cedarchute.relay.target_answer import TargetAnswer
+from cedarchute.routing.load_balancer import LoadBalancer
 from cedarchute.routing.route import Repeatability, Route
+from cedarchute.routing.target_entry import TargetEntry
+from cedarchute.routing.target_registry import TargetRegistry
 
 ROUTE = Route("r", "h", b"/", Repeatability.ONCE, (), 8.0, 0.4)
 NOTHING = SimpleNamespace(
@@ -77,6 +84,89 @@
     assert interrupt(waiting, handler=waiting) == 504
 
 
+class WaitingPool(Waiting):
+    """A pool whose targets take no connection."""
+
+    def take(self, address, seconds):
+        self.check()
+
+
+class WaitingRefusal(Waiting):
+    """A connection on which a refusal begins, and goes on for ever."""
+
+    def send(self, data, seconds):
+        pass
+
+    def read_answer(self, *_):
+        answer = TargetAnswer()
+        answer.status = 421
+        return answer
+
+    def receive(self, seconds):
+        self.check()
+
+    def close(self):
+        pass
+
+
+class PoolOf:
+    """A pool that gives out one connection."""
+
+    def __init__(self, connection):
+        self.connection = connection
+
+    def take(self, address, seconds):
+        return self.connection
+
+
+class WaitingTarget(WaitingRefusal):
+    """A connection whose target has the request and stays silent."""
+
+    def read_answer(self, *_):
+        self.check()
+
+
+def interrupt_attempt(waiting, pool, possible_runs=0):
+    """Interrupt an attempt of a call where it waits; return the call's status."""
+    registry = TargetRegistry(lambda entry: None)
+    address = Address("127.0.0.1", 1)
+    registry.put(TargetEntry("t-1", "s", address, "a", True, 8))
+    load_balancer = LoadBalancer(registry, "a", random.Random(7), lambda address: True)
+    keys = SimpleNamespace(revalidate=lambda call: None)
+    client = TargetClient(pool, load_balancer, keys, NOTHING, Metrics())
+
+    class Handler:
+        def run(self, request, writer, call, route):
+            attempts = Attempts(client, Metrics(), request, call, route, "s", b"")
+            attempts.possible_runs = possible_runs
+            attempts.open()
+
+    status = interrupt(waiting, handler=Handler())
+    assert load_balancer.loads["t-1"].active == 0
+    return status
+
+
+def test_a_call_interrupted_while_it_connects_may_be_sent_elsewhere():
+    pool = WaitingPool()
+    assert interrupt_attempt(pool, pool) == 503
+
+
+def test_a_call_interrupted_within_a_refusal_may_be_sent_elsewhere():
+    refusal = WaitingRefusal()
+    assert interrupt_attempt(refusal, PoolOf(refusal)) == 503
+
+
+@pytest.mark.parametrize("connection", [WaitingPool(), WaitingRefusal()])
+def test_a_call_that_ran_before_promises_nothing_when_interrupted(connection):
+    pool = connection if isinstance(connection, WaitingPool) else PoolOf(connection)
+    assert interrupt_attempt(connection, pool, possible_runs=1) in (502, 504)
+
+
+def test_a_call_interrupted_after_it_was_sent_promises_nothing():
+    target = WaitingTarget()
+    assert interrupt_attempt(target, PoolOf(target)) == 504
+
+
 class Answering:
     """A handler that answers at once."""
 
