Answer requests behind a response that closes the connection

What callers saw in a planned stop: a request sent behind one in progress was read, and its connection closed without an answer to it.

Cause: whether a response is the last one of its connection was decided when its head was written, by the requests that had been parsed whole by then. A stream's head goes out seconds before its end, so whatever came in between was dropped; so was a request that was half received, or unread in the kernel, when the head of a whole response was written.

Change: a response does not say that the connection closes while any part of a further request has arrived. A request behind a response that has said so is answered with 503 and Retry-After: it must not run, since its caller may ignore any later response (RFC 9112, section 9.6), and 503 promises that it did not. Requests behind one whose caller itself closes the connection are owed nothing, as before.

--- a/src/cedarchute/calls/call_dispatcher.py
+++ b/src/cedarchute/calls/call_dispatcher.py
@@ -72,6 +72,8 @@
         set_request_id(call_id)
         progress = CallProgress()
         try:
+            if writer.follows_close:
+                raise make_shutdown_refusal()
             call = replace(read_call(request), progress=progress)
             self.route_call(request, writer, call)
         except CallRefusedError as error:
--- a/src/cedarchute/relay/caller_connection.py
+++ b/src/cedarchute/relay/caller_connection.py
@@ -40,6 +40,11 @@
 
     Reading continues while a request is handled, so that a disconnect is noticed at
     once and the handler is stopped.
+
+    Attributes
+    ----------
+    has_announced_close : bool
+        Whether a response has said that the connection closes.
     """
 
     def __init__(self, sock: socket.socket, server: CallerServer) -> None:
@@ -51,6 +56,7 @@
         self.busy = False
         self.has_received = False
         self.is_shut_down = False
+        self.has_announced_close = False
         self.answered = 0
         self.opened_at = self.active_at = time.monotonic()
         self.worker: eventlet.greenthread.GreenThread | None = None
@@ -127,7 +133,7 @@
                     raise RequestError(408, "request not sent in time") from None
                 if self.compute_idle_wait(self.server.limits()) > 0:
                     continue
-                self.record_close("idle")
+                self.server.record_close(self, "idle")
                 return
             if not data:
                 return
@@ -174,13 +180,15 @@
             self.busy = False
             self.active_at = time.monotonic()
             self.answered += 1
-            if not keep_open:
+            self.has_announced_close |= self.writer.closes
+            if not keep_open and not self.must_refuse_more():
                 self.end(linger=self.writer.finished)
                 return
 
     def answer(self, request: CallerRequest) -> bool:
         """Handle one request; return whether the connection stays open."""
-        writer = ReplyWriter(request, self.send, self.must_close)
+        follows_close = self.has_announced_close
+        writer = ReplyWriter(request, self.send, self.must_close, follows_close)
         self.writer = writer
         try:
             self.server.handle(request, writer)
@@ -194,7 +202,26 @@
 
     def must_close(self) -> bool:
         """Return whether the response being written is the last one."""
-        return self.server.must_close() and self.requests.empty()
+        if self.has_announced_close:
+            return True
+        return self.server.must_close() and not self.has_further_request
+
+    @property
+    def has_further_request(self) -> bool:
+        """Whether the caller has sent a part of a request that is not handled yet."""
+        if not self.requests.empty() or self.reader.in_message:
+            return True
+        return has_unread_input(self.sock)
+
+    def must_refuse_more(self) -> bool:
+        """Return whether a request follows the response that closes the connection."""
+        if not self.writer.finished or not self.writer.request.keep_alive:
+            return False
+        while self.requests.empty() and not self.reader.in_message:
+            if not has_unread_input(self.sock):
+                return False
+            eventlet.sleep(0)  # The reading task takes it.
+        return True
 
     def interrupt(self, include_started: bool) -> bool:
         """End the request in progress; return whether there was one.
@@ -222,13 +249,8 @@
 
     def send_error(self, error: RequestError) -> None:
         """Send an error response and close the sending direction."""
-        body = error.reason.encode() + b"\n"
-        head = (
-            b"HTTP/1.1 %d Refused\r\nContent-Type: text/plain\r\n"
-            b"Connection: close\r\nContent-Length: %d\r\n\r\n"
-        )
         try:
-            self.send(head % (error.status, len(body)) + body)
+            self.send(error.build_response())
             self.sock.shutdown(socket.SHUT_WR)
         except OSError:
             log.debug("Caller disconnected before its error response was sent.")
@@ -251,25 +273,9 @@
         """Close an idle connection because the process ends."""
         if self.is_shut_down:
             return
-        self.record_close("stop")
+        self.server.record_close(self, "stop")
         self.shut_down()
 
-    def record_close(self, reason: str) -> None:
-        """Count and log that this side closes the connection without being asked."""
-        has_unread = has_unread_input(self.sock)
-        self.server.metrics.count(f"connections.closed.{reason}")
-        if has_unread:
-            self.server.metrics.count("connections.closed.unread")
-        log.info(
-            "Closed a caller's connection.",
-            extra={
-                "why": reason,
-                "answered": self.answered,
-                "open_seconds": round(time.monotonic() - self.opened_at, 3),
-                "has_unread": has_unread,
-            },
-        )
-
     def end(self, linger: bool) -> None:
         """Close after the last response; its caller may still be receiving it."""
         if linger:
--- a/src/cedarchute/relay/caller_server.py
+++ b/src/cedarchute/relay/caller_server.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import logging
+import time
 from typing import TYPE_CHECKING, Final
 
 import eventlet
 from eventlet.greenio import GreenSocket
 
 from cedarchute.relay.caller_connection import CallerConnection
+from cedarchute.relay.unread_input import has_unread_input
 
 if TYPE_CHECKING:
     import socket
@@ -81,6 +83,22 @@
             extra={"status": error.status, "why": error.reason},
         )
 
+    def record_close(self, connection: CallerConnection, reason: str) -> None:
+        """Count and log that this side closes a connection without being asked."""
+        has_unread = has_unread_input(connection.sock)
+        self.metrics.count(f"connections.closed.{reason}")
+        if has_unread:
+            self.metrics.count("connections.closed.unread")
+        log.info(
+            "Closed a caller's connection.",
+            extra={
+                "why": reason,
+                "answered": connection.answered,
+                "open_seconds": round(time.monotonic() - connection.opened_at, 3),
+                "has_unread": has_unread,
+            },
+        )
+
     def begin_closing(self) -> None:
         """Close each connection after its next response from now on."""
         self.closing = True
--- a/src/cedarchute/relay/reply_writer.py
+++ b/src/cedarchute/relay/reply_writer.py
@@ -31,6 +31,9 @@
         Writes bytes to the caller's socket; raises ``OSError`` if that fails.
     must_close : Callable
         Returns whether the connection is closed after this response.
+    follows_close : bool
+        Whether an earlier response said that the connection closes. The caller may
+        ignore any later one, so the request must not run (RFC 9112, section 9.6).
 
     Attributes
     ----------
@@ -47,10 +50,12 @@
         request: CallerRequest,
         send: Callable[[bytes], None],
         must_close: Callable[[], bool],
+        follows_close: bool = False,
     ) -> None:
         self.request = request
         self.send_bytes = send
         self.must_close = must_close
+        self.follows_close = follows_close
         self.started = False
         self.finished = False
         self.closes = False
--- a/tests/calls/test_shutdown.py
+++ b/tests/calls/test_shutdown.py
@@ -199,6 +199,21 @@
     return writer.status
 
 
+def test_a_call_behind_a_response_that_closes_is_not_run():
+    handler = Answering()
+    table = SimpleNamespace(find=lambda *_: ROUTE)
+    routes = SimpleNamespace(wait=lambda _: table, version=1)
+    dispatcher = CallDispatcher(
+        routes, NOTHING, NOTHING, handler, handler, ShutdownDeadline(), Metrics()
+    )
+    sent = []
+    writer = ReplyWriter(make_request(), sent.append, lambda: True, follows_close=True)
+    dispatcher.handle(writer.request, writer)
+    assert (writer.status, handler.calls) == (503, 0)
+    assert b"Attempt-Id: a1\r\n" in sent[0]
+    assert b"Retry-After: " in sent[0]
+
+
 STREAM = replace(ROUTE, repeatability=Repeatability.STREAM)
 
 
--- a/tests/platform_site/test_planned_stop.py
+++ b/tests/platform_site/test_planned_stop.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import threading
+
 import pytest
 from conftest_nodes import ROUTES, wait_known
 
@@ -9,7 +11,7 @@
 from experiments.ports import HOST
 from experiments.raw_caller import RawCaller, build_request
 from experiments.waiting import wait_until
-from standins.raw_target import RawTarget, chunk, event, stream_head
+from standins.raw_target import LAST_CHUNK, RawTarget, chunk, event, stream_head
 
 GRACE = "[stop]\ngrace_seconds = 3"
 
@@ -70,3 +72,27 @@
     lines = process.read_log().splitlines()
     assert any("Call given up." in line and '"s2"' in line for line in lines)
     assert any("Stopped." in line and '"cut": 1' in line for line in lines)
+
+
+def test_a_request_behind_a_stream_that_closes_its_connection_is_answered(site):
+    finish = threading.Event()
+
+    def stream(request, connection):
+        connection.sendall(stream_head(request) + chunk(event(1, b"one")))
+        finish.wait(30)
+        connection.sendall(LAST_CHUNK)
+
+    target = add_target(site, "model", stream)
+    process = site.processes["entry-1"]
+    process.terminate()
+    with RawCaller(site.callers["entry-1"]) as caller:
+        wait_until(lambda: "Planned stop." in process.read_log(), "the stop began")
+        caller.send(build_request(b"/stream/x", b"s3", b"a"))
+        assert b"Connection: close" in caller.read_until(b"\r\n\r\n")
+        caller.send(build_request(b"/stream/x", b"s4", b"a"))
+        finish.set()
+        caller.read_chunks()
+        status, headers, _ = caller.read_answer()
+    assert (status, headers["attempt-id"]) == (503, "s4")
+    assert len(target.requests) == 1
+    assert process.wait() == 0
