Write on to a caller that read while the process stood still

What callers saw: a long response cut short although its caller kept reading, after the process had stood still for as long as the write timeout.

Cause: the event loop looks at timers before sockets after a pause, so the timeout of a write fired while the socket could take more, and the caller counted as disconnected. The same class as the timeouts of reads.

Evidence: `pytest tests/relay/test_caller_connection.py -k held_up` without the change: TimeoutError: write timed out.

Change: a write that times out is tried once more without waiting; only a socket that takes nothing counts as stuck. The test's slow socket gets the raw socket that this needs, which takes nothing.

--- a/src/cedarchute/relay/caller_connection.py
+++ b/src/cedarchute/relay/caller_connection.py
@@ -15,7 +15,7 @@
 from cedarchute.relay.request_error import RequestError
 from cedarchute.relay.request_reader import RequestReader
 from cedarchute.relay.shutdown_error import ShutdownError
-from cedarchute.relay.socket_io import receive_within
+from cedarchute.relay.socket_io import receive_within, send_within
 from cedarchute.relay.unread_input import has_unread_input
 
 if TYPE_CHECKING:
@@ -241,11 +241,7 @@
 
     def send(self, data: bytes) -> None:
         """Write bytes; raise ``TimeoutError`` if the caller does not accept them."""
-        rest = memoryview(data)
-        while rest:
-            error = TimeoutError("write timed out")
-            with eventlet.Timeout(WRITE_TIMEOUT_SECONDS, error):
-                rest = rest[self.sock.send(rest) :]
+        send_within(self.sock, data, WRITE_TIMEOUT_SECONDS)
 
     def send_error(self, error: RequestError) -> None:
         """Send an error response and close the sending direction."""
--- a/src/cedarchute/relay/socket_io.py
+++ b/src/cedarchute/relay/socket_io.py
@@ -45,3 +45,21 @@
         return raw.recv(READ_BYTES)
     except BlockingIOError:
         raise timeout from None
+
+
+def send_within(sock: socket.socket, data: bytes, seconds: float) -> None:
+    """Write bytes; raise ``TimeoutError`` when none are taken for `seconds`."""
+    rest = memoryview(data)
+    while rest:
+        timeout = TimeoutError("write timed out")
+        try:
+            with eventlet.Timeout(seconds, timeout):
+                sent = sock.send(rest)
+        except TimeoutError as error:
+            if error is not timeout:
+                raise
+            try:
+                sent = sock.fd.send(rest)
+            except BlockingIOError:
+                raise timeout from None
+        rest = rest[sent:]
--- a/tests/relay/test_caller_connection.py
+++ b/tests/relay/test_caller_connection.py
@@ -7,6 +7,7 @@
 import eventlet
 import pytest
 from eventlet.green import socket
+from eventlet.patcher import original
 
 from cedarchute.relay import caller_connection
 from cedarchute.relay.caller_connection import CallerConnection
@@ -22,12 +23,20 @@
 HANG_SECONDS = 10.0
 
 
+class FullSocket:
+    """A socket that takes nothing now."""
+
+    def send(self, data):
+        raise BlockingIOError
+
+
 class SlowSocket:
     """A socket whose peer takes one byte at a time, or none."""
 
     def __init__(self, part_seconds):
         self.part_seconds = part_seconds
         self.taken = b""
+        self.fd = FullSocket()
 
     def send(self, data):
         eventlet.sleep(self.part_seconds)
@@ -81,6 +90,39 @@
         CallerConnection(sock, Server()).send(b"x")
 
 
+def test_a_caller_that_read_while_the_process_was_held_up_gets_its_response():
+    """Timers are looked at before sockets after a pause."""
+    body = b"x" * 8_000_000
+    received = []
+
+    def read_all(caller):
+        while sum(map(len, received)) < len(body):
+            received.append(caller.recv(65_536))
+
+    with contextlib.closing(eventlet.listen(("127.0.0.1", 0))) as listener:
+        caller = socket.create_connection(listener.getsockname())
+        accepted, _ = listener.accept()
+    near, far = socket.socketpair()
+
+    def stand_still():
+        near.recv(1)
+        caller.fd.setblocking(True)
+        reader = original("threading").Thread(
+            target=read_all, args=(caller.fd,), daemon=True
+        )
+        reader.start()
+        original("time").sleep(2 * TIMEOUT_SECONDS)
+
+    eventlet.spawn(stand_still)
+    eventlet.sleep(0)
+    far.sendall(b"x")
+    with eventlet.Timeout(HANG_SECONDS), contextlib.closing(caller):
+        CallerConnection(accepted, Server()).send(body)
+        accepted.close()
+        while sum(map(len, received)) < len(body):
+            eventlet.sleep(0.01)
+
+
 def test_a_handler_that_fails_leaves_no_caller_without_an_answer():
     def fail(request, writer):
         raise ValueError
