Wait in a planned stop until callers have read their last responses

What callers saw: the end of a response missing, cut off by a reset, when the process ended right after it had written its last response and more input arrived.

Cause: after its last response a connection reads on for a moment, so that a close does not reset it, but it did not count as busy for the stop. The process could end at once, which resets every connection with unread input and discards what its caller has not read yet.

Evidence, without the change: `pytest tests/relay/test_linger.py`: `test_a_stop_does_not_cut_the_time_to_read_the_last_response` and `test_a_caller_that_never_closes_holds_a_stop_up_for_no_more_than_its_grace`: "assert False", `is_busy` while the connection lingers; `test_a_request_that_was_refused_as_half_received_does_not_count_as_cut`: "assert 1 == 0", a request that had its answer counted as cut.

Change: a connection that lingers is busy until its caller has closed it or the time to linger is over. The stop waits for that within its grace as before, and no longer: callers that close after the last response, as they are told to, do not delay it.

--- a/src/cedarchute/relay/caller_connection.py
+++ b/src/cedarchute/relay/caller_connection.py
@@ -45,6 +45,8 @@
     ----------
     has_announced_close : bool
         Whether a response has said that the connection closes.
+    is_lingering : bool
+        Whether the last response was written and its caller may still be reading it.
     """
 
     def __init__(self, sock: socket.socket, server: CallerServer) -> None:
@@ -56,6 +58,7 @@
         self.busy = False
         self.has_received = False
         self.is_shut_down = False
+        self.is_lingering = False
         self.has_announced_close = False
         self.answered = 0
         self.opened_at = self.active_at = time.monotonic()
@@ -69,9 +72,9 @@
 
     @property
     def can_close(self) -> bool:
-        """Whether a close now loses no request that the caller has sent."""
+        """Whether a close now loses no request and no response."""
         if self.is_shut_down:
-            return True
+            return not self.is_lingering
         if not self.is_idle or self.awaits_first_request:
             return False
         return not has_unread_input(self.sock)
@@ -247,9 +250,10 @@
         """Send an error response and close the sending direction."""
         try:
             self.send(error.build_response())
-            self.sock.shutdown(socket.SHUT_WR)
         except OSError:
             log.debug("Caller disconnected before its error response was sent.")
+        self.is_lingering = True
+        self.shut_down(socket.SHUT_WR)
 
     def discard_input(self) -> None:
         """Discard input until the queued requests are handled, then linger briefly.
@@ -275,8 +279,10 @@
     def end(self, linger: bool) -> None:
         """Close after the last response; its caller may still be receiving it."""
         if linger:
+            self.is_lingering = True
             self.shut_down(socket.SHUT_WR)
             eventlet.sleep(LINGER_SECONDS)
+            self.is_lingering = False
         self.shut_down()
 
     def shut_down(self, how: int = socket.SHUT_RDWR) -> None:
--- a/src/cedarchute/relay/caller_server.py
+++ b/src/cedarchute/relay/caller_server.py
@@ -148,5 +148,5 @@
 
     @property
     def is_busy(self) -> bool:
-        """Whether any connection carries a request, read or unread."""
+        """Whether any connection carries a request or its last response."""
         return any(not connection.can_close for connection in self.connections)
