--- a/src/cedarchute/relay/caller_connection.py
+++ b/src/cedarchute/relay/caller_connection.py
@@ -15,6 +15,7 @@
 from cedarchute.relay.request_error import RequestError
 from cedarchute.relay.request_reader import RequestReader
 from cedarchute.relay.shutdown_error import ShutdownError
+from cedarchute.relay.socket_io import receive_within, send_within
 from cedarchute.relay.unread_input import has_unread_input
 
 if TYPE_CHECKING:
@@ -24,7 +25,6 @@
 
 log = logging.getLogger("cedarchute.relay")
 
-READ_BYTES: Final = 65_536
 # A caller that accepts no data for this long counts as disconnected.
 WRITE_TIMEOUT_SECONDS: Final = 10.0
 # After the last response, input is read for this long: closing a socket with unread
@@ -40,6 +40,13 @@
 
     Reading continues while a request is handled, so that a disconnect is noticed at
     once and the handler is stopped.
+
+    Attributes
+    ----------
+    has_announced_close : bool
+        Whether a response has said that the connection closes.
+    is_lingering : bool
+        Whether the last response was written and its caller may still be reading it.
     """
 
     def __init__(self, sock: socket.socket, server: CallerServer) -> None:
@@ -51,6 +58,8 @@
         self.busy = False
         self.has_received = False
         self.is_shut_down = False
+        self.is_lingering = False
+        self.has_announced_close = False
         self.answered = 0
         self.opened_at = self.active_at = time.monotonic()
         self.worker: eventlet.greenthread.GreenThread | None = None
@@ -63,9 +72,9 @@
 
     @property
     def can_close(self) -> bool:
-        """Whether a close now loses no request that the caller has sent."""
+        """Whether a close now loses no request and no response."""
         if self.is_shut_down:
-            return True
+            return not self.is_lingering
         if not self.is_idle or self.awaits_first_request:
             return False
         return not has_unread_input(self.sock)
@@ -127,7 +136,7 @@
                     raise RequestError(408, "request not sent in time") from None
                 if self.compute_idle_wait(self.server.limits()) > 0:
                     continue
-                self.record_close("idle")
+                self.server.record_close(self, "idle")
                 return
             if not data:
                 return
@@ -155,17 +164,9 @@
     def receive(self, seconds: float) -> bytes:
         """Return the next bytes; raise ``TimeoutError`` after `seconds`.
 
-        A timeout on the socket would also apply to the writes of the other task. After
-        a pause of the process timers fire before sockets are looked at, so a timeout
-        does not mean that nothing was received.
+        A timeout on the socket would also apply to the writes of the other task.
         """
-        try:
-            with eventlet.Timeout(max(0.001, seconds), TimeoutError("read timed out")):
-                return self.sock.recv(READ_BYTES)
-        except TimeoutError:
-            if not has_unread_input(self.sock):
-                raise
-            return self.sock.recv(READ_BYTES)
+        return receive_within(self.sock, max(0.001, seconds), "read timed out")
 
     def answer_forever(self) -> None:
         """Handle requests one by one; an invalid request ends the connection."""
@@ -182,13 +183,15 @@
             self.busy = False
             self.active_at = time.monotonic()
             self.answered += 1
-            if not keep_open:
+            self.has_announced_close |= self.writer.closes
+            if not keep_open and not self.must_refuse_more():
                 self.end(linger=self.writer.finished)
                 return
 
     def answer(self, request: CallerRequest) -> bool:
         """Handle one request; return whether the connection stays open."""
-        writer = ReplyWriter(request, self.send, self.must_close)
+        follows_close = self.has_announced_close
+        writer = ReplyWriter(request, self.send, self.must_close, follows_close)
         self.writer = writer
         try:
             self.server.handle(request, writer)
@@ -202,7 +205,26 @@
 
     def must_close(self) -> bool:
         """Return whether the response being written is the last one."""
-        return self.server.must_close() and self.requests.empty()
+        if self.has_announced_close:
+            return True
+        return self.server.must_close() and not self.has_further_request
+
+    @property
+    def has_further_request(self) -> bool:
+        """Whether the caller has sent a part of a request that is not handled yet."""
+        if not self.requests.empty() or self.reader.in_message:
+            return True
+        return has_unread_input(self.sock)
+
+    def must_refuse_more(self) -> bool:
+        """Return whether a request follows the response that closes the connection."""
+        if not self.writer.finished or not self.writer.request.keep_alive:
+            return False
+        while self.requests.empty() and not self.reader.in_message:
+            if not has_unread_input(self.sock):
+                return False
+            eventlet.sleep(0)  # The reading task takes it.
+        return True
 
     def interrupt(self, include_started: bool) -> bool:
         """End the request in progress; return whether there was one.
@@ -222,24 +244,16 @@
 
     def send(self, data: bytes) -> None:
         """Write bytes; raise ``TimeoutError`` if the caller does not accept them."""
-        rest = memoryview(data)
-        while rest:
-            error = TimeoutError("write timed out")
-            with eventlet.Timeout(WRITE_TIMEOUT_SECONDS, error):
-                rest = rest[self.sock.send(rest) :]
+        send_within(self.sock, data, WRITE_TIMEOUT_SECONDS)
 
     def send_error(self, error: RequestError) -> None:
         """Send an error response and close the sending direction."""
-        body = error.reason.encode() + b"\n"
-        head = (
-            b"HTTP/1.1 %d Refused\r\nContent-Type: text/plain\r\n"
-            b"Connection: close\r\nContent-Length: %d\r\n\r\n"
-        )
         try:
-            self.send(head % (error.status, len(body)) + body)
-            self.sock.shutdown(socket.SHUT_WR)
+            self.send(error.build_response())
         except OSError:
             log.debug("Caller disconnected before its error response was sent.")
+        self.is_lingering = True
+        self.shut_down(socket.SHUT_WR)
 
     def discard_input(self) -> None:
         """Discard input until the queued requests are handled, then linger briefly.
@@ -259,30 +273,16 @@
         """Close an idle connection because the process ends."""
         if self.is_shut_down:
             return
-        self.record_close("stop")
+        self.server.record_close(self, "stop")
         self.shut_down()
 
-    def record_close(self, reason: str) -> None:
-        """Count and log that this side closes the connection without being asked."""
-        has_unread = has_unread_input(self.sock)
-        self.server.metrics.count(f"connections.closed.{reason}")
-        if has_unread:
-            self.server.metrics.count("connections.closed.unread")
-        log.info(
-            "Closed a caller's connection.",
-            extra={
-                "why": reason,
-                "answered": self.answered,
-                "open_seconds": round(time.monotonic() - self.opened_at, 3),
-                "has_unread": has_unread,
-            },
-        )
-
     def end(self, linger: bool) -> None:
         """Close after the last response; its caller may still be receiving it."""
         if linger:
+            self.is_lingering = True
             self.shut_down(socket.SHUT_WR)
             eventlet.sleep(LINGER_SECONDS)
+            self.is_lingering = False
         self.shut_down()
 
     def shut_down(self, how: int = socket.SHUT_RDWR) -> None:
