Ask the holders of a newer seat table without waiting for one that is gone

Callers saw 503 for turns although two of three holders were up and had refused the request at once, with the newer table in their refusal.

Cause: a round of requests went on until every holder of its table had answered or the time of the request was over. A refusal with a newer table was noted, but a holder of the older table that is frozen, cut off or replaced keeps silent, so the time was gone when the newer table was used.

A round now ends once its table is known to be outdated and its answers are not enough. Requests are idempotent, so those under way do no harm. Each such end needs a newer version, so rounds without a pause are bounded by the versions of the table.

--- a/src/cedarchute/turns/holder_fanout.py
+++ b/src/cedarchute/turns/holder_fanout.py
@@ -93,7 +93,6 @@
 
     number: int
     value: object | None
-    has_newer_table: bool = False
 
 
 class HolderFanout:
@@ -144,24 +143,28 @@
     def ask_once(
         self, table: SeatTable, request: FanoutRequest[AnswerT], deadline: float
     ) -> tuple[dict[int, AnswerT], bool]:
-        """Run one round; return the answers and whether `table` is outdated."""
+        """Run one round; return the answers and whether `table` is outdated.
+
+        An outdated table ends the round: its remaining holders may be gone, and those
+        of the newer one can be asked at once.
+        """
         round_ = FanoutRound(self, table, request)
         answers: dict[int, AnswerT] = {}
-        is_old = False
         round_.ask_initial()
         while round_.asked > round_.received or round_.remaining:
             result = round_.wait(deadline)
             if result is None:
                 break
-            is_old = is_old or result.has_newer_table
             if result.value is not None:
                 answers[result.number] = result.value
             if not request.is_enough(table, answers):
+                if self.seats.table.version > table.version:
+                    break
                 continue
             if request.preferred is None or request.preferred in answers:
                 break
             deadline = min(deadline, time.monotonic() + PREFERRED_WAIT_SECONDS)
-        return answers, is_old
+        return answers, self.seats.table.version > table.version
 
     def order_seats(self, numbers: list[int], table: SeatTable) -> list[int]:
         """Return seat numbers in the given order, but recently late ones last."""
@@ -183,14 +186,13 @@
         request: FanoutRequest[AnswerT],
     ) -> None:
         """Send a request to one holder and queue its answer."""
-        newer = False
         value = None
         started = time.monotonic()
         try:
             value = self.client.ask(seat.address, request.path, message, request.answer)
         except HolderRefusedError as error:
-            table = error.refusal.table
-            newer = table is not None and self.seats.update(table, seat.box)
+            if error.refusal.table is not None:
+                self.seats.update(error.refusal.table, seat.box)
             self.mark_late(seat)
             log.info(
                 "Holder rejected the request.",
@@ -203,7 +205,7 @@
             )
         if time.monotonic() - started > HEDGE_SECONDS:
             self.mark_late(seat)
-        results.put(SeatAnswer(number, value, newer))
+        results.put(SeatAnswer(number, value))
 
 
 class FanoutRound(Generic[AnswerT]):
