Answer 404 to a turn without a route only by the newest configuration

Callers saw 404 for a turn whose previous turn had just been answered whole: the first turn went to a box that knew a new route, the next one to a box that did not know it yet. A 404 ends a program; the rule on lost turns holds for all machines, in touch or not.

Cause: "no route" was said by whatever configuration the box had, however old. Of the same class as the turns that holders forget: a box counts as knowing because it answers, not by what it knows.

Tests, red before: `test_a_turn_of_a_new_route_is_not_unknown_to_a_box_that_was_frozen` (404) and four of `tests/calls/test_absent_routes.py` (404 where 503 or 200 is true).

A turn that names a previous one and has no route now needs a proof, asked for after the request was read, that no newer configuration exists. Its previous turn was answered before, under a configuration that is no newer than this proof, so a 404 is then true. The query also brings the newer configuration, and the turn is served by it; without an answer from the store it is 503. Other calls without a route are answered as before and cost the store nothing.

--- a/src/cedarchute/calls/call_dispatcher.py
+++ b/src/cedarchute/calls/call_dispatcher.py
@@ -35,6 +35,7 @@
     from cedarchute.relay.reply_writer import ReplyWriter
     from cedarchute.routing.active_route_table import ActiveRouteTable
     from cedarchute.routing.route import Route
+    from cedarchute.routing.route_table import RouteTable
 
 log = logging.getLogger("cedarchute.calls")
 
@@ -110,15 +111,7 @@
 
     def admit(self, request: CallerRequest, call: Call) -> tuple[Call, Route]:
         """Authenticate a call and check its quota; return it with its route."""
-        table = self.routes.wait(FIRST_CONFIGURATION_SECONDS)
-        if table is None:
-            wait = NO_CONFIGURATION_RETRY_SECONDS
-            raise CallRefusedError(503, "no configuration yet", wait)
-        route = table.find(request.host, request.path)
-        if route is None:
-            raise CallRefusedError(
-                404, "no route", facts=self.key_authenticator.describe_freshness()
-            )
+        table, route = self.find_route(request, call)
         self.shutdown.check(call, route, request.read_at)
         call = replace(
             self.shutdown.limit(call, request.read_at),
@@ -130,6 +123,30 @@
         self.quota_check.check(call)
         return call, route
 
+    def find_route(
+        self, request: CallerRequest, call: Call
+    ) -> tuple[RouteTable, Route]:
+        """Return the route of a call, and the table that it is from.
+
+        A 404 for a turn that continues another says that there is no such turn. Only
+        the newest configuration can tell: the route may be newer than the one known
+        here.
+        """
+        table = self.routes.wait(FIRST_CONFIGURATION_SECONDS)
+        if table is None:
+            wait = NO_CONFIGURATION_RETRY_SECONDS
+            raise CallRefusedError(503, "no configuration yet", wait)
+        route = table.find(request.host, request.path)
+        if route is None and call.program.previous_turn:
+            self.key_authenticator.confirm_configuration(call, request.read_at)
+            table = self.routes.wait(FIRST_CONFIGURATION_SECONDS)
+            route = table.find(request.host, request.path)
+        if route is None:
+            raise CallRefusedError(
+                404, "no route", facts=self.key_authenticator.describe_freshness()
+            )
+        return table, route
+
     def record_answer(
         self, request: CallerRequest, writer: ReplyWriter, call: Call, route: Route
     ) -> None:
--- a/src/cedarchute/calls/key_authenticator.py
+++ b/src/cedarchute/calls/key_authenticator.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from typing import TYPE_CHECKING, Final, Protocol
 
 from cedarchute.calls.call_errors import CallRefusedError
@@ -127,6 +128,22 @@
             raise self.make_refusal(401, "unknown key")
         return workspace
 
+    def confirm_configuration(self, call: Call, moment: float) -> None:
+        """Raise a 503 unless the configuration was proven newest after `moment`.
+
+        A query that is already under way was sent too early, so a second one follows.
+        """
+        for _ in range(2):
+            if not self.was_newest_after(moment):
+                self.freshness.refresh(REFRESH_WAIT_SECONDS)
+        if not self.was_newest_after(moment):
+            wait = self.compute_retry_seconds(call)
+            raise self.make_refusal(503, "the configuration may be old", wait)
+
+    def was_newest_after(self, moment: float) -> bool:
+        """Whether a proof of the configuration was asked for after `moment`."""
+        return self.freshness.age_seconds <= time.monotonic() - moment
+
     def compute_retry_seconds(self, call: Call) -> float:
         """Return the retry delay of a call rejected for a stale configuration."""
         if not self.freshness.is_store_unavailable:
