Check a budget at holders that have the turn's own reservation

What callers could see: two turns of one program, admitted at the same time by two boxes, together take more than the budget.

Cause: of two reservations at quorums, one sees the other at the holder that both share. When the sum of the answers exceeded the budget, the accounts were read from any quorum, so also from a holder that the own reservation had not reached. With the shared holder silent by then, and the other reservation still under way to that holder, neither turn counted the other. A holder was counted because it answered, though it knew an older state.

Only holders that have the reservation now count towards the quorum of accounts. One of them is shared with any other reservation: either that one was there first and is read, or it comes later and sees this one. Accounts of further holders are still merged, since they may have settled amounts.

--- a/src/cedarchute/turns/account_sum.py
+++ b/src/cedarchute/turns/account_sum.py
@@ -21,3 +21,8 @@
         merged.update(account.settled)
     merged.pop(turn, None)
     return sum(merged.values())
+
+
+def knows_turn(account: Account, turn: str) -> bool:
+    """Whether a holder has a reservation of `turn`, or its final token count."""
+    return turn in account.open or turn in account.settled
--- a/src/cedarchute/turns/turn_quorum.py
+++ b/src/cedarchute/turns/turn_quorum.py
@@ -8,7 +8,8 @@
 import eventlet
 from msgspec.structs import replace
 
-from cedarchute.turns.account_sum import sum_accounts
+from cedarchute.turns.account_sum import knows_turn, sum_accounts
+from cedarchute.turns.budget_spent_error import BudgetSpentError
 from cedarchute.turns.chain_reader import ChainReader
 from cedarchute.turns.holder_fanout import (
     ANSWER_SECONDS,
@@ -50,12 +51,6 @@
 FINISH_SECONDS: Final = 3.0
 
 
-class BudgetSpentError(Exception):
-    """The turn does not fit into the budget of its program."""
-
-    code = "budget_spent"
-
-
 class TurnQuorum:
     """Reserves, reads and finishes turns at a quorum of their holders.
 
@@ -146,12 +141,13 @@
         """Raise `BudgetSpentError` if the turn does not fit into the budget.
 
         The sum over holders is an upper bound of the tokens used. The accounts are
-        read and merged only if that exceeds the budget.
+        read and merged only if that exceeds the budget, at a quorum that has this
+        reservation: a holder without it could still admit another turn unseen.
         """
         upper_bound = tokens + sum(answer.spent - tokens for answer in begun.values())
         if upper_bound <= budget:
             return
-        accounts = self.read_accounts(program)
+        accounts = self.read_accounts(program, turn)
         spent = sum_accounts(list(accounts.values()), turn)
         log.info(
             "Budget checked against merged accounts.",
@@ -173,22 +169,28 @@
         return ProgramUsage(spent, max_age([a.age_seconds for a in answers]))
 
     def read_accounts(
-        self, program: str, uses_full_timeout: bool = False
+        self, program: str, reserved_turn: str = "", uses_full_timeout: bool = False
     ) -> dict[int, Account]:
-        """Read the accounts of a program at a quorum, by seat."""
+        """Read the accounts of a program at a quorum, by seat.
+
+        Parameters
+        ----------
+        reserved_turn : str
+            If set, only holders with a reservation of this turn count.
+        """
 
         def build(table: SeatTable, number: int) -> ReadAccount:
             disk = table.seats[number].disk
             return ReadAccount(table_version=table.version, disk=disk, program=program)
 
-        path = "/turns/account"
         return self.ask(
             program,
-            path,
+            "/turns/account",
             Account,
             build,
             ANSWER_SECONDS,
             uses_full_timeout=uses_full_timeout,
+            counts=lambda a: not reserved_turn or knows_turn(a, reserved_turn),
         )
 
     def cancel_reservation(self, program: str, turn: str) -> None:
@@ -270,14 +272,18 @@
         seconds: float,
         preferred: int | None = None,
         uses_full_timeout: bool = False,
+        counts: Callable[[AnswerT], bool] = lambda answer: True,
     ) -> dict[int, AnswerT]:
-        """Send a request to the holders of a program; return a quorum of answers."""
+        """Send a request to the holders of a program; return a quorum of answers.
+
+        Answers for which `counts` is false are returned, but are none of the quorum.
+        """
 
         def select_seats(table: SeatTable) -> list[int]:
             return self.order_by_proximity(table, program)
 
         def is_enough(table: SeatTable, answers: dict[int, AnswerT]) -> bool:
-            return len(answers) >= table.quorum
+            return sum(map(counts, answers.values())) >= table.quorum
 
         request = FanoutRequest(
             path=path,
