Start boxes of experiments and the soak as deployments start them

Change: NodeSite runs deploy/cedarchuted.py and names the settings by CEDARCHUTE_SETTINGS, as the `run` of deploy/system.toml does. Every soak and every test on NodeSite plays the early listener now.

Not taken over: the templates deploy/*.ini themselves. They listen for metrics at one fixed port a machine, which boxes that share 127.0.0.1 cannot; sections and defaults are the same otherwise (grace, apply_ms and leave_ms are those of the templates).

--- a/src/experiments/node_site.py
+++ b/src/experiments/node_site.py
@@ -4,7 +4,8 @@
 
 import base64
 import json
-from typing import TYPE_CHECKING, Any, Final
+from pathlib import Path
+from typing import Any, Final
 
 from cedarchute.decisions.quota_share import QuotaTolerance
 from experiments.http_json import HttpJson
@@ -12,10 +13,11 @@
 from experiments.process import Process
 from experiments.waiting import wait_until
 
-if TYPE_CHECKING:
-    from pathlib import Path
-
-DAEMON: Final = ["-m", "cedarchute.daemon.main", "--log_format", "json"]
+# Started as deployments start it: the variable names the settings, by which an entry
+# listens for callers before the rest of it is imported.
+PROGRAM: Final = Path(__file__).parents[2] / "deploy" / "cedarchuted.py"
+DAEMON: Final = [str(PROGRAM), "--log_format", "json"]
+SETTINGS_VARIABLE: Final = "CEDARCHUTE_SETTINGS"
 
 
 class NodeSite:
@@ -64,9 +66,14 @@
         self.add("store", ["-m", "standins.store", "--port", str(port)])
         wait_until(lambda: self.answers(self.store, "/calls"), "the store answers")
 
-    def add(self, name: str, arguments: list[str]) -> Process:
+    def add(
+        self,
+        name: str,
+        arguments: list[str],
+        environment: dict[str, str] | None = None,
+    ) -> Process:
         """Start one process."""
-        process = Process(name, arguments, self.folder)
+        process = Process(name, arguments, self.folder, environment)
         self.processes[name] = process
         if self.is_stopped:
             process.close()
@@ -129,7 +136,7 @@
             ]
         settings = self.folder / f"{name}.ini"
         settings.write_text("\n".join(lines) + "\n")
-        self.add(name, [*DAEMON, "--settings", str(settings)])
+        self.add(name, DAEMON, {SETTINGS_VARIABLE: str(settings)})
 
     def restart(self, name: str) -> None:
         """Start a box again, with the disk that it had."""
--- a/src/experiments/process.py
+++ b/src/experiments/process.py
@@ -30,14 +30,23 @@
 
     Attributes
     ----------
+    environment : dict of str to str
+        Variables that it has beside those of this process.
     lock : Lock
         Held while the process is started or ended, so that an end never misses a
         process whose id is not known yet.
     """
 
-    def __init__(self, name: str, arguments: list[str], folder: Path) -> None:
+    def __init__(
+        self,
+        name: str,
+        arguments: list[str],
+        folder: Path,
+        environment: dict[str, str] | None = None,
+    ) -> None:
         self.name = name
         self.arguments = arguments
+        self.environment = environment or {}
         self.log_path = folder / f"{name}.log"
         self.popen: subprocess.Popen[bytes] | None = None
         self.starts = 0
@@ -68,6 +77,7 @@
                     stdout=log,
                     stderr=log,
                     stdin=subprocess.DEVNULL,
+                    env={**os.environ, **self.environment},
                 )
 
     @property
