Let callers and back ends of a soak have any number of files open

ValueError: filedescriptor out of range in select()

Cause: `select` takes no file number from 1,024 on. CountingCaller.is_closed uses it before each request, so every caller thread ended, and nobody noticed; c0 is the first that recovery waits for. RawTarget.watch_close took its caller for gone.

Change: callers poll, back ends peek without waiting; a link closes a connection once both directions have ended; a site closes what it opened; a caller that stops by an error is a failure of the run, with the error.

Red before: test_callers_with_many_files_open_ended_in_the_middle_of_a_soak (ValueError as above), test_a_target_with_many_files_open_took_its_callers_for_gone (assert [True] == [False]); test_a_caller_that_stopped_by_an_error_went_unnoticed raised out of the caller's thread.

--- a/src/experiments/node_site.py
+++ b/src/experiments/node_site.py
@@ -57,6 +57,7 @@
         self.is_stopped = True
         for process in list(self.processes.values()):
             process.close()
+        self.http.pool.clear()
         self.ports.release()
 
     def start_store(self) -> None:
--- a/src/experiments/soak/counting_caller.py
+++ b/src/experiments/soak/counting_caller.py
@@ -45,8 +45,10 @@
     @property
     def is_closed(self) -> bool:
         """Whether the other side has closed the connection, or reset it."""
-        readable, _, _ = select.select([self.sock], [], [], 0)
+        # Unlike `select`, it takes any file number.
+        poll = select.poll()
+        poll.register(self.sock, select.POLLIN)
         try:
-            return bool(readable) and not self.sock.recv(1, socket.MSG_PEEK)
+            return bool(poll.poll(0)) and not self.sock.recv(1, socket.MSG_PEEK)
         except OSError:
             return True
--- a/src/experiments/soak/link.py
+++ b/src/experiments/soak/link.py
@@ -40,6 +40,8 @@
         self.to = (host, int(port))
         self.harm = Harm.NONE
         self.ends: set[socket.socket] = set()
+        self.ended: set[socket.socket] = set()
+        self.lock = threading.Lock()
         self.listener = socket.create_server((HOST, find_free_port()), backlog=64)
         self.address = f"{HOST}:{self.listener.getsockname()[1]}"
         threading.Thread(target=self.accept_forever, daemon=True).start()
@@ -85,7 +87,7 @@
                     time.sleep(POLL_SECONDS)
                 sink.sendall(data)
             if source in self.ends:
-                sink.shutdown(socket.SHUT_WR)
+                self.end(source, sink)
             else:
                 # It was reset here, which ends the reading too: no orderly end.
                 self.forget(sink)
@@ -94,9 +96,23 @@
             self.forget(source)
             self.forget(sink)
 
+    def end(self, source: socket.socket, sink: socket.socket) -> None:
+        """Pass an orderly end on; close both sockets behind the second one."""
+        sink.shutdown(socket.SHUT_WR)
+        with self.lock:
+            self.ended.add(source)
+            is_over = sink in self.ended
+            if is_over:
+                self.ended -= {source, sink}
+                self.ends -= {source, sink}
+        if is_over:
+            source.close()
+            sink.close()
+
     def forget(self, end: socket.socket) -> None:
         """Reset one end."""
         self.ends.discard(end)
+        self.ended.discard(end)
         try:
             end.shutdown(socket.SHUT_RD)
             reset(end)
--- a/src/experiments/soak/program.py
+++ b/src/experiments/soak/program.py
@@ -57,13 +57,17 @@
         self.programs = 0
         self.finished = 0
         self.going = True
+        self.failures: list[str] = []
         self.thread = threading.Thread(target=self.run, daemon=True)
 
     def run(self) -> None:
-        """Run programs until told to stop."""
-        while self.going:
-            if self.run_program():
-                self.finished += 1
+        """Run programs until told to stop; what ends it sooner is a failure."""
+        try:
+            while self.going:
+                if self.run_program():
+                    self.finished += 1
+        except Exception as error:  # Reported with the run.
+            self.failures.append(f"CALLER {self.name} stopped: {error!r}")
         if self.caller is not None:
             self.caller.sock.close()
 
--- a/src/experiments/soak/soak_run.py
+++ b/src/experiments/soak/soak_run.py
@@ -72,6 +72,7 @@
             caller.going = False
         for caller in [*programs, *others]:
             caller.thread.join()
+            result.broken += caller.failures
         result.broken += player.failures
         result.broken += find_broken(site.records, MOST_TOKENS)
         result.figures = count_unanswered(site.records) + player.figures
--- a/src/experiments/soak/soak_site.py
+++ b/src/experiments/soak/soak_site.py
@@ -81,6 +81,7 @@
         self.store_links: dict[str, Link] = {}
         self.target_links: dict[str, Link] = {}
         self.caller_links: dict[str, Link] = {}
+        self.back_ends: list[BackEnd] = []
         self.entries = [f"entry-{n}" for n in range(ENTRIES)]
         self.holders = [f"holder-{n}" for n in range(len(DOMAINS))]
         self.marks = 0
@@ -107,6 +108,7 @@
         """Start a back end behind a link and register it."""
         shares = SOUND_SHARES if self.is_direct else SHARES
         back_end = BackEnd(name, service, self.seed, self.records, shares)
+        self.back_ends.append(back_end)
         link = Link(back_end.target.address)
         self.target_links[name] = link
         self.nodes.add_target(name, service, link.address)
@@ -117,6 +119,8 @@
         links = (self.store_links, self.target_links, self.caller_links)
         for link in [link for table in links for link in table.values()]:
             link.close()
+        for back_end in self.back_ends:
+            back_end.target.close()
 
     def ask_entry(self, chance: random.Random) -> list[str]:
         """Return the addresses that one entry names; none if it is silent."""
--- a/src/standins/raw_target.py
+++ b/src/standins/raw_target.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import select
 import socket
 import struct
 import threading
@@ -14,6 +13,7 @@
     from collections.abc import Callable
 
 READ_BYTES: Final = 65_536
+LOOK_SECONDS: Final = 0.02
 LAST_CHUNK: Final = b"0\r\n\r\n"
 
 
@@ -152,11 +152,10 @@
         # A blocked read would keep the socket open beyond the script's own close.
         try:
             while True:
-                readable, _, _ = select.select([connection], [], [], 0.02)
-                if readable and is_closed(connection):
+                if is_closed(connection):
                     break
-                time.sleep(0.01)
-        except (OSError, ValueError):
+                time.sleep(LOOK_SECONDS)
+        except OSError:
             pass
         request.closed.set()
 
