--- a/src/experiments/soak/soak_run.py
+++ b/src/experiments/soak/soak_run.py
@@ -38,7 +38,7 @@
     ----------
     figures : Counter
         Requests that ended without an answer, by how they are judged, and processes
-        that a signal ended before they ran any of our code.
+        that a signal ended before anyone could reach them.
     """
 
     seed: int
@@ -72,6 +72,7 @@
             caller.going = False
         for caller in [*programs, *others]:
             caller.thread.join()
+            result.broken += caller.failures
         result.broken += player.failures
         result.broken += find_broken(site.records, MOST_TOKENS)
         result.figures = count_unanswered(site.records) + player.figures
