Test changes of seats against an oracle while boxes, disks and calls are lost

A state machine over the real seat managers, holders, copies, journals and quorums, on a virtual clock and a store whose news reach boxes late or not at all. Processes stop, or others step, between any two calls or file writes of a step. The oracle counts lost disks until a successor serves, and asks that kept turns are known and whole, that budgets hold, and that all is served once the faults have ended.

--- /dev/null
+++ b/tests/stateful/test_seat_machine.py
@@ -0,0 +1,302 @@
+"""Changes of seats against an oracle, while boxes, disks, calls and steps are lost."""
+
+from __future__ import annotations
+
+import sys
+
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+from seat_turns import KEEP_SECONDS, SeatTurns
+from seat_world import SeatWorld
+
+PROGRAMS = ("p", "q", "r")
+MAX_BOXES = 10
+# Longer than a program is kept that has no turn to keep.
+EXPIRY_SECONDS = 70.0
+SHORT_KEEP_SECONDS = 60.0
+ENTRIES = st.integers(0, 1)
+INDEXES = st.integers(0, 9)
+SIZES = st.sampled_from([(1, 3), (1, 3), (1, 4), (2, 5), (2, 7), (2, 3), (1, 2)])
+
+
+class SeatMachine(RuleBasedStateMachine):
+    """Three to seven seats, boxes without one, and everything that moves a seat."""
+
+    @initialize(
+        size=SIZES,
+        spares=st.integers(0, 2),
+        is_settled=st.sampled_from([True, True, True, False]),
+    )
+    def set_up(self, size, spares, is_settled):
+        losses, seats = size
+        self.world = SeatWorld(losses, seats)
+        self.turns = SeatTurns(self.world)
+        self.era = 0
+        if is_settled:
+            self.world.run_rounds(60)
+            for entry in self.turns.entries:
+                entry.hear()
+            self.take_turns_at_every_quorum(0)
+        for _ in range(spares):
+            self.world.add_box()
+
+    def teardown(self):
+        if not hasattr(self, "world"):
+            return
+        try:
+            if sys.exc_info()[0] is None:
+                self.world.recover()
+                self.turns.check_recovered()
+        finally:
+            self.world.close()
+
+    def pick(self, index):
+        boxes = sorted(self.world.boxes)
+        return self.world.boxes[boxes[index % len(boxes)]]
+
+    def pick_kept(self, index):
+        """Return a kept turn, or an empty string for none."""
+        kept = ["", *self.turns.list_kept()]
+        return kept[index % len(kept)]
+
+    def pick_running(self, index):
+        running = list(self.turns.running)
+        return running[index % len(running)]
+
+    def name_program(self, program):
+        return f"{program}{self.era}"
+
+    # Time, news and steps.
+
+    @rule(rounds=st.integers(1, 14))
+    def run_all(self, rounds):
+        self.world.run_rounds(rounds)
+
+    @rule(index=INDEXES, rounds=st.integers(1, 14))
+    def run_one(self, index, rounds):
+        self.world.run_rounds(rounds, [self.pick(index)])
+
+    @rule(index=INDEXES, hears=st.booleans())
+    def step(self, index, hears):
+        self.world.step(self.pick(index), hears)
+
+    @rule(index=INDEXES, points=st.integers(0, 14), hears=st.booleans())
+    def step_and_stop(self, index, points, hears):
+        box = self.pick(index)
+        self.world.set_trap(box.name, points, box.kill)
+        self.world.step(box, hears)
+
+    @rule(index=INDEXES, points=st.integers(0, 14), other=INDEXES, hears=st.booleans())
+    def step_while_another_steps(self, index, points, other, hears):
+        box, second = self.pick(index), self.pick(other)
+
+        def step():
+            self.world.step(second, hears)
+
+        self.world.set_trap(box.name, points, step)
+        self.world.step(box)
+
+    @rule(index=INDEXES, points=st.integers(0, 14), other=INDEXES)
+    def step_while_another_stops(self, index, points, other):
+        box, second = self.pick(index), self.pick(other)
+        self.world.set_trap(box.name, points, second.kill)
+        self.world.step(box)
+
+    @rule(
+        index=INDEXES,
+        points=st.integers(0, 14),
+        entry=ENTRIES,
+        program=st.sampled_from(PROGRAMS),
+    )
+    def step_while_a_turn_is_taken(self, index, points, entry, program):
+        box = self.pick(index)
+
+        def take():
+            self.turns.take(entry, self.name_program(program))
+
+        self.world.set_trap(box.name, points, take)
+        self.world.step(box)
+
+    @rule(index=INDEXES, table=st.integers(0, 30))
+    def hear_an_old_table(self, index, table):
+        self.world.hear_old(self.pick(index), table)
+
+    @rule(index=INDEXES)
+    def hear_the_store(self, index):
+        self.world.hear(self.pick(index))
+
+    @rule(index=INDEXES)
+    def drop_expired(self, index):
+        self.pick(index).drop_expired()
+
+    @rule()
+    def let_programs_expire(self):
+        """Programs without a turn to keep are over; new ones have their own budgets."""
+        self.world.clock.now += EXPIRY_SECONDS
+        self.turns.running.clear()
+        self.era += 1
+
+    # Faults.
+
+    @rule(index=INDEXES, rounds=st.integers(0, 14))
+    def kill(self, index, rounds):
+        self.world.kill(self.pick(index))
+        self.world.run_rounds(rounds)
+
+    @rule(index=INDEXES, rounds=st.integers(0, 14))
+    def start(self, index, rounds):
+        self.pick(index).start()
+        self.world.run_rounds(rounds)
+
+    @rule(spared=st.sets(INDEXES, max_size=2))
+    def kill_all(self, spared):
+        kept = {self.pick(index).name for index in spared}
+        for box in list(self.world.boxes.values()):
+            if box.name not in kept:
+                self.world.kill(box)
+
+    @rule()
+    def start_all(self):
+        for box in self.world.boxes.values():
+            box.start()
+
+    @rule(index=INDEXES, starts=st.booleans(), rounds=st.integers(0, 14))
+    def lose_disk(self, index, starts, rounds):
+        box = self.pick(index)
+        if self.world.wipe(box) and starts:
+            box.start()
+            self.world.run_rounds(rounds)
+
+    @rule(index=INDEXES)
+    def replace_box(self, index):
+        self.world.replace_box(self.pick(index))
+
+    @precondition(lambda self: len(self.world.boxes) < MAX_BOXES)
+    @rule()
+    def add_spare(self):
+        self.world.add_box()
+
+    @rule(index=INDEXES)
+    def retire(self, index):
+        self.world.retire(self.pick(index))
+
+    @rule()
+    def remove_retired(self):
+        self.world.remove_retired()
+
+    @rule(one=INDEXES, other=st.one_of(INDEXES, st.just("store"), ENTRIES.map(str)))
+    def cut(self, one, other):
+        first = self.pick(one).name
+        if isinstance(other, int):
+            second = self.pick(other).name
+        else:
+            second = other if other == "store" else f"entry-{other}"
+        self.world.cuts.add(frozenset((first, second)))
+
+    @rule()
+    def heal_cuts(self):
+        self.world.cuts.clear()
+
+    @rule(
+        index=INDEXES,
+        skipped=st.integers(0, 6),
+        loss=st.sampled_from(["before", "after"]),
+    )
+    def lose_a_call(self, index, skipped, loss):
+        box = self.pick(index)
+        self.world.next_losses[box.name] = [""] * skipped + [loss]
+
+    # Turns.
+
+    @rule(
+        entry=ENTRIES,
+        program=st.sampled_from(PROGRAMS),
+        previous=INDEXES,
+        away=st.one_of(st.none(), INDEXES),
+        keeps_long=st.booleans(),
+    )
+    def take_turn(self, entry, program, previous, away, keeps_long):
+        """Take a turn, perhaps while one holder cannot be reached."""
+        cut = set()
+        if away is not None:
+            cut = {frozenset((f"entry-{entry}", self.pick(away).name))}
+        cut -= self.world.cuts
+        self.world.cuts |= cut
+        seconds = KEEP_SECONDS if keeps_long else SHORT_KEEP_SECONDS
+        self.turns.take(
+            entry,
+            self.name_program(program),
+            self.pick_kept(previous),
+            keep_seconds=seconds,
+        )
+        self.world.cuts -= cut
+
+    @rule(entry=ENTRIES)
+    def take_turns_at_every_quorum(self, entry):
+        """Take a turn without each of the holders."""
+        for name in sorted(self.world.boxes):
+            cut = {frozenset((f"entry-{entry}", name))} - self.world.cuts
+            self.world.cuts |= cut
+            self.turns.take(entry, f"without-{name}-{self.turns.count}")
+            self.world.cuts -= cut
+
+    @rule(entry=ENTRIES, program=st.sampled_from(PROGRAMS), previous=INDEXES)
+    def begin_turn(self, entry, program, previous):
+        name = self.name_program(program)
+        self.turns.begin(entry, name, self.pick_kept(previous))
+
+    @precondition(lambda self: self.turns.running)
+    @rule(entry=ENTRIES, index=INDEXES, tokens=st.integers(1, 30))
+    def finish_turn(self, entry, index, tokens):
+        self.turns.finish(entry, self.pick_running(index), tokens)
+
+    @precondition(lambda self: self.turns.running)
+    @rule(entry=ENTRIES, index=INDEXES, tokens=st.integers(0, 30))
+    def abort_turn(self, entry, index, tokens):
+        self.turns.abort(entry, self.pick_running(index), tokens)
+
+    @rule(entry=ENTRIES)
+    def read_kept_turns(self, entry):
+        for name in self.turns.list_kept():
+            self.turns.read(entry, name)
+
+    @rule(entry=ENTRIES, table=st.integers(-1, 30))
+    def hear_at_an_entry(self, entry, table):
+        self.turns.entries[entry].hear(table)
+
+    @rule(entry=ENTRIES, table=st.integers(0, 30))
+    def restart_entry(self, entry, table):
+        """An entry may hear first of a table that is long gone."""
+        self.turns.entries[entry].restart()
+        self.turns.entries[entry].hear(table)
+
+    @rule()
+    def recover(self):
+        self.world.recover()
+        self.turns.check_recovered()
+
+    @invariant()
+    def nothing_is_broken(self):
+        if hasattr(self, "turns"):
+            assert not self.turns.broken
+
+
+# A failure is printed as it was found: shrinking takes longer than it helps.
+PHASES = (Phase.explicit, Phase.reuse, Phase.generate)
+
+SeatMachine.TestCase.settings = settings(
+    max_examples=60,
+    stateful_step_count=40,
+    deadline=None,
+    derandomize=True,
+    phases=PHASES,
+    suppress_health_check=list(HealthCheck),
+)
+TestSeats = SeatMachine.TestCase
