Fill the seat of an emptied holder without counting it as lost

Callers would see no turn served for good: a holder was emptied as planned and removed, a spare took its seat, and before it had caught up another machine was removed for good and replaced: one disk lost, one tolerated. Cause: a disk without a predecessor counted as one whose predecessor is lost, also where that disk had handed its records to all others first. The spare waited for the disk that was gone, and the replacement for the spare's seat.

The table now says that a seat is released from the time its records are stored at the others until a disk in it is complete. Such a seat is not a source of any copy, and its own disk may miss as many others as failures are tolerated: every acknowledged record is on a quorum of the other seats, which is one more than that at least.

--- a/src/cedarchute/turns/catch_up.py
+++ b/src/cedarchute/turns/catch_up.py
@@ -61,7 +61,9 @@
         own = self.copy_predecessor(table.seats[number], table, number, outcomes)
         if self.seats.table.version != table.version:
             return False
-        done = is_enough(own, others, table.losses)
+        is_released = table.seats[number].is_released
+        tolerated = table.losses if is_released else table.losses - 1
+        done = is_enough(own, others, tolerated)
         self.log_outcomes(table, number, outcomes, done)
         return done
 
@@ -185,8 +187,8 @@
 
 
 def is_handed_over(seat: Seat) -> bool:
-    """Whether the last holder of a vacant seat has stored its records elsewhere."""
-    return seat.is_vacant and seat.is_complete is not False
+    """Whether the records of a seat are stored elsewhere, and not in the seat yet."""
+    return seat.is_released or (seat.is_vacant and seat.is_complete is None)
 
 
 def as_complete(outcome: CopyOutcome, if_lost: CopyOutcome) -> CopyOutcome:
@@ -200,7 +202,7 @@
     return if_lost if outcome is CopyOutcome.LOST else CopyOutcome.SILENT
 
 
-def is_enough(own: CopyOutcome, others: list[CopyOutcome], losses: int) -> bool:
+def is_enough(own: CopyOutcome, others: list[CopyOutcome], tolerated: int) -> bool:
     """Whether a copy has every acknowledged record of its seat.
 
     Parameters
@@ -209,15 +211,16 @@
         What the last complete disk of the seat itself gave.
     others : list of CopyOutcome
         What those of the other seats gave.
-    losses : int
-        Number of simultaneous failures to tolerate; the last complete disk of this
-        seat counts as one of them.
+    tolerated : int
+        Number of other disks that need not be read: one less than the failures to
+        tolerate, since the last complete disk of this seat counts as one of them,
+        unless its records were stored at the others.
     """
     if own is CopyOutcome.WHOLE:
         return True
     silent = others.count(CopyOutcome.SILENT)
     whole = others.count(CopyOutcome.WHOLE)
-    if len(others) - whole <= losses - 1:
+    if len(others) - whole <= tolerated:
         return True
     # After more losses than are tolerated, nothing else can be had once every disk
     # that exists was read.
--- a/src/cedarchute/turns/seat.py
+++ b/src/cedarchute/turns/seat.py
@@ -16,11 +16,14 @@
         Identifies the contents of the disk; changes when the disk is lost.
     is_complete : bool or None
         Whether the disk has every record of the seat that was acknowledged. None in
-        tables of earlier versions, where only the holder knows. A vacant seat is
-        complete once the records of its last holder are stored at the others.
+        tables of earlier versions, where only the holder knows.
     predecessor : DiskLocation or None
         The last complete disk of the seat while this one is incomplete; None if that
         disk is lost.
+    is_released : bool
+        Whether the last complete disk was emptied as planned, so that the holders of
+        the other seats have its records. Only while the seat is vacant or its disk
+        incomplete.
     """
 
     box: str = ""
@@ -29,6 +32,7 @@
     failure_domain: str = ""
     is_complete: bool | None = None
     predecessor: DiskLocation | None = None
+    is_released: bool = False
 
     @property
     def is_vacant(self) -> bool:
--- a/src/cedarchute/turns/seat_table.py
+++ b/src/cedarchute/turns/seat_table.py
@@ -111,13 +111,17 @@
             seat,
             is_complete=is_complete,
             predecessor=None if is_complete else source,
+            is_released=before.is_released,
         )
         return self.replace_seat(number, taken)
 
     def complete_seat(self, number: int) -> SeatTable:
         """Return the next version of the table, with the disk of a seat complete."""
         seat = msgspec.structs.replace(
-            self.seats[number], is_complete=True, predecessor=None
+            self.seats[number],
+            is_complete=True,
+            predecessor=None,
+            is_released=False,
         )
         return self.replace_seat(number, seat)
 
@@ -133,7 +137,10 @@
         before = self.seats[number]
         is_disk_lost = before.disk != disk
         source = before.predecessor if is_disk_lost else before.last_complete
-        return self.replace_seat(number, Seat(is_complete=False, predecessor=source))
+        vacated = Seat(
+            is_complete=False, predecessor=source, is_released=before.is_released
+        )
+        return self.replace_seat(number, vacated)
 
     def needs_disk(self, number: int, disk: str) -> bool:
         """Whether a disk without the seat is still the last complete one of it."""
@@ -143,7 +150,7 @@
     def release_disk(self, disk: str) -> SeatTable:
         """Return the next version of the table, with no vacant seat needing a disk."""
         seats = tuple(
-            Seat(is_complete=True)
+            Seat(is_complete=False, is_released=True)
             if seat.is_vacant and self.needs_disk(number, disk)
             else seat
             for number, seat in enumerate(self.seats)
--- a/tests/stateful/test_seat_series.py
+++ b/tests/stateful/test_seat_series.py
@@ -163,3 +163,23 @@
     assert world.replace_box(get_seated(world, 2))
     world.recover()
     turns.check_recovered()
+
+
+def test_a_box_removed_while_the_seat_of_an_emptied_one_is_filled_is_replaced(
+    make_site,
+):
+    world, turns = make_site()
+    take_at_every_quorum(world, turns)
+    emptied, removed = get_seated(world, 0), get_seated(world, 1)
+    world.retire(emptied)
+    world.run_rounds(ABSENCE)
+    world.remove_retired()
+    assert emptied.name not in world.boxes
+    spare = world.add_box()
+    world.clock.now += 2.0
+    world.step(spare)
+    assert world.store.table.find_box(spare.name) is not None
+    assert not spare.process.serves
+    assert world.replace_box(removed)
+    world.recover()
+    turns.check_recovered()
