Keep an emptied holder until the disk in its seat has read it

Callers would see no turn served for good: a holder with no records for its successor, or none at all, said completed at once and was removed, while a spare was taking its seat; with one more disk lost, as tolerated, the spare waited for the emptied disk. Cause: completed asked whether all records were handed over, not whether the table still names the disk as one to be read. Red before, .venv/bin/python -m pytest tests/stateful/test_seat_series.py -k an_emptied_box_is_not_removed: 'no new turn is admitted after all faults have ended'.

A holder says completed only when no holder of a seat still has its disk as the predecessor. The successor reads it first of all, so this waits no longer than the copy.

--- a/src/cedarchute/turns/seat_manager.py
+++ b/src/cedarchute/turns/seat_manager.py
@@ -274,7 +274,7 @@
 
     def hand_over_records(self, table: SeatTable) -> None:
         """Store all records at the other holders, so that nobody needs this disk."""
-        if not self.evacuation.run_once():
+        if table.has_reader(self.own_seat.disk) or not self.evacuation.run_once():
             return
         released = table.release_disk(self.own_seat.disk)
         if released.seats != table.seats and not self.write_table(released):
--- a/src/cedarchute/turns/seat_table.py
+++ b/src/cedarchute/turns/seat_table.py
@@ -147,6 +147,10 @@
         source = self.seats[number].predecessor
         return source is not None and source.disk == disk
 
+    def has_reader(self, disk: str) -> bool:
+        """Whether the holder of a seat still has to read its predecessor, `disk`."""
+        return any(self.needs_disk(number, disk) for number in self.list_occupied())
+
     def release_disk(self, disk: str) -> SeatTable:
         """Return the next version of the table, with no vacant seat needing a disk."""
         seats = tuple(
--- a/tests/stateful/test_seat_series.py
+++ b/tests/stateful/test_seat_series.py
@@ -165,6 +165,23 @@
     turns.check_recovered()
 
 
+def test_an_emptied_box_is_not_removed_while_its_successor_reads_it(make_site):
+    world, turns = make_site(seats=4)
+    emptied, lost = get_seated(world, 0), get_seated(world, 1)
+    world.retire(emptied)
+    spare = world.add_box()
+    cut = frozenset((spare.name, emptied.name))
+    world.run_rounds(1)
+    assert world.store.table.find_box(spare.name) == 0
+    world.cuts.add(cut)
+    world.kill(lost)
+    world.run_rounds(ABSENCE)
+    world.remove_retired()
+    assert world.replace_box(lost)
+    world.recover()
+    turns.check_recovered()
+
+
 def test_a_box_removed_while_the_seat_of_an_emptied_one_is_filled_is_replaced(
     make_site,
 ):
