Keep a chain through other programs as long as one of them is in use

Callers would see 404 of a turn that was answered 20 s before, with one box away and no disk lost: its chain began in another program, which had been dropped. Cause: the use of a program was known to a quorum only through its own records. A turn of q that continues p is written at a quorum of q; of p only the holder that handed out the text noted the use, so another one found enough holders that knew of none. Found by reading expiry for who else is trusted by being present.

A turn now names the other programs of its chain, so a quorum of q knows that p is in use. A program is dropped only once so many of all holders know of no use that no quorum is left that might; seats of other programs count too, as q may have others than p. Turns of earlier versions name none, as before. The test's oracle now counts a turn as used by turns of any program that continue it.

--- a/src/cedarchute/calls/stream_call_handler.py
+++ b/src/cedarchute/calls/stream_call_handler.py
@@ -168,6 +168,7 @@
         self.tokens = 0
         self.is_stored = False
         self.output: list[bytes] = []
+        self.programs = admission.programs
         body = admission.text + request.body
         self.attempts = Attempts(
             handler.target_client,
@@ -291,6 +292,7 @@
             tokens=self.tokens,
             target=opened.target.incarnation,
             keep_seconds=self.route.retention_seconds,
+            continued=tuple(p for p in self.programs if p != self.call.program_key),
         )
         seconds_left = self.attempts.deadline - time.monotonic()
         try:
--- a/src/cedarchute/turns/chain_reader.py
+++ b/src/cedarchute/turns/chain_reader.py
@@ -5,7 +5,11 @@
 import logging
 from typing import TYPE_CHECKING
 
-from cedarchute.turns.holder import is_other_workspace, join_chain
+from cedarchute.turns.holder import (
+    is_other_workspace,
+    join_chain,
+    list_programs,
+)
 from cedarchute.turns.holder_fanout import ANSWER_SECONDS, FanoutRequest
 from cedarchute.turns.messages import Chain, ReadChain
 from cedarchute.turns.seat_table import SeatTable
@@ -46,8 +50,11 @@
             return TurnAdmission(b"", "")
         for answer in begun.values():
             if answer.text and not answer.missing:
-                return TurnAdmission(answer.text, answer.target)
+                return TurnAdmission(
+                    answer.text, answer.target, programs=answer.programs
+                )
         text = b""
+        programs: set[str] = set()
         target = ""
         missing = previous
         while missing:
@@ -56,8 +63,9 @@
                 raise NoSuchTurnError(f"turn {missing} is another workspace's")
             target = target or chain.turns[-1].target
             text = join_chain(list(chain.turns)) + text
+            programs.update(list_programs(list(chain.turns)))
             missing = chain.missing
-        return TurnAdmission(text, target)
+        return TurnAdmission(text, target, programs=tuple(sorted(programs)))
 
     def read(self, turn: str) -> Chain:
         """Return the longest part of the chain ending at `turn` that a holder has.
--- a/src/cedarchute/turns/expiry.py
+++ b/src/cedarchute/turns/expiry.py
@@ -61,7 +61,7 @@
             return 0
         if table.closed and not self.is_stored_here(table, program):
             return 0
-        return table.replication_factor - table.quorum if table.closed else 1
+        return len(table.seats) - table.quorum if table.closed else 1
 
     def is_stored_here(self, table: SeatTable, program: str) -> bool:
         """Whether this disk counts as one that has the records of a program."""
@@ -72,7 +72,10 @@
         )
 
     def count_confirmations(self, table: SeatTable, expired: list[str]) -> Counter[str]:
-        """Ask the other holders; return how many agree, by program."""
+        """Ask the other holders; return how many agree, by program.
+
+        All of them: a program that continues this one may have other seats.
+        """
         confirmed: Counter[str] = Counter()
         for number in table.list_occupied():
             if table.seats[number].disk == self.disk:
@@ -80,8 +83,7 @@
             programs = [
                 program
                 for program in expired
-                if number in table.find_seats(program)
-                and confirmed[program] < self.count_needed(table, program)
+                if confirmed[program] < self.count_needed(table, program)
             ]
             if programs:
                 confirmed.update(self.ask(table, number, programs))
--- a/src/cedarchute/turns/holder.py
+++ b/src/cedarchute/turns/holder.py
@@ -141,7 +141,15 @@
             chain, missing = [], message.previous
         target = chain[-1].target if chain else ""
         text = join_chain(chain) if message.wants_text else b""
-        return TurnBegun(state.spent, missing, text, target, state.budget, age)
+        return TurnBegun(
+            state.spent,
+            missing,
+            text,
+            target,
+            state.budget,
+            age,
+            list_programs(chain),
+        )
 
     def take_records(self, message: TakeRecords) -> RecordsTaken:
         """Store records durably."""
@@ -174,10 +182,8 @@
         """Return the time since the last use of each program that is known."""
         self.check_addressee(message)
         now = time.monotonic()
-        known = self.storage.programs
-        return IdleTimes(
-            {p: now - known[p].last_used_at for p in message.programs if p in known}
-        )
+        used_at = {p: self.storage.find_last_use(p) for p in message.programs}
+        return IdleTimes({p: now - at for p, at in used_at.items() if at is not None})
 
     def check_disk(self, message: CopyRecords) -> None:
         """Reject a request for a disk that this box does not have."""
@@ -225,6 +231,11 @@
     return b"".join(turn.input + turn.output for turn in chain)
 
 
+def list_programs(chain: list[Turn]) -> tuple[str, ...]:
+    """Return the programs with turns in a chain."""
+    return tuple(sorted({turn.program for turn in chain}))
+
+
 def estimate_bytes(record: Record) -> int:
     """Return the approximate encoded size of a record, in bytes."""
     return len(getattr(record, "input", b"")) + len(getattr(record, "output", b"")) + 99
--- a/src/cedarchute/turns/messages.py
+++ b/src/cedarchute/turns/messages.py
@@ -54,6 +54,8 @@
         The smallest budget that any call of the program has set, in tokens.
     age_seconds : float or None
         Time since the first request about the program at this holder, if known.
+    programs : tuple of str
+        The programs of the turns in the chain after `missing`.
     """
 
     spent: int
@@ -62,6 +64,7 @@
     target: str = ""
     budget: int | None = None
     age_seconds: float | None = None
+    programs: tuple[str, ...] = ()
 
 
 class TakeRecords(Addressed, frozen=True, kw_only=True):
--- a/src/cedarchute/turns/records.py
+++ b/src/cedarchute/turns/records.py
@@ -41,6 +41,9 @@
         The target that ran it, whose cache may still contain it.
     keep_seconds : float
         Retention time after the last use of its program.
+    continued : tuple of str
+        The other programs with turns in its chain; each use of its program is one of
+        theirs as well.
     """
 
     program: str
@@ -51,6 +54,7 @@
     tokens: int
     target: str
     keep_seconds: float
+    continued: tuple[str, ...] = ()
 
 
 Record = Reserved | Settled | Turn
--- a/src/cedarchute/turns/turn_admission.py
+++ b/src/cedarchute/turns/turn_admission.py
@@ -12,11 +12,14 @@
     ----------
     age_seconds : float or None
         Time since the first request about the program, if known.
+    programs : tuple of str
+        The programs of the turns in the chain.
     """
 
     text: bytes
     target: str
     age_seconds: float | None = None
+    programs: tuple[str, ...] = ()
 
 
 class ProgramUsage(Record):
--- a/src/cedarchute/turns/turn_storage.py
+++ b/src/cedarchute/turns/turn_storage.py
@@ -20,6 +20,7 @@
         self.writer = writer
         self.programs: dict[str, ProgramState] = {}
         self.program_by_turn: dict[str, str] = {}
+        self.continued_by: dict[str, set[str]] = {}
 
     def load(self) -> int:
         """Replay the journal; return the number of records."""
@@ -34,6 +35,14 @@
         self.get_or_create(record.program).apply(record)
         if isinstance(record, Turn):
             self.program_by_turn[record.turn] = record.program
+            for program in record.continued:
+                self.continued_by.setdefault(program, set()).add(record.program)
+
+    def find_last_use(self, program: str) -> float | None:
+        """Return when a program, or one that continues it, was last used, if known."""
+        names = (program, *self.continued_by.get(program, ()))
+        states = [self.programs[name] for name in names if name in self.programs]
+        return max((state.last_used_at for state in states), default=None)
 
     def collect_chain(self, turn: str) -> tuple[list[Turn], str]:
         """Return the turns up to `turn`, oldest first, and the first missing one.
@@ -71,13 +80,26 @@
 
     def list_expired(self) -> list[str]:
         """Return the programs past their retention time at this holder."""
+        for program in self.continued_by:
+            state = self.programs.get(program)
+            if state is not None:
+                state.last_used_at = self.find_last_use(program) or 0.0
         now = time.monotonic()
         return [p for p, state in self.programs.items() if state.is_expired(now)]
 
     def drop(self, program: str) -> None:
         """Forget a program."""
-        for turn in self.programs.pop(program).completed:
-            self.program_by_turn.pop(turn, None)
+        for turn in self.programs.pop(program).completed.values():
+            self.program_by_turn.pop(turn.turn, None)
+            for continued in turn.continued:
+                self.forget_use(continued, program)
+
+    def forget_use(self, continued: str, program: str) -> None:
+        """Forget that `program` continues another one."""
+        users = self.continued_by.get(continued, set())
+        users.discard(program)
+        if not users:
+            self.continued_by.pop(continued, None)
 
     def compact(self) -> None:
         """Rewrite the live records to new segments and delete the older ones."""
--- a/tests/stateful/seat_turns.py
+++ b/tests/stateful/seat_turns.py
@@ -92,9 +92,8 @@
         except NoSuchTurnError as error:
             return self.fail(f"kept turn {previous} is forgotten: {error}")
         self.check_text(previous, admission.text)
-        self.running[name] = (program, previous)
-        if previous and self.kept[previous].program == program:
-            self.use(previous)
+        self.running[name] = (program, previous, admission.programs)
+        self.use(previous)
         self.check_budget(program)
         return name
 
@@ -106,10 +105,20 @@
 
     def finish(self, entry, name, tokens=10, keep_seconds=KEEP_SECONDS):
         """Finish a turn; return whether it is kept."""
-        program, previous = self.running.pop(name)
+        program, previous, programs = self.running.pop(name)
         self.spent[program] = self.spent.get(program, 0) + tokens
         body = f"[{name}]".encode()
-        turn = Turn(program, name, previous, body, b"out", tokens, "t", keep_seconds)
+        turn = Turn(
+            program=program,
+            turn=name,
+            previous=previous,
+            input=body,
+            output=b"out",
+            tokens=tokens,
+            target="t",
+            keep_seconds=keep_seconds,
+            continued=tuple(p for p in programs if p != program),
+        )
         self.entries[entry].forget_failures()
         try:
             self.entries[entry].quorum.write(turn)
@@ -122,7 +131,7 @@
         return True
 
     def abort(self, entry, name, tokens):
-        program, _ = self.running.pop(name)
+        program, _, _ = self.running.pop(name)
         self.spent[program] = self.spent.get(program, 0) + tokens
         self.entries[entry].forget_failures()
         self.entries[entry].quorum.settle_or_log(Settled(program, name, tokens))
@@ -153,7 +162,7 @@
             self.fail(f"{name} is {text!r}, not {expected!r}")
 
     def check_budget(self, program):
-        running = sum(MAX_TOKENS for p, _ in self.running.values() if p == program)
+        running = sum(MAX_TOKENS for p, _, _ in self.running.values() if p == program)
         if self.spent.get(program, 0) + running > BUDGET:
             self.fail(f"{program} is over its budget")
 
--- a/tests/stateful/test_seat_series.py
+++ b/tests/stateful/test_seat_series.py
@@ -31,11 +31,11 @@
         yield make
 
 
-def take_without(world, turns, box, program="p"):
+def take_without(world, turns, box, program="p", previous="", **terms):
     """Take a turn that one holder does not hear of; return its name."""
     cut = frozenset(("entry-0", box.name))
     world.cuts.add(cut)
-    name = turns.take(0, program)
+    name = turns.take(0, program, previous, **terms)
     world.cuts.remove(cut)
     assert name is not None
     return name
@@ -200,3 +200,18 @@
     assert world.replace_box(removed)
     world.recover()
     turns.check_recovered()
+
+
+def test_a_chain_through_another_program_is_kept_while_it_is_in_use(make_site):
+    world, turns = make_site()
+    passed, unaware, aware = (get_seated(world, n) for n in range(3))
+    first = take_without(world, turns, unaware, "p", keep_seconds=60.0)
+    world.clock.now += 50
+    turns.entries[0].quorum.failure_domain = aware.name
+    second = take_without(world, turns, passed, "q", previous=first, keep_seconds=60.0)
+    world.clock.now += 20
+    passed.drop_expired()
+    world.kill(aware)
+    turns.entries[0].hear()
+    assert turns.list_kept() == [first, second]
+    assert turns.take(0, "q", second) is not None
