--- a/tests/stateful/test_seat_series.py
+++ b/tests/stateful/test_seat_series.py
@@ -215,3 +215,25 @@
     turns.entries[0].hear()
     assert turns.list_kept() == [first, second]
     assert turns.take(0, "q", second) is not None
+
+
+def test_replaced_holders_that_restart_serve_under_no_older_table(make_site):
+    world, turns = make_site()
+    first, second, third = (get_seated(world, n) for n in range(3))
+    old = len(world.store.tables) - 1
+    for box in (first, second):
+        world.retire(box)
+        world.add_box()
+        world.run_rounds(ABSENCE)
+    for entry in turns.entries:
+        entry.hear()
+    kept = take_without(world, turns, third)
+    for box in (first, second):
+        world.kill(box)
+        box.start()
+        world.hear_old(box, old)
+        world.step(box, hears=False)
+    turns.entries[1].restart()
+    turns.entries[1].hear(old)
+    world.kill(third)
+    assert not turns.read(1, kept)
