Play a chain through a program with other seats

With four seats of three holders each the programs of a chain have different seats. Red on a scratch copy whose expiry counts only the holders of the expired program (trial): 'kept turn t2 is forgotten: no turn t1'.

--- a/tests/stateful/test_seat_series.py
+++ b/tests/stateful/test_seat_series.py
@@ -237,3 +237,30 @@
     turns.entries[1].hear(old)
     world.kill(third)
     assert not turns.read(1, kept)
+
+
+def find_program(world, name, seats):
+    """Return a program with exactly these seats."""
+    names = (f"{name}-{n}" for n in range(1000))
+    find_seats = world.store.table.find_seats
+    return next(n for n in names if set(find_seats(n)) == seats)
+
+
+def test_a_chain_through_a_program_with_other_seats_is_kept_while_in_use(make_site):
+    world, turns = make_site(seats=4)
+    passed, unaware, aware = (get_seated(world, n) for n in range(3))
+    one, other = (
+        find_program(world, n, s) for n, s in (("p", {0, 1, 2}), ("q", {1, 2, 3}))
+    )
+    first = take_without(world, turns, unaware, one, keep_seconds=60.0)
+    world.clock.now += 50
+    turns.entries[0].quorum.failure_domain = aware.name
+    second = take_without(
+        world, turns, unaware, other, previous=first, keep_seconds=60.0
+    )
+    world.clock.now += 20
+    passed.drop_expired()
+    world.kill(aware)
+    turns.entries[0].hear()
+    assert turns.list_kept() == [first, second]
+    assert turns.take(0, other, second) is not None
