Keep a turn that another program goes on from at one holder only

What callers could see: 404 for a turn whose chain begins in another program, after the loss of one disk.

Cause: a holder drops a program once it and one more holder have not used it, too few being left for a quorum. A turn of another program is used at a quorum of *its* holders, of which only one may have the turn that it continues. The other ones do not know the program, and the first of them that was asked counted as an agreement; the holder that had the use was not asked any more.

Evidence: `test_a_turn_is_kept_while_another_program_goes_on_from_it`, red before for three of six orders of the holders: the keeping holder drops t1, and one copy is left of a turn that is in use.

All other holders of an expired program are asked now, so the one that knows of the use makes the program count as used. Open: while that holder is silent, the others still drop the program.

--- a/src/cedarchute/turns/expiry.py
+++ b/src/cedarchute/turns/expiry.py
@@ -72,7 +72,11 @@
         )
 
     def count_confirmations(self, table: SeatTable, expired: list[str]) -> Counter[str]:
-        """Ask the other holders; return how many agree, by program."""
+        """Ask the other holders; return how many agree, by program.
+
+        All are asked, even after enough agree: a turn of another program may continue
+        one of this program, and only a holder that has both knows of that use.
+        """
         confirmed: Counter[str] = Counter()
         for number in table.list_occupied():
             if table.seats[number].disk == self.disk:
@@ -81,7 +85,7 @@
                 program
                 for program in expired
                 if number in table.find_seats(program)
-                and confirmed[program] < self.count_needed(table, program)
+                and self.count_needed(table, program) > 0
             ]
             if programs:
                 confirmed.update(self.ask(table, number, programs))
--- a/tests/turns/test_expiry.py
+++ b/tests/turns/test_expiry.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+from itertools import permutations
 from types import SimpleNamespace
 
 import pytest
@@ -83,6 +84,19 @@
     assert expire(site, "a") == {"t1"}
 
 
+@pytest.mark.parametrize("names", list(permutations(NAMES)))
+def test_a_turn_is_kept_while_another_program_goes_on_from_it(site, clock, names):
+    """Only the holder that both quorums share knows that the turn is in use."""
+    without, keeping, shared = names
+    write(site, [keeping, shared], "t1")
+    clock.now += RETENTION_SECONDS - 1
+    for name in (without, shared):
+        site.holders[name].storage.write([make_turn("t2", "t1", program="other")])
+        site.holders[name].storage.collect_chain("t2")
+    clock.now += 2
+    assert "t1" in expire(site, keeping)
+
+
 def test_a_program_that_nobody_uses_is_dropped(site, clock):
     write(site, "ab", "t1")
     clock.now += RETENTION_SECONDS + 1
