Find the records of a workspace on public routes only by a proven configuration

Callers saw 404 for a turn on a public route whose previous turn had been answered whole at another box, each time that the box was frozen for longer than a proof of keys holds. Its tokens would also not count for the budget of the program.

Cause: on a public route a box without a recent proof takes a key for unknown, which is right for whom the call is from, and wrong for where the records of its program are: they belong to the workspace, so the box looked for those of a program without one and said that the turn does not exist.

A call with a key that uses records waits for a proof and is refused with 503 without one, as on other routes. A key that is still unknown needs a proof asked for after the request was read if the call names a previous turn. Calls on public routes that use no records are served as before.

Open: a first turn with a key that is newer than the box's configuration is stored under no workspace, so is every turn from before there were keys.

--- a/src/cedarchute/calls/key_authenticator.py
+++ b/src/cedarchute/calls/key_authenticator.py
@@ -100,14 +100,44 @@
         key = read_key(request)
         digest = digest_key(key) if key else b""
         if route.is_public:
-            workspace = table.keys.find(digest) if self.is_configuration_fresh else None
-            return CallerIdentity(workspace, digest)
+            return CallerIdentity(self.identify(request, digest, call, route), digest)
         if not key:
             raise self.make_refusal(401, "no usable key")
         if not self.is_configuration_fresh:
             self.freshness.refresh(REFRESH_WAIT_SECONDS)
         return CallerIdentity(self.find_workspace(digest, call), digest)
 
+    def identify(
+        self, request: CallerRequest, digest: bytes, call: Call, route: Route
+    ) -> Workspace | None:
+        """Return the workspace of a key on a public route; None if it is unknown.
+
+        Records of a program belong to its workspace. A call that uses them waits for a
+        proof, since it would miss those of earlier calls under no workspace.
+        """
+        uses_records = route.retains_turns or call.program.budget is not None
+        if not (digest and uses_records):
+            return self.look_up(digest)
+        if not self.is_configuration_fresh:
+            self.freshness.refresh(REFRESH_WAIT_SECONDS)
+        self.check_freshness(call)
+        if self.look_up(digest) is None and call.program.previous_turn:
+            self.confirm_configuration(call, request.read_at)
+        return self.look_up(digest)
+
+    def look_up(self, digest: bytes) -> Workspace | None:
+        """Return the workspace of a key, None if unknown or without a proof."""
+        table = self.routes.table
+        if table is None or table.keys is None or not self.is_configuration_fresh:
+            return None
+        return table.keys.find(digest)
+
+    def check_freshness(self, call: Call) -> None:
+        """Raise a 503 unless the configuration is fresh enough."""
+        if not self.is_configuration_fresh:
+            wait = self.compute_retry_seconds(call)
+            raise self.make_refusal(503, "the configuration is not proven", wait)
+
     def revalidate(self, call: Call) -> None:
         """Check the key again right before a send, as the call may have waited."""
         caller_identity = call.caller_identity
@@ -119,11 +149,8 @@
 
     def find_workspace(self, digest: bytes, call: Call) -> Workspace:
         """Return the workspace of a key in the newest configuration."""
-        if not self.is_configuration_fresh:
-            wait = self.compute_retry_seconds(call)
-            raise self.make_refusal(503, "the configuration is not proven", wait)
-        table = self.routes.table
-        workspace = table.keys.find(digest) if table and table.keys else None
+        self.check_freshness(call)
+        workspace = self.look_up(digest)
         if workspace is None:
             raise self.make_refusal(401, "unknown key")
         return workspace
--- a/tests/calls/test_key_authenticator.py
+++ b/tests/calls/test_key_authenticator.py
@@ -5,6 +5,7 @@
 import random
 import time
 
+import msgspec
 import pytest
 
 from cedarchute.address import Address
@@ -130,6 +131,40 @@
     assert not check.is_configuration_stale
 
 
+def identify(check, key="key-a", budget=None, **traits):
+    """Return the workspace of a call on a public route."""
+    route = msgspec.structs.replace(ROUTE, is_public=True, **traits)
+    call = Call("c", 4.0, ProgramContext("p", budget, "t1", 3))
+    request = make_request(key)
+    identity = check.authenticate(request, call, route, check.routes.table)
+    return identity.workspace and identity.workspace.name
+
+
+@pytest.mark.parametrize("use", [{"retains_turns": True}, {"budget": 100}])
+def test_records_of_a_workspace_are_not_missed_on_a_public_route(use):
+    """Under another workspace, or none, the previous turn would be unknown."""
+    check = make_check(Proof(age_seconds=9.0))
+    assert read_refusal(lambda: identify(check, **use)).status == 503
+    check = make_check(Proof(age_seconds=9.0, fresh_age=0.0))
+    assert identify(check, **use) == "a"
+    check = make_check(Proof())
+    assert identify(check, **use) == "a"
+    assert identify(check, "other", **use) is None
+
+
+def test_a_key_that_is_newer_than_the_proof_is_not_taken_for_unknown():
+    check = make_check(Proof(age_seconds=1.0))
+    refusal = read_refusal(lambda: identify(check, "new-key", retains_turns=True))
+    assert refusal.status == 503
+
+
+def test_a_public_route_without_records_needs_no_proof():
+    proof = Proof(age_seconds=9.0, fresh_age=0.0)
+    assert identify(make_check(proof)) is None
+    assert proof.refresh_count == 0
+    assert identify(make_check(Proof())) == "a"
+
+
 class WaitingPool:
     """A pool that calls `meanwhile` before it returns a connection."""
 
--- a/tests/platform_site/test_keys.py
+++ b/tests/platform_site/test_keys.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import itertools
+import threading
+import time
 
 import pytest
 from conftest_nodes import ROUTES, make_route, start_nodes
@@ -206,3 +208,32 @@
         site.switch_store(down=False)
         wait_until(lambda: ask(box, with_key(KEY_A))[0] == 200, "proven again")
         target.close()
+
+
+def test_a_turn_of_a_public_route_is_not_unknown_to_a_box_that_was_frozen(tmp_path):
+    """The box must not look for the records of a program that has no workspace."""
+    route = make_route(
+        "/open/", "streaming", "model", Public=True, Retained=True, RetentionS=60.0
+    )
+    with start_nodes(tmp_path / "s", WORKSPACES, [route], revoke_ms=1000) as site:
+        target = RawTarget(say(b"word"))
+        site.add_target("t-model", "model", target.address)
+        informed, frozen = site.callers["entry-1"], site.callers["entry-2"]
+
+        def take(address, turn, previous=""):
+            headers = turn_headers("p", previous) + with_key(KEY_A)
+            return call(address, b"/open/x", turn, b"a", headers=headers)[0]
+
+        wait_until(lambda: take(informed, b"t1") == 200, "the first turn is served")
+        site.processes["entry-2"].pause()
+        time.sleep(1.5)
+        statuses = []
+        following = threading.Thread(
+            target=lambda: statuses.append(take(frozen, b"t2", "t1"))
+        )
+        following.start()
+        site.processes["entry-2"].resume()
+        following.join()
+        assert statuses[0] in (200, 503), statuses
+        wait_until(lambda: take(frozen, b"t3", "t1") == 200, "the next turn is served")
+        target.close()
--- a/tests/platform_site/test_turns_of_new_routes.py
+++ b/tests/platform_site/test_turns_of_new_routes.py
@@ -50,3 +50,4 @@
         following.join()
     assert set(statuses) <= {200, 503}, statuses
     assert 200 in statuses, statuses
+    target.close()
