--- a/src/cedarchute/turns/expiry.py
+++ b/src/cedarchute/turns/expiry.py
@@ -74,16 +74,15 @@
     def count_confirmations(self, table: SeatTable, expired: list[str]) -> Counter[str]:
         """Ask the other holders; return how many agree, by program.
 
-        All of them: a program that continues this one may have other seats.
+        All of them are asked, even after enough agree: a program that continues this
+        one may have other seats, and only a holder that has both may know of that use.
         """
         confirmed: Counter[str] = Counter()
         for number in table.list_occupied():
             if table.seats[number].disk == self.disk:
                 continue
             programs = [
-                program
-                for program in expired
-                if confirmed[program] < self.count_needed(table, program)
+                program for program in expired if self.count_needed(table, program) > 0
             ]
             if programs:
                 confirmed.update(self.ask(table, number, programs))
