Hold requests against the size limits in force when they begin

What callers saw: 413 or 431 for a request that the configuration allowed, on a kept connection that was older than this configuration, for as long as it was kept; on a box that had just started, by the defaults.

Cause: the reader of a connection kept the limits of the moment at which the connection opened. Idle and header timeouts were read anew, sizes were not. A box without a configuration refused by its defaults although it cannot know what is allowed.

Evidence, without the change: `pytest tests/relay/test_caller_connection.py`: `test_a_kept_connection_takes_what_a_newer_configuration_allows` reads "HTTP/1.1 413 Refused".

Change: the reader takes the limits as each request begins, and holds to them until its end, so that a change within a request refuses nothing that was proper when it was sent. Without a configuration a request beyond the defaults gets 503, as everything does on such a box, instead of a status that is final. The tests of the reader pass it what returns its limits; what they check is unchanged.

--- a/src/cedarchute/daemon/entry_box.py
+++ b/src/cedarchute/daemon/entry_box.py
@@ -164,7 +164,8 @@
 
     def read_limits(self) -> InputLimits:
         """Return the bounds on callers' input that are in force."""
-        return self.routes.table.limits if self.routes.table else InputLimits()
+        table = self.routes.table
+        return table.limits if table else InputLimits(is_configured=False)
 
     def is_ready(self) -> bool:
         """Whether callers should come here."""
--- a/src/cedarchute/relay/caller_connection.py
+++ b/src/cedarchute/relay/caller_connection.py
@@ -52,7 +52,7 @@
     def __init__(self, sock: socket.socket, server: CallerServer) -> None:
         self.sock = sock
         self.server = server
-        self.reader = RequestReader(server.limits())
+        self.reader = RequestReader(server.limits)
         # An error is queued behind the valid requests that were received before it.
         self.requests: LightQueue[CallerRequest | RequestError] = LightQueue()
         self.busy = False
--- a/src/cedarchute/relay/request_reader.py
+++ b/src/cedarchute/relay/request_reader.py
@@ -13,6 +13,8 @@
 from cedarchute.relay.request_error import RequestError
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from cedarchute.relay.input_limits import InputLimits
 
 
@@ -21,10 +23,16 @@
 
     The parser rejects duplicate lengths, a length together with chunked encoding,
     folded headers and bare line feeds, which prevents request smuggling.
+
+    Parameters
+    ----------
+    read_limits : Callable
+        Returns the limits in force; those at its beginning apply to a request.
     """
 
-    def __init__(self, limits: InputLimits) -> None:
-        self.limits = limits
+    def __init__(self, read_limits: Callable[[], InputLimits]) -> None:
+        self.read_limits = read_limits
+        self.limits = read_limits()
         self.parser = httptools.HttpRequestParser(self)
         self.ready: deque[CallerRequest] = deque()
         self.in_message = False
@@ -64,11 +72,19 @@
     def check_header_bytes(self) -> None:
         """Raise `RequestError` if the headers are too large."""
         if self.header_bytes > self.limits.header_bytes:
-            raise RequestError(431, "request head too large")
+            raise self.make_size_error(431, "request head too large")
+
+    def make_size_error(self, status: int, reason: str) -> RequestError:
+        """Return the error of a request beyond the limits.
+
+        Without a configuration the status is 503: another box may accept the request.
+        """
+        return RequestError(status if self.limits.is_configured else 503, reason)
 
     def on_message_begin(self) -> None:
         """Start a new request."""
         self.reset()
+        self.limits = self.read_limits()
         self.in_message = True
         self.in_body = False
 
@@ -92,7 +108,7 @@
             raise RequestError(400, "exactly one Host header is needed")
         length = headers.get(b"content-length")
         if length is not None and int(length) > self.limits.body_bytes:
-            raise RequestError(413, "request body too large")
+            raise self.make_size_error(413, "request body too large")
         expectation = headers.get_text(b"expect").lower()
         self.expects_continue = expectation == "100-continue"
 
@@ -100,7 +116,7 @@
         """Store bytes of the body; raise `RequestError` if it is too large."""
         self.body_bytes += len(body)
         if self.body_bytes > self.limits.body_bytes:
-            raise RequestError(413, "request body too large")
+            raise self.make_size_error(413, "request body too large")
         self.parts.append(body)
 
     def on_message_complete(self) -> None:
--- a/tests/relay/test_caller_connection.py
+++ b/tests/relay/test_caller_connection.py
@@ -51,23 +51,24 @@
 class Server:
     """What a connection needs of the server of callers."""
 
-    def __init__(self, handle=None):
+    def __init__(self, handle=None, limits=InputLimits):
         self.handle = handle
-
-    def limits(self):
-        return InputLimits()
+        self.limits = limits
 
     def must_close(self):
         return False
 
+    def record_bad_request(self, error):
+        pass
+
 
 @contextlib.contextmanager
-def connect(handle):
+def connect(handle, limits=InputLimits):
     """Give the caller's end of a connection whose requests `handle` gets."""
     with contextlib.closing(eventlet.listen(("127.0.0.1", 0))) as listener:
         caller = socket.create_connection(listener.getsockname())
         accepted, _ = listener.accept()
-    served = eventlet.spawn(CallerConnection(accepted, Server(handle)).run)
+    served = eventlet.spawn(CallerConnection(accepted, Server(handle, limits)).run)
     with contextlib.closing(caller), eventlet.Timeout(HANG_SECONDS):
         yield caller
     served.wait()
@@ -145,3 +146,17 @@
             received += data
     assert received.startswith(b"HTTP/1.1 200 ")
     assert not received.endswith(b"0\r\n\r\n")
+
+
+def test_a_kept_connection_takes_what_a_newer_configuration_allows():
+    limits = InputLimits(body_bytes=10)
+
+    def answer(request, writer):
+        writer.write_whole(200, Headers(), b"done")
+
+    with connect(answer, lambda: limits) as caller:
+        caller.sendall(build_request(b"/x", b"a1"))
+        assert caller.recv(65_536).startswith(b"HTTP/1.1 200 ")
+        limits = InputLimits(body_bytes=20)
+        caller.sendall(build_request(b"/x", b"a2", b"x" * 20))
+        assert caller.recv(65_536).startswith(b"HTTP/1.1 200 ")
--- a/tests/relay/test_readers.py
+++ b/tests/relay/test_readers.py
@@ -33,7 +33,7 @@
 @settings(derandomize=True, deadline=None)
 @given(st.lists(st.integers(0, 10_000), max_size=8))
 def test_requests_are_the_same_however_they_are_cut(cuts):
-    reader = RequestReader(InputLimits())
+    reader = RequestReader(InputLimits)
     for piece in split(TWO_REQUESTS, cuts):
         reader.feed(piece)
     first, second = reader.ready
@@ -87,7 +87,7 @@
 
 
 def test_a_head_that_grows_without_end_is_refused_early():
-    reader = RequestReader(InputLimits(header_bytes=100))
+    reader = RequestReader(lambda: InputLimits(header_bytes=100))
     with pytest.raises(RequestError) as refused:
         for _ in range(10):
             reader.feed(b"GET / HTTP/1.1\r\nHost: h\r\nX: " + b"x" * 60)
@@ -95,7 +95,7 @@
 
 
 def test_a_body_in_chunks_is_bounded():
-    reader = RequestReader(InputLimits(body_bytes=10))
+    reader = RequestReader(lambda: InputLimits(body_bytes=10))
     head = b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
     with pytest.raises(RequestError) as refused:
         reader.feed(head + b"8\r\n12345678\r\n8\r\n12345678\r\n")
@@ -119,7 +119,7 @@
 
 
 def test_a_request_for_another_protocol_is_refused_and_not_handled_without_its_body():
-    reader = RequestReader(InputLimits())
+    reader = RequestReader(InputLimits)
     with pytest.raises(RequestError) as refused:
         reader.feed(
             b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab"
@@ -128,3 +128,36 @@
         )
     assert refused.value.status == 400
     assert [request.target for request in reader.ready] == [b"/a"]
+
+
+LONG_BODY = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 20\r\n\r\n" + b"x" * 20
+LONG_HEAD = b"GET /a HTTP/1.1\r\nHost: h\r\nX: " + b"x" * 200 + b"\r\n\r\n"
+
+
+@pytest.mark.parametrize("data", [LONG_BODY, LONG_HEAD])
+def test_a_request_is_not_refused_by_the_limits_of_an_older_configuration(data):
+    limits = InputLimits(header_bytes=100, body_bytes=10)
+    reader = RequestReader(lambda: limits)
+    reader.feed(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+    limits = InputLimits()
+    reader.feed(data)
+    assert len(reader.ready) == 2
+
+
+def test_a_request_that_is_being_received_keeps_the_limits_that_it_began_under():
+    limits = InputLimits()
+    reader = RequestReader(lambda: limits)
+    reader.feed(LONG_BODY[:-5])
+    limits = InputLimits(body_bytes=10)
+    reader.feed(LONG_BODY[-5:])
+    assert len(reader.ready) == 1
+    with pytest.raises(RequestError):
+        reader.feed(LONG_BODY)
+
+
+@pytest.mark.parametrize("data", [LONG_BODY, LONG_HEAD])
+def test_a_long_request_before_any_configuration_may_be_sent_elsewhere(data):
+    limits = InputLimits(header_bytes=100, body_bytes=10, is_configured=False)
+    with pytest.raises(RequestError) as caught:
+        RequestReader(lambda: limits).feed(data)
+    assert caught.value.status == 503
