Give each request on a connection its own time for its head

What callers saw: 408 for a request whose head had come in time, on a connection with many requests sent behind one another.

Cause: the time for a head ran from the first read that ended within a head, and was reset only by a read that did not. When each read ended with a part of the next head, one deadline served all of them.

Evidence, without the change: `pytest tests/relay/test_caller_connection.py`: `test_a_request_has_its_own_time_for_its_head` reads "HTTP/1.1 408 Refused ... request not sent in time". By reading and by this test; not seen in a run.

Change: the reader notes when a request began, and the time for its head counts from there.

--- a/src/cedarchute/relay/caller_connection.py
+++ b/src/cedarchute/relay/caller_connection.py
@@ -21,7 +21,6 @@
 if TYPE_CHECKING:
     from cedarchute.relay.caller_request import CallerRequest
     from cedarchute.relay.caller_server import CallerServer
-    from cedarchute.relay.input_limits import InputLimits
 
 log = logging.getLogger("cedarchute.relay")
 
@@ -116,25 +115,15 @@
         RequestError
             When a request is invalid or incomplete at its deadline.
         """
-        header_deadline = None
         while True:
-            limits = self.server.limits()
-            if self.reader.in_message and not self.reader.in_body:
-                header_deadline = header_deadline or (
-                    time.monotonic() + limits.header_seconds
-                )
-                wait_seconds = header_deadline - time.monotonic()
-            else:
-                header_deadline = None
-                wait_seconds = self.compute_idle_wait(limits)
             try:
-                data = self.receive(wait_seconds)
+                data = self.receive(self.compute_wait())
             except TimeoutError:
                 if self.is_shut_down:
                     return
                 if self.reader.in_message:
                     raise RequestError(408, "request not sent in time") from None
-                if self.compute_idle_wait(self.server.limits()) > 0:
+                if self.compute_wait() > 0:
                     continue
                 self.server.record_close(self, "idle")
                 return
@@ -150,8 +139,11 @@
                 self.sock.sendall(CONTINUE)
             self.enqueue_ready()
 
-    def compute_idle_wait(self, limits: InputLimits) -> float:
+    def compute_wait(self) -> float:
         """Return for how long no input may come, from now on."""
+        limits = self.server.limits()
+        if self.reader.in_message and not self.reader.in_body:
+            return self.reader.begun_at + limits.header_seconds - time.monotonic()
         if not self.is_idle:
             return limits.idle_seconds
         return self.active_at + limits.idle_seconds - time.monotonic()
--- a/src/cedarchute/relay/request_reader.py
+++ b/src/cedarchute/relay/request_reader.py
@@ -28,6 +28,11 @@
     ----------
     read_limits : Callable
         Returns the limits in force; those at its beginning apply to a request.
+
+    Attributes
+    ----------
+    begun_at : float
+        Monotonic time at which the first byte of the newest request was read.
     """
 
     def __init__(self, read_limits: Callable[[], InputLimits]) -> None:
@@ -38,6 +43,7 @@
         self.in_message = False
         self.in_body = False
         self.expects_continue = False
+        self.begun_at = 0.0
         self.reset()
 
     def reset(self) -> None:
@@ -87,6 +93,7 @@
         self.limits = self.read_limits()
         self.in_message = True
         self.in_body = False
+        self.begun_at = time.monotonic()
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the request target."""
--- a/tests/relay/test_caller_connection.py
+++ b/tests/relay/test_caller_connection.py
@@ -9,7 +9,7 @@
 from eventlet.green import socket
 from eventlet.patcher import original
 
-from cedarchute.relay import caller_connection
+from cedarchute.relay import caller_connection, request_reader
 from cedarchute.relay.caller_connection import CallerConnection
 from cedarchute.relay.headers import Headers
 from cedarchute.relay.input_limits import InputLimits
@@ -62,6 +62,16 @@
         pass
 
 
+class VirtualClock:
+    """Time that passes only when a test says so."""
+
+    def __init__(self):
+        self.now = 1000.0
+
+    def monotonic(self):
+        return self.now
+
+
 @contextlib.contextmanager
 def connect(handle, limits=InputLimits):
     """Give the caller's end of a connection whose requests `handle` gets."""
@@ -160,3 +170,23 @@
         limits = InputLimits(body_bytes=20)
         caller.sendall(build_request(b"/x", b"a2", b"x" * 20))
         assert caller.recv(65_536).startswith(b"HTTP/1.1 200 ")
+
+
+def test_a_request_has_its_own_time_for_its_head(monkeypatch):
+    """Also when a part of it came together with the end of the one before."""
+    clock = VirtualClock()
+    monkeypatch.setattr(caller_connection, "time", clock)
+    monkeypatch.setattr(request_reader, "time", clock)
+    limits = InputLimits(header_seconds=2 * HANG_SECONDS)
+
+    def answer(request, writer):
+        writer.write_whole(200, Headers(), b"done")
+
+    request = build_request(b"/x", b"a1")
+    with connect(answer, lambda: limits) as caller:
+        caller.sendall(request[:20])
+        for _ in range(5):
+            clock.now += 0.75 * limits.header_seconds
+            caller.sendall(request[20:] + request[:20])
+            assert caller.recv(65_536).startswith(b"HTTP/1.1 200 ")
+            eventlet.sleep(0.01)  # Lets a deadline that is over take effect.
