Ask for a body only between responses

What callers saw: `HTTP/1.1 100 Continue` in the middle of the response to an earlier request, when a request with `Expect: 100-continue` was sent behind one in progress: a stream that cannot be parsed, or a body with foreign bytes.

Cause: the task that reads a connection wrote the interim response itself, whatever the other task was writing at that moment.

Evidence, without the change: `pytest tests/relay/test_expect_continue.py`: a stream ("invalid literal for int() with base 16: b'HTTP/1.1 100 Continue'") and a long response ("At index 2807764 diff: b'H' != b'x'").

Change: the reader puts a mark behind the requests before, and the task that responds asks for the body when it comes to it, unless the body is there by then. The interim response has the write timeout of all others, too. Whether a connection awaits its first request is told by whether one has begun.

--- a/src/cedarchute/relay/caller_connection.py
+++ b/src/cedarchute/relay/caller_connection.py
@@ -11,6 +11,7 @@
 import eventlet
 from eventlet.queue import LightQueue
 
+from cedarchute.relay.continue_expected import ContinueExpected
 from cedarchute.relay.reply_writer import CONTINUE, ReplyWriter
 from cedarchute.relay.request_error import RequestError
 from cedarchute.relay.request_reader import RequestReader
@@ -52,10 +53,9 @@
         self.sock = sock
         self.server = server
         self.reader = RequestReader(server.limits)
-        # An error is queued behind the valid requests that were received before it.
-        self.requests: LightQueue[CallerRequest | RequestError] = LightQueue()
+        # Errors and marks are queued behind the requests that were received before.
+        self.requests = LightQueue()
         self.busy = False
-        self.has_received = False
         self.is_shut_down = False
         self.is_lingering = False
         self.has_announced_close = False
@@ -81,7 +81,7 @@
     @property
     def awaits_first_request(self) -> bool:
         """Whether the connection is new and its first request is probably under way."""
-        if self.has_received:
+        if self.reader.begun_at:
             return False
         return time.monotonic() - self.opened_at < FIRST_REQUEST_SECONDS
 
@@ -131,12 +131,8 @@
                 return
             if self.is_shut_down:
                 continue
-            self.has_received = True
             self.active_at = time.monotonic()
             self.reader.feed(data)
-            if self.reader.expects_continue and self.reader.in_body:
-                self.reader.expects_continue = False
-                self.sock.sendall(CONTINUE)
             self.enqueue_ready()
 
     def compute_wait(self) -> float:
@@ -149,7 +145,7 @@
         return self.active_at + limits.idle_seconds - time.monotonic()
 
     def enqueue_ready(self) -> None:
-        """Queue the complete requests for the responding task."""
+        """Queue what was received for the responding task."""
         while self.reader.ready:
             self.requests.put(self.reader.ready.popleft())
 
@@ -167,6 +163,9 @@
             if isinstance(request, RequestError):
                 self.send_error(request)
                 return
+            if isinstance(request, ContinueExpected):
+                self.send_continue()
+                continue
             self.busy = True
             try:
                 keep_open = self.answer(request)
@@ -238,6 +237,15 @@
         """Write bytes; raise ``TimeoutError`` if the caller does not accept them."""
         send_within(self.sock, data, WRITE_TIMEOUT_SECONDS)
 
+    def send_continue(self) -> None:
+        """Tell the caller to send the body that it holds back."""
+        if not self.reader.in_body:
+            return
+        try:
+            self.send(CONTINUE)
+        except OSError:
+            self.shut_down()
+
     def send_error(self, error: RequestError) -> None:
         """Send an error response and close the sending direction."""
         try:
--- a/src/cedarchute/relay/request_reader.py
+++ b/src/cedarchute/relay/request_reader.py
@@ -9,6 +9,7 @@
 import httptools
 
 from cedarchute.relay.caller_request import CallerRequest
+from cedarchute.relay.continue_expected import ContinueExpected
 from cedarchute.relay.headers import Headers
 from cedarchute.relay.request_error import RequestError
 
@@ -32,14 +33,14 @@
     Attributes
     ----------
     begun_at : float
-        Monotonic time at which the first byte of the newest request was read.
+        Monotonic time at which the newest request began; 0 before the first one.
     """
 
     def __init__(self, read_limits: Callable[[], InputLimits]) -> None:
         self.read_limits = read_limits
         self.limits = read_limits()
         self.parser = httptools.HttpRequestParser(self)
-        self.ready: deque[CallerRequest] = deque()
+        self.ready: deque[CallerRequest | ContinueExpected] = deque()
         self.in_message = False
         self.in_body = False
         self.expects_continue = False
@@ -57,6 +58,8 @@
     def feed(self, data: bytes) -> None:
         """Parse bytes; complete requests are appended to `ready`.
 
+        So is a mark behind them if the caller waits before it sends a body.
+
         Raises
         ------
         RequestError
@@ -74,6 +77,9 @@
         if self.in_message and not self.in_body:
             self.header_bytes += len(data)
             self.check_header_bytes()
+        if self.expects_continue:
+            self.expects_continue = False
+            self.ready.append(ContinueExpected())
 
     def check_header_bytes(self) -> None:
         """Raise `RequestError` if the headers are too large."""
