Count only the bytes of a head against its size limit

What callers saw: 431, a final status, for a small request that was sent behind one with a body, on the same connection.

Cause: when a read ended within a head, all of its bytes counted as part of that head, also the body of the request before.

Evidence, without the change: `pytest tests/relay/test_readers.py`: `test_the_end_of_a_body_does_not_count_as_a_part_of_the_next_head` "request head too large".

Change: bytes that complete a request are not counted to the next head. A head is still bounded: by the bytes of each later read, and exactly once it is whole.

--- a/src/cedarchute/relay/request_reader.py
+++ b/src/cedarchute/relay/request_reader.py
@@ -34,6 +34,8 @@
     ----------
     begun_at : float
         Monotonic time at which the newest request began; 0 before the first one.
+    has_completed : bool
+        Whether the bytes that were fed last completed a request.
     """
 
     def __init__(self, read_limits: Callable[[], InputLimits]) -> None:
@@ -45,6 +47,7 @@
         self.in_body = False
         self.expects_continue = False
         self.begun_at = 0.0
+        self.has_completed = False
         self.reset()
 
     def reset(self) -> None:
@@ -65,6 +68,7 @@
         RequestError
             When a request is malformed or exceeds a limit.
         """
+        self.has_completed = False
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -74,7 +78,8 @@
             if isinstance(cause, RequestError):
                 raise cause from None
             raise RequestError(400, f"malformed request: {error}") from None
-        if self.in_message and not self.in_body:
+        # Of bytes that complete a request it is not known how many belong to the next.
+        if self.in_message and not self.in_body and not self.has_completed:
             self.header_bytes += len(data)
             self.check_header_bytes()
         if self.expects_continue:
@@ -151,4 +156,5 @@
         self.in_message = False
         self.in_body = False
         self.expects_continue = False
+        self.has_completed = True
         self.ready.append(request)
--- a/tests/relay/test_readers.py
+++ b/tests/relay/test_readers.py
@@ -161,3 +161,12 @@
     with pytest.raises(RequestError) as caught:
         RequestReader(lambda: limits).feed(data)
     assert caught.value.status == 503
+
+
+def test_the_end_of_a_body_does_not_count_as_a_part_of_the_next_head():
+    reader = RequestReader(lambda: InputLimits(header_bytes=100))
+    head = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 200\r\n\r\n"
+    request = head + b"x" * 200
+    reader.feed(request + head[:20])
+    reader.feed(request[20:])
+    assert len(reader.ready) == 2
