Send no body in response to HEAD on a route of streams

Evidence, without the change: `pytest tests/relay/test_caller_connection.py`: `test_the_answer_to_head_on_a_stream_has_no_body` finds chunks where the second response should be.

Change: the writer writes no chunk in response to HEAD.

--- a/src/cedarchute/relay/reply_writer.py
+++ b/src/cedarchute/relay/reply_writer.py
@@ -61,12 +61,17 @@
         self.closes = False
         self.status = 0
 
+    @property
+    def has_body(self) -> bool:
+        """Whether a response to the request may have a body."""
+        return self.request.method != b"HEAD"
+
     def write_whole(self, status: int, headers: Headers, body: bytes) -> None:
         """Write a response with a complete body."""
         head = self.build_head(status, headers)
         if status not in BODILESS_STATUSES:
             head += b"Content-Length: %d\r\n" % len(body)
-        if self.request.method == b"HEAD" or status in BODILESS_STATUSES:
+        if not self.has_body or status in BODILESS_STATUSES:
             body = b""
         self.started = True
         self.send(head + b"\r\n" + body)
@@ -80,13 +85,14 @@
 
     def write_part(self, part: bytes) -> None:
         """Write one chunk; skips an empty one, which would end the stream."""
-        if part:
+        if part and self.has_body:
             self.send(b"%x\r\n%s\r\n" % (len(part), part))
 
     def end_stream(self, part: bytes = b"") -> None:
         """Write `part`, if any, and the last chunk, which ends the stream."""
         chunk = b"%x\r\n%s\r\n" % (len(part), part) if part else b""
-        self.send(chunk + b"0\r\n\r\n")
+        if self.has_body:
+            self.send(chunk + b"0\r\n\r\n")
         self.finished = True
 
     def write_refusal(
--- a/tests/relay/test_caller_connection.py
+++ b/tests/relay/test_caller_connection.py
@@ -190,3 +190,21 @@
             caller.sendall(request[20:] + request[:20])
             assert caller.recv(65_536).startswith(b"HTTP/1.1 200 ")
             eventlet.sleep(0.01)  # Lets a deadline that is over take effect.
+
+
+def test_the_answer_to_head_on_a_stream_has_no_body():
+    def stream(request, writer):
+        writer.start_stream(200, Headers())
+        writer.write_part(b"one")
+        writer.end_stream(b"two")
+
+    received = b""
+    with connect(stream) as caller:
+        caller.sendall(build_request(b"/x", b"a1", method=b"HEAD"))
+        closing = b"Connection: close\r\n"
+        caller.sendall(build_request(b"/x", b"a2", headers=closing))
+        while data := caller.recv(65_536):
+            received += data
+    first, second, _ = received.split(b"\r\n\r\n", 2)
+    assert (first[:15], second[:15]) == (b"HTTP/1.1 200 OK", b"HTTP/1.1 200 OK")
+    assert received.count(b"one") == 1
