End the stop of a holder within its grace

What was at stake: a holder that is killed in the middle of its planned stop.

Cause: the stop of a holder ignored when the signal came and waited for every answer of the store; the stop of an entry does neither.

Change: the stop is a class of its own, as that of an entry. It waits for the store for as long as the grace, counted from the signal, leaves time to answer on and to end, and then goes on; the lease runs out by itself.

--- a/src/cedarchute/daemon/holder_box.py
+++ b/src/cedarchute/daemon/holder_box.py
@@ -9,9 +9,9 @@
 from typing import TYPE_CHECKING, Final
 
 import eventlet
-from eventlet.event import Event
 
 from cedarchute.clock import SystemClock
+from cedarchute.daemon.holder_stop import HolderStop
 from cedarchute.daemon.lean_start import let_modules_in
 from cedarchute.daemon.listeners import (
     load_server,
@@ -53,8 +53,6 @@
 TIDY_SECONDS: Final = 5.0
 # The journal is written anew once this much was appended: a part of a small disk.
 COMPACT_BYTES: Final = 64_000_000
-# Boxes hear within this long that a holder leaves, and others answer in its place.
-STOP_SECONDS: Final = 1.0
 
 
 class HolderBox:
@@ -120,24 +118,11 @@
         self.serve_metrics = partial(
             serve_metrics, settings.listen.metrics, metrics, file
         )
-        self.done = Event()
-        self.asked = False
+        self.stop = HolderStop(self.parts.registration, settings.stop.grace_seconds)
 
     def ask_stop(self, asked_at: float) -> None:
-        """Begin a planned stop, once."""
-        del asked_at
-        if not self.asked:
-            self.asked = True
-            eventlet.spawn_n(self.finish)
-
-    def finish(self) -> None:
-        """Answer a moment longer, then end; the disk keeps everything."""
-        log.info("Planned stop.")
-        self.parts.registration.leave()
-        eventlet.sleep(STOP_SECONDS)
-        self.parts.registration.end()
-        log.info("Stopped.")
-        self.done.send(None)
+        """Begin a planned stop, once; its grace began at `asked_at`."""
+        self.stop.ask(asked_at)
 
     def run(self) -> None:
         """Serve until a planned stop is done."""
@@ -162,7 +147,7 @@
         self.parts.start()
         start("seat", self.keeper.run_forever)
         start("programs that are over", self.tidy_forever)
-        self.done.wait()
+        self.stop.wait()
 
     def tidy_forever(self) -> None:
         """Forget programs that are over, and keep the journal short."""
