--- a/src/cedarchute/relay/request_reader.py
+++ b/src/cedarchute/relay/request_reader.py
@@ -9,10 +9,13 @@
 import httptools
 
 from cedarchute.relay.caller_request import CallerRequest
+from cedarchute.relay.continue_expected import ContinueExpected
 from cedarchute.relay.headers import Headers
 from cedarchute.relay.request_error import RequestError
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from cedarchute.relay.input_limits import InputLimits
 
 
@@ -21,15 +24,30 @@
 
     The parser rejects duplicate lengths, a length together with chunked encoding,
     folded headers and bare line feeds, which prevents request smuggling.
+
+    Parameters
+    ----------
+    read_limits : Callable
+        Returns the limits in force; those at its beginning apply to a request.
+
+    Attributes
+    ----------
+    begun_at : float
+        Monotonic time at which the newest request began; 0 before the first one.
+    has_completed : bool
+        Whether the bytes that were fed last completed a request.
     """
 
-    def __init__(self, limits: InputLimits) -> None:
-        self.limits = limits
+    def __init__(self, read_limits: Callable[[], InputLimits]) -> None:
+        self.read_limits = read_limits
+        self.limits = read_limits()
         self.parser = httptools.HttpRequestParser(self)
-        self.ready: deque[CallerRequest] = deque()
+        self.ready: deque[CallerRequest | ContinueExpected] = deque()
         self.in_message = False
         self.in_body = False
         self.expects_continue = False
+        self.begun_at = 0.0
+        self.has_completed = False
         self.reset()
 
     def reset(self) -> None:
@@ -43,11 +61,14 @@
     def feed(self, data: bytes) -> None:
         """Parse bytes; complete requests are appended to `ready`.
 
+        So is a mark behind them if the caller waits before it sends a body.
+
         Raises
         ------
         RequestError
             When a request is malformed or exceeds a limit.
         """
+        self.has_completed = False
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -57,20 +78,33 @@
             if isinstance(cause, RequestError):
                 raise cause from None
             raise RequestError(400, f"malformed request: {error}") from None
-        if self.in_message and not self.in_body:
+        # Of bytes that complete a request it is not known how many belong to the next.
+        if self.in_message and not self.in_body and not self.has_completed:
             self.header_bytes += len(data)
             self.check_header_bytes()
+        if self.expects_continue:
+            self.expects_continue = False
+            self.ready.append(ContinueExpected())
 
     def check_header_bytes(self) -> None:
         """Raise `RequestError` if the headers are too large."""
         if self.header_bytes > self.limits.header_bytes:
-            raise RequestError(431, "request head too large")
+            raise self.make_size_error(431, "request head too large")
+
+    def make_size_error(self, status: int, reason: str) -> RequestError:
+        """Return the error of a request beyond the limits.
+
+        Without a configuration the status is 503: another box may accept the request.
+        """
+        return RequestError(status if self.limits.is_configured else 503, reason)
 
     def on_message_begin(self) -> None:
         """Start a new request."""
         self.reset()
+        self.limits = self.read_limits()
         self.in_message = True
         self.in_body = False
+        self.begun_at = time.monotonic()
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the request target."""
@@ -92,7 +126,7 @@
             raise RequestError(400, "exactly one Host header is needed")
         length = headers.get(b"content-length")
         if length is not None and int(length) > self.limits.body_bytes:
-            raise RequestError(413, "request body too large")
+            raise self.make_size_error(413, "request body too large")
         expectation = headers.get_text(b"expect").lower()
         self.expects_continue = expectation == "100-continue"
 
@@ -100,7 +134,7 @@
         """Store bytes of the body; raise `RequestError` if it is too large."""
         self.body_bytes += len(body)
         if self.body_bytes > self.limits.body_bytes:
-            raise RequestError(413, "request body too large")
+            raise self.make_size_error(413, "request body too large")
         self.parts.append(body)
 
     def on_message_complete(self) -> None:
@@ -122,4 +156,5 @@
         self.in_message = False
         self.in_body = False
         self.expects_continue = False
+        self.has_completed = True
         self.ready.append(request)
--- a/tests/relay/test_caller_connection.py
+++ b/tests/relay/test_caller_connection.py
@@ -9,7 +9,7 @@
 from eventlet.green import socket
 from eventlet.patcher import original
 
-from cedarchute.relay import caller_connection
+from cedarchute.relay import caller_connection, request_reader
 from cedarchute.relay.caller_connection import CallerConnection
 from cedarchute.relay.headers import Headers
 from cedarchute.relay.input_limits import InputLimits
@@ -51,23 +51,34 @@
 class Server:
     """What a connection needs of the server of callers."""
 
-    def __init__(self, handle=None):
+    def __init__(self, handle=None, limits=InputLimits):
         self.handle = handle
-
-    def limits(self):
-        return InputLimits()
+        self.limits = limits
 
     def must_close(self):
         return False
 
+    def record_bad_request(self, error):
+        pass
+
+
+class VirtualClock:
+    """Time that passes only when a test says so."""
+
+    def __init__(self):
+        self.now = 1000.0
+
+    def monotonic(self):
+        return self.now
+
 
 @contextlib.contextmanager
-def connect(handle):
+def connect(handle, limits=InputLimits):
     """Give the caller's end of a connection whose requests `handle` gets."""
     with contextlib.closing(eventlet.listen(("127.0.0.1", 0))) as listener:
         caller = socket.create_connection(listener.getsockname())
         accepted, _ = listener.accept()
-    served = eventlet.spawn(CallerConnection(accepted, Server(handle)).run)
+    served = eventlet.spawn(CallerConnection(accepted, Server(handle, limits)).run)
     with contextlib.closing(caller), eventlet.Timeout(HANG_SECONDS):
         yield caller
     served.wait()
@@ -145,3 +156,55 @@
             received += data
     assert received.startswith(b"HTTP/1.1 200 ")
     assert not received.endswith(b"0\r\n\r\n")
+
+
+def test_a_kept_connection_takes_what_a_newer_configuration_allows():
+    limits = InputLimits(body_bytes=10)
+
+    def answer(request, writer):
+        writer.write_whole(200, Headers(), b"done")
+
+    with connect(answer, lambda: limits) as caller:
+        caller.sendall(build_request(b"/x", b"a1"))
+        assert caller.recv(65_536).startswith(b"HTTP/1.1 200 ")
+        limits = InputLimits(body_bytes=20)
+        caller.sendall(build_request(b"/x", b"a2", b"x" * 20))
+        assert caller.recv(65_536).startswith(b"HTTP/1.1 200 ")
+
+
+def test_a_request_has_its_own_time_for_its_head(monkeypatch):
+    """Also when a part of it came together with the end of the one before."""
+    clock = VirtualClock()
+    monkeypatch.setattr(caller_connection, "time", clock)
+    monkeypatch.setattr(request_reader, "time", clock)
+    limits = InputLimits(header_seconds=2 * HANG_SECONDS)
+
+    def answer(request, writer):
+        writer.write_whole(200, Headers(), b"done")
+
+    request = build_request(b"/x", b"a1")
+    with connect(answer, lambda: limits) as caller:
+        caller.sendall(request[:20])
+        for _ in range(5):
+            clock.now += 0.75 * limits.header_seconds
+            caller.sendall(request[20:] + request[:20])
+            assert caller.recv(65_536).startswith(b"HTTP/1.1 200 ")
+            eventlet.sleep(0.01)  # Lets a deadline that is over take effect.
+
+
+def test_the_answer_to_head_on_a_stream_has_no_body():
+    def stream(request, writer):
+        writer.start_stream(200, Headers())
+        writer.write_part(b"one")
+        writer.end_stream(b"two")
+
+    received = b""
+    with connect(stream) as caller:
+        caller.sendall(build_request(b"/x", b"a1", method=b"HEAD"))
+        closing = b"Connection: close\r\n"
+        caller.sendall(build_request(b"/x", b"a2", headers=closing))
+        while data := caller.recv(65_536):
+            received += data
+    first, second, _ = received.split(b"\r\n\r\n", 2)
+    assert (first[:15], second[:15]) == (b"HTTP/1.1 200 OK", b"HTTP/1.1 200 OK")
+    assert received.count(b"one") == 1
