Count a first request that crosses the close of an idle connection as the users do

Trace, of that run: the connection had been open for 1.2 to 2 s without a request; the entry was in the last phase of its planned stop and closed it as idle 8 ms before the request was sent.

--- a/src/experiments/soak/counting_caller.py
+++ b/src/experiments/soak/counting_caller.py
@@ -4,6 +4,7 @@
 
 import select
 import socket
+import time
 from typing import Final
 
 from experiments.raw_caller import RawCaller
@@ -18,12 +19,15 @@
     ----------
     requests : int
         Requests begun on this connection.
+    idle_since : float
+        Since when it carries no request, monotonic.
     """
 
     def __init__(self, address: str, seconds: float) -> None:
         super().__init__(address, seconds)
         self.address = address
         self.requests = 0
+        self.idle_since = time.monotonic()
         self.seen = b""
 
     def start_request(self) -> None:
--- a/src/experiments/soak/ending.py
+++ b/src/experiments/soak/ending.py
@@ -35,6 +35,8 @@
         Whether the close had reached the caller before it sent.
     is_direct : bool
         Whether the entry itself took the connection, not a link before it.
+    idle_seconds : float
+        How long the connection had been open without a request.
     """
 
     entry: str
@@ -45,3 +47,4 @@
     answer_bytes: int = 0
     was_closed: bool = False
     is_direct: bool = True
+    idle_seconds: float = 0.0
--- a/src/experiments/soak/planned_player.py
+++ b/src/experiments/soak/planned_player.py
@@ -198,12 +198,12 @@
 
     def kill(self, name: str) -> None:
         """End a box at once."""
-        with self.site.records.disturbed():
+        with self.site.records.disturbed(name):
             self.end_at_once([name])
 
     def lose_disk(self, name: str) -> None:
         """End a box at once and empty its disk."""
-        with self.site.records.disturbed():
+        with self.site.records.disturbed(name):
             self.end_at_once([name], wiped=name)
 
     def lose_all(self, name: str) -> None:
--- a/src/experiments/soak/program.py
+++ b/src/experiments/soak/program.py
@@ -167,6 +167,7 @@
         if caller is None:
             return None, b"", 0, None
         was_closed = caller.is_closed
+        idle_seconds = time.monotonic() - caller.idle_since
         caller.start_request()
         status, headers, body = None, {}, b""
         sent_at = None
@@ -177,7 +178,7 @@
             how = How.ANSWERED
         except (OSError, AssertionError, ValueError, IndexError) as error:
             how = tell_end(error)
-        now = time.monotonic()
+        caller.idle_since = now = time.monotonic()
         ending = Ending(
             caller.address,
             caller.requests - 1,
@@ -187,6 +188,7 @@
             len(caller.seen),
             was_closed,
             self.site.is_direct,
+            idle_seconds,
         )
         if how is not How.ANSWERED or headers.get("connection") == "close":
             self.leave()
--- a/src/experiments/soak/soak_site.py
+++ b/src/experiments/soak/soak_site.py
@@ -96,6 +96,8 @@
             self.store_links[name] = Link(self.nodes.store)
             self.nodes.start_entry(name, domain, self.store_links[name].address)
             self.caller_links[name] = Link(self.nodes.callers[name])
+            self.records.entry_names[self.nodes.callers[name]] = name
+            self.records.entry_names[self.caller_links[name].address] = name
         for service in (PLAIN, MODEL):
             for number in range(BACK_ENDS):
                 self.add_back_end(f"{service}-{number}", service)
@@ -167,6 +169,7 @@
         """Start a box again if it is not running."""
         process = self.nodes.processes[name]
         if not process.is_running:
+            self.records.contact.note_start(name)
             process.start()
 
     def wait_whole(self, seconds: float) -> None:
--- a/src/experiments/soak/supervisor.py
+++ b/src/experiments/soak/supervisor.py
@@ -85,6 +85,7 @@
             return
         del self.ended_at[name]
         self.logged[name] = process.log_path.stat().st_size
+        self.site.records.contact.note_start(name)
         process.start()
 
     def judge_end(self, name: str, process: Process) -> None:
@@ -116,6 +117,7 @@
             return
         if number == signal.SIGTERM:
             self.asked[name].add(process.starts)
+            self.site.records.contact.note_stop(name)
         if number == signal.SIGKILL:
             self.killed[name].add(process.starts)
         elif not can_be_reached(process.pid):
