Judge two more parts of LOST in the soak: requests cut, and kept turns turned away

RULES.md, LOST, parts that no check of the soak judged:

- beside whatever happens elsewhere, more than three requests that an entry in touch passed on to a sound target and whose connection it then closed without an answer (cut_requests.py).
So far any unplanned fault anywhere excused every request for 3 s; now a machine is in touch by its own faults, starts and stops, those of its links and of the store;
- a kept turn that reaches no target in five tries at entries in touch, without an unplanned fault in the 3 s before, with under half of the targets' places taken while nine tenths of first turns reach one (unserved_turns.py).
Callers try a turn six times instead of three; one try names the turn.

SIGHUP (requests sent up to ConfigApplyMs after it) and a configuration in force (an entry that then cuts three times as often) are narrower than what the check of unanswered requests already judges: it counts every single one without an unplanned fault, planned work or not.

--- a/src/experiments/node_site.py
+++ b/src/experiments/node_site.py
@@ -18,6 +18,8 @@
 PROGRAM: Final = Path(__file__).parents[2] / "deploy" / "cedarchuted.py"
 DAEMON: Final = [str(PROGRAM), "--log_format", "json"]
 SETTINGS_VARIABLE: Final = "CEDARCHUTE_SETTINGS"
+# Places of a target.
+SLOTS: Final = 8
 
 
 class NodeSite:
@@ -184,7 +186,7 @@
                     "Name": "model",
                     "HealthPath": "/healthz",
                     "MaxConns": 100,
-                    "Engine": {"Slots": 8, "KvCapacity": 1000, "ChunkTokens": 3},
+                    "Engine": {"Slots": SLOTS, "KvCapacity": 1000, "ChunkTokens": 3},
                 },
             ],
             "Limits": {
@@ -213,7 +215,7 @@
             "Address": address,
             "Zone": "a",
             "Version": "v1",
-            "Slots": 8,
+            "Slots": SLOTS,
             "State": state,
             "ColdLeftMs": 0,
             "CallSeq": 1,
--- a/src/experiments/soak/back_end.py
+++ b/src/experiments/soak/back_end.py
@@ -99,8 +99,23 @@
                 workspace,
                 time.monotonic(),
                 manner not in UNSOUND,
+                self.service == MODEL,
             )
         )
+        try:
+            self.work(request, connection, events, manner, chance)
+        finally:
+            self.records.end_run(call_id, self.name)
+
+    def work(
+        self,
+        request: RawRequest,
+        connection: socket.socket,
+        events: list[bytes],
+        manner: Manner,
+        chance: random.Random,
+    ) -> None:
+        """Do the work of one run."""
         time.sleep(chance.uniform(0.0, MOST_WORK_SECONDS))
         if manner is Manner.HANG:
             request.closed.wait(HANG_SECONDS)
@@ -110,7 +125,7 @@
         if self.service == MODEL:
             self.stream(request, connection, events, manner)
         else:
-            self.reply(request, connection, produced, manner)
+            self.reply(request, connection, b"".join(events), manner)
 
     def make_events(self, call_id: str, chance: random.Random) -> list[bytes]:
         """Return what a run makes: pieces that no other run makes."""
--- a/src/experiments/soak/program.py
+++ b/src/experiments/soak/program.py
@@ -34,6 +34,8 @@
 # A caller gives up a try after this long.
 PATIENCE_SECONDS: Final = 4.0
 TRIES: Final = 3
+# One more than the users allow a kept turn to be turned away.
+TURN_TRIES: Final = 6
 PAUSE_SECONDS: Final = 0.15
 # A program that goes on from a turn of another leaves that one's chain intact.
 BRANCH_SHARE: Final = 0.15
@@ -91,8 +93,10 @@
 
     def take_turn(self, program: str, budget: int, previous: str) -> Try | None:
         """Return the turn once it was answered; None when it was given up."""
-        for _ in range(TRIES):
-            tried = self.send(Kind.TURN, program, budget, previous)
+        turn = ""
+        for _ in range(TURN_TRIES):
+            tried = self.send(Kind.TURN, program, budget, previous, turn)
+            turn = turn or tried.id
             if tried.status == OK:
                 return tried
             if tried.status in (402, 404):
@@ -114,7 +118,12 @@
             time.sleep(PAUSE_SECONDS)
 
     def send(
-        self, kind: Kind, program: str = "", budget: int = 0, previous: str = ""
+        self,
+        kind: Kind,
+        program: str = "",
+        budget: int = 0,
+        previous: str = "",
+        turn: str = "",
     ) -> Try:
         """Send one try and record how it ended."""
         self.pause()
@@ -144,6 +153,7 @@
             key,
             sent_at,
             ending,
+            turn or call_id,
         )
         self.records.add_try(tried)
         return tried
--- a/src/experiments/soak/promises.py
+++ b/src/experiments/soak/promises.py
@@ -5,8 +5,10 @@
 from collections import Counter
 from typing import TYPE_CHECKING, Final
 
+from experiments.soak.cut_requests import check_cut
 from experiments.soak.records import Kind
 from experiments.soak.unanswered import check_unanswered
+from experiments.soak.unserved_turns import check_turns
 from experiments.soak.workspaces import (
     BURST,
     CALLS_PER_SECOND,
@@ -29,13 +31,15 @@
 NOT_RUN_STATUSES: Final = frozenset((402, 408, 421, 429, 503))
 
 
-def find_broken(records: Records, most_tokens: int) -> list[str]:
+def find_broken(records: Records, most_tokens: int, places: int) -> list[str]:
     """Return a line for each promise that was broken.
 
     Parameters
     ----------
     most_tokens : int
         The most that one turn may be handed; a program may pass its budget by that.
+    places : int
+        How many turns all targets run at a time.
     """
     return [
         *check_runs(records),
@@ -45,6 +49,8 @@
         *check_keys(records),
         *check_limit(records),
         *check_unanswered(records),
+        *check_cut(records),
+        *check_turns(records, places),
     ]
 
 
--- a/src/experiments/soak/soak_run.py
+++ b/src/experiments/soak/soak_run.py
@@ -12,7 +12,7 @@
 from experiments.soak.program import MOST_TOKENS, ProgramCaller
 from experiments.soak.promises import find_broken
 from experiments.soak.records import Kind, Try
-from experiments.soak.soak_site import SoakSite
+from experiments.soak.soak_site import TURN_PLACES, SoakSite
 from experiments.soak.unanswered import count_unanswered
 from experiments.soak.workspaces import MAIN_KEY
 from experiments.waiting import ConditionError, wait_until
@@ -74,7 +74,7 @@
             caller.thread.join()
             result.broken += caller.failures
         result.broken += player.failures
-        result.broken += find_broken(site.records, MOST_TOKENS)
+        result.broken += find_broken(site.records, MOST_TOKENS, TURN_PLACES)
         result.figures = count_unanswered(site.records) + player.figures
         result.programs = sum(program.finished for program in programs)
     finally:
--- a/src/experiments/soak/soak_site.py
+++ b/src/experiments/soak/soak_site.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING, Any, Final
 
 from cedarchute.decisions.quota_share import QuotaTolerance
-from experiments.node_site import NodeSite
+from experiments.node_site import SLOTS, NodeSite
 from experiments.soak.back_end import MODEL, PLAIN, SHARES, SOUND_SHARES, BackEnd
 from experiments.soak.link import Link
 from experiments.soak.records import Records
@@ -28,6 +28,7 @@
 DOMAINS: Final = "abc"
 ENTRIES: Final = 3
 BACK_ENDS: Final = 3
+TURN_PLACES: Final = BACK_ENDS * SLOTS
 # The line of a box's log that says that it takes signals.
 STARTED: Final = '"message": "Started."'
 # Callers of the directory try another entry after this.
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -11,6 +11,7 @@
 from experiments.soak.unanswered import Unanswered, count_unanswered
 
 MOST = 12
+PLACES = 24
 
 
 def stream(*words):
@@ -39,7 +40,7 @@
 
 
 def test_a_sound_run_breaks_nothing():
-    assert find_broken(make_records(), MOST) == []
+    assert find_broken(make_records(), MOST, PLACES) == []
 
 
 @pytest.mark.parametrize(
@@ -70,7 +71,7 @@
         records.add_run(run)
     if tried is not None:
         records.add_try(tried)
-    assert any(word in line for line in find_broken(records, MOST))
+    assert any(word in line for line in find_broken(records, MOST, PLACES))
 
 
 def test_what_is_allowed_is_not_found():
@@ -79,7 +80,7 @@
     records.add_try(Try("t4", Kind.TURN, b"z", 503, b"", "p", "t2"))
     records.add_try(Try("o2", Kind.ONCE, b"z", None, b""))
     records.add_try(Try("t5", Kind.TURN, b"", None, b"", "p", "t2", 40 + MOST - 9))
-    assert find_broken(records, MOST) == []
+    assert find_broken(records, MOST, PLACES) == []
 
 
 @pytest.mark.parametrize(("count", "is_broken"), [(34, False), (35, True)])
@@ -90,7 +91,7 @@
         run = Run(name, "s-0", b"x", b"made", "limited", 1.0 + number / 100)
         records.add_run(run)
         records.add_try(Try(name, Kind.ONCE, b"x", 200, b"made"))
-    assert bool(find_broken(records, MOST)) is is_broken
+    assert bool(find_broken(records, MOST, PLACES)) is is_broken
 
 
 def test_a_span_with_too_many_runs_tells_of_how_many_calls():
@@ -100,7 +101,7 @@
         run = Run(name, "s-0", b"x", b"made", "limited", 1.0 + number / 100)
         records.add_run(run)
         records.add_try(Try(name, Kind.AGAIN, b"x", 200, b"made"))
-    (line,) = find_broken(records, MOST)
+    (line,) = find_broken(records, MOST, PLACES)
     assert line.startswith("QUOTA 35 runs of 18 calls")
 
 
@@ -135,7 +136,7 @@
     add_unanswered(records, seconds, how, number)
     if ran:
         run_unanswered(records)
-    (line,) = find_broken(records, MOST)
+    (line,) = find_broken(records, MOST, PLACES)
     assert line.startswith("LOST u1") and str(why) in line
     assert count_unanswered(records) == {str(why): 1}
 
@@ -157,7 +158,7 @@
     stop = Touch("entry", stopped_at, stopped_at)
     records.contact.stops += [stop, Touch("other", SENT - 1, SENT - 1)]
     add_unanswered(records, 0.01, number=0, idle_seconds=idle_seconds)
-    assert bool(find_broken(records, MOST)) is is_broken
+    assert bool(find_broken(records, MOST, PLACES)) is is_broken
 
 
 def test_a_first_request_that_ran_did_not_cross_a_close():
@@ -165,7 +166,7 @@
     records.contact.stops.append(Touch("entry", SENT - 1, SENT - 1))
     add_unanswered(records, 0.01, number=0, idle_seconds=3.0)
     run_unanswered(records)
-    (line,) = find_broken(records, MOST)
+    (line,) = find_broken(records, MOST, PLACES)
     assert str(Unanswered.AFTER_RUN) in line
 
 
@@ -173,7 +174,7 @@
     records = make_records()
     add_unanswered(records, 0.05, answer_bytes=40)
     run_unanswered(records)
-    (line,) = find_broken(records, MOST)
+    (line,) = find_broken(records, MOST, PLACES)
     assert "40 bytes of an answer" in line
 
 
@@ -192,7 +193,7 @@
 def test_a_request_that_is_not_judged_is_counted(seconds, how, more, why):
     records = make_records()
     add_unanswered(records, seconds, how, **more)
-    assert find_broken(records, MOST) == []
+    assert find_broken(records, MOST, PLACES) == []
     assert count_unanswered(records) == {str(why): 1}
 
 
@@ -200,7 +201,7 @@
     records = make_records()
     add_unanswered(records, 0.5)
     run_unanswered(records, is_sound=False)
-    assert find_broken(records, MOST) == []
+    assert find_broken(records, MOST, PLACES) == []
     assert count_unanswered(records) == {str(Unanswered.TARGET): 1}
 
 
@@ -218,7 +219,7 @@
     records = make_records()
     records.disturbances[0] = (began, ended)
     add_unanswered(records, 0.5)
-    assert bool(find_broken(records, MOST)) is is_broken
+    assert bool(find_broken(records, MOST, PLACES)) is is_broken
     assert bool(count_unanswered(records)[Unanswered.DISTURBED]) is not is_broken
 
 
