--- a/src/experiments/soak/contact.py
+++ b/src/experiments/soak/contact.py
@@ -15,6 +15,8 @@
 CONTACT_SECONDS: Final = 3.0
 # Of what is done to the store, or to all boxes at once.
 EVERYTHING: Final = ""
+# The users' bound on a planned stop, and the second behind it that they judge as well.
+STOP_SECONDS: Final = 9.0
 NEVER: Final = float("inf")
 
 
@@ -83,9 +85,9 @@
             for touch in list(self.touches)
         )
 
-    def was_stopping(self, name: str, at: float, seconds: float) -> bool:
-        """Whether a box had been asked to stop within some time before."""
+    def was_stopping(self, name: str, at: float) -> bool:
+        """Whether a box was in a planned stop."""
         return any(
-            stop.name == name and at - seconds <= stop.began <= at
+            stop.name == name and at - STOP_SECONDS <= stop.began <= at
             for stop in list(self.stops)
         )
--- a/src/experiments/soak/program.py
+++ b/src/experiments/soak/program.py
@@ -63,15 +63,18 @@
         self.thread = threading.Thread(target=self.run, daemon=True)
 
     def run(self) -> None:
-        """Run programs until told to stop; what ends it sooner is a failure."""
+        """Work until it is done; what ends it sooner is a failure."""
         try:
-            while self.going:
-                if self.run_program():
-                    self.finished += 1
+            self.work()
         except Exception as error:  # Reported with the run.
             self.failures.append(f"CALLER {self.name} stopped: {error!r}")
-        if self.caller is not None:
-            self.caller.sock.close()
+        self.leave()
+
+    def work(self) -> None:
+        """Run programs until told to stop."""
+        while self.going:
+            if self.run_program():
+                self.finished += 1
 
     def run_program(self) -> bool:
         """Run one program; return whether all of its turns were answered."""
--- a/src/experiments/soak/unanswered.py
+++ b/src/experiments/soak/unanswered.py
@@ -20,8 +20,6 @@
 # The users' bound on the time from the last byte of a request within which it may cross
 # a close.
 CROSSING_SECONDS: Final = 0.2
-# The users' bound on a planned stop, and the second behind it that they judge as well.
-STOP_SECONDS: Final = 9.0
 # Of the site's routes.
 TIMEOUT_SECONDS: Final = 3.0
 
@@ -114,7 +112,7 @@
     if ending.idle_seconds <= CROSSING_SECONDS:
         return False
     entry = records.entry_names.get(ending.entry, "")
-    return records.contact.was_stopping(entry, sent_at, STOP_SECONDS)
+    return records.contact.was_stopping(entry, sent_at)
 
 
 def describe(
--- a/tests/soak/test_lost_requests.py
+++ b/tests/soak/test_lost_requests.py
@@ -128,6 +128,15 @@
     assert list(check_turns(records, 20)) == []
 
 
+def test_turns_that_a_stopping_entry_turns_away_are_not_found():
+    records = make_records()
+    add_turns(records, 5)
+    records.contact.stops.append(Touch("other", SENT - 4, SENT - 4))
+    assert list(check_turns(records, PLACES))
+    records.contact.stops.append(Touch("entry", SENT - 4, SENT - 4))
+    assert list(check_turns(records, PLACES)) == []
+
+
 def test_turns_beside_an_unplanned_fault_are_not_found():
     records = make_records()
     add_turns(records, 5)
