Judge that callers are served again by their answers, not by the machine's speed

Trace: every box was back; in the 26 s before the failure c0 got 34 answers of 200, one 429 and two 401 (a key taken away), each after 0.05 to 2.9 s: the turns and tools of c0p10 to c0p14.

Hypotheses that the trace rules out: a caller stuck on a sender that stands still (no pause between its calls was longer than the call before it); a store or holder that is not back.

Change: the 20 s hold for the next answered turn of a caller. A caller that stands still, is turned away or dies is found as before.

--- a/src/experiments/soak/program.py
+++ b/src/experiments/soak/program.py
@@ -58,6 +58,7 @@
         self.count = 0
         self.programs = 0
         self.finished = 0
+        self.answered_turns = 0
         self.going = True
         self.failures: list[str] = []
         self.thread = threading.Thread(target=self.run, daemon=True)
@@ -101,6 +102,7 @@
             tried = self.send(Kind.TURN, program, budget, previous, turn)
             turn = turn or tried.id
             if tried.status == OK:
+                self.answered_turns += 1
                 return tried
             if tried.status in (402, 404):
                 return None
