--- a/src/experiments/soak/soak_site.py
+++ b/src/experiments/soak/soak_site.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING, Any, Final
 
 from cedarchute.decisions.quota_share import QuotaTolerance
-from experiments.node_site import NodeSite
+from experiments.node_site import SLOTS, NodeSite
 from experiments.soak.back_end import MODEL, PLAIN, SHARES, SOUND_SHARES, BackEnd
 from experiments.soak.link import Link
 from experiments.soak.records import Records
@@ -28,6 +28,7 @@
 DOMAINS: Final = "abc"
 ENTRIES: Final = 3
 BACK_ENDS: Final = 3
+TURN_PLACES: Final = BACK_ENDS * SLOTS
 # The line of a box's log that says that it takes signals.
 STARTED: Final = '"message": "Started."'
 # Callers of the directory try another entry after this.
@@ -96,6 +97,8 @@
             self.store_links[name] = Link(self.nodes.store)
             self.nodes.start_entry(name, domain, self.store_links[name].address)
             self.caller_links[name] = Link(self.nodes.callers[name])
+            self.records.entry_names[self.nodes.callers[name]] = name
+            self.records.entry_names[self.caller_links[name].address] = name
         for service in (PLAIN, MODEL):
             for number in range(BACK_ENDS):
                 self.add_back_end(f"{service}-{number}", service)
@@ -167,6 +170,7 @@
         """Start a box again if it is not running."""
         process = self.nodes.processes[name]
         if not process.is_running:
+            self.records.contact.note_start(name)
             process.start()
 
     def wait_whole(self, seconds: float) -> None:
