Give the seat of a holder that is gone to its successor before its lease runs out

Callers saw 404 of a kept turn: a holder is killed for good, its successor starts, and the next disk is lost once the successor has run for CatchUpS (4.3 s), when the removed machine counts as lost no more. Cause: a box without a seat counted a holder as absent only by its missing entry in the directory. That of a killed holder stays until its lease of 5.4 s has run out, and 2.5 s of absence follow. A disk that was lost in between was filled without the records of either. The test was red on: 'assert 404 in (200, 503)'. Change: a box that starts with a new disk asks the holders with a seat in its first seconds, and counts one that gives no answer for 2 s as gone. That is about half of the time that it has; a box that joined long ago, or starts with a known disk, waits for the directory as before. Since the seat then moves within the time in which no other disk is lost, the other holders still have all records. The absence of holders is a class of its own now; the tests of the seat manager build it, and their checks are as they were.

--- a/src/cedarchute/daemon/holder_box.py
+++ b/src/cedarchute/daemon/holder_box.py
@@ -27,6 +27,7 @@
 from cedarchute.platform.keys import RETIRE
 from cedarchute.platform.retirements import Retirements
 from cedarchute.supervisor import Supervisor
+from cedarchute.turns.absent_holders import AbsentHolders
 from cedarchute.turns.catch_up import CatchUp
 from cedarchute.turns.disk_identity import DiskIdentity
 from cedarchute.turns.durable_file import make_folder
@@ -110,7 +111,7 @@
             self.parts.directory,
             retirements,
             Evacuation(client, self.book, seats),
-            client,
+            AbsentHolders(self.parts.directory, client, is_joining=not is_restarted),
         )
         self.expiry = Expiry(client, self.book, seats, identity.disk)
         self.listener = open_listener(settings.peers, f"{file}: [box] peer_port")
--- /dev/null
+++ b/src/cedarchute/turns/absent_holders.py
@@ -0,0 +1,113 @@
+"""Finds holders that have a seat and are gone."""
+
+from __future__ import annotations
+
+import logging
+import time
+from typing import TYPE_CHECKING, Final
+
+import urllib3
+
+from cedarchute.fleet.box_entry import Role
+from cedarchute.turns.holder_client import (
+    HolderRefusedError,
+    HolderUnavailableError,
+)
+from cedarchute.turns.messages import Account, ReadAccount
+
+if TYPE_CHECKING:
+    from cedarchute.fleet.box_directory import BoxDirectory
+    from cedarchute.turns.holder_client import HolderClient
+    from cedarchute.turns.seat import Seat
+    from cedarchute.turns.seat_table import SeatTable
+
+log = logging.getLogger("cedarchute.turns")
+
+# A holder without a directory entry for this long is not just restarting.
+ABSENT_TIMEOUT_SECONDS: Final = 2.5
+# The same for one that a joining box finds unreachable: about half of the time that a
+# successor has until another disk may be lost; the rest is for its start and the copy.
+JOINING_TIMEOUT_SECONDS: Final = 2.0
+# A box whose predecessor is gone finds it unreachable within this.
+JOINING_SECONDS: Final = 10.0
+PROBE_TIMEOUT: Final = urllib3.Timeout(connect=0.5, read=0.5)
+
+
+class AbsentHolders:
+    """Tracks since when holders with a seat are absent.
+
+    A holder is absent if the directory has no entry of it. A box that has just joined
+    most likely replaces one that is gone; it asks the holders instead of waiting until
+    the lease of the other has run out.
+
+    Parameters
+    ----------
+    is_joining : bool
+        Whether this box starts with a new disk.
+    """
+
+    def __init__(
+        self, directory: BoxDirectory, client: HolderClient, is_joining: bool = False
+    ) -> None:
+        self.directory = directory
+        self.client = client
+        self.is_joining = is_joining
+        self.joined_at: float | None = None
+        self.since: dict[str, float] = {}
+
+    def find_gone(self, table: SeatTable) -> int | None:
+        """Return the seat of a holder that is gone, the one absent longest first.
+
+        A directory entry can be missing although the holder is up, so the holder is
+        asked before its seat is taken.
+        """
+        now = time.monotonic()
+        is_probing = self.is_within_joining(now)
+        self.update(table, is_probing)
+        timeout = JOINING_TIMEOUT_SECONDS if is_probing else ABSENT_TIMEOUT_SECONDS
+        for box, since in sorted(self.since.items(), key=lambda item: item[1]):
+            number = table.find_box(box)
+            if now - since < timeout or number is None:
+                continue
+            seat = table.seats[number]
+            if self.is_unreachable(seat, is_probing):
+                log.info("Holder is unreachable.", extra={"box": seat.box})
+                return number
+            self.since[box] = now
+        return None
+
+    def is_within_joining(self, now: float) -> bool:
+        """Whether this box has joined a moment ago."""
+        if not self.is_joining:
+            return False
+        self.joined_at = self.joined_at or now
+        return now - self.joined_at < JOINING_SECONDS
+
+    def update(self, table: SeatTable, is_probing: bool = False) -> None:
+        """Update since when each holder with a seat is absent."""
+        now = time.monotonic()
+        seats = {seat.box: seat for seat in table.seats if not seat.is_vacant}
+        absent = seats.keys() - {
+            box.name for box in self.directory.list_boxes(Role.HOLDER)
+        }
+        if is_probing:
+            probes = {
+                box: self.is_unreachable(seat, True) for box, seat in seats.items()
+            }
+            absent |= {box for box, is_unreachable in probes.items() if is_unreachable}
+        for box in self.since.keys() - absent:
+            del self.since[box]
+        for box in absent:
+            self.since.setdefault(box, now)
+
+    def is_unreachable(self, seat: Seat, is_probing: bool) -> bool:
+        """Return whether a holder gives no answer at all, not even a rejection."""
+        message = ReadAccount(table_version=0, disk=seat.disk, program="")
+        timeout = PROBE_TIMEOUT if is_probing else None
+        try:
+            self.client.ask(seat.address, "/turns/account", message, Account, timeout)
+        except HolderRefusedError:
+            return False
+        except HolderUnavailableError:
+            return True
+        return False
--- a/src/cedarchute/turns/seat_manager.py
+++ b/src/cedarchute/turns/seat_manager.py
@@ -13,11 +13,6 @@
 from cedarchute.fleet.box_entry import Role
 from cedarchute.platform.store_client import StoreUnavailableError
 from cedarchute.turns.holder import HolderError
-from cedarchute.turns.holder_client import (
-    HolderRefusedError,
-    HolderUnavailableError,
-)
-from cedarchute.turns.messages import Account, ReadAccount
 from cedarchute.turns.seat_table import EMPTY_TABLE, SeatTable
 from cedarchute.turns.seat_table_writer import SeatTableWriter
 
@@ -27,12 +22,12 @@
     from cedarchute.fleet.box_directory import BoxDirectory
     from cedarchute.platform.retirements import Retirements
     from cedarchute.platform.store_client import StoreClient
+    from cedarchute.turns.absent_holders import AbsentHolders
     from cedarchute.turns.active_seat_table import ActiveSeatTable
     from cedarchute.turns.catch_up import CatchUp
     from cedarchute.turns.disk_identity import DiskIdentity
     from cedarchute.turns.evacuation import Evacuation
     from cedarchute.turns.holder import Holder
-    from cedarchute.turns.holder_client import HolderClient
     from cedarchute.turns.seat import Seat
 
 log = logging.getLogger("cedarchute.turns")
@@ -49,8 +44,6 @@
 # Spreads the table writes of the holders of a new system, which would otherwise
 # conflict with each other.
 JITTER_SECONDS: Final = 1.0
-# A holder without a directory entry for this long is not just restarting.
-ABSENT_TIMEOUT_SECONDS: Final = 2.5
 # How long a retiring holder waits for a spare to take over its seat.
 SUCCESSOR_WAIT_SECONDS: Final = 2.0
 
@@ -71,7 +64,7 @@
         directory: BoxDirectory,
         retirements: Retirements,
         evacuation: Evacuation,
-        client: HolderClient,
+        absent_holders: AbsentHolders,
     ) -> None:
         self.write_table = SeatTableWriter(store, seats).write
         self.seats = seats
@@ -84,9 +77,8 @@
         self.directory = directory
         self.retirements = retirements
         self.evacuation = evacuation
-        self.client = client
+        self.absent_holders = absent_holders
         self.join_at = 0.0
-        self.absent_since: dict[str, float] = {}
         self.opened_at: float | None = None
         self.retiring_since: float | None = None
         self.retired = False
@@ -211,49 +203,11 @@
         return len(table.seats) > self.losses and not self.has_spare_holder(table)
 
     def find_free_seat(self, table: SeatTable) -> int | None:
-        """Return a seat that is vacant or whose holder is retiring or gone.
-
-        A directory entry can be missing although the holder is up, so the holder is
-        asked before its seat is taken. The one absent longest is checked first.
-        """
+        """Return a seat that is vacant or whose holder is retiring or gone."""
         for number, seat in enumerate(table.seats):
             if seat.is_vacant or seat.box in self.retirements.asked:
                 return number
-        self.update_absent(table)
-        now = time.monotonic()
-        for box, since in sorted(self.absent_since.items(), key=lambda item: item[1]):
-            number = table.find_box(box)
-            if now - since < ABSENT_TIMEOUT_SECONDS or number is None:
-                continue
-            if self.is_unreachable(table.seats[number]):
-                return number
-            self.absent_since[box] = now
-        return None
-
-    def update_absent(self, table: SeatTable) -> None:
-        """Update since when each box with a seat has had no directory entry."""
-        present = {box.name for box in self.directory.list_boxes(Role.HOLDER)}
-        seated = {seat.box for seat in table.seats}
-        now = time.monotonic()
-        for box in list(self.absent_since):
-            if box in present or box not in seated:
-                del self.absent_since[box]
-        for box in seated - present:
-            self.absent_since.setdefault(box, now)
-
-    def is_unreachable(self, seat: Seat) -> bool:
-        """Return whether a holder gives no answer at all, not even a rejection."""
-        message = ReadAccount(table_version=0, disk=seat.disk, program="")
-        try:
-            self.client.ask(seat.address, "/turns/account", message, Account)
-        except HolderRefusedError:
-            return False
-        except HolderUnavailableError as error:
-            log.info(
-                "Holder is unreachable.", extra={"box": seat.box, "why": str(error)}
-            )
-            return True
-        return False
+        return self.absent_holders.find_gone(table)
 
     def retire(self, table: SeatTable) -> None:
         """Release the seat, then copy all records to the other holders."""
--- a/tests/platform_site/test_turns_across_losses.py
+++ b/tests/platform_site/test_turns_across_losses.py
@@ -8,7 +8,7 @@
 from conftest_nodes import wait_known
 from turn_callers import say, take_turn
 
-from cedarchute.turns.seat_manager import ABSENT_TIMEOUT_SECONDS
+from cedarchute.turns.absent_holders import ABSENT_TIMEOUT_SECONDS
 from experiments.waiting import wait_until
 from standins.raw_target import RawTarget
 
--- a/tests/turns/seat_site.py
+++ b/tests/turns/seat_site.py
@@ -11,6 +11,7 @@
 from cedarchute.fleet.followers import read_seats
 from cedarchute.metrics import Metrics
 from cedarchute.platform.store_entry import StoreEntry, SwapResult
+from cedarchute.turns.absent_holders import AbsentHolders
 from cedarchute.turns.active_seat_table import ActiveSeatTable
 from cedarchute.turns.catch_up import CatchUp
 from cedarchute.turns.disk_identity import DiskIdentity
@@ -81,7 +82,7 @@
             site.directory,
             site.retirements,
             Evacuation(site, self.storage, self.seats),
-            site,
+            AbsentHolders(site.directory, site),
         )
 
 
@@ -155,7 +156,7 @@
             names
         )
 
-    def ask(self, address, path, message, answer):
+    def ask(self, address, path, message, answer, timeout=None):
         """Carry a message as `HolderClient` does."""
         names = {a: name for name, a in self.addresses.items()}
         if names[address] not in self.boxes:
--- /dev/null
+++ b/tests/turns/test_absent_holders.py
@@ -0,0 +1,92 @@
+"""When a holder with a seat counts as gone."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+
+import pytest
+
+from cedarchute.fleet.box_directory import BoxDirectory
+from cedarchute.fleet.box_entry import BoxEntry, Role
+from cedarchute.turns import absent_holders
+from cedarchute.turns.absent_holders import (
+    ABSENT_TIMEOUT_SECONDS,
+    JOINING_SECONDS,
+    JOINING_TIMEOUT_SECONDS,
+    AbsentHolders,
+)
+from cedarchute.turns.holder_client import HolderRefusedError, HolderUnavailableError
+from cedarchute.turns.messages import Refused
+from cedarchute.turns.seat import Seat
+from cedarchute.turns.seat_table import SeatTable
+
+BOXES = ("a", "b", "c")
+TABLE = SeatTable(
+    4, True, 1, tuple(Seat(box, box, f"disk-{box}", "a") for box in BOXES)
+)
+
+
+class Holders:
+    """All are registered; those that are alive answer."""
+
+    def __init__(self):
+        self.alive = set(BOXES)
+        self.asked = 0
+        self.directory = BoxDirectory()
+        for box in BOXES:
+            self.directory.put(BoxEntry(box, Role.HOLDER, "a", "region", "", box))
+
+    def ask(self, address, path, message, answer, timeout=None):
+        self.asked += 1
+        if address in self.alive:
+            raise HolderRefusedError(Refused("another table"))
+        raise HolderUnavailableError(address)
+
+
+@pytest.fixture
+def clock(monkeypatch):
+    clock = SimpleNamespace(now=100.0)
+    monkeypatch.setattr(absent_holders.time, "monotonic", lambda: clock.now)
+    return clock
+
+
+@pytest.fixture
+def holders():
+    return Holders()
+
+
+def test_a_joining_box_does_not_wait_for_the_lease_of_a_holder_that_is_gone(
+    clock, holders
+):
+    absent = AbsentHolders(holders.directory, holders, is_joining=True)
+    holders.alive.remove("b")
+    assert absent.find_gone(TABLE) is None
+    clock.now += JOINING_TIMEOUT_SECONDS
+    assert absent.find_gone(TABLE) == 1
+
+
+def test_a_holder_that_answers_a_joining_box_again_keeps_its_seat(clock, holders):
+    absent = AbsentHolders(holders.directory, holders, is_joining=True)
+    holders.alive.remove("b")
+    assert absent.find_gone(TABLE) is None
+    holders.alive.add("b")
+    clock.now += JOINING_TIMEOUT_SECONDS / 2
+    assert absent.find_gone(TABLE) is None
+    holders.alive.remove("b")
+    clock.now += JOINING_TIMEOUT_SECONDS / 2
+    assert absent.find_gone(TABLE) is None
+
+
+@pytest.mark.parametrize("is_joining", [True, False])
+def test_a_box_that_joined_long_ago_asks_no_registered_holder(
+    clock, holders, is_joining
+):
+    absent = AbsentHolders(holders.directory, holders, is_joining)
+    absent.find_gone(TABLE)
+    clock.now += JOINING_SECONDS
+    asked = holders.asked
+    holders.alive.remove("b")
+    assert absent.find_gone(TABLE) is None
+    clock.now += ABSENT_TIMEOUT_SECONDS
+    assert absent.find_gone(TABLE) is None
+    assert holders.asked == asked
--- a/tests/turns/test_seat_manager.py
+++ b/tests/turns/test_seat_manager.py
@@ -7,6 +7,7 @@
 from cedarchute.fleet.box_directory import BoxDirectory
 from cedarchute.fleet.box_entry import BoxEntry, Role
 from cedarchute.turns import seat_manager
+from cedarchute.turns.absent_holders import ABSENT_TIMEOUT_SECONDS, AbsentHolders
 from cedarchute.turns.active_seat_table import ActiveSeatTable
 from cedarchute.turns.disk_identity import DiskIdentity
 from cedarchute.turns.holder_client import HolderRefusedError, HolderUnavailableError
@@ -22,7 +23,7 @@
     def __init__(self, alive):
         self.alive = alive
 
-    def ask(self, address, path, message, answer):
+    def ask(self, address, path, message, answer, timeout=None):
         if address in self.alive:
             raise HolderRefusedError(Refused("another table"))
         raise HolderUnavailableError(address)
@@ -57,7 +58,7 @@
         directory=directory,
         retirements=SimpleNamespace(asked=set(asked)),
         evacuation=None,
-        client=ScriptedClient(alive),
+        absent_holders=AbsentHolders(directory, ScriptedClient(alive)),
     )
     return manager, table
 
@@ -79,24 +80,24 @@
 def test_a_holder_that_lost_its_entry_but_answers_keeps_its_seat(clock):
     manager, table = make_manager(("a",), ("b",))
     assert manager.find_free_seat(table) is None
-    clock.now += seat_manager.ABSENT_TIMEOUT_SECONDS + 1
+    clock.now += ABSENT_TIMEOUT_SECONDS + 1
     assert manager.find_free_seat(table) == 2
 
 
 def test_a_restart_is_waited_for(clock):
     manager, table = make_manager(("a", "b"), ())
     assert manager.find_free_seat(table) is None
-    clock.now += seat_manager.ABSENT_TIMEOUT_SECONDS / 2
+    clock.now += ABSENT_TIMEOUT_SECONDS / 2
     assert manager.find_free_seat(table) is None
 
 
 def test_the_first_that_went_is_replaced_first(clock):
     manager, table = make_manager(("a", "b"), ())
-    manager.update_absent(table)
+    manager.absent_holders.update(table)
     clock.now += 1
     manager.directory.known.drop("a")
-    manager.update_absent(table)
-    clock.now += seat_manager.ABSENT_TIMEOUT_SECONDS + 1
+    manager.absent_holders.update(table)
+    clock.now += ABSENT_TIMEOUT_SECONDS + 1
     assert manager.find_free_seat(table) == 2
 
 
@@ -201,7 +202,7 @@
     manager.write_table = lambda new: manager.seats.update(new, "test")
     manager.catch_up = SimpleNamespace(run_once=lambda number: False)
     manager.step()
-    clock.now += seat_manager.ABSENT_TIMEOUT_SECONDS + 1
+    clock.now += ABSENT_TIMEOUT_SECONDS + 1
     manager.step()
     assert manager.seats.table.find_disk("disk-new") == 1
     manager.step()
