Poll slowly in a restarted holder that has no seat

Cause: a restarted holder with a complete disk looks every 20 ms until it serves, to serve again at once. One without a seat, a spare or one being emptied, never serves, so it does so for good. Change: only a holder whose disk has a seat, or that hasn't read the table yet, looks that often. The new test fails on the code before, which has no such distinction.

--- a/src/cedarchute/turns/seat_manager.py
+++ b/src/cedarchute/turns/seat_manager.py
@@ -96,8 +96,15 @@
                     "Store unavailable; seat not changed.",
                     extra={"why": str(error)},
                 )
-            ready = self.holder.caught_up or not self.identity.complete
-            eventlet.sleep(POLL_SECONDS if ready else STARTUP_POLL_SECONDS)
+            is_starting = self.is_starting()
+            eventlet.sleep(STARTUP_POLL_SECONDS if is_starting else POLL_SECONDS)
+
+    def is_starting(self) -> bool:
+        """Whether this holder has a seat and only has to read the table to serve."""
+        if self.holder.caught_up or not self.identity.complete:
+            return False
+        table = self.seats.table
+        return table.version == 0 or table.find_disk(self.own_seat.disk) is not None
 
     def step(self) -> None:
         """Run the next transition of this holder, if any."""
--- a/tests/turns/test_seat_manager.py
+++ b/tests/turns/test_seat_manager.py
@@ -209,3 +209,12 @@
     assert not manager.holder.caught_up
     assert not manager.holder.is_disk_complete
     assert not DiskIdentity.load(tmp_path).complete
+
+
+def test_a_restarted_holder_without_a_seat_does_not_poll_as_if_it_were_starting():
+    manager, table = make_manager(("a", "b", "c"), ())
+    manager.identity = SimpleNamespace(complete=True)
+    assert not manager.is_starting()
+    own = table.seats[1]
+    manager.own_seat = own
+    assert manager.is_starting()
