Take no seat with a joining box that reaches too few holders

By reading, in the merge: a box that joins behind a cut finds every holder unreachable and takes the seat of one that serves, though it could not fill it, so programs have one complete holder less until the cut heals. Now it only counts holders as gone that are no more than the losses allow. Red before: test_a_joining_box_that_is_cut_off_takes_no_seat (assert 0 is None). The stateful test of seats wires the joining box as the daemon does.

--- a/src/cedarchute/turns/absent_holders.py
+++ b/src/cedarchute/turns/absent_holders.py
@@ -91,10 +91,11 @@
             box.name for box in self.directory.list_boxes(Role.HOLDER)
         }
         if is_probing:
-            probes = {
-                box: self.is_unreachable(seat, True) for box, seat in seats.items()
+            silent = {
+                box for box, seat in seats.items() if self.is_unreachable(seat, True)
             }
-            absent |= {box for box, is_unreachable in probes.items() if is_unreachable}
+            # With more of them silent this box is cut off, and could not fill a seat.
+            absent |= silent if len(silent) <= table.losses else set()
         for box in self.since.keys() - absent:
             del self.since[box]
         for box in absent:
--- a/tests/stateful/seat_box.py
+++ b/tests/stateful/seat_box.py
@@ -15,6 +15,7 @@
 from cedarchute.platform.retirements import Retirements
 from cedarchute.platform.store_client import StoreUnavailableError
 from cedarchute.turns import seat_manager
+from cedarchute.turns.absent_holders import AbsentHolders
 from cedarchute.turns.active_seat_table import ActiveSeatTable
 from cedarchute.turns.catch_up import CatchUp
 from cedarchute.turns.disk_identity import DiskIdentity
@@ -93,6 +94,7 @@
     def __init__(self, world, box):
         self.name = box.name
         self.is_running = True
+        is_joining = not DiskIdentity.is_stored(box.folder)
         identity = DiskIdentity.load(box.folder)
         self.disk = identity.disk
         storage = TurnStorage(DirectWriter(self, TurnJournal(box.folder)))
@@ -119,7 +121,7 @@
             self.directory,
             self.retirements,
             Evacuation(client, storage, self.seats),
-            client,
+            AbsentHolders(self.directory, client, is_joining),
         )
         share = zlib.crc32(box.name.encode()) / 2**32
         self.manager.join_at = world.clock.now + share * seat_manager.JITTER_SECONDS
--- a/tests/turns/test_absent_holders.py
+++ b/tests/turns/test_absent_holders.py
@@ -65,6 +65,14 @@
     assert absent.find_gone(TABLE) == 1
 
 
+def test_a_joining_box_that_is_cut_off_takes_no_seat(clock, holders):
+    absent = AbsentHolders(holders.directory, holders, is_joining=True)
+    holders.alive = {"c"}
+    assert absent.find_gone(TABLE) is None
+    clock.now += JOINING_TIMEOUT_SECONDS
+    assert absent.find_gone(TABLE) is None
+
+
 def test_a_holder_that_answers_a_joining_box_again_keeps_its_seat(clock, holders):
     absent = AbsentHolders(holders.directory, holders, is_joining=True)
     holders.alive.remove("b")
