--- a/tests/stateful/test_seat_machine.py
+++ b/tests/stateful/test_seat_machine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import sys
+from functools import partial
 
 from hypothesis import HealthCheck, Phase, settings
 from hypothesis import strategies as st
@@ -16,13 +17,15 @@
 from seat_turns import BUDGET, KEEP_SECONDS, SeatTurns
 from seat_world import SeatWorld
 
-PROGRAMS = ("p", "q", "r")
+PROGRAMS = st.sampled_from(("p", "q", "r"))
 MAX_BOXES = 10
 SHORT_KEEP_SECONDS = 60.0
 # Shorter and longer than that, with the time that holders add to it.
 PASSING_SECONDS = st.sampled_from([40.0, 70.0])
 ENTRIES = st.integers(0, 1)
 INDEXES = st.integers(0, 9)
+POINTS = st.integers(0, 14)
+ROUNDS = st.integers(0, 14)
 SIZES = st.sampled_from([(1, 3), (1, 3), (1, 4), (2, 5), (2, 7), (2, 3), (1, 2)])
 
 
@@ -74,11 +77,11 @@
 
     # Time, news and steps.
 
-    @rule(rounds=st.integers(1, 14))
+    @rule(rounds=ROUNDS)
     def run_all(self, rounds):
         self.world.run_rounds(rounds)
 
-    @rule(index=INDEXES, rounds=st.integers(1, 14))
+    @rule(index=INDEXES, rounds=ROUNDS)
     def run_one(self, index, rounds):
         self.world.run_rounds(rounds, [self.pick(index)])
 
@@ -86,43 +89,32 @@
     def step(self, index, hears):
         self.world.step(self.pick(index), hears)
 
-    @rule(index=INDEXES, points=st.integers(0, 14), hears=st.booleans())
+    @rule(index=INDEXES, points=POINTS, hears=st.booleans())
     def step_and_stop(self, index, points, hears):
         box = self.pick(index)
         self.world.set_trap(box.name, points, box.kill)
         self.world.step(box, hears)
 
-    @rule(index=INDEXES, points=st.integers(0, 14), other=INDEXES, hears=st.booleans())
-    def step_while_another_steps(self, index, points, other, hears):
+    @rule(index=INDEXES, points=POINTS, other=INDEXES, stops=st.booleans())
+    def step_while_another_steps_or_stops(self, index, points, other, stops):
         box, second = self.pick(index), self.pick(other)
-
-        def step():
-            self.world.step(second, hears)
-
-        self.world.set_trap(box.name, points, step)
-        self.world.step(box)
-
-    @rule(index=INDEXES, points=st.integers(0, 14), other=INDEXES)
-    def step_while_another_stops(self, index, points, other):
-        box, second = self.pick(index), self.pick(other)
-        self.world.set_trap(box.name, points, second.kill)
+        action = second.kill if stops else partial(self.world.step, second)
+        self.world.set_trap(box.name, points, action)
         self.world.step(box)
 
-    @rule(
-        index=INDEXES,
-        points=st.integers(0, 14),
-        entry=ENTRIES,
-        program=st.sampled_from(PROGRAMS),
-    )
+    @rule(index=INDEXES, points=POINTS, entry=ENTRIES, program=PROGRAMS)
     def step_while_a_turn_is_taken(self, index, points, entry, program):
         box = self.pick(index)
-
-        def take():
-            self.turns.take(entry, self.name_program(program))
-
+        take = partial(self.turns.take, entry, self.name_program(program))
         self.world.set_trap(box.name, points, take)
         self.world.step(box)
 
+    @rule(entry=ENTRIES, program=PROGRAMS, points=POINTS, rounds=ROUNDS)
+    def take_a_turn_while_boxes_step(self, entry, program, points, rounds):
+        action = partial(self.world.run_rounds, rounds)
+        self.world.set_trap(f"entry-{entry}", points, action)
+        self.turns.take(entry, self.name_program(program))
+
     @rule(index=INDEXES, table=st.integers(0, 30))
     def hear_an_old_table(self, index, table):
         self.world.hear_old(self.pick(index), table)
@@ -142,12 +134,12 @@
 
     # Faults.
 
-    @rule(index=INDEXES, rounds=st.integers(0, 14))
+    @rule(index=INDEXES, rounds=ROUNDS)
     def kill(self, index, rounds):
         self.world.kill(self.pick(index))
         self.world.run_rounds(rounds)
 
-    @rule(index=INDEXES, rounds=st.integers(0, 14))
+    @rule(index=INDEXES, rounds=ROUNDS)
     def start(self, index, rounds):
         self.pick(index).start()
         self.world.run_rounds(rounds)
@@ -164,7 +156,7 @@
         for box in self.world.boxes.values():
             box.start()
 
-    @rule(index=INDEXES, starts=st.booleans(), rounds=st.integers(0, 14))
+    @rule(index=INDEXES, starts=st.booleans(), rounds=ROUNDS)
     def lose_disk(self, index, starts, rounds):
         box = self.pick(index)
         if self.world.wipe(box) and starts:
@@ -214,7 +206,7 @@
 
     @rule(
         entry=ENTRIES,
-        program=st.sampled_from(PROGRAMS),
+        program=PROGRAMS,
         previous=INDEXES,
         away=st.one_of(st.none(), INDEXES),
         is_short=st.booleans(),
@@ -245,7 +237,7 @@
             self.turns.take(entry, f"without-{name}-{self.turns.count}")
             self.world.cuts -= cut
 
-    @rule(entry=ENTRIES, program=st.sampled_from(PROGRAMS), previous=INDEXES)
+    @rule(entry=ENTRIES, program=PROGRAMS, previous=INDEXES)
     def begin_turn(self, entry, program, previous):
         name = self.name_program(program)
         self.turns.begin(entry, name, self.pick_kept(previous))
