Keep the seat of a holder to be emptied while another holder is away

Callers would see no turn served from the moment at which a holder was emptied while another one was away, until that was back: one loss is tolerated, and the seat was vacated in it. Cause: a seat counted as usable when its disk was complete, whether or not its box was up. Red before, .venv/bin/python -m pytest tests/stateful/test_seat_series.py -k another_one_is_away: take(0, 'p') gave None. Class: a seat counts as usable because it is occupied.

A seat whose box has no directory entry counts like a vacant one now. An existing test had seated a spare without its entry, which a box that takes a seat has; the test registers it, its checks stay.

--- a/src/cedarchute/turns/seat_manager.py
+++ b/src/cedarchute/turns/seat_manager.py
@@ -225,7 +225,7 @@
         if number is None:
             self.hand_over_records(table)
             return
-        if not table.can_vacate(number):
+        if not table.can_vacate(number, self.list_present()):
             self.warn_once(table)
             return
         self.retiring_since = self.retiring_since or time.monotonic()
@@ -254,8 +254,11 @@
 
     def has_spare_holder(self, table: SeatTable) -> bool:
         """Whether a holder without a seat is available to take one over."""
-        spares = (box.name for box in self.directory.list_boxes(Role.HOLDER))
         return any(
             table.find_box(name) is None and name not in self.retirements.asked
-            for name in spares
+            for name in self.list_present()
         )
+
+    def list_present(self) -> set[str]:
+        """Return the names of the holders that are up."""
+        return {box.name for box in self.directory.list_boxes(Role.HOLDER)}
--- a/src/cedarchute/turns/seat_table.py
+++ b/src/cedarchute/turns/seat_table.py
@@ -48,10 +48,16 @@
         """Number of vacant seats with which every program still has a quorum."""
         return self.replication_factor - self.quorum
 
-    def can_vacate(self, number: int) -> bool:
-        """Whether every program has a quorum without the holder of one seat."""
+    def can_vacate(self, number: int, present: set[str]) -> bool:
+        """Whether every program has a quorum without the holder of one seat.
+
+        Parameters
+        ----------
+        present : set of str
+            The boxes that are up.
+        """
         unusable = sum(
-            seat.is_vacant or seat.is_complete is False
+            seat.box not in present or seat.is_complete is False
             for other, seat in enumerate(self.seats)
             if other != number
         )
--- a/tests/stateful/test_seat_series.py
+++ b/tests/stateful/test_seat_series.py
@@ -264,3 +264,17 @@
     turns.entries[0].hear()
     assert turns.list_kept() == [first, second]
     assert turns.take(0, other, second) is not None
+
+
+def test_a_holder_is_not_emptied_while_another_one_is_away(make_site):
+    world, turns = make_site()
+    leaving, away = get_seated(world, 0), get_seated(world, 1)
+    world.kill(away)
+    world.retire(leaving)
+    world.run_rounds(ABSENCE)
+    turns.entries[0].hear()
+    assert turns.take(0, "p") is not None
+    away.start()
+    world.run_rounds(ABSENCE)
+    world.remove_retired()
+    assert leaving.name not in world.boxes
--- a/tests/turns/test_seat_manager.py
+++ b/tests/turns/test_seat_manager.py
@@ -188,6 +188,7 @@
     assert changes == []
     # After a spare has taken the vacant seat, this one can be vacated.
     table = manager.seats.table
+    manager.directory.put(BoxEntry("d", Role.HOLDER, "a", "region", "", "d"))
     manager.seats.update(table.replace_seat(0, Seat("d", "d", "disk-d", "a")), "test")
     manager.step()
     assert [seat.box for seat in changes[0].seats] == ["d", "", "c"]
