Add a play of the soak in which machines join, are replaced, emptied and lose their disks

The users' failure came on sites with four boxes with disks, with spares and with machines that are replaced at other addresses; the soak had three holders and no change of machines. 'turnover': the seed draws the shape (three to five seats, one or two losses, with or without a spare) and the steps, which overlap: join, replace (stopped first, killed first, or the successor first), empty, stop, kill, lose a disk, alone or with all others killed, configurations, SIGHUP, and a last fault. A disk counts as lost until all holders have run for CatchUpS; no more count at once than the site bears. Long programs try each kept turn until it is served, so one that is stuck is seen. The test plays seed 118 for 25 s: a holder is stopped, another's disk is lost, a spare takes the seat of the first.

--- a/src/experiments/soak/main.py
+++ b/src/experiments/soak/main.py
@@ -16,7 +16,12 @@
 from experiments.soak.soak_run import SoakResult, play_seed
 
 SECONDS_PER_MINUTE: Final = 60.0
-PLAY_SECONDS: Final = {Play.FAULTS: 12.0, Play.PLANNED: 30.0, Play.LOSSES: 30.0}
+PLAY_SECONDS: Final = {
+    Play.FAULTS: 12.0,
+    Play.PLANNED: 30.0,
+    Play.LOSSES: 30.0,
+    Play.TURNOVER: 60.0,
+}
 CALLERS: Final = 8
 MOST_LINES: Final = 40
 
--- a/src/experiments/soak/play.py
+++ b/src/experiments/soak/play.py
@@ -9,6 +9,8 @@
 from experiments.soak.fault_player import FaultPlayer
 from experiments.soak.planned_player import PlannedPlayer
 from experiments.soak.step import draw_steps
+from experiments.soak.turnover_player import TurnoverPlayer
+from experiments.soak.turnover_step import draw_turnover
 
 if TYPE_CHECKING:
     from collections import Counter
@@ -22,6 +24,7 @@
     FAULTS = "faults"
     PLANNED = "planned"
     LOSSES = "losses"
+    TURNOVER = "turnover"
 
 
 class Player(Protocol):
@@ -55,5 +58,7 @@
     """Return who plays a seed for `seconds`."""
     if play is Play.FAULTS:
         return FaultPlayer(site, draw_faults(seed, seconds))
+    if play is Play.TURNOVER:
+        return TurnoverPlayer(site, draw_turnover(seed, seconds), seconds)
     steps = draw_steps(seed, seconds, play is Play.LOSSES)
     return PlannedPlayer(site, steps, seconds)
--- a/src/experiments/soak/soak_run.py
+++ b/src/experiments/soak/soak_run.py
@@ -10,9 +10,12 @@
 from experiments.soak.final_player import FinalPlayer
 from experiments.soak.in_force import is_in_force
 from experiments.soak.kept_caller import list_kept_callers
+from experiments.soak.long_program import list_long_programs
+from experiments.soak.place_caller import list_place_callers
 from experiments.soak.play import Play, make_player
 from experiments.soak.program import MOST_TOKENS, MOST_TURNS, ProgramCaller
 from experiments.soak.promises import find_broken
+from experiments.soak.shape import Shape, draw_shape
 from experiments.soak.soak_site import TURN_PLACES, SoakSite
 from experiments.soak.unanswered import count_unanswered
 from experiments.waiting import ConditionError, wait_until
@@ -65,13 +68,17 @@
         Whether a fault right after something was confirmed comes last.
     """
     is_direct = play is not Play.FAULTS
-    site = SoakSite(folder, seed, is_direct)
+    shape = draw_shape(seed) if play is Play.TURNOVER else Shape()
+    site = SoakSite(folder, seed, is_direct, shape)
     player = make_player(play, site, seed, seconds)
     result = SoakResult(seed, player.count)
     try:
         site.start()
         programs = [ProgramCaller(number, seed, site) for number in range(callers)]
         others = list_kept_callers(seed, site) if is_direct else []
+        if play is Play.TURNOVER:
+            programs += list_long_programs(seed, site)
+            others = list_place_callers(seed, site)
         for caller in [*programs, *others]:
             caller.thread.start()
         player.play()
@@ -104,7 +111,7 @@
     try:
         site.wait_whole(RECOVERY_SECONDS)
         site.configure()
-        for name in site.entries:
+        for name in list(site.entries):
             wait_until(
                 lambda n=name: is_in_force(site, n),
                 f"{site.mark} is in force on {name}",
--- a/src/experiments/soak/soak_site.py
+++ b/src/experiments/soak/soak_site.py
@@ -11,6 +11,7 @@
 from experiments.soak.back_end import MODEL, PLAIN, SHARES, SOUND_SHARES, BackEnd
 from experiments.soak.link import Link
 from experiments.soak.records import Records
+from experiments.soak.shape import Shape
 from experiments.soak.workspaces import (
     OVERRUN,
     REVOKE_SECONDS,
@@ -26,6 +27,7 @@
 
 HOST_NAME: Final = "site.example"
 DOMAINS: Final = "abc"
+THREE: Final = Shape()
 ENTRIES: Final = 3
 BACK_ENDS: Final = 3
 TURN_PLACES: Final = BACK_ENDS * SLOTS
@@ -72,11 +74,14 @@
         connections for an entry that refuses them; all back ends then answer well.
     """
 
-    def __init__(self, folder: Path, seed: int, is_direct: bool = False) -> None:
+    def __init__(
+        self, folder: Path, seed: int, is_direct: bool = False, shape: Shape = THREE
+    ) -> None:
         self.records = Records()
         tolerance = QuotaTolerance(WINDOW_SECONDS, OVERRUN, SLACK)
         revoke_ms = int(REVOKE_SECONDS * 1000)
-        self.nodes = NodeSite(folder, revoke_ms=revoke_ms, tolerance=tolerance)
+        self.shape = shape
+        self.nodes = NodeSite(folder, shape.losses, revoke_ms, tolerance)
         self.seed = seed
         self.is_direct = is_direct
         self.store_links: dict[str, Link] = {}
@@ -84,21 +89,19 @@
         self.caller_links: dict[str, Link] = {}
         self.back_ends: list[BackEnd] = []
         self.entries = [f"entry-{n}" for n in range(ENTRIES)]
-        self.holders = [f"holder-{n}" for n in range(len(DOMAINS))]
+        self.holders = [f"holder-{n}" for n in range(shape.seats)]
+        self.domains: dict[str, str] = {}
         self.marks = 0
 
     def start(self) -> None:
         """Start everything and wait until it serves."""
         self.nodes.start_store()
-        for name, domain in zip(self.holders, DOMAINS, strict=True):
-            self.store_links[name] = Link(self.nodes.store)
-            self.nodes.start_holder(name, domain, self.store_links[name].address)
-        for name, domain in zip(self.entries, DOMAINS, strict=True):
-            self.store_links[name] = Link(self.nodes.store)
-            self.nodes.start_entry(name, domain, self.store_links[name].address)
-            self.caller_links[name] = Link(self.nodes.callers[name])
-            self.records.entry_names[self.nodes.callers[name]] = name
-            self.records.entry_names[self.caller_links[name].address] = name
+        holders, entries = self.holders, self.entries
+        self.holders, self.entries = [], []
+        for name, domain in zip(holders, self.shape.domains, strict=True):
+            self.add_holder(name, domain)
+        for name, domain in zip(entries, DOMAINS, strict=True):
+            self.add_entry(name, domain)
         for service in (PLAIN, MODEL):
             for number in range(BACK_ENDS):
                 self.add_back_end(f"{service}-{number}", service)
@@ -106,6 +109,30 @@
         self.nodes.configure(ROUTES, workspaces)
         self.nodes.wait_ready()
         self.nodes.wait_held(len(self.holders))
+        for number in range(self.shape.spares):
+            self.add_holder(f"spare-{number}", self.shape.domains[number])
+
+    def add_holder(self, name: str, domain: str) -> None:
+        """Start a holder."""
+        self.domains[name] = domain
+        self.store_links[name] = Link(self.nodes.store)
+        self.nodes.start_holder(name, domain, self.store_links[name].address)
+        self.holders.append(name)
+
+    def add_entry(self, name: str, domain: str) -> None:
+        """Start an entry."""
+        self.domains[name] = domain
+        self.store_links[name] = Link(self.nodes.store)
+        self.nodes.start_entry(name, domain, self.store_links[name].address)
+        self.caller_links[name] = Link(self.nodes.callers[name])
+        self.records.entry_names[self.nodes.callers[name]] = name
+        self.records.entry_names[self.caller_links[name].address] = name
+        self.entries.append(name)
+
+    def remove(self, name: str) -> None:
+        """Forget a box that has left for good."""
+        names = self.entries if name in self.entries else self.holders
+        names.remove(name)
 
     def add_back_end(self, name: str, service: str) -> None:
         """Start a back end behind a link and register it."""
@@ -182,4 +209,4 @@
                 f"{name} is ready again",
                 seconds,
             )
-        self.nodes.wait_held(len(self.holders))
+        self.nodes.wait_held(min(self.shape.seats, len(self.holders)))
--- a/src/experiments/soak/supervisor.py
+++ b/src/experiments/soak/supervisor.py
@@ -56,7 +56,7 @@
     def run(self) -> None:
         """Look after all boxes until told to stop."""
         while self.going:
-            for name in self.names:
+            for name in list(self.names):
                 if self.locks[name].acquire(blocking=False):
                     try:
                         self.look(name)
@@ -67,6 +67,13 @@
             if time.monotonic() - began > LOOK_SECONDS + STALL_SECONDS:
                 self.figures[STALLED] += 1
 
+    def watch(self, name: str) -> None:
+        """Look after one more box, which has been started."""
+        self.logged[name] = 0
+        self.asked[name], self.killed[name], self.early[name] = set(), set(), set()
+        self.locks[name] = threading.Lock()
+        self.names.append(name)
+
     def close(self) -> None:
         """Start nothing any more."""
         self.going = False
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -9,6 +9,9 @@
 
 SECONDS = 8.0
 PLANNED_SECONDS = 10.0
+# A spare takes the seat of a holder that is stopped while another's disk is lost.
+TURNOVER_SEED = 118
+TURNOVER_SECONDS = 25.0
 CALLERS = 6
 # Its last fault takes a disk and all processes as soon as a turn was answered.
 LOSSES_SEED = 28
@@ -38,6 +41,10 @@
     play(LOSSES_SEED, PLANNED_SECONDS, tmp_path, Play.LOSSES, with_final=True)
 
 
+def test_machines_that_come_go_and_lose_their_disks_forget_no_turn(tmp_path):
+    play(TURNOVER_SEED, TURNOVER_SECONDS, tmp_path, Play.TURNOVER)
+
+
 @pytest.mark.parametrize(("seed", "seconds"), REGRESSIONS.items())
 def test_a_seed_that_once_failed_keeps_every_promise(seed, seconds, tmp_path):
     play(seed, seconds, tmp_path)
