Count a request as ended at its timeout from its first byte in the soak

An answer that the timeout ends breaks no promise. The caller's thread had noted its last byte late: the timeout runs at the entry from the first. What ends sooner than the timeout after the first byte is judged as before, and a test holds either side.

--- a/src/experiments/soak/ending.py
+++ b/src/experiments/soak/ending.py
@@ -37,6 +37,9 @@
         Whether the entry itself took the connection, not a link before it.
     idle_seconds : float
         How long the connection had been open without a request.
+    sending_seconds : float
+        How long before `sent_at` the first byte was sent, at most: a thread that stood
+        still in between notes the last byte late.
     """
 
     entry: str
@@ -48,3 +51,4 @@
     was_closed: bool = False
     is_direct: bool = True
     idle_seconds: float = 0.0
+    sending_seconds: float = 0.0
--- a/src/experiments/soak/program.py
+++ b/src/experiments/soak/program.py
@@ -185,7 +185,7 @@
         idle_seconds = time.monotonic() - caller.idle_since
         caller.start_request()
         status, headers, body = None, {}, b""
-        sent_at = None
+        began_at, sent_at = time.monotonic(), None
         try:
             caller.send(data)
             sent_at = time.monotonic()
@@ -204,6 +204,7 @@
             was_closed,
             self.site.is_direct,
             idle_seconds,
+            sent_at - began_at if sent_at is not None else 0.0,
         )
         if how is not How.ANSWERED or headers.get("connection") == "close":
             self.leave()
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -188,6 +188,7 @@
         (0.01, How.CLOSED, {"number": 0, "was_closed": True}, Unanswered.CLOSED_BEFORE),
         (4.0, How.GIVEN_UP, {}, Unanswered.GIVEN_UP),
         (3.0, How.CLOSED, {}, Unanswered.TIMEOUT),
+        (2.9, How.CLOSED, {"sending_seconds": 0.11}, Unanswered.TIMEOUT),
     ],
 )
 def test_a_request_that_is_not_judged_is_counted(seconds, how, more, why):
