Let a disk that another seat needs take no further seat

Found in review, red before: test_a_disk_that_another_seat_needs_takes_no_further_seat (NoSuchTurnError), one disk lost. A box that was replaced while it was away came back and took the seat of another one that was away. Its disk was the last complete one of both seats then, so its loss was that of two, and the disk whose seat it had taken was in no table any more. Cause: last complete disks are counted by seat. A disk that a seat still needs may take only that seat now; its successor reads it first of all, so it is free for another one soon. The seats to choose from are given to the search for absent holders, so one that is gone elsewhere hides none.

--- a/src/cedarchute/turns/absent_holders.py
+++ b/src/cedarchute/turns/absent_holders.py
@@ -16,6 +16,8 @@
 from cedarchute.turns.messages import Account, ReadAccount
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from cedarchute.fleet.box_directory import BoxDirectory
     from cedarchute.turns.holder_client import HolderClient
     from cedarchute.turns.seat import Seat
@@ -56,8 +58,8 @@
         self.since: dict[str, float] = {}
         self.is_cut_off = False
 
-    def find_gone(self, table: SeatTable) -> int | None:
-        """Return the seat of a holder that is gone, the one absent longest first.
+    def find_gone(self, table: SeatTable, among: Collection[int]) -> int | None:
+        """Return one of some seats whose holder is gone, the one absent longest first.
 
         A directory entry can be missing although the holder is up, so the holder is
         asked before its seat is taken.
@@ -70,7 +72,7 @@
         timeout = JOINING_TIMEOUT_SECONDS if is_probing else ABSENT_TIMEOUT_SECONDS
         for box, since in sorted(self.since.items(), key=lambda item: item[1]):
             number = table.find_box(box)
-            if now - since < timeout or number is None:
+            if now - since < timeout or number not in among:
                 continue
             seat = table.seats[number]
             if self.is_unreachable(seat, is_probing):
--- a/src/cedarchute/turns/seat_manager.py
+++ b/src/cedarchute/turns/seat_manager.py
@@ -210,11 +210,17 @@
         return len(table.seats) > self.losses and not self.has_spare_holder(table)
 
     def find_free_seat(self, table: SeatTable) -> int | None:
-        """Return a seat that is vacant or whose holder is retiring or gone."""
-        for number, seat in enumerate(table.seats):
+        """Return a seat that is vacant or whose holder is retiring or gone.
+
+        While this disk is the last complete one of a seat it may take no other: its
+        loss would be that of two disks.
+        """
+        among = table.find_needing(self.own_seat.disk) or range(len(table.seats))
+        for number in among:
+            seat = table.seats[number]
             if seat.is_vacant or seat.box in self.retirements.asked:
                 return number
-        return self.absent_holders.find_gone(table)
+        return self.absent_holders.find_gone(table, among)
 
     def retire(self, table: SeatTable) -> None:
         """Release the seat, then copy all records to the other holders."""
--- a/src/cedarchute/turns/seat_table.py
+++ b/src/cedarchute/turns/seat_table.py
@@ -153,6 +153,10 @@
         source = self.seats[number].predecessor
         return source is not None and source.disk == disk
 
+    def find_needing(self, disk: str) -> list[int]:
+        """Return the seats whose last complete disk is `disk`, without the seat."""
+        return [n for n in range(len(self.seats)) if self.needs_disk(n, disk)]
+
     def has_reader(self, disk: str) -> bool:
         """Whether the holder of a seat still has to read its predecessor, `disk`."""
         return any(self.needs_disk(number, disk) for number in self.list_occupied())
--- a/tests/turns/test_absent_holders.py
+++ b/tests/turns/test_absent_holders.py
@@ -60,29 +60,29 @@
 ):
     absent = AbsentHolders(holders.directory, holders, is_joining=True)
     holders.alive.remove("b")
-    assert absent.find_gone(TABLE) is None
+    assert absent.find_gone(TABLE, range(3)) is None
     clock.now += JOINING_TIMEOUT_SECONDS
-    assert absent.find_gone(TABLE) == 1
+    assert absent.find_gone(TABLE, range(3)) == 1
 
 
 def test_a_joining_box_that_is_cut_off_takes_no_seat(clock, holders):
     absent = AbsentHolders(holders.directory, holders, is_joining=True)
     holders.alive = {"c"}
-    assert absent.find_gone(TABLE) is None
+    assert absent.find_gone(TABLE, range(3)) is None
     clock.now += JOINING_TIMEOUT_SECONDS
-    assert absent.find_gone(TABLE) is None
+    assert absent.find_gone(TABLE, range(3)) is None
 
 
 def test_a_holder_that_answers_a_joining_box_again_keeps_its_seat(clock, holders):
     absent = AbsentHolders(holders.directory, holders, is_joining=True)
     holders.alive.remove("b")
-    assert absent.find_gone(TABLE) is None
+    assert absent.find_gone(TABLE, range(3)) is None
     holders.alive.add("b")
     clock.now += JOINING_TIMEOUT_SECONDS / 2
-    assert absent.find_gone(TABLE) is None
+    assert absent.find_gone(TABLE, range(3)) is None
     holders.alive.remove("b")
     clock.now += JOINING_TIMEOUT_SECONDS / 2
-    assert absent.find_gone(TABLE) is None
+    assert absent.find_gone(TABLE, range(3)) is None
 
 
 @pytest.mark.parametrize("is_joining", [True, False])
@@ -90,13 +90,13 @@
     clock, holders, is_joining
 ):
     absent = AbsentHolders(holders.directory, holders, is_joining)
-    absent.find_gone(TABLE)
+    absent.find_gone(TABLE, range(3))
     clock.now += JOINING_SECONDS
     asked = holders.asked
     holders.alive.remove("b")
-    assert absent.find_gone(TABLE) is None
+    assert absent.find_gone(TABLE, range(3)) is None
     clock.now += ABSENT_TIMEOUT_SECONDS
-    assert absent.find_gone(TABLE) is None
+    assert absent.find_gone(TABLE, range(3)) is None
     assert holders.asked == asked
 
 
@@ -105,8 +105,8 @@
 ):
     absent = AbsentHolders(holders.directory, holders, is_joining=True)
     holders.alive -= {"b", "c"}
-    assert absent.find_gone(TABLE) is None
+    assert absent.find_gone(TABLE, range(3)) is None
     clock.now += JOINING_TIMEOUT_SECONDS
-    assert absent.find_gone(TABLE) is None
+    assert absent.find_gone(TABLE, range(3)) is None
     holders.alive.add("c")
-    assert absent.find_gone(TABLE) == 1
+    assert absent.find_gone(TABLE, range(3)) == 1
--- a/tests/turns/test_seat_changes.py
+++ b/tests/turns/test_seat_changes.py
@@ -141,3 +141,27 @@
     site.settle()
     assert site.read(kept) == b"in-keptout-kept"
     assert site.retired == ["a"]
+
+
+def test_a_disk_that_another_seat_needs_takes_no_further_seat(site):
+    site.form("a", "b", "c")
+    kept = keep_without(site, "c", make_turn("kept"))
+    site.kill("a")
+    site.start("spare")
+    for _ in range(4):
+        site.step(1.0, only=["b", "c"])
+    # The spare has the seat of "a", and has read nothing.
+    site.step(0.0, only=["spare"])
+    site.step(3.0, only=["spare"])
+    assert site.table.find_box("spare") is not None
+    site.kill("b")
+    site.start("a")
+    for _ in range(6):
+        site.step(1.0, only=["a", "c"])
+    site.kill("a")
+    site.wipe("a")
+    site.start("a")
+    site.settle()
+    site.start("b")
+    site.settle()
+    assert site.read(kept) == b"in-keptout-kept"
