Store the version of the seat table before a holder hands its records over

A holder that had handed everything over was killed, started again behind a cut, heard the table in which it still had its seat, and served; a turn kept there and at one more holder got 404 once that one was away, since nobody reads an emptied disk. Cause: the version was stored on disk only when a request came or another seat was taken. It is stored before the records are handed over now, so no older table gives the seat back.

--- a/src/cedarchute/turns/seat_manager.py
+++ b/src/cedarchute/turns/seat_manager.py
@@ -171,18 +171,26 @@
     def require_catch_up(self) -> bool:
         """Mark the disk incomplete: it got no records while it had no seat.
 
-        Also stores that its old seat is gone, which an older table would give back to
-        it. Returns whether both are durable.
+        Returns whether this and the version of the table are durable.
         """
         self.holder.caught_up = False
         self.holder.is_disk_complete = False
         if self.identity.complete:
             self.identity = self.identity.mark_incomplete(self.folder)
             log.info("Disk without a seat has to catch up.")
+        return self.store_table_version()
+
+    def store_table_version(self) -> bool:
+        """Store that this disk has no seat, which an older table would give back to it.
+
+        Returns whether that is durable.
+        """
         try:
             self.holder.persist_table_version()
         except HolderError as error:
-            log.warning("Seat not taken.", extra={"why": error.reason})
+            log.warning(
+                "Version of the seat table not stored.", extra={"why": error.reason}
+            )
             return False
         return True
 
@@ -241,7 +249,9 @@
 
     def hand_over_records(self, table: SeatTable) -> None:
         """Store all records at the other holders, so that nobody needs this disk."""
-        if table.has_reader(self.own_seat.disk) or not self.evacuation.run_once():
+        if not self.store_table_version() or table.has_reader(self.own_seat.disk):
+            return
+        if not self.evacuation.run_once():
             return
         released = table.release_disk(self.own_seat.disk)
         if released.seats != table.seats and not self.write_table(released):
--- a/tests/turns/test_seat_changes.py
+++ b/tests/turns/test_seat_changes.py
@@ -165,3 +165,21 @@
     site.start("b")
     site.settle()
     assert site.read(kept) == b"in-keptout-kept"
+
+
+def test_an_emptied_disk_does_not_serve_under_an_older_table_again(site):
+    site.form("a", "b", "c")
+    older = site.table
+    site.retirements.asked.add("a")
+    site.step(0.0, only=["a"])
+    site.retirements.tell_completed = lambda box: site.kill("a")
+    for _ in range(5):
+        if "a" in site.boxes:
+            site.step(1.0, only=["a"])
+    assert site.table.seats[older.find_box("a")].is_released
+    site.retirements.asked.clear()
+    site.start("a")
+    # Another box that does not hear the store, either, still has the older table.
+    site.boxes["a"].seats.update(older, "peer")
+    site.boxes["a"].manager.step()
+    assert not site.boxes["a"].holder.caught_up
