Take no seat of a holder to be emptied while another disk is incomplete

Callers saw turns refused: a spare took the seat of a holder that was asked to be emptied and still served, while the disk of another was being filled, so programs had one complete holder. The same rule as for vacating a seat holds now, of which the spare's way to it was missed.

--- a/src/cedarchute/turns/seat_manager.py
+++ b/src/cedarchute/turns/seat_manager.py
@@ -226,7 +226,10 @@
         among = table.find_needing(self.own_seat.disk) or range(len(table.seats))
         for number in among:
             seat = table.seats[number]
-            if seat.is_vacant or seat.box in self.retirements.asked:
+            if seat.is_vacant:
+                return number
+            is_retiring = seat.box in self.retirements.asked
+            if is_retiring and table.can_vacate(number, self.list_present()):
                 return number
         return self.absent_holders.find_gone(table, among)
 
--- a/tests/turns/test_seat_changes.py
+++ b/tests/turns/test_seat_changes.py
@@ -183,3 +183,18 @@
     site.boxes["a"].seats.update(older, "peer")
     site.boxes["a"].manager.step()
     assert not site.boxes["a"].holder.caught_up
+
+
+def test_no_seat_of_a_serving_holder_is_taken_while_another_disk_is_incomplete(site):
+    site.form("a", "b", "c")
+    site.kill("b")
+    site.wipe("b")
+    site.start("b")
+    site.step(0.0, only=["b"])
+    site.retirements.asked.add("a")
+    site.start("spare")
+    site.step(0.0, only=["spare"])
+    assert site.table.find_box("a") is not None
+    site.keep(make_turn("kept"))
+    site.settle()
+    assert site.retired == ["a"]
