Fill the lost disk of a holder to be emptied as long as it keeps its seat

Two holders were asked to be emptied, the second could not leave its seat, and lost its disk: it never took its seat with the new one, so turns were refused for good. It takes it back now.

--- a/src/cedarchute/turns/seat_manager.py
+++ b/src/cedarchute/turns/seat_manager.py
@@ -150,13 +150,15 @@
 
     def acquire_seat(self, table: SeatTable, is_retiring: bool) -> None:
         """Reclaim the seat of this box, add a new seat, or take a free one."""
-        if is_retiring or not table.closed and time.monotonic() < self.join_at:
+        number = table.find_box(self.own_seat.box)
+        if is_retiring and number is None:
+            return
+        if not table.closed and time.monotonic() < self.join_at:
             return
         if table.version == 0:
             empty = msgspec.structs.replace(EMPTY_TABLE, losses=self.losses)
             self.write_table(empty.add_seat(self.own_seat))
             return
-        number = table.find_box(self.own_seat.box)
         if number is None and not table.closed:
             self.write_table(table.add_seat(self.own_seat))
             return
--- a/tests/turns/test_seat_changes.py
+++ b/tests/turns/test_seat_changes.py
@@ -198,3 +198,17 @@
     site.keep(make_turn("kept"))
     site.settle()
     assert site.retired == ["a"]
+
+
+def test_a_holder_to_be_emptied_that_lost_its_disk_serves_while_it_is_needed(site):
+    site.form("a", "b", "c")
+    site.retirements.asked.update(("a", "b"))
+    site.settle(4)
+    assert site.retired == ["a"]
+    kept = site.keep(make_turn("kept"))
+    site.kill("b")
+    site.wipe("b")
+    site.start("b")
+    site.settle()
+    site.keep(make_turn("next", "kept"))
+    assert site.read(kept) == b"in-keptout-kept"
