Empty a holder again that is asked again after the request was withdrawn

A holder that was emptied, took a seat again and was asked again did nothing, since it had been emptied once; the operator's removal would have taken a whole disk. A withdrawal begins anew.

--- a/src/cedarchute/turns/seat_manager.py
+++ b/src/cedarchute/turns/seat_manager.py
@@ -111,6 +111,9 @@
         is_retiring = self.own_seat.box in self.retirements.asked
         if is_retiring:
             self.retire(self.seats.table)
+        else:
+            self.retired = False
+            self.retiring_since = None
         table = self.seats.table
         number = table.find_disk(self.own_seat.disk)
         if number is None:
--- a/tests/turns/test_seat_changes.py
+++ b/tests/turns/test_seat_changes.py
@@ -212,3 +212,19 @@
     site.settle()
     site.keep(make_turn("next", "kept"))
     assert site.read(kept) == b"in-keptout-kept"
+
+
+def test_a_holder_that_is_asked_again_after_a_withdrawal_is_emptied_again(site):
+    site.form("a", "b", "c")
+    site.retirements.asked.add("a")
+    site.settle()
+    site.retirements.asked.clear()
+    site.settle()
+    assert site.table.find_box("a") is not None
+    kept = keep_without(site, "c", make_turn("kept"))
+    site.retirements.asked.add("a")
+    site.settle()
+    assert site.table.find_box("a") is None
+    assert site.retired == ["a", "a"]
+    site.kill("a")
+    assert site.read(kept) == b"in-keptout-kept"
