Read a target's answer while a long request is being sent

What callers saw: 502, or 504 at the end of their time, for a long request that its target had answered after a part of it, as with 413; also in a planned stop.

Cause: the whole request was written before anything was read. A target that answers early and reads no more blocked the write until the call's deadline; one that closes made it fail with the answer unread.

Evidence, without the change: `pytest tests/relay/test_early_answers.py`: "send: [Errno 32] Broken pipe" and "send: request not taken in time".

Change: what the socket does not take at once is sent by a task of its own while the response is read. A connection whose request is not sent whole when its answer is complete is closed, so nothing else is ever sent where the rest of the request is due; a target that reads on gets the request whole and its connection is reused. After a write that failed, the end of an answer without a length does not count as its completion: the failed write takes the error of the socket, so a reset would look like an orderly close (without this check `test_an_answer_without_a_length_is_not_whole_when_its_request_was_reset` does not raise).

--- a/src/cedarchute/relay/target_connection.py
+++ b/src/cedarchute/relay/target_connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import socket
 import time
 from typing import TYPE_CHECKING, Final
@@ -18,6 +19,8 @@
     from cedarchute.address import Address
     from cedarchute.relay.target_answer import TargetAnswer
 
+log = logging.getLogger("cedarchute.relay")
+
 # Idle connections are given up this long before the target's keep-alive timeout, so
 # that a request does not race with the target's close; covers network delay and timers
 # of low resolution.
@@ -36,6 +39,8 @@
         self.idle_since = time.monotonic()
         self.keep_alive_seconds = DEFAULT_KEEP_ALIVE_SECONDS
         self.reusable = True
+        self.sender: eventlet.greenthread.GreenThread | None = None
+        self.send_failed = False
 
     @classmethod
     def open(cls, address: Address, seconds: float) -> TargetConnection:
@@ -62,6 +67,11 @@
             return False
         return not self.is_readable()
 
+    @property
+    def is_sending(self) -> bool:
+        """Whether a part of the request is not sent, or failed to be."""
+        return self.send_failed or (self.sender is not None and not self.sender.dead)
+
     def is_readable(self) -> bool:
         """Return whether bytes, a close or an error are pending on the socket."""
         try:
@@ -73,12 +83,29 @@
         return True
 
     def send(self, data: bytes, seconds: float) -> None:
-        """Send a complete request; after a failure it may have run."""
+        """Send a request within `seconds`; after a failure it may have run.
+
+        The rest of a long one is sent while its response is read: a target may respond
+        before it has read all.
+        """
         try:
-            with eventlet.Timeout(seconds, TimeoutError("request not taken in time")):
-                self.sock.sendall(data)
+            sent = self.sock.fd.send(data)
+        except BlockingIOError:
+            sent = 0
         except OSError as error:
             raise TargetFailureError(f"send: {error}", Verdict.MAY_HAVE_RUN) from None
+        if sent < len(data):
+            rest = memoryview(data)[sent:]
+            self.sender = eventlet.spawn(self.send_rest, rest, seconds)
+
+    def send_rest(self, rest: memoryview, seconds: float) -> None:
+        """Send the rest of a request; who reads its response notices a failure."""
+        try:
+            with eventlet.Timeout(seconds, TimeoutError("request not taken in time")):
+                self.sock.sendall(rest)
+        except OSError as error:
+            self.send_failed = True
+            log.info("Request not sent whole.", extra={"why": str(error)})
 
     def receive(self, seconds: float) -> None:
         """Pass the next bytes from the socket to the reader.
@@ -94,7 +121,8 @@
             raise TargetFailureError(f"{error}", Verdict.MAY_HAVE_RUN) from None
         if not data:
             self.reusable = False
-            if self.reader.feed_eof() and self.reader.answers:
+            # After a write that failed a reset reads as an orderly close.
+            if not self.send_failed and self.reader.feed_eof() and self.reader.answers:
                 return
             raise TargetFailureError("closed early", Verdict.MAY_HAVE_RUN)
         try:
@@ -149,7 +177,7 @@
         """Remove a response that was read completely; the connection is now idle."""
         self.reader.answers.popleft()
         self.idle_since = time.monotonic()
-        if not answer.keep_alive or self.reader.answers:
+        if not answer.keep_alive or self.reader.answers or self.is_sending:
             self.reusable = False
         timeout = _parse_keep_alive_timeout(answer.headers.get_text(b"keep-alive"))
         if timeout is not None:
@@ -158,6 +186,8 @@
     def close(self) -> None:
         """Close at once; this cancels a request that the target is processing."""
         self.reusable = False
+        if self.sender is not None:
+            self.sender.kill()
         self.sock.close()
 
 
