Let a holder that is asked to stop wait until the others serve

Callers saw 503 for turns in planned work alone: holders restarted one after the other, 1 s apart.

Cause: a planned stop of a holder takes 1 s, whatever the others do, and a start longer than that on a busy machine. So two of three are away at once, though each stop alone would have left a quorum. A stopping holder counted the others as serving because they have a seat.

A holder that is asked to stop now serves on until every program has a quorum without it: it asks the others whether they serve and whether they stop. It waits for as long as its grace allows, then stops as before, so a holder that is gone for good delays a stop and does not prevent it. It leaves the directory only when it goes, so nobody takes its seat meanwhile.

What remains: three holders asked within a second need longer than a grace of 8 s on a busy machine, and those that still wait then go together.

tests/daemon/test_holder_stop.py passes an order of stops; its test of a silent store got the case of a stop that has waited as well.

--- a/src/cedarchute/daemon/holder_box.py
+++ b/src/cedarchute/daemon/holder_box.py
@@ -41,6 +41,7 @@
 from cedarchute.turns.seat import Seat
 from cedarchute.turns.seat_manager import SeatManager
 from cedarchute.turns.seat_version_file import SeatVersionFile
+from cedarchute.turns.stop_order import StopOrder
 from cedarchute.turns.turn_journal import TurnJournal
 from cedarchute.turns.turn_storage import TurnStorage
 
@@ -119,7 +120,11 @@
         self.serve_metrics = partial(
             serve_metrics, settings.listen.metrics, metrics, file
         )
-        self.stop = HolderStop(self.parts.registration, settings.stop.grace_seconds)
+        self.stop = HolderStop(
+            self.parts.registration,
+            settings.stop.grace_seconds,
+            StopOrder(client, seats, self.holder),
+        )
 
     def ask_stop(self, asked_at: float) -> None:
         """Begin a planned stop, once; its grace began at `asked_at`."""
--- a/src/cedarchute/daemon/holder_stop.py
+++ b/src/cedarchute/daemon/holder_stop.py
@@ -1,4 +1,4 @@
-"""The planned stop of a holder: it answers a moment longer, then ends."""
+"""The planned stop of a holder: it ends once the others can do without it."""
 
 from __future__ import annotations
 
@@ -13,6 +13,7 @@
     from collections.abc import Callable
 
     from cedarchute.fleet.registration import Registration
+    from cedarchute.turns.stop_order import StopOrder
 
 log = logging.getLogger("cedarchute.daemon")
 
@@ -27,13 +28,19 @@
 class HolderStop:
     """Leaves the directory, answers until others have heard of it, and ends.
 
+    It keeps its place in the directory while it waits for other holders, so that none
+    takes its seat.
+
     The disk keeps everything, so a store that is silent shortens the stop to its grace
     and costs nothing else: the lease runs out by itself.
     """
 
-    def __init__(self, registration: Registration, grace_seconds: float) -> None:
+    def __init__(
+        self, registration: Registration, grace_seconds: float, order: StopOrder
+    ) -> None:
         self.registration = registration
         self.grace_seconds = grace_seconds
+        self.order = order
         self.asked = False
         self.done = Event()
 
@@ -52,6 +59,7 @@
         """Carry the stop out."""
         log.info("Planned stop.", extra={"grace_seconds": self.grace_seconds})
         end = started + self.grace_seconds - EXIT_MARGIN_SECONDS - END_SECONDS
+        self.order.wait(end - NOTICE_SECONDS - END_SECONDS)
         self.try_until(end - NOTICE_SECONDS, self.registration.leave)
         eventlet.sleep(max(0.0, min(NOTICE_SECONDS, end - time.monotonic())))
         self.try_until(time.monotonic() + END_SECONDS, self.registration.end)
--- a/src/cedarchute/turns/holder.py
+++ b/src/cedarchute/turns/holder.py
@@ -10,8 +10,10 @@
     Chain,
     CopiedRecords,
     IdleTimes,
+    Presence,
     RecordsTaken,
     Standing,
+    StopPhase,
     TurnBegun,
 )
 from cedarchute.turns.program_key import read_workspace
@@ -21,6 +23,7 @@
     from cedarchute.turns.active_seat_table import ActiveSeatTable
     from cedarchute.turns.messages import (
         Addressed,
+        AskPresence,
         AskStanding,
         BeginTurn,
         CopyRecords,
@@ -91,6 +94,7 @@
         self.box = box
         self.is_disk_complete = False
         self.caught_up = False
+        self.stop_phase = StopPhase.NONE
 
     def check_addressee(self, message: Addressed) -> None:
         """Reject requests for another disk or made under an older table."""
@@ -172,6 +176,11 @@
         state.mark_asked()
         return Standing(state.spent, state.age_seconds)
 
+    def read_presence(self, message: AskPresence) -> Presence:
+        """Return how far a planned stop of this holder has come."""
+        self.check_addressee(message)
+        return Presence(self.stop_phase)
+
     def read_chain(self, message: ReadChain) -> Chain:
         """Return the chain of turns that ends at the requested one."""
         self.check_addressee(message)
--- a/src/cedarchute/turns/holder_app.py
+++ b/src/cedarchute/turns/holder_app.py
@@ -10,6 +10,7 @@
 from cedarchute.turns.holder import Holder, HolderError
 from cedarchute.turns.messages import (
     QUOTA_PATH,
+    AskPresence,
     AskQuota,
     AskStanding,
     BeginTurn,
@@ -41,6 +42,7 @@
             "/turns/take": (TakeRecords, holder.take_records),
             "/turns/account": (ReadAccount, holder.read_account),
             "/turns/standing": (AskStanding, holder.read_standing),
+            "/turns/presence": (AskPresence, holder.read_presence),
             "/turns/chain": (ReadChain, holder.read_chain),
             "/turns/idle": (ReadIdleTimes, holder.read_idle_times),
             "/turns/copy": (CopyRecords, holder.copy_records),
--- a/src/cedarchute/turns/messages.py
+++ b/src/cedarchute/turns/messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from enum import StrEnum
 from typing import Final
 
 import msgspec
@@ -167,6 +168,24 @@
     missing: str = ""
 
 
+class StopPhase(StrEnum):
+    """How far a planned stop of a holder has come."""
+
+    NONE = "none"
+    WAITING = "waiting"
+    STOPPING = "stopping"
+
+
+class AskPresence(Addressed, frozen=True, kw_only=True):
+    """Ask whether a holder serves, and whether it is about to stop."""
+
+
+class Presence(msgspec.Struct, frozen=True):
+    """The holder serves."""
+
+    stop_phase: StopPhase = StopPhase.NONE
+
+
 class ReadIdleTimes(Addressed, frozen=True, kw_only=True):
     """Request the time since the last use of each program."""
 
--- a/tests/daemon/test_holder_stop.py
+++ b/tests/daemon/test_holder_stop.py
@@ -34,8 +34,19 @@
             Event().wait()
 
 
-def stop(registration, grace_seconds, seconds_ago=0.0):
-    stop = HolderStop(registration, grace_seconds)
+class LaterOrder:
+    """Holders that this one waits for until its deadline."""
+
+    def __init__(self, waits=False):
+        self.waits = waits
+
+    def wait(self, deadline):
+        if self.waits:
+            eventlet.sleep(max(0.0, deadline - time.monotonic()))
+
+
+def stop(registration, grace_seconds, seconds_ago=0.0, waits=False):
+    stop = HolderStop(registration, grace_seconds, LaterOrder(waits))
     with eventlet.Timeout(HANG_SECONDS):
         stop.ask(time.monotonic() - seconds_ago)
         stop.ask(time.monotonic())
@@ -53,10 +64,11 @@
     assert registration.asked == ["leave", "end"]
 
 
+@pytest.mark.parametrize("waits", [False, True])
 @pytest.mark.parametrize("silent", [("leave",), ("end",), ("leave", "end")])
-def test_a_silent_store_does_not_hold_the_stop_of_a_holder_up(silent):
+def test_a_silent_store_does_not_hold_the_stop_of_a_holder_up(silent, waits):
     registration = RecordingRegistration(silent)
-    stop(registration, 0.7)
+    stop(registration, 1.0 if waits else 0.7, waits=waits)
     assert registration.asked == ["leave", "end"]
 
 
