Take no box at the address of a holder that is gone for that holder

Found in review, red before: test_a_box_at_the_address_of_a_holder_that_is_gone_is_not_taken_for_it (a refusal had no field for it). A new holder that got the address of one removed for good refused requests for the other disk, and every refusal counted as a sign of life, so the seat was never filled and the next loss stopped turns. Class: who answers is taken for who was asked. A refusal names its box now.

--- a/src/cedarchute/turns/absent_holders.py
+++ b/src/cedarchute/turns/absent_holders.py
@@ -108,13 +108,17 @@
             self.since.setdefault(box, now)
 
     def is_unreachable(self, seat: Seat, is_probing: bool) -> bool:
-        """Return whether a holder gives no answer at all, not even a rejection."""
+        """Return whether a holder gives no answer at all, not even a rejection.
+
+        Asked under version 0 of the table, a holder always rejects.
+        """
         message = ReadAccount(table_version=0, disk=seat.disk, program="")
         timeout = PROBE_TIMEOUT if is_probing else None
         try:
             self.client.ask(seat.address, "/turns/account", message, Account, timeout)
-        except HolderRefusedError:
-            return False
+        except HolderRefusedError as error:
+            # Another box may have the address by now.
+            return error.refusal.box not in ("", seat.box)
         except HolderUnavailableError:
             return True
         return False
--- a/src/cedarchute/turns/holder_app.py
+++ b/src/cedarchute/turns/holder_app.py
@@ -37,6 +37,7 @@
     """Decodes requests, dispatches them to the holder and encodes the answers."""
 
     def __init__(self, holder: Holder, quotas: QuotaServer) -> None:
+        self.box = holder.box
         self.handlers: dict[str, tuple[type, Callable[[Any], object]]] = {
             "/turns/begin": (BeginTurn, holder.begin_turn),
             "/turns/take": (TakeRecords, holder.take_records),
@@ -73,7 +74,11 @@
             return "200 OK", handle(message)
         except HolderError as error:
             refusal = Refused(
-                error.reason, error.table, error.is_empty, error.is_disk_lost
+                error.reason,
+                error.table,
+                error.is_empty,
+                error.is_disk_lost,
+                self.box,
             )
             return "409 Conflict", refusal
         except OSError as error:
--- a/src/cedarchute/turns/messages.py
+++ b/src/cedarchute/turns/messages.py
@@ -242,9 +242,12 @@
         Whether the holder is still catching up itself.
     is_disk_lost : bool
         Whether the box has lost the disk that was asked for.
+    box : str
+        The box that answers; empty in earlier versions.
     """
 
     reason: str
     table: SeatTable | None = None
     is_empty: bool = False
     is_disk_lost: bool = False
+    box: str = ""
--- a/tests/turns/test_absent_holders.py
+++ b/tests/turns/test_absent_holders.py
@@ -32,6 +32,7 @@
     def __init__(self):
         self.alive = set(BOXES)
         self.asked = 0
+        self.answers_as = {}
         self.directory = BoxDirectory()
         for box in BOXES:
             self.directory.put(BoxEntry(box, Role.HOLDER, "a", "region", "", box))
@@ -39,7 +40,8 @@
     def ask(self, address, path, message, answer, timeout=None):
         self.asked += 1
         if address in self.alive:
-            raise HolderRefusedError(Refused("another table"))
+            box = self.answers_as.get(address, address)
+            raise HolderRefusedError(Refused("another table", box=box))
         raise HolderUnavailableError(address)
 
 
@@ -120,3 +122,14 @@
     absent.find_gone(TABLE, range(3))
     clock.now += ABSENT_TIMEOUT_SECONDS
     assert absent.find_gone(TABLE, range(3)) == 0
+
+
+def test_a_box_at_the_address_of_a_holder_that_is_gone_is_not_taken_for_it(
+    clock, holders
+):
+    holders.directory.known.drop("b")
+    holders.answers_as["b"] = "other"
+    absent = AbsentHolders(holders.directory, holders)
+    assert absent.find_gone(TABLE, range(3)) is None
+    clock.now += ABSENT_TIMEOUT_SECONDS
+    assert absent.find_gone(TABLE, range(3)) == 1
