Tell how many requests entries in touch cut, and fail a run whose last fault cannot come

A run's line names the requests that an entry in touch passed on and cut, also up to the three that are allowed, so that near misses show. A site that is not whole before a disk is taken was an error of the soak itself; it is a broken RECOVER now.

--- a/src/experiments/soak/cut_requests.py
+++ b/src/experiments/soak/cut_requests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING, Final
 
 from experiments.soak.ending import How
@@ -14,6 +15,8 @@
 # The users' bound for a whole run, beside whatever happens to other boxes.
 MOST_CUT: Final = 3
 MOST_NAMED: Final = 12
+# What the results call them.
+CUT: Final = "cut by entries in touch"
 
 
 def check_cut(records: Records) -> Iterator[str]:
@@ -32,6 +35,12 @@
     )
 
 
+def count_cut(records: Records) -> Counter[str]:
+    """Return how many requests were cut by entries in touch, few or many."""
+    cut = sum(was_cut(records, tried) for tried in records.tries.values())
+    return Counter({CUT: cut} if cut else {})
+
+
 def was_cut(records: Records, tried: Try) -> bool:
     """Whether an entry in touch passed a request on and closed its connection.
 
--- a/src/experiments/soak/final_player.py
+++ b/src/experiments/soak/final_player.py
@@ -12,6 +12,7 @@
 from experiments.soak.final_fault import Loss, Trigger
 from experiments.soak.in_force import is_in_force
 from experiments.soak.planned_player import CATCH_UP_SECONDS, READY_SECONDS
+from experiments.waiting import ConditionError
 
 if TYPE_CHECKING:
     from experiments.soak.final_caller import KeptTurn
@@ -42,7 +43,10 @@
 
     def play(self) -> list[str]:
         """Return a line for each promise that was broken."""
-        self.calm()
+        try:
+            self.calm()
+        except ConditionError as error:
+            return [f"RECOVER before the last fault: {error}"]
         self.await_trigger()
         failed_at = time.monotonic()
         with self.site.records.disturbed():
--- a/src/experiments/soak/soak_run.py
+++ b/src/experiments/soak/soak_run.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
+from experiments.soak.cut_requests import count_cut
 from experiments.soak.final_fault import draw_final_fault
 from experiments.soak.final_player import FinalPlayer
 from experiments.soak.in_force import is_in_force
@@ -36,7 +37,8 @@
     Attributes
     ----------
     figures : Counter
-        Requests that ended without an answer, by how they are judged, and processes
+        Requests that ended without an answer, by how they are judged, those that were
+        cut by entries in touch (counted among the others as well), and processes
         that a signal ended before anyone could reach them.
     """
 
@@ -89,7 +91,8 @@
             result.broken += caller.failures
         result.broken += player.failures
         result.broken += find_broken(site.records, MOST_TOKENS, TURN_PLACES)
-        result.figures = count_unanswered(site.records) + player.figures
+        figures = count_unanswered(site.records) + count_cut(site.records)
+        result.figures = figures + player.figures
         result.programs = sum(program.finished for program in programs)
     finally:
         player.close()
--- a/tests/soak/test_lost_requests.py
+++ b/tests/soak/test_lost_requests.py
@@ -5,7 +5,7 @@
 import pytest
 
 from experiments.soak.contact import EVERYTHING, Touch
-from experiments.soak.cut_requests import check_cut
+from experiments.soak.cut_requests import CUT, check_cut, count_cut
 from experiments.soak.ending import Ending, How
 from experiments.soak.records import Kind, Records, Run, Try
 from experiments.soak.unserved_turns import check_turns
@@ -38,6 +38,7 @@
     add_cut(records, 4, how)
     (line,) = check_cut(records)
     assert line.startswith("LOST 4 requests") and "u3 by entry" in line
+    assert count_cut(records) == {CUT: 4}
 
 
 @pytest.mark.parametrize(
