Measure a request's timeout in the soak from its first byte, and take none for a cut

Change: the caller takes the time before it sends as well, and an end counts as a timeout from 3 s after that moment on, which is never later than the entry's own clock of the request. Requests cut by entries in touch are not counted at their timeout either; one cut sooner counts as before.

Tests: test_a_caller_that_stood_still_while_it_sent_took_a_timeout_for_a_cut (2.872 s with 0.12 and 0.13 s of sending), test_requests_cut_just_before_their_timeout_are_found (2.99 s).

--- a/src/experiments/soak/cut_requests.py
+++ b/src/experiments/soak/cut_requests.py
@@ -45,12 +45,12 @@
     """Whether an entry in touch passed a request on and closed its connection.
 
     Other boxes may be disturbed meanwhile. A target is sound that means to answer and
-    is in touch itself.
+    is in touch itself. At the timeout of its route a request has to end.
     """
     ending = tried.ending
     if ending is None or ending.sent_at is None:
         return False
-    if ending.how not in (How.CLOSED, How.RESET):
+    if ending.how not in (How.CLOSED, How.RESET) or ending.may_be_timeout:
         return False
     runs = records.runs.get(tried.id, [])
     if not runs:
--- a/src/experiments/soak/ending.py
+++ b/src/experiments/soak/ending.py
@@ -4,6 +4,10 @@
 
 from dataclasses import dataclass
 from enum import StrEnum
+from typing import Final
+
+# Of the site's routes.
+TIMEOUT_SECONDS: Final = 3.0
 
 
 class How(StrEnum):
@@ -37,6 +41,9 @@
         Whether the entry itself took the connection, not a link before it.
     idle_seconds : float
         How long the connection had been open without a request.
+    send_seconds : float
+        How long the sending took until `sent_at`; the caller may have stood still
+        meanwhile, with the request already on its way.
     """
 
     entry: str
@@ -48,3 +55,11 @@
     was_closed: bool = False
     is_direct: bool = True
     idle_seconds: float = 0.0
+    send_seconds: float = 0.0
+
+    @property
+    def may_be_timeout(self) -> bool:
+        """Whether the entry may have had it for as long as its route allows."""
+        if self.sent_at is None:
+            return False
+        return self.ended_at - self.sent_at + self.send_seconds >= TIMEOUT_SECONDS
--- a/src/experiments/soak/program.py
+++ b/src/experiments/soak/program.py
@@ -185,10 +185,12 @@
         idle_seconds = time.monotonic() - caller.idle_since
         caller.start_request()
         status, headers, body = None, {}, b""
-        sent_at = None
+        sent_at, send_seconds = None, 0.0
+        began_at = time.monotonic()
         try:
             caller.send(data)
             sent_at = time.monotonic()
+            send_seconds = sent_at - began_at
             status, headers, body = caller.read_answer()
             how = How.ANSWERED
         except (OSError, AssertionError, ValueError, IndexError) as error:
@@ -204,6 +206,7 @@
             was_closed,
             self.site.is_direct,
             idle_seconds,
+            send_seconds,
         )
         if how is not How.ANSWERED or headers.get("connection") == "close":
             self.leave()
--- a/src/experiments/soak/unanswered.py
+++ b/src/experiments/soak/unanswered.py
@@ -20,8 +20,6 @@
 # The users' bound on the time from the last byte of a request within which it may cross
 # a close.
 CROSSING_SECONDS: Final = 0.2
-# Of the site's routes.
-TIMEOUT_SECONDS: Final = 3.0
 
 
 class Unanswered(StrEnum):
@@ -93,7 +91,7 @@
     if any(not run.is_sound for run in runs):
         return Unanswered.TARGET
     seconds = ending.ended_at - ending.sent_at
-    if seconds >= TIMEOUT_SECONDS:
+    if ending.may_be_timeout:
         return Unanswered.TIMEOUT
     if runs:
         return Unanswered.AFTER_RUN
--- a/tests/soak/test_lost_requests.py
+++ b/tests/soak/test_lost_requests.py
@@ -23,9 +23,9 @@
     return records
 
 
-def add_cut(records, count, how=How.CLOSED, is_sound=True, ran=True):
+def add_cut(records, count, how=How.CLOSED, is_sound=True, ran=True, seconds=0.1):
     for number in range(count):
-        ending = Ending("address", 1, SENT, SENT + 0.1, how)
+        ending = Ending("address", 1, SENT, SENT + seconds, how)
         name = f"u{number}"
         records.add_try(Try(name, Kind.AGAIN, b"", None, b"", ending=ending))
         if ran:
@@ -47,6 +47,7 @@
         ((), {"count": 3}),
         ((), {"count": 4, "ran": False}),
         ((), {"count": 4, "is_sound": False}),
+        ((), {"count": 4, "seconds": 3.0}),
         ((), {"count": 4, "how": How.GIVEN_UP}),
         ((Touch("entry", SENT - 9, SENT - 2.8),), {"count": 4}),
         ((Touch("plain-0", SENT - 9, SENT - 2.8),), {"count": 4}),
@@ -59,6 +60,12 @@
     assert list(check_cut(records)) == []
 
 
+def test_requests_cut_just_before_their_timeout_are_found():
+    records = make_records()
+    add_cut(records, 4, seconds=2.99)
+    assert list(check_cut(records))
+
+
 def test_an_entry_is_in_touch_again_after_a_while():
     records = make_records(Touch("entry", SENT - 9, SENT - 3))
     add_cut(records, 4)
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -170,6 +170,18 @@
     assert str(Unanswered.AFTER_RUN) in line
 
 
+@pytest.mark.parametrize(
+    ("send_seconds", "is_broken"), [(0.0, True), (0.12, True), (0.13, False)]
+)
+def test_a_caller_that_stood_still_while_it_sent_took_a_timeout_for_a_cut(
+    send_seconds, is_broken
+):
+    records = make_records()
+    add_unanswered(records, 2.872, send_seconds=send_seconds)
+    run_unanswered(records)
+    assert bool(find_broken(records, MOST, PLACES)) is is_broken
+
+
 def test_an_answer_that_broke_off_after_it_began_is_found():
     records = make_records()
     add_unanswered(records, 0.05, answer_bytes=40)
