Judge kept turns after a last fault up to the end of the run

A turn that was tried in the last 4 s only was not judged so far. Now a turn is lost if it had reached no target by either moment though it was tried in the 6 s before (and 1 s at least). test_a_kept_turn_that_is_tried_at_the_end_only_is_found was red.

--- a/src/experiments/soak/final_caller.py
+++ b/src/experiments/soak/final_caller.py
@@ -6,9 +6,9 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from experiments.soak.final_check import NO_BUDGET
 from experiments.soak.program import AMPLE_BUDGET, OK, PAUSE_SECONDS, ProgramCaller
 from experiments.soak.records import Kind
+from experiments.soak.unserved_turns import NO_BUDGET
 
 if TYPE_CHECKING:
     from experiments.soak.records import Records
--- a/src/experiments/soak/final_check.py
+++ b/src/experiments/soak/final_check.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, Final
 
 from experiments.soak.records import Kind
-from experiments.soak.unserved_turns import OK
+from experiments.soak.unserved_turns import NO_BUDGET, OK
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -18,13 +18,13 @@
 # that is judged, and which shares of the requests and of the turns that takes.
 RECOVERY_SECONDS: Final = 12.0
 WINDOW_SECONDS: Final = 4.0
-# A turn is judged that was tried within this span before it had to reach a target: one
-# turned away while holders started, and not tried again, shows nothing.
+# A turn is judged that was tried within this span before it had to reach a target, by
+# `RECOVERY_SECONDS` or in the last `WINDOW_SECONDS`: one turned away while holders
+# started, and not tried again, shows nothing.
 EARLIEST_TRY_SECONDS: Final = 6.0
 LATEST_TRY_SECONDS: Final = 1.0
 SERVED_SHARE: Final = 0.25
 TURNS_SHARE: Final = 0.8
-NO_BUDGET: Final = 402
 
 
 def check_final(
@@ -53,20 +53,13 @@
     others = [t for t in after if t.kind is Kind.TURN and t.previous not in ids]
     if compute_served_share(others) < TURNS_SHARE:
         return
+    ended_at = recovered_at + WINDOW_SECONDS
     continued: defaultdict[str, list[Try]] = defaultdict(list)
-    for tried in list_sent(records, failed_at, recovered_at):
+    for tried in list_sent(records, failed_at, ended_at):
         continued[tried.previous].append(tried)
     for turn in kept:
         tries = continued[turn.id]
-        was_tried = any(
-            recovered_at - EARLIEST_TRY_SECONDS
-            <= tried.sent_at
-            <= recovered_at - LATEST_TRY_SECONDS
-            for tried in tries
-        )
-        if was_tried and not any(
-            is_settled(records, tried, recovered_at) for tried in tries
-        ):
+        if any(is_lost(records, tries, until) for until in (recovered_at, ended_at)):
             statuses = [tried.status for tried in tries]
             yield (
                 f"LOST kept turn {turn.id} of {turn.program} reached no target within "
@@ -74,6 +67,14 @@
             )
 
 
+def is_lost(records: Records, tries: list[Try], until: float) -> bool:
+    """Whether a turn was tried shortly before a moment, and had reached no target."""
+    first, last = until - EARLIEST_TRY_SECONDS, until - LATEST_TRY_SECONDS
+    if not any(first <= tried.sent_at <= last for tried in tries):
+        return False
+    return not any(is_settled(records, tried, until) for tried in tries)
+
+
 def list_sent(records: Records, first: float, last: float) -> list[Try]:
     """Return the tries that were sent between two moments."""
     return [t for t in list(records.tries.values()) if first < t.sent_at <= last]
--- a/src/experiments/soak/unserved_turns.py
+++ b/src/experiments/soak/unserved_turns.py
@@ -14,6 +14,7 @@
     from experiments.soak.records import Records, Try
 
 OK: Final = 200
+NO_BUDGET: Final = 402
 # The users' bounds: tries of one turn at entries in touch, the share of first turns
 # that reach a target meanwhile, and how much of the targets' places is taken.
 MOST_TRIES: Final = 4
@@ -66,7 +67,7 @@
     others to go to.
     """
     ending = tried.ending
-    if ending is None or ending.sent_at is None or tried.status == 402:
+    if ending is None or ending.sent_at is None or tried.status == NO_BUDGET:
         return False
     entry = records.entry_names.get(ending.entry)
     if entry is None:
--- a/tests/soak/test_final.py
+++ b/tests/soak/test_final.py
@@ -77,7 +77,7 @@
     [
         {"turn": (503, 200)},
         {"turn": (402,)},
-        {"turn": (503,), "turn_at": RECOVERED - 0.9},
+        {"turn": (503,), "turn_at": RECOVERED + 3.1},
         {"turn": (503,), "turn_at": RECOVERED - 6.1},
         {"turn": (503,), "after": (200, 200, 200, 503)},
         {"turn": ()},
@@ -87,6 +87,12 @@
     assert find(make_records(**more)) == []
 
 
+def test_a_kept_turn_that_is_tried_at_the_end_only_is_found():
+    (line,) = find(make_records(turn=(404,), turn_at=RECOVERED + 1))
+    assert line.startswith("LOST kept turn t1")
+    assert find(make_records(turn_at=RECOVERED + 1)) == []
+
+
 def test_a_kept_turn_that_reaches_a_target_too_late_is_found():
     records = make_records(turn=(503,))
     add_tries(records, Kind.TURN, RECOVERED - 0.05, (200,), "t1")
