Look at a configuration after a last fault until an answer tells

Change: the entry is asked again, for 4 s at most, until the answer is 200, or 404, which a configuration without the route gives and which is found at once, as before.

Test: test_a_look_at_the_configuration_that_its_target_broke_off_tells_nothing.

--- a/src/experiments/soak/final_player.py
+++ b/src/experiments/soak/final_player.py
@@ -10,7 +10,7 @@
 from experiments.soak.final_caller import FinalCaller, list_kept_turns
 from experiments.soak.final_check import RECOVERY_SECONDS, WINDOW_SECONDS, check_final
 from experiments.soak.final_fault import Loss, Trigger
-from experiments.soak.in_force import is_in_force
+from experiments.soak.in_force import NOT_FOUND, OK, ask_newest_route
 from experiments.soak.planned_player import CATCH_UP_SECONDS, READY_SECONDS
 from experiments.waiting import ConditionError
 
@@ -22,6 +22,8 @@
 CALLERS: Final = 8
 # Those answered last, few enough that each is tried every other second.
 MOST_KEPT: Final = 64
+# For looks at the configuration that end at a target which does not answer.
+LOOK_SECONDS: Final = 4.0
 
 
 class FinalPlayer:
@@ -108,13 +110,25 @@
             self.site.restart(name)
 
     def check_configuration(self) -> list[str]:
-        """Return a line for each entry without the configuration that was confirmed."""
+        """Return a line for each entry without the configuration that was confirmed.
+
+        A call that looks may end at a target that refuses or breaks off.
+        """
         return [
             f"CONFIG {name} does not serve {self.site.mark} after the last fault"
             for name in self.site.entries
-            if not is_in_force(self.site, name)
+            if not self.serves_newest_route(name)
         ]
 
+    def serves_newest_route(self, name: str) -> bool:
+        """Whether an entry serves the newest route, by its first answer that tells."""
+        until = time.monotonic() + LOOK_SECONDS
+        while time.monotonic() < until:
+            status = ask_newest_route(self.site, name)
+            if status in (OK, NOT_FOUND):
+                return status == OK
+        return False
+
     def continue_turns(self, kept: list[KeptTurn]) -> list[str]:
         """Go on with each kept turn; return what failed once the time is over."""
         until = self.back_at + RECOVERY_SECONDS + WINDOW_SECONDS
--- a/tests/soak/test_final.py
+++ b/tests/soak/test_final.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+from types import SimpleNamespace
+
 import pytest
 
+from experiments.soak import final_player
 from experiments.soak.ending import Ending, How
 from experiments.soak.final_caller import KeptTurn, list_kept_turns
 from experiments.soak.final_check import check_final
 from experiments.soak.final_fault import Loss, Trigger, draw_final_fault
+from experiments.soak.final_player import FinalPlayer
 from experiments.soak.records import Kind, Records, Run, Try
 
 FAILED, BACK = 100.0, 101.0
@@ -109,3 +113,17 @@
             Try(f"t{number}", Kind.TURN, b"", status, b"", "p", ending=ending)
         )
     assert list_kept_turns(records, 5.0) == [KeptTurn("t1", "p", 40)]
+
+
+@pytest.mark.parametrize(
+    ("statuses", "is_served"),
+    [([200], True), ([None, 502, 200], True), ([404, 200], False), ([502, 404], False)],
+)
+def test_a_look_at_the_configuration_that_its_target_broke_off_tells_nothing(
+    statuses, is_served, monkeypatch
+):
+    answers = iter(statuses)
+    monkeypatch.setattr(final_player, "ask_newest_route", lambda *_: next(answers))
+    site = SimpleNamespace(entries=["entry"], holders=[], configure=None)
+    player = FinalPlayer(site, draw_final_fault(1), 1)
+    assert player.serves_newest_route("entry") is is_served
