--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -170,6 +170,18 @@
     assert str(Unanswered.AFTER_RUN) in line
 
 
+@pytest.mark.parametrize(
+    ("send_seconds", "is_broken"), [(0.0, True), (0.12, True), (0.13, False)]
+)
+def test_a_caller_that_stood_still_while_it_sent_took_a_timeout_for_a_cut(
+    send_seconds, is_broken
+):
+    records = make_records()
+    add_unanswered(records, 2.872, send_seconds=send_seconds)
+    run_unanswered(records)
+    assert bool(find_broken(records, MOST, PLACES)) is is_broken
+
+
 def test_an_answer_that_broke_off_after_it_began_is_found():
     records = make_records()
     add_unanswered(records, 0.05, answer_bytes=40)
@@ -188,7 +200,7 @@
         (0.01, How.CLOSED, {"number": 0, "was_closed": True}, Unanswered.CLOSED_BEFORE),
         (4.0, How.GIVEN_UP, {}, Unanswered.GIVEN_UP),
         (3.0, How.CLOSED, {}, Unanswered.TIMEOUT),
-        (2.9, How.CLOSED, {"sending_seconds": 0.11}, Unanswered.TIMEOUT),
+        (2.9, How.CLOSED, {"send_seconds": 0.11}, Unanswered.TIMEOUT),
     ],
 )
 def test_a_request_that_is_not_judged_is_counted(seconds, how, more, why):
