--- a/tests/stateful/test_seat_machine.py
+++ b/tests/stateful/test_seat_machine.py
@@ -163,6 +163,13 @@
             box.start()
             self.world.run_rounds(rounds)
 
+    @rule(index=INDEXES, away=st.sets(INDEXES, max_size=2), rounds=ROUNDS)
+    def lose_disk_while_others_are_away(self, index, away, rounds):
+        for other in away:
+            self.world.kill(self.pick(other))
+        self.lose_disk(index, True, rounds)
+        self.read_kept_turns(0)
+
     @rule(index=INDEXES)
     def replace_box(self, index):
         self.world.replace_box(self.pick(index))
