--- a/src/cedarchute/relay/caller_connection.py
+++ b/src/cedarchute/relay/caller_connection.py
@@ -44,7 +44,8 @@
     Attributes
     ----------
     has_announced_close : bool
-        Whether a response has said that the connection closes.
+        Whether a response has said that the connection closes. Requests behind it are
+        refused, and the connection closes once none is left.
     is_lingering : bool
         Whether the last response was written and its caller may still be reading it.
     """
--- a/src/cedarchute/turns/catch_up.py
+++ b/src/cedarchute/turns/catch_up.py
@@ -194,8 +194,8 @@
 def as_complete(outcome: CopyOutcome, if_lost: CopyOutcome) -> CopyOutcome:
     """Return the outcome for a disk that the table says has all records.
 
-    Its holder may say otherwise: it has not seen that table yet, or has another seat
-    by now.
+    The table overrides a holder that says it lacks some: it has not seen that table
+    yet, or has another seat by now.
     """
     if outcome in (CopyOutcome.WHOLE, CopyOutcome.PARTIAL):
         return CopyOutcome.WHOLE
--- a/src/cedarchute/turns/copy_outcome.py
+++ b/src/cedarchute/turns/copy_outcome.py
@@ -19,7 +19,8 @@
     LOST
         The disk is gone: its box has another one.
     SILENT
-        The disk may have records that nobody else has; it has to be asked again.
+        The box gave no answer, or not one about this disk. The disk may have records
+        that nobody else has, so it has to be asked again.
     """
 
     WHOLE = "whole"
--- a/src/cedarchute/turns/expiry.py
+++ b/src/cedarchute/turns/expiry.py
@@ -55,7 +55,8 @@
     def count_needed(self, table: SeatTable, program: str) -> int:
         """Return how many other holders have to confirm that a program is unused.
 
-        That many and this one leave too few holders for a quorum.
+        That many and this one leave too few holders for a quorum. None have to if this
+        disk has nothing to lose, or is not one that the records count on.
         """
         if self.storage.programs[program].is_empty:
             return 0
--- a/src/cedarchute/turns/holder.py
+++ b/src/cedarchute/turns/holder.py
@@ -195,7 +195,10 @@
         return IdleTimes({p: now - at for p, at in used_at.items() if at is not None})
 
     def check_disk(self, message: CopyRecords) -> None:
-        """Reject a request for a disk that this box does not have."""
+        """Reject a request for a disk that this box does not have.
+
+        Requests of earlier versions name none.
+        """
         if message.disk in ("", self.disk):
             return
         if message.box != self.box:
--- a/src/experiments/soak/contact.py
+++ b/src/experiments/soak/contact.py
@@ -11,11 +11,11 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-# The users' bound: who was left alone for this long is in touch.
+# The required bound: who was left alone for this long is in touch.
 CONTACT_SECONDS: Final = 3.0
 # Of what is done to the store, or to all boxes at once.
 EVERYTHING: Final = ""
-# The users' bound on a planned stop, and the second behind it that they judge as well.
+# The required bound on a planned stop, and one second behind it that is judged as well.
 STOP_SECONDS: Final = 9.0
 NEVER: Final = float("inf")
 
@@ -45,7 +45,7 @@
 
     @contextmanager
     def touched(self, name: str) -> Iterator[None]:
-        """Take in that something lasts until the block is left."""
+        """Record that something lasts until the block is left."""
         touch = Touch(name, time.monotonic(), NEVER)
         with self.lock:
             self.touches.append(touch)
@@ -55,11 +55,11 @@
             touch.ended = time.monotonic()
 
     def note_start(self, name: str) -> None:
-        """Take in that the process of a box was started."""
+        """Record that the process of a box was started."""
         self.add_moment(self.touches, name)
 
     def note_stop(self, name: str) -> None:
-        """Take in that a box was asked to stop."""
+        """Record that a box was asked to stop."""
         self.add_moment(self.touches, name)
         self.add_moment(self.stops, name)
 
--- a/src/experiments/soak/cut_requests.py
+++ b/src/experiments/soak/cut_requests.py
@@ -12,7 +12,7 @@
 
     from experiments.soak.records import Records, Try
 
-# The users' bound for a whole run, beside whatever happens to other boxes.
+# The required bound for a whole run, beside whatever happens to other boxes.
 MOST_CUT: Final = 3
 MOST_NAMED: Final = 12
 # What the results call them.
--- a/src/experiments/soak/final_check.py
+++ b/src/experiments/soak/final_check.py
@@ -14,7 +14,7 @@
     from experiments.soak.final_caller import KeptTurn
     from experiments.soak.records import Records, Try
 
-# The users' bounds: from the return of all machines until callers are served, how long
+# Required bounds: from the return of all machines until callers are served, how long
 # that is judged, and which shares of the requests and of the turns that takes.
 RECOVERY_SECONDS: Final = 12.0
 WINDOW_SECONDS: Final = 4.0
--- a/src/experiments/soak/machines.py
+++ b/src/experiments/soak/machines.py
@@ -17,7 +17,7 @@
 
     from experiments.soak.soak_site import SoakSite
 
-# A machine counts as lost for this long after its start, by the users' bound.
+# A machine counts as lost for this long after its start, by the required bound.
 CATCH_UP_SECONDS: Final = 4.3
 LOOK_SECONDS: Final = 0.1
 
--- a/src/experiments/soak/planned_player.py
+++ b/src/experiments/soak/planned_player.py
@@ -19,7 +19,7 @@
 
     from experiments.soak.soak_site import SoakSite
 
-# A holder counts as lost for this long after its start, by the users' bound.
+# A holder counts as lost for this long after its start, by the required bound.
 CATCH_UP_SECONDS: Final = 4.3
 READY_SECONDS: Final = 30.0
 
--- a/src/experiments/soak/records.py
+++ b/src/experiments/soak/records.py
@@ -111,27 +111,27 @@
         self.entry_names: dict[str, str] = {}
 
     def add_run(self, run: Run) -> None:
-        """Take in that a back end began to work."""
+        """Record that a back end began to work."""
         with self.lock:
             self.runs[run.id].append(run)
 
     def end_run(self, call_id: str, target: str) -> None:
-        """Take in that a back end is done with a run."""
+        """Record that a back end is done with a run."""
         self.run_ends[call_id, target] = time.monotonic()
 
     def add_try(self, tried: Try) -> None:
-        """Take in how a try ended."""
+        """Record how a try ended."""
         with self.lock:
             self.tries[tried.id] = tried
 
     def add_program(self, program: str, budget: int) -> None:
-        """Take in a program and the tokens that it may be handed."""
+        """Record a program and the tokens that it may be handed."""
         with self.lock:
             self.budgets[program] = budget
 
     @contextmanager
     def disturbed(self, name: str = EVERYTHING) -> Iterator[None]:
-        """Take in that an unplanned fault lasts until the block is left.
+        """Record that an unplanned fault lasts until the block is left.
 
         Parameters
         ----------
--- a/src/experiments/soak/soak_run.py
+++ b/src/experiments/soak/soak_run.py
@@ -24,7 +24,7 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
-# After the last fault, everything is served again within this: the users' bound on
+# After the last fault, everything is served again within this: the required bound on
 # recovery is 12 s.
 RECOVERY_SECONDS: Final = 20.0
 # Programs that each caller finishes after that, one of which began before it, and the
--- a/src/experiments/soak/unanswered.py
+++ b/src/experiments/soak/unanswered.py
@@ -17,7 +17,7 @@
     from experiments.soak.ending import Ending
     from experiments.soak.records import Records, Try
 
-# The users' bound on the time from the last byte of a request within which it may cross
+# Required bound on the time from the last byte of a request within which it may cross
 # a close.
 CROSSING_SECONDS: Final = 0.2
 
--- a/src/experiments/soak/unserved_turns.py
+++ b/src/experiments/soak/unserved_turns.py
@@ -15,7 +15,7 @@
 
 OK: Final = 200
 NO_BUDGET: Final = 402
-# The users' bounds: tries of one turn at entries in touch, the share of first turns
+# The required bounds: tries of one turn at entries in touch, the share of first turns
 # that reach a target meanwhile, and how much of the targets' places is taken.
 MOST_TRIES: Final = 4
 SERVED_SHARE: Final = 0.9
--- a/src/experiments/soak/workspaces.py
+++ b/src/experiments/soak/workspaces.py
@@ -49,7 +49,7 @@
         return f"passing-key-{count}"
 
     def note_gone(self, key: str, now: float) -> None:
-        """Take in that the store confirmed a configuration without a key."""
+        """Record that the store confirmed a configuration without a key."""
         with self.lock:
             self.gone_at.setdefault(key, now)
 
--- a/tests/turns/test_seat_changes.py
+++ b/tests/turns/test_seat_changes.py
@@ -35,6 +35,17 @@
     return turn
 
 
+def replace_without_copy(site):
+    """Let a spare take the seat of "a", which goes away, and read nothing yet."""
+    site.kill("a")
+    site.start("spare")
+    for _ in range(4):
+        site.step(1.0, only=["b", "c"])
+    site.step(0.0, only=["spare"])
+    site.step(3.0, only=["spare"])
+    assert site.table.find_box("spare") is not None
+
+
 def assert_waits(site, turn):
     """A turn that is not readable is not denied either."""
     with pytest.raises(NoQuorumError):
@@ -57,14 +68,7 @@
 def test_a_disk_lost_after_a_spare_took_a_seat_waits_for_the_disk_away(site):
     site.form("a", "b", "c")
     kept = keep_without(site, "c", make_turn("kept"))
-    site.kill("a")
-    site.start("spare")
-    for _ in range(4):
-        site.step(1.0, only=["b", "c"])
-    # The spare has the seat of the holder that is away, and has read nothing yet.
-    site.step(0.0, only=["spare"])
-    site.step(3.0, only=["spare"])
-    assert site.table.find_box("spare") is not None
+    replace_without_copy(site)
     site.kill("b")
     site.wipe("b")
     site.start("b")
@@ -146,14 +150,7 @@
 def test_a_disk_that_another_seat_needs_takes_no_further_seat(site):
     site.form("a", "b", "c")
     kept = keep_without(site, "c", make_turn("kept"))
-    site.kill("a")
-    site.start("spare")
-    for _ in range(4):
-        site.step(1.0, only=["b", "c"])
-    # The spare has the seat of "a", and has read nothing.
-    site.step(0.0, only=["spare"])
-    site.step(3.0, only=["spare"])
-    assert site.table.find_box("spare") is not None
+    replace_without_copy(site)
     site.kill("b")
     site.start("a")
     for _ in range(6):
