Give the successor of a silent machine its seat before the next disk may be lost

Callers saw 503 for every turn of every program, for good: a machine with a disk was removed without a word, its successor had run for the 4.3 s that the users allow, and then another disk was lost.

Cause: connections to a machine without power get no answer and no reset, so each probe of it lasts until its timeout. The wait was measured up to the beginning of a round of probes, and each round that might end it probed the same holder again. Once it had the seat, the successor read from the disk of the silent machine last, again up to a timeout, although the others had given all records already.

Evidence, real processes on, load 8: `Started.` of the successor at 50.77 s, `Holder is unreachable.` at 54.32 s, no copy by the time at which the disk was lost, then `Copy of a seat is not complete.` on both seats, with the silent machine as the silent one.

A round's own duration counts now, its result is used instead of another probe, and the predecessor is read only if the other disks are not enough; is_enough says so without it already.

--- a/src/cedarchute/turns/absent_holders.py
+++ b/src/cedarchute/turns/absent_holders.py
@@ -56,7 +56,7 @@
         self.is_joining = is_joining
         self.joined_at: float | None = None
         self.since: dict[str, float] = {}
-        self.is_cut_off = False
+        self.silent: set[str] = set()
 
     def find_gone(self, table: SeatTable, among: Collection[int]) -> int | None:
         """Return one of some seats whose holder is gone, the one absent longest first.
@@ -64,18 +64,20 @@
         A directory entry can be missing although the holder is up, so the holder is
         asked before its seat is taken.
         """
-        now = time.monotonic()
-        is_probing = self.is_within_joining(now)
+        is_probing = self.is_within_joining(time.monotonic())
         self.update(table, is_probing)
-        if is_probing and self.is_cut_off:
+        if is_probing and len(self.silent) > table.losses:
+            # This box is cut off, and could not fill a seat.
             return None
+        # Probes of silent holders take time, which counts as well.
+        now = time.monotonic()
         timeout = JOINING_TIMEOUT_SECONDS if is_probing else ABSENT_TIMEOUT_SECONDS
         for box, since in sorted(self.since.items(), key=lambda item: item[1]):
             number = table.find_box(box)
             if now - since < timeout or number not in among:
                 continue
             seat = table.seats[number]
-            if self.is_unreachable(seat, is_probing):
+            if box in self.silent if is_probing else self.is_unreachable(seat):
                 log.info("Holder is unreachable.", extra={"box": seat.box})
                 return number
             self.since[box] = now
@@ -96,24 +98,25 @@
             box.name for box in self.directory.list_boxes(Role.HOLDER)
         }
         if is_probing:
-            silent = {
-                box for box, seat in seats.items() if self.is_unreachable(seat, True)
+            self.silent = {
+                box
+                for box, seat in seats.items()
+                if self.is_unreachable(seat, PROBE_TIMEOUT)
             }
-            absent |= silent
-            # With more of them silent this box is cut off, and could not fill a seat.
-            self.is_cut_off = len(silent) > table.losses
+            absent |= self.silent
         for box in self.since.keys() - absent:
             del self.since[box]
         for box in sorted(absent):
             self.since.setdefault(box, now)
 
-    def is_unreachable(self, seat: Seat, is_probing: bool) -> bool:
+    def is_unreachable(
+        self, seat: Seat, timeout: urllib3.Timeout | None = None
+    ) -> bool:
         """Return whether a holder gives no answer at all, not even a rejection.
 
         Asked under version 0 of the table, a holder always rejects.
         """
         message = ReadAccount(table_version=0, disk=seat.disk, program="")
-        timeout = PROBE_TIMEOUT if is_probing else None
         try:
             self.client.ask(seat.address, "/turns/account", message, Account, timeout)
         except HolderRefusedError as error:
--- a/src/cedarchute/turns/catch_up.py
+++ b/src/cedarchute/turns/catch_up.py
@@ -49,7 +49,7 @@
         self.last_facts: dict[str, object] = {}
 
     def run_once(self, number: int) -> bool:
-        """Copy from every other disk; return whether the copy is complete."""
+        """Copy from as many disks as needed; return whether the copy is complete."""
         table = self.seats.table
         # Keyed by disk, for the log.
         outcomes: dict[str, CopyOutcome] = {}
@@ -58,12 +58,15 @@
             for other, seat in enumerate(table.seats)
             if other != number and not is_handed_over(seat)
         ]
-        own = self.copy_predecessor(table.seats[number], table, number, outcomes)
-        if self.seats.table.version != table.version:
-            return False
         is_released = table.seats[number].is_released
         tolerated = table.losses if is_released else table.losses - 1
-        done = is_enough(own, others, tolerated)
+        done = is_enough(CopyOutcome.SILENT, others, tolerated)
+        if not done:
+            # Asked only if needed: a box that is gone answers only by a timeout.
+            own = self.copy_predecessor(table.seats[number], table, number, outcomes)
+            done = is_enough(own, others, tolerated)
+        if self.seats.table.version != table.version:
+            return False
         self.log_outcomes(table, number, outcomes, done)
         return done
 
--- a/tests/platform_site/test_replaced_holders.py
+++ b/tests/platform_site/test_replaced_holders.py
@@ -36,9 +36,9 @@
     return kept
 
 
-def lose_disk(site, name):
-    """Kill all boxes that run, and start them again, one with an empty disk."""
-    names = [n for n in site.peers if site.processes[n].is_running]
+def lose_disk(site, name, gone=""):
+    """Kill all boxes that are there, and start them again, one with an empty disk."""
+    names = [n for n in site.peers if site.processes[n].is_running and n != gone]
     for other in names:
         site.kill(other)
     for path in (site.folder / f"{name}-data").iterdir():
@@ -58,6 +58,17 @@
     wait_served(site, "b", kept)
 
 
+def test_a_disk_lost_after_a_silent_holder_was_replaced_forgets_no_turn(turn_nodes):
+    site = turn_nodes
+    kept = keep_turn_without_third(site)
+    # As a machine without power: connections to it get no answer and no reset.
+    site.processes["holder-2"].pause()
+    site.start_holder("holder-4", "b")
+    time.sleep(CATCH_UP_SECONDS)
+    lose_disk(site, "holder-1", gone="holder-2")
+    wait_served(site, "b", kept)
+
+
 def test_a_disk_lost_after_a_stopped_holder_was_replaced_forgets_no_turn(turn_nodes):
     site = turn_nodes
     kept = keep_turn_without_third(site)
--- a/tests/turns/test_absent_holders.py
+++ b/tests/turns/test_absent_holders.py
@@ -33,6 +33,7 @@
         self.alive = set(BOXES)
         self.asked = 0
         self.answers_as = {}
+        self.on_silence = lambda: None
         self.directory = BoxDirectory()
         for box in BOXES:
             self.directory.put(BoxEntry(box, Role.HOLDER, "a", "region", "", box))
@@ -42,6 +43,7 @@
         if address in self.alive:
             box = self.answers_as.get(address, address)
             raise HolderRefusedError(Refused("another table", box=box))
+        self.on_silence()
         raise HolderUnavailableError(address)
 
 
@@ -67,6 +69,17 @@
     assert absent.find_gone(TABLE, range(3)) == 1
 
 
+def test_a_joining_box_counts_the_time_that_silent_holders_take(clock, holders):
+    absent = AbsentHolders(holders.directory, holders, is_joining=True)
+    holders.alive.remove("b")
+    holders.on_silence = lambda: setattr(
+        clock, "now", clock.now + JOINING_TIMEOUT_SECONDS / 2
+    )
+    assert absent.find_gone(TABLE, range(3)) is None
+    assert absent.find_gone(TABLE, range(3)) == 1
+    assert clock.now == 100.0 + JOINING_TIMEOUT_SECONDS
+
+
 def test_a_joining_box_that_is_cut_off_takes_no_seat(clock, holders):
     absent = AbsentHolders(holders.directory, holders, is_joining=True)
     holders.alive = {"c"}
--- a/tests/turns/test_catch_up.py
+++ b/tests/turns/test_catch_up.py
@@ -6,6 +6,7 @@
 from cedarchute.metrics import Metrics
 from cedarchute.turns.active_seat_table import ActiveSeatTable
 from cedarchute.turns.catch_up import CatchUp
+from cedarchute.turns.disk_location import DiskLocation
 from cedarchute.turns.holder import Holder, HolderError
 from cedarchute.turns.holder_client import HolderRefusedError, HolderUnavailableError
 from cedarchute.turns.messages import CopiedRecords, Refused
@@ -77,6 +78,20 @@
     assert run(tmp_path, losses, *states)[0] is done
 
 
+def test_a_box_that_is_gone_is_not_waited_for_if_the_others_are_enough(tmp_path):
+    gone = DiskLocation("gone", "gone", "disk-gone")
+    seats = (
+        Seat("new", "new", "disk-new", "a", is_complete=False, predecessor=gone),
+        *(Seat(n, n, f"disk-{n}", "a", is_complete=True) for n in ("box-1", "box-2")),
+    )
+    table = SeatTable(5, True, 1, seats)
+    active_table = ActiveSeatTable()
+    active_table.update(table, "test")
+    client = ScriptedClient(table, {"box-1": WHOLE, "box-2": WHOLE})
+    catch_up = CatchUp(client, make_storage(tmp_path), active_table, Metrics())
+    assert catch_up.run_once(0)
+
+
 class DirectClient:
     """Other holders, in this process."""
 
