Let a successor that starts slowly have its copy before the next disk may be lost

Cause: the margin. A successor waited 2 s until it held the other to be gone, in steps of 0.25 s, and took another such step between its seat and its copy.

Evidence: with its start held up for 1.8 s, so that load plays no part, red 2 of 2 on: the seat is taken, and everything ends before the first copy.

It waits 1 s now, and the step after a change of the table follows at once: held up for 1.8 s it has its copy 1.35 s after `Started.`. Since the table names the last complete disk, a holder that only restarts and loses its seat loses no record: it hands out its disk, and the price is one copy.

--- a/src/cedarchute/turns/absent_holders.py
+++ b/src/cedarchute/turns/absent_holders.py
@@ -27,9 +27,10 @@
 
 # A holder without a directory entry for this long is not just restarting.
 ABSENT_TIMEOUT_SECONDS: Final = 2.5
-# The same for one that a joining box finds unreachable: about half of the time that a
-# successor has until another disk may be lost; the rest is for its start and the copy.
-JOINING_TIMEOUT_SECONDS: Final = 2.0
+# The same for one that a joining box finds unreachable. Short, since the next disk may
+# be lost soon after a successor has started; taking the seat of a holder that only
+# restarts costs no more than a copy.
+JOINING_TIMEOUT_SECONDS: Final = 1.0
 # A box whose predecessor is gone finds it unreachable within this.
 JOINING_SECONDS: Final = 10.0
 PROBE_TIMEOUT: Final = urllib3.Timeout(connect=0.5, read=0.5)
--- a/src/cedarchute/turns/seat_manager.py
+++ b/src/cedarchute/turns/seat_manager.py
@@ -33,8 +33,9 @@
 log = logging.getLogger("cedarchute.turns")
 
 POLL_SECONDS: Final = 0.25
-# Used by a restarted holder with a complete disk until it serves again.
-STARTUP_POLL_SECONDS: Final = 0.02
+# Used after a step that changed the table, and by a restarted holder with a complete
+# disk until it serves again.
+FAST_POLL_SECONDS: Final = 0.02
 # How long holders of a new system can add seats; later ones wait for a free seat. All
 # holders of a new system start within a second.
 JOIN_SECONDS: Final = 3.0
@@ -89,6 +90,7 @@
         share = zlib.crc32(self.own_seat.box.encode()) / 2**32
         self.join_at = time.monotonic() + share * JITTER_SECONDS
         while True:
+            version = self.seats.table.version
             try:
                 self.step()
             except StoreUnavailableError as error:
@@ -96,8 +98,9 @@
                     "Store unavailable; seat not changed.",
                     extra={"why": str(error)},
                 )
-            is_starting = self.is_starting()
-            eventlet.sleep(STARTUP_POLL_SECONDS if is_starting else POLL_SECONDS)
+            is_changed = self.seats.table.version != version
+            polls_fast = is_changed or self.is_starting()
+            eventlet.sleep(FAST_POLL_SECONDS if polls_fast else POLL_SECONDS)
 
     def is_starting(self) -> bool:
         """Whether this holder has a seat and only has to read the table to serve."""
--- a/tests/platform_site/test_replaced_holders.py
+++ b/tests/platform_site/test_replaced_holders.py
@@ -69,6 +69,23 @@
     wait_served(site, "b", kept)
 
 
+@pytest.mark.parametrize("seconds", [0.9, 1.8])
+def test_a_disk_lost_after_a_successor_started_late_forgets_no_turn(
+    turn_nodes, seconds
+):
+    site = turn_nodes
+    kept = keep_turn_without_third(site)
+    site.kill("holder-2")
+    site.start_holder("holder-4", "b")
+    started = time.monotonic()
+    site.processes["holder-4"].pause()
+    time.sleep(seconds)
+    site.processes["holder-4"].resume()
+    time.sleep(started + CATCH_UP_SECONDS - time.monotonic())
+    lose_disk(site, "holder-1")
+    wait_served(site, "b", kept)
+
+
 def test_a_disk_lost_after_a_stopped_holder_was_replaced_forgets_no_turn(turn_nodes):
     site = turn_nodes
     kept = keep_turn_without_third(site)
