Write into an older table of seats that a disk is incomplete

Callers would see 404 of a kept turn, with one disk lost: the versions of all boxes change while a lost disk is being filled, and then spares take two seats.

Cause: tables of earlier versions do not say which disks are complete. The incomplete disk said so only when it was asked; once its seat was taken, it was named as the last complete disk of it, and a copy of it was enough.

Not seen on real processes; it takes a change of versions during a loss.

A holder whose disk is incomplete now says so in the table first, without a predecessor, since none is known: its seat then counts as lost until it is filled. What remains is a box that never runs the new version before its seat is taken.

--- a/src/cedarchute/turns/seat_manager.py
+++ b/src/cedarchute/turns/seat_manager.py
@@ -138,6 +138,9 @@
             self.serve(number, started)
             self.write_table(table.complete_seat(number))
             return
+        if is_complete is None:
+            self.write_table(table.mark_incomplete(number))
+            return
         if not is_complete:
             if not self.catch_up.run_once(number):
                 return
--- a/src/cedarchute/turns/seat_table.py
+++ b/src/cedarchute/turns/seat_table.py
@@ -131,6 +131,14 @@
         )
         return self.replace_seat(number, seat)
 
+    def mark_incomplete(self, number: int) -> SeatTable:
+        """Return the next version of the table, with the disk of a seat incomplete.
+
+        For tables of earlier versions, which do not name the last complete disk.
+        """
+        seat = msgspec.structs.replace(self.seats[number], is_complete=False)
+        return self.replace_seat(number, seat)
+
     def vacate_seat(self, number: int, disk: str) -> SeatTable:
         """Return the next version of the table, without the holder of a seat.
 
--- a/tests/turns/test_seat_changes.py
+++ b/tests/turns/test_seat_changes.py
@@ -4,12 +4,16 @@
 
 from types import SimpleNamespace
 
+import msgspec
 import pytest
 from seat_site import SeatSite
 from test_turn_storage import make_turn
 
+from cedarchute.fleet.followers import SEATS_KEY
 from cedarchute.turns import holder_fanout, program_state, seat_manager, turn_quorum
 from cedarchute.turns.holder_fanout import NoQuorumError
+from cedarchute.turns.seat import Seat
+from cedarchute.turns.seat_table import SeatTable
 
 LONG_SECONDS = 1000.0
 
@@ -46,6 +50,17 @@
     assert site.table.find_box("spare") is not None
 
 
+def age_table(site):
+    """Write the table of seats as versions did that name no complete disks."""
+    seats = tuple(
+        Seat(seat.box, seat.address, seat.disk, seat.failure_domain)
+        for seat in site.table.seats
+    )
+    older = SeatTable(site.table.version + 1, True, site.losses, seats)
+    text = msgspec.json.encode(older).decode()
+    site.store.swap(SEATS_KEY, text, site.store.entry.version)
+
+
 def assert_waits(site, turn):
     """A turn that is not readable is not denied either."""
     with pytest.raises(NoQuorumError):
@@ -94,6 +109,28 @@
     assert site.read(kept) == b"in-keptout-kept"
 
 
+def test_two_seats_taken_after_a_change_of_versions_forget_no_turn(site):
+    site.form("a", "b", "c")
+    kept = keep_without(site, "c", make_turn("kept"))
+    site.kill("a", "b")
+    site.wipe("b")
+    site.start("b")
+    site.step(0.0, only=["b"])
+    age_table(site)
+    site.kill("b", "c")
+    site.start("b", "c")
+    site.settle(3, 0.2)
+    site.kill("b")
+    site.start("spare-1", "spare-2")
+    site.settle()
+    site.start("b")
+    site.settle()
+    assert_waits(site, kept)
+    site.start("a")
+    site.settle()
+    assert site.read(kept) == b"in-keptout-kept"
+
+
 def test_a_disk_lost_beside_a_holder_that_is_emptied_reads_its_records(site):
     site.form("a", "b", "c")
     kept = keep_without(site, "c", make_turn("kept"))
