Let a successor that was restarted ask the holders as well

Callers saw 503 for every turn, for good: a machine with a disk was killed for good, its successor and all others were killed once and came back, and 4.3 s later another disk was lost. All processes may be killed at any time, and disks are kept then.

Cause: a box counted as joining by its first process only. A successor that was killed before it had a seat waited for the lease of the other to run out.

A box is joining until its disk has had a seat, which the stored version of the table tells. The processes of the test of seats are wired in the same way.

--- a/src/cedarchute/daemon/holder_box.py
+++ b/src/cedarchute/daemon/holder_box.py
@@ -93,9 +93,8 @@
         retirements = Retirements(self.parts.store)
         self.parts.mirror.followers[RETIRE] = retirements
         seats = self.parts.seats
-        self.holder = Holder(
-            self.book, seats, identity.disk, SeatVersionFile(self.folder), box.name
-        )
+        versions = SeatVersionFile(self.folder)
+        self.holder = Holder(self.book, seats, identity.disk, versions, box.name)
         self.holder.is_disk_complete = identity.complete
         client = HolderClient(metrics)
         self.keeper = SeatManager(
@@ -110,7 +109,12 @@
             self.parts.directory,
             retirements,
             Evacuation(client, self.book, seats),
-            AbsentHolders(self.parts.directory, client, is_joining=not is_restarted),
+            AbsentHolders(
+                self.parts.directory,
+                client,
+                is_joining=not versions.version,
+                is_restarted=is_restarted,
+            ),
         )
         self.expiry = Expiry(client, self.book, seats, identity.disk)
         self.listener = open_listener(settings.peers, f"{file}: [box] peer_port")
--- a/tests/platform_site/test_replaced_holders.py
+++ b/tests/platform_site/test_replaced_holders.py
@@ -86,6 +86,23 @@
     wait_served(site, "b", kept)
 
 
+def test_a_disk_lost_after_a_successor_was_killed_forgets_no_turn(turn_nodes):
+    site = turn_nodes
+    kept = keep_turn_without_third(site)
+    site.kill("holder-2")
+    site.start_holder("holder-4", "b")
+    log = site.processes["holder-4"]
+    wait_until(lambda: "Disk read." in log.read_log(), "holder-4 began")
+    names = [n for n in site.peers if site.processes[n].is_running]
+    for name in names:
+        site.kill(name)
+    for name in names:
+        site.restart(name)
+    time.sleep(CATCH_UP_SECONDS)
+    lose_disk(site, "holder-1")
+    wait_served(site, "b", kept)
+
+
 def test_a_disk_lost_after_a_stopped_holder_was_replaced_forgets_no_turn(turn_nodes):
     site = turn_nodes
     kept = keep_turn_without_third(site)
--- a/tests/stateful/seat_box.py
+++ b/tests/stateful/seat_box.py
@@ -105,9 +105,8 @@
         store = SeatStoreClient(world, self)
         client = BoxClient(world, self)
         self.retirements = Retirements(store)
-        self.holder = Holder(
-            storage, self.seats, self.disk, SeatVersionFile(box.folder), box.name
-        )
+        versions = SeatVersionFile(box.folder)
+        self.holder = Holder(storage, self.seats, self.disk, versions, box.name)
         self.holder.is_disk_complete = identity.complete
         self.manager = SeatManager(
             store,
@@ -121,7 +120,12 @@
             self.directory,
             self.retirements,
             Evacuation(client, storage, self.seats),
-            AbsentHolders(self.directory, client, is_joining=box.starts == 1),
+            AbsentHolders(
+                self.directory,
+                client,
+                is_joining=not versions.version,
+                is_restarted=box.starts > 1,
+            ),
         )
         share = zlib.crc32(box.name.encode()) / 2**32
         self.manager.join_at = world.clock.now + share * seat_manager.JITTER_SECONDS
