Close the table of seats without boxes that are gone

Callers would see 503 for every turn that goes on, for good, after one disk was lost: a box was replaced by another within the first seconds of a new system, before the number of seats was final. Kept turns were not forgotten, only waited for.

Cause: the successor added a seat, and the seat of the box that was gone became final with the others, as a complete disk that nobody can read.

Evidence: the test, red before by NoQuorumError (`only 1 holders answer`); known by reading until now. Not seen on real processes.

Who closes the table asks all holders once and leaves out those that give no answer, if enough remain; nothing was acknowledged before, so they can't have a record. One that was only slow becomes a spare.

--- a/src/cedarchute/turns/absent_holders.py
+++ b/src/cedarchute/turns/absent_holders.py
@@ -103,22 +103,24 @@
     def update(self, table: SeatTable, is_probing: bool = False) -> None:
         """Update since when each holder with a seat is absent."""
         now = time.monotonic()
-        seats = {seat.box: seat for seat in table.seats if not seat.is_vacant}
-        absent = seats.keys() - {
-            box.name for box in self.directory.list_boxes(Role.HOLDER)
-        }
+        boxes = {seat.box for seat in table.seats if not seat.is_vacant}
+        absent = boxes - {box.name for box in self.directory.list_boxes(Role.HOLDER)}
         if is_probing:
-            self.silent = {
-                box
-                for box, seat in seats.items()
-                if self.is_unreachable(seat, PROBE_TIMEOUT)
-            }
+            self.silent = self.list_silent(table)
             absent |= self.silent
         for box in self.since.keys() - absent:
             del self.since[box]
         for box in sorted(absent):
             self.since.setdefault(box, now)
 
+    def list_silent(self, table: SeatTable) -> set[str]:
+        """Ask all holders with a seat; return the boxes that give no answer."""
+        return {
+            seat.box
+            for seat in table.seats
+            if not seat.is_vacant and self.is_unreachable(seat, PROBE_TIMEOUT)
+        }
+
     def is_unreachable(
         self, seat: Seat, timeout: urllib3.Timeout | None = None
     ) -> bool:
--- a/src/cedarchute/turns/seat_manager.py
+++ b/src/cedarchute/turns/seat_manager.py
@@ -216,9 +216,11 @@
             open_seconds += UNDERSIZED_EXTRA_SECONDS
         if not enough or time.monotonic() - self.opened_at <= open_seconds:
             return
-        facts = {"seats": len(table.seats), "losses": self.losses}
+        gone = self.absent_holders.list_silent(table) - {self.own_seat.box}
+        closed = table.close(gone)
+        facts = {"seats": len(closed.seats), "losses": self.losses}
         log.info("Number of seats is final.", extra=facts)
-        self.write_table(table.close())
+        self.write_table(closed)
 
     def may_run_undersized(self, table: SeatTable) -> bool:
         """Whether a smaller set of holders is durable and no other holder can join.
--- a/src/cedarchute/turns/seat_table.py
+++ b/src/cedarchute/turns/seat_table.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 from hashlib import blake2b
+from typing import TYPE_CHECKING
 
 import msgspec
 
 from cedarchute.turns.seat import Seat
 
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
 
 class SeatTable(msgspec.Struct, frozen=True):
     """All seats, at one version of the table.
@@ -184,14 +188,20 @@
         seats = (*self.seats, seat)
         return SeatTable(self.version + 1, self.closed, self.losses, seats)
 
-    def close(self) -> SeatTable:
+    def close(self, gone: Collection[str] = ()) -> SeatTable:
         """Return the next version of the table, with a final number of seats.
 
         No record was acknowledged before, so no disk lacks one.
+
+        Parameters
+        ----------
+        gone : collection of str
+            Boxes that keep no seat if the others suffice without them.
         """
-        seats = tuple(
-            msgspec.structs.replace(seat, is_complete=True) for seat in self.seats
-        )
+        kept = [seat for seat in self.seats if seat.box not in gone]
+        if len(kept) < 2 * self.losses + 1:
+            kept = list(self.seats)
+        seats = tuple(msgspec.structs.replace(seat, is_complete=True) for seat in kept)
         return SeatTable(self.version + 1, True, self.losses, seats)
 
 
--- a/tests/turns/test_seat_changes.py
+++ b/tests/turns/test_seat_changes.py
@@ -262,3 +262,33 @@
     assert site.retired == ["a", "a"]
     site.kill("a")
     assert site.read(kept) == b"in-keptout-kept"
+
+
+def test_a_box_replaced_before_the_seats_are_final_counts_as_no_loss(site):
+    site.start("a", "b", "c")
+    for _ in range(3):
+        site.step(0.5)
+    assert len(site.table.seats) == 3
+    assert not site.table.closed
+    site.kill("b")
+    site.start("successor")
+    site.settle()
+    kept = site.keep(make_turn("kept"))
+    site.kill("a")
+    site.wipe("a")
+    site.start("a")
+    site.settle()
+    assert site.read(kept) == b"in-keptout-kept"
+    site.keep(make_turn("next"))
+
+
+def test_a_new_system_of_few_holders_keeps_the_seat_of_one_that_is_away(site):
+    site.start("a", "b", "c")
+    for _ in range(3):
+        site.step(0.5)
+    site.kill("b")
+    site.settle()
+    assert {seat.box for seat in site.table.seats} == {"a", "b", "c"}
+    site.start("b")
+    site.settle()
+    assert site.boxes["b"].holder.caught_up
