Play a seat taken beside a lost disk in an order that the logs control

The test that was listed waits for a time, so it passes too if the spare comes late. This one waits until the spare and the box of the lost disk have both logged that their copy is not complete, each naming the other, before the holder that is away comes back.

--- a/tests/platform_site/test_turns_across_losses.py
+++ b/tests/platform_site/test_turns_across_losses.py
@@ -173,6 +173,36 @@
     wait_served(site, "c", kept)
 
 
+def test_a_spare_and_a_lost_disk_wait_for_the_disk_that_is_away(turn_nodes):
+    site = turn_nodes
+    site.kill("holder-3")
+    kept = wait_served(site, "a", "")
+    site.restart("holder-3")
+    wait_until(lambda: site.answers(site.peers["holder-3"], "/metrics"), "it is back")
+    wait_served(site, "b", "")
+    for name in ("holder-1", "holder-2"):
+        site.kill(name)
+    for path in (site.folder / "holder-2-data").iterdir():
+        path.unlink()
+    site.restart("holder-2")
+    site.start_holder("holder-4", "d")
+    spare, emptied = site.processes["holder-4"], site.processes["holder-2"]
+
+    def waits_beside(process, name):
+        return any(
+            '"Copy of a seat is not complete."' in line and f'"{name}/' in line
+            for line in process.read_log().splitlines()
+        )
+
+    # Both have asked each other, so the table names the spare.
+    wait_until(lambda: waits_beside(spare, "holder-2"), "the spare waits", 40)
+    wait_until(lambda: waits_beside(emptied, "holder-4"), "the lost disk waits", 40)
+    assert count_caught_up(spare) == 0
+    assert count_caught_up(emptied) == 1
+    site.restart("holder-1")
+    wait_served(site, "c", kept)
+
+
 def test_a_holder_to_be_emptied_hands_over_what_it_has(turn_nodes):
     site = turn_nodes
     assert take_turn(site.callers["entry-1"], "a", b"a", "p")[0] == 200
