Take neither a pause of this box nor a cut for boxes that are gone

A holder has to be silent in two rounds, and with more silent boxes than losses to tolerate nobody is left out.

--- a/src/cedarchute/turns/absent_holders.py
+++ b/src/cedarchute/turns/absent_holders.py
@@ -74,17 +74,19 @@
         asked before its seat is taken.
         """
         is_probing = self.is_within_joining(time.monotonic())
+        known = set(self.since)
         self.update(table, is_probing)
         if is_probing and len(self.silent) > table.losses:
             # This box is cut off, and could not fill a seat.
             return None
-        # Probes of silent holders take time, which counts as well.
+        # Probes of silent holders take time, which counts as well; but one alone may
+        # fail since this process stood still.
         now = time.monotonic()
         is_new = is_probing and not self.is_restarted
         timeout = JOINING_TIMEOUT_SECONDS if is_new else ABSENT_TIMEOUT_SECONDS
         for box, since in sorted(self.since.items(), key=lambda item: item[1]):
             number = table.find_box(box)
-            if now - since < timeout or number not in among:
+            if box not in known or now - since < timeout or number not in among:
                 continue
             seat = table.seats[number]
             if box in self.silent if is_probing else self.is_unreachable(seat):
--- a/src/cedarchute/turns/seat_manager.py
+++ b/src/cedarchute/turns/seat_manager.py
@@ -217,7 +217,8 @@
         if not enough or time.monotonic() - self.opened_at <= open_seconds:
             return
         gone = self.absent_holders.list_silent(table) - {self.own_seat.box}
-        closed = table.close(gone)
+        # With more of them this box is cut off from the others.
+        closed = table.close(gone if len(gone) <= table.losses else ())
         facts = {"seats": len(closed.seats), "losses": self.losses}
         log.info("Number of seats is final.", extra=facts)
         self.write_table(closed)
--- a/tests/turns/test_absent_holders.py
+++ b/tests/turns/test_absent_holders.py
@@ -80,6 +80,17 @@
     assert clock.now == 100.0 + JOINING_TIMEOUT_SECONDS
 
 
+def test_a_joining_box_that_stood_still_asks_again(clock, holders):
+    absent = AbsentHolders(holders.directory, holders, is_joining=True)
+    holders.alive.remove("b")
+    holders.on_silence = lambda: setattr(
+        clock, "now", clock.now + 2 * JOINING_TIMEOUT_SECONDS
+    )
+    assert absent.find_gone(TABLE, range(3)) is None
+    holders.alive.add("b")
+    assert absent.find_gone(TABLE, range(3)) is None
+
+
 def test_a_box_that_joined_and_restarted_leaves_others_the_time_to_restart(
     clock, holders
 ):
--- a/tests/turns/test_seat_changes.py
+++ b/tests/turns/test_seat_changes.py
@@ -282,6 +282,18 @@
     site.keep(make_turn("next"))
 
 
+def test_a_box_that_is_cut_off_leaves_nobody_out_of_a_new_system(site):
+    names = ["a", "b", "c", "d", "e"]
+    site.start(*names)
+    for _ in range(3):
+        site.step(0.5)
+    assert len(site.table.seats) == len(names)
+    site.kill("d", "e")
+    site.settle()
+    assert site.table.closed
+    assert {seat.box for seat in site.table.seats} == set(names)
+
+
 def test_a_new_system_of_few_holders_keeps_the_seat_of_one_that_is_away(site):
     site.start("a", "b", "c")
     for _ in range(3):
