Leave a restarted successor no longer a wait than a new one

One rule for every box that has had no seat is simpler, and safe, since a holder that only restarts and loses its seat hands out its disk.

--- a/src/cedarchute/daemon/holder_box.py
+++ b/src/cedarchute/daemon/holder_box.py
@@ -110,10 +110,7 @@
             retirements,
             Evacuation(client, self.book, seats),
             AbsentHolders(
-                self.parts.directory,
-                client,
-                is_joining=not versions.version,
-                is_restarted=is_restarted,
+                self.parts.directory, client, is_joining=not versions.version
             ),
         )
         self.expiry = Expiry(client, self.book, seats, identity.disk)
--- a/src/cedarchute/turns/absent_holders.py
+++ b/src/cedarchute/turns/absent_holders.py
@@ -27,7 +27,7 @@
 
 # A holder without a directory entry for this long is not just restarting.
 ABSENT_TIMEOUT_SECONDS: Final = 2.5
-# The same for one that a new box finds unreachable. Short, since the next disk may
+# The same for one that a joining box finds unreachable. Short, since the next disk may
 # be lost soon after a successor has started; taking the seat of a holder that only
 # restarts costs no more than a copy.
 JOINING_TIMEOUT_SECONDS: Final = 1.0
@@ -47,22 +47,14 @@
     ----------
     is_joining : bool
         Whether this box has not had a seat yet.
-    is_restarted : bool
-        Whether an earlier process of this box has run. The other holders may then be
-        restarting as well.
     """
 
     def __init__(
-        self,
-        directory: BoxDirectory,
-        client: HolderClient,
-        is_joining: bool = False,
-        is_restarted: bool = False,
+        self, directory: BoxDirectory, client: HolderClient, is_joining: bool = False
     ) -> None:
         self.directory = directory
         self.client = client
         self.is_joining = is_joining
-        self.is_restarted = is_restarted
         self.joined_at: float | None = None
         self.since: dict[str, float] = {}
         self.silent: set[str] = set()
@@ -82,8 +74,7 @@
         # Probes of silent holders take time, which counts as well; but one alone may
         # fail since this process stood still.
         now = time.monotonic()
-        is_new = is_probing and not self.is_restarted
-        timeout = JOINING_TIMEOUT_SECONDS if is_new else ABSENT_TIMEOUT_SECONDS
+        timeout = JOINING_TIMEOUT_SECONDS if is_probing else ABSENT_TIMEOUT_SECONDS
         for box, since in sorted(self.since.items(), key=lambda item: item[1]):
             number = table.find_box(box)
             if box not in known or now - since < timeout or number not in among:
