Log who gets no seat in a new system, and for how long a holder was unreachable

A box that is left out, an incomplete disk under an older table, and the wait before a seat is taken could not be told from the log.

--- a/src/cedarchute/turns/absent_holders.py
+++ b/src/cedarchute/turns/absent_holders.py
@@ -71,8 +71,8 @@
         if is_probing and len(self.silent) > table.losses:
             # This box is cut off, and could not fill a seat.
             return None
-        # Probes of silent holders take time, which counts as well; but one alone may
-        # fail since this process stood still.
+        # The time that probes of silent holders take counts as well. A holder has to
+        # fail in two rounds, since this process may have stood still in one.
         now = time.monotonic()
         timeout = JOINING_TIMEOUT_SECONDS if is_probing else ABSENT_TIMEOUT_SECONDS
         for box, since in sorted(self.since.items(), key=lambda item: item[1]):
@@ -81,7 +81,9 @@
                 continue
             seat = table.seats[number]
             if box in self.silent if is_probing else self.is_unreachable(seat):
-                log.info("Holder is unreachable.", extra={"box": seat.box})
+                seconds = round(now - since, 3)
+                facts = {"box": box, "seconds": seconds, "probed": is_probing}
+                log.info("Holder is unreachable.", extra=facts)
                 return number
             self.since[box] = now
         return None
--- a/src/cedarchute/turns/seat_manager.py
+++ b/src/cedarchute/turns/seat_manager.py
@@ -139,6 +139,7 @@
             self.write_table(table.complete_seat(number))
             return
         if is_complete is None:
+            log.info("Table of seats does not say that this disk is incomplete.")
             self.write_table(table.mark_incomplete(number))
             return
         if not is_complete:
@@ -219,7 +220,12 @@
         gone = self.absent_holders.list_silent(table) - {self.own_seat.box}
         # With more of them this box is cut off from the others.
         closed = table.close(gone if len(gone) <= table.losses else ())
-        facts = {"seats": len(closed.seats), "losses": self.losses}
+        left_out = sorted(gone - {seat.box for seat in closed.seats})
+        facts = {
+            "seats": len(closed.seats),
+            "losses": self.losses,
+            "left_out": left_out,
+        }
         log.info("Number of seats is final.", extra=facts)
         self.write_table(closed)
 
