Say at entries what each holder answered last, and at holders how far a copy is

Callers saw nothing served after the closing fault; the record of the entries could not tell why: the lines that name a holder's reason are dropped under load, and the line that the holders are unreachable comes before they are back. The entry now logs what each holder answered last and which seats have no complete disk, again whenever that changes (at most once a probe), and a holder the records, bytes and seconds of a copy. No decision changes.

--- a/src/cedarchute/fleet/holder_contact.py
+++ b/src/cedarchute/fleet/holder_contact.py
@@ -33,6 +33,7 @@
         self.registration = registration
         self.is_stopping = is_stopping
         self.isolated = False
+        self.last_facts: dict[str, object] = {}
 
     def run_forever(self) -> None:
         """Check the connection to the holders until the process ends."""
@@ -47,12 +48,23 @@
             self.try_probe()
         isolated = self.quorum.fanout.is_isolated
         # A stop that began during the probe has published this box as draining.
-        if isolated == self.isolated or self.is_stopping():
+        if self.is_stopping():
+            return
+        self.log_changes(isolated)
+        if isolated == self.isolated:
             return
         self.isolated = isolated
-        log.warning("Holders unreachable." if isolated else "Holders reachable again.")
         self.registration.publish_draining(isolated)
 
+    def log_changes(self, isolated: bool) -> None:
+        """Log contact that is lost or back, and each change of what holders say."""
+        facts = self.quorum.fanout.explain_failures() if isolated else {}
+        if isolated and facts != self.last_facts:
+            log.warning("Holders unreachable.", extra=facts)
+        elif self.isolated and not isolated:
+            log.warning("Holders reachable again.")
+        self.last_facts = facts
+
     def try_probe(self) -> None:
         """Probe whether the holders respond again."""
         try:
--- a/src/cedarchute/turns/catch_up.py
+++ b/src/cedarchute/turns/catch_up.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import logging
+import time
 from typing import TYPE_CHECKING
 
 from cedarchute.turns.copy_outcome import CopyOutcome
+from cedarchute.turns.holder import estimate_bytes
 from cedarchute.turns.holder_client import (
     HolderRefusedError,
     HolderUnavailableError,
@@ -47,9 +49,13 @@
         self.seats = seats
         self.metrics = metrics
         self.last_facts: dict[str, object] = {}
+        self.started_at: float | None = None
+        self.copied_records = 0
+        self.copied_bytes = 0
 
     def run_once(self, number: int) -> bool:
         """Copy from as many disks as needed; return whether the copy is complete."""
+        self.started_at = self.started_at or time.monotonic()
         table = self.seats.table
         # Keyed by disk, for the log.
         outcomes: dict[str, CopyOutcome] = {}
@@ -139,6 +145,8 @@
             if page.records:
                 self.storage.write(list(page.records))
             count += len(page.records)
+            self.copied_records += len(page.records)
+            self.copied_bytes += sum(map(estimate_bytes, page.records))
             is_complete = is_complete and page.is_complete
             after = page.next
             if not after:
@@ -180,12 +188,19 @@
                 for outcome in CopyOutcome
             },
         }
+        progress = {
+            "records": self.copied_records,
+            "bytes": self.copied_bytes,
+            "seconds": round(time.monotonic() - (self.started_at or 0.0), 3),
+        }
         if done:
-            log.info("Copy of a seat is complete.", extra=facts)
+            log.info("Copy of a seat is complete.", extra=facts | progress)
+            self.started_at = None
+            self.copied_records = self.copied_bytes = 0
             return
         self.metrics.count("seats.copies_not_complete")
         if facts != self.last_facts:
-            log.warning("Copy of a seat is not complete.", extra=facts)
+            log.warning("Copy of a seat is not complete.", extra=facts | progress)
         self.last_facts = facts
 
 
--- a/src/cedarchute/turns/holder_fanout.py
+++ b/src/cedarchute/turns/holder_fanout.py
@@ -44,6 +44,7 @@
 # to notice that holders answer again. Other requests wait longer, since the holders may
 # only be slow.
 ISOLATED_TIMEOUT_SECONDS: Final = 0.1
+NO_ANSWER: Final = "no answer"
 # Timeout for a quorum of answers. Holders answer within milliseconds; one that is
 # partitioned says nothing.
 ANSWER_SECONDS: Final = 1.5
@@ -97,13 +98,20 @@
 
 
 class HolderFanout:
-    """Sends requests under the newest table, and updates it from rejections."""
+    """Sends requests under the newest table, and updates it from rejections.
+
+    Attributes
+    ----------
+    failures : dict of str to str
+        Why each box gave no usable answer to the last request that it was sent.
+    """
 
     def __init__(self, seats: ActiveSeatTable, client: HolderClient) -> None:
         self.seats = seats
         self.client = client
         self.failing_since: float | None = None
         self.late: dict[str, float] = {}
+        self.failures: dict[str, str] = {}
 
     @property
     def is_isolated(self) -> bool:
@@ -112,6 +120,16 @@
             return False
         return time.monotonic() - self.failing_since > ISOLATED_AFTER_SECONDS
 
+    def explain_failures(self) -> dict[str, object]:
+        """Return why each holder of the table failed last, and who lacks records."""
+        table = self.seats.table
+        boxes = {seat.box for seat in table.seats}
+        return {
+            "seats_version": table.version,
+            "failures": {b: why for b, why in self.failures.items() if b in boxes},
+            "incomplete": table.list_incomplete(),
+        }
+
     def mark_unreachable(self) -> None:
         """Record that holders did not answer a request sent outside this fanout."""
         self.failing_since = self.failing_since or time.monotonic()
@@ -191,7 +209,9 @@
         started = time.monotonic()
         try:
             value = self.client.ask(seat.address, request.path, message, request.answer)
+            self.failures.pop(seat.box, None)
         except HolderRefusedError as error:
+            self.failures[seat.box] = error.refusal.reason
             if error.refusal.table is not None:
                 self.seats.update(error.refusal.table, seat.box)
             self.mark_late(seat)
@@ -200,6 +220,7 @@
                 extra={"box": seat.box, "why": str(error)},
             )
         except HolderUnavailableError as error:
+            self.failures[seat.box] = NO_ANSWER
             self.mark_late(seat)
             log.info(
                 "Holder did not answer.", extra={"box": seat.box, "why": str(error)}
--- a/src/cedarchute/turns/seat_table.py
+++ b/src/cedarchute/turns/seat_table.py
@@ -79,6 +79,10 @@
         """Return the numbers of the seats that are not vacant."""
         return [n for n, seat in enumerate(self.seats) if not seat.is_vacant]
 
+    def list_incomplete(self) -> list[int]:
+        """Return the numbers of the seats without a disk that has all records."""
+        return [n for n, seat in enumerate(self.seats) if seat.is_complete is False]
+
     def count_for_absence(self) -> int:
         """Return how many holders must lack a record to prove that none has it.
 
--- a/tests/fleet/test_holder_contact.py
+++ b/tests/fleet/test_holder_contact.py
@@ -21,7 +21,9 @@
     """Holders that respond again to a probe, during which a stop may begin."""
 
     def __init__(self, during_probe):
-        self.fanout = SimpleNamespace(failing_since=1.0, is_isolated=True)
+        self.fanout = SimpleNamespace(
+            failing_since=1.0, is_isolated=True, explain_failures=dict
+        )
         self.during_probe = during_probe
 
     def probe(self):
@@ -44,6 +46,21 @@
     return registration.published
 
 
+def test_what_the_holders_say_is_logged_when_it_changes(caplog):
+    """Lines that name the reason of each refusal are dropped under load."""
+    answers = iter(["no answer", "no answer", "catching up"])
+    quorum = Quorum(lambda: None)
+    quorum.probe = lambda: None
+    quorum.fanout.explain_failures = lambda: {"failures": {"box-1": next(answers)}}
+    contact = HolderContact(quorum, Registration(), lambda: False)
+    for _ in range(3):
+        contact.check_once()
+    assert [(line.message, line.failures["box-1"]) for line in caplog.records] == [
+        ("Holders unreachable.", "no answer"),
+        ("Holders unreachable.", "catching up"),
+    ]
+
+
 def test_a_box_that_finds_the_holders_again_takes_callers():
     assert probe(begins_stop=False) == [False]
 
