Show the loss of a disk during a copy that stops turns for good, red

Callers get 503 for every turn, and no end of it, when a machine was removed for good and the next disk is lost before its successor has copied all records, though the users allow that loss 4.3 s after the successor's start.

--- a/tests/platform_site/test_replaced_holders.py
+++ b/tests/platform_site/test_replaced_holders.py
@@ -9,6 +9,8 @@
 from test_turns_across_losses import wait_served
 from turn_callers import say
 
+from cedarchute.turns.records import Turn
+from cedarchute.turns.turn_journal import TurnJournal, encode_line
 from experiments.waiting import wait_until
 from standins.raw_target import RawTarget
 
@@ -17,6 +19,8 @@
 CATCH_UP_SECONDS = 4.3
 # What the start of a box with half a core takes of it.
 SLOW_START_SECONDS = 1.8
+LONG_HISTORY = 4000
+TURN_BYTES = 30_000
 
 
 @pytest.fixture
@@ -38,6 +42,32 @@
     return kept
 
 
+def add_history(site, holders):
+    """Give holders that are down a long history, without taking all its turns."""
+    text = b"x" * TURN_BYTES
+    turns = (
+        Turn(f"p-{n}", f"old-{n}", "", text, b"one", 1, "t-own", 600.0)
+        for n in range(LONG_HISTORY)
+    )
+    history = b"".join(map(encode_line, turns))
+    for name in holders:
+        journal = TurnJournal(site.folder / f"{name}-data")
+        journal.write(history)
+        journal.close_segment()
+
+
+def restart_with_history(site):
+    """Start all holders again, with a history that is on each disk."""
+    holders = ("holder-1", "holder-2", "holder-3")
+    for name in holders:
+        site.kill(name)
+    add_history(site, holders)
+    for name in holders:
+        site.restart(name)
+    for name in holders:
+        wait_started(site, name, 2)
+
+
 def wait_started(site, name, count):
     """Wait until a box has been started so many times."""
     log = site.processes[name]
@@ -127,3 +157,20 @@
     time.sleep(CATCH_UP_SECONDS)
     lose_disk(site, "holder-1")
     wait_served(site, "b", kept)
+
+
+@pytest.mark.parametrize("lost", ["holder-1", "holder-3"])
+def test_a_disk_lost_while_a_successor_copies_a_long_history_stops_no_turn(
+    turn_nodes, lost
+):
+    site = turn_nodes
+    restart_with_history(site)
+    kept = keep_turn_without_third(site)
+    time.sleep(CATCH_UP_SECONDS)
+    site.processes["holder-2"].pause()
+    site.start_holder("holder-4", "b")
+    wait_started(site, "holder-4", 1)
+    time.sleep(CATCH_UP_SECONDS - SLOW_START_SECONDS)
+    lose_disk(site, lost, gone="holder-2")
+    wait_served(site, "b", kept)
+    wait_served(site, "c", "old-7", "p-7")
