Make the disks that are left enough before the copy to a successor has ended

What callers saw: 503 for every turn and no end of it, after a machine had been replaced for good and the next disk was lost before its successor had copied all records.

Cause: a turn is acknowledged by two of three disks. While one of them is replaced, its records are on one other disk each, and the proof that nothing is missing needs both. Class: a promise that holds only if a transfer wins a race.

Change: holders copy from each other, a moment behind the turns, what a quorum stored without them (names of what changed first, then the turns that are missing). When a seat has no complete disk, the others do so under the table that says so, sync, and the table then calls the seat released: its records are on all complete disks of their programs. It is the state that emptied disks had before. A copy that breaks off goes on with what is missing, and writes nothing twice. Emptying a disk by plan was the same race (all its records in one message within 2 s) and uses the same way now. A read of a broken seat leaves out released ones only while each program has a disk that is read beside them.

--- a/src/cedarchute/daemon/holder_box.py
+++ b/src/cedarchute/daemon/holder_box.py
@@ -31,14 +31,17 @@
 from cedarchute.turns.catch_up import CatchUp
 from cedarchute.turns.disk_identity import DiskIdentity
 from cedarchute.turns.durable_file import make_folder
-from cedarchute.turns.evacuation import Evacuation
 from cedarchute.turns.expiry import Expiry
 from cedarchute.turns.group_commit_writer import GroupCommitWriter
 from cedarchute.turns.holder import Holder
 from cedarchute.turns.holder_app import HolderApp
 from cedarchute.turns.holder_client import HolderClient
 from cedarchute.turns.quota_server import QuotaServer
+from cedarchute.turns.record_exchange import RecordExchange
+from cedarchute.turns.record_puller import RecordPuller
+from cedarchute.turns.record_source import RecordSource
 from cedarchute.turns.seat import Seat
+from cedarchute.turns.seat_coverage import SeatCoverage
 from cedarchute.turns.seat_manager import SeatManager
 from cedarchute.turns.seat_version_file import SeatVersionFile
 from cedarchute.turns.stop_order import StopOrder
@@ -97,6 +100,11 @@
         self.holder = Holder(self.book, seats, identity.disk, versions, box.name)
         self.holder.is_disk_complete = identity.complete
         client = HolderClient(metrics)
+        puller = RecordPuller(client, self.book, metrics)
+        self.exchange = RecordExchange(puller, seats, self.holder)
+        self.coverage = SeatCoverage(
+            client, self.parts.store, seats, self.holder, puller
+        )
         self.keeper = SeatManager(
             self.parts.store,
             seats,
@@ -105,10 +113,10 @@
             self.folder,
             Seat(box.name, peers, identity.disk, box.failure_domain),
             settings.losses.holders,
-            CatchUp(client, self.book, seats, metrics),
+            CatchUp(puller, seats, metrics),
             self.parts.directory,
             retirements,
-            Evacuation(client, self.book, seats),
+            self.coverage,
             AbsentHolders(
                 self.parts.directory, client, is_joining=not versions.version
             ),
@@ -116,7 +124,8 @@
         self.expiry = Expiry(client, self.book, seats, identity.disk)
         self.listener = open_listener(settings.peers, f"{file}: [box] peer_port")
         quotas = QuotaServer(settings.quotas, SystemClock(), is_restarted=is_restarted)
-        app = HolderApp(self.holder, quotas)
+        source = RecordSource(self.holder)
+        app = HolderApp(self.holder, quotas, source, self.coverage)
         self.app = PeerServer(self.parts.mirror, metrics, app)
         self.serve_metrics = partial(
             serve_metrics, settings.listen.metrics, metrics, file
@@ -153,6 +162,8 @@
         self.serve_metrics()
         self.parts.start()
         start("seat", self.keeper.run_forever)
+        start("coverage of seats", self.coverage.run_forever)
+        start("exchange of records", self.exchange.run_forever)
         start("programs that are over", self.tidy_forever)
         self.stop.wait()
 
--- a/src/cedarchute/turns/catch_up.py
+++ b/src/cedarchute/turns/catch_up.py
@@ -7,21 +7,19 @@
 from typing import TYPE_CHECKING
 
 from cedarchute.turns.copy_outcome import CopyOutcome
-from cedarchute.turns.holder import estimate_bytes
 from cedarchute.turns.holder_client import (
     HolderRefusedError,
     HolderUnavailableError,
 )
-from cedarchute.turns.messages import CopiedRecords, CopyRecords, Refused
 
 if TYPE_CHECKING:
     from cedarchute.metrics import Metrics
     from cedarchute.turns.active_seat_table import ActiveSeatTable
     from cedarchute.turns.disk_location import DiskLocation
-    from cedarchute.turns.holder_client import HolderClient
+    from cedarchute.turns.messages import Refused
+    from cedarchute.turns.record_puller import RecordPuller
     from cedarchute.turns.seat import Seat
     from cedarchute.turns.seat_table import SeatTable
-    from cedarchute.turns.turn_storage import TurnStorage
 
 log = logging.getLogger("cedarchute.turns")
 
@@ -38,20 +36,13 @@
     """
 
     def __init__(
-        self,
-        client: HolderClient,
-        storage: TurnStorage,
-        seats: ActiveSeatTable,
-        metrics: Metrics,
+        self, puller: RecordPuller, seats: ActiveSeatTable, metrics: Metrics
     ) -> None:
-        self.client = client
-        self.storage = storage
+        self.puller = puller
         self.seats = seats
         self.metrics = metrics
         self.last_facts: dict[str, object] = {}
         self.started_at: float | None = None
-        self.copied_records = 0
-        self.copied_bytes = 0
 
     def run_once(self, number: int) -> bool:
         """Copy from as many disks as needed; return whether the copy is complete."""
@@ -64,8 +55,7 @@
             for other, seat in enumerate(table.seats)
             if other != number and not is_handed_over(seat)
         ]
-        is_released = table.seats[number].is_released
-        tolerated = table.losses if is_released else table.losses - 1
+        tolerated = count_tolerated(table, number, len(others))
         done = is_enough(CopyOutcome.SILENT, others, tolerated)
         if not done:
             # Asked only if needed: a box that is gone answers only by a timeout.
@@ -73,6 +63,8 @@
             done = is_enough(own, others, tolerated)
         if self.seats.table.version != table.version:
             return False
+        if done:
+            self.puller.storage.sync()
         self.log_outcomes(table, number, outcomes, done)
         return done
 
@@ -116,49 +108,26 @@
         number: int,
         outcomes: dict[str, CopyOutcome],
     ) -> CopyOutcome:
-        """Copy all pages from one disk, and note the outcome."""
-        outcome = self.copy_pages(source, table, number)
+        """Copy from one disk, and note the outcome."""
+        outcome = self.copy_records(source, table, number)
         outcomes[f"{source.box}/{source.disk}"] = outcome
         return outcome
 
-    def copy_pages(
+    def copy_records(
         self, source: DiskLocation, table: SeatTable, number: int
     ) -> CopyOutcome:
-        """Copy all pages from one disk."""
-        after = ""
-        count = 0
-        is_complete = True
-        while True:
-            message = CopyRecords(table, number, after, source.box, source.disk)
-            try:
-                page = self.client.ask(
-                    source.address, "/turns/copy", message, CopiedRecords
-                )
-            except HolderRefusedError as error:
-                return self.read_refusal(source, error.refusal)
-            except HolderUnavailableError as error:
-                log.info(
-                    "Copying from another holder failed.",
-                    extra={"box": source.box, "why": str(error)},
-                )
-                return CopyOutcome.SILENT
-            if page.records:
-                self.storage.write(list(page.records))
-            count += len(page.records)
-            self.copied_records += len(page.records)
-            self.copied_bytes += sum(map(estimate_bytes, page.records))
-            is_complete = is_complete and page.is_complete
-            after = page.next
-            if not after:
-                log.info(
-                    "Copied records from another holder.",
-                    extra={
-                        "box": source.box,
-                        "records": count,
-                        "is_complete": is_complete,
-                    },
-                )
-                return CopyOutcome.WHOLE if is_complete else CopyOutcome.PARTIAL
+        """Copy from one disk what is missing here."""
+        try:
+            is_complete = self.puller.pull(source, table, number)
+        except HolderRefusedError as error:
+            return self.read_refusal(source, error.refusal)
+        except HolderUnavailableError as error:
+            log.info(
+                "Copying from another holder failed.",
+                extra={"box": source.box, "why": str(error)},
+            )
+            return CopyOutcome.SILENT
+        return CopyOutcome.WHOLE if is_complete else CopyOutcome.PARTIAL
 
     def read_refusal(self, source: DiskLocation, refusal: Refused) -> CopyOutcome:
         """Return what a refusal means, and install a newer table."""
@@ -189,14 +158,13 @@
             },
         }
         progress = {
-            "records": self.copied_records,
-            "bytes": self.copied_bytes,
+            "records": self.puller.copied_records,
+            "bytes": self.puller.copied_bytes,
             "seconds": round(time.monotonic() - (self.started_at or 0.0), 3),
         }
         if done:
             log.info("Copy of a seat is complete.", extra=facts | progress)
             self.started_at = None
-            self.copied_records = self.copied_bytes = 0
             return
         self.metrics.count("seats.copies_not_complete")
         if facts != self.last_facts:
@@ -209,6 +177,23 @@
     return seat.is_released or (seat.is_vacant and seat.is_complete is None)
 
 
+def count_tolerated(table: SeatTable, number: int, others: int) -> int:
+    """Return how many of the other disks need not be read for a seat.
+
+    One less than the losses, since the last complete disk of the seat counts as one of
+    them, unless its records were stored at the others. Each program needs a disk that
+    is read beside those that were left out.
+
+    Parameters
+    ----------
+    others : int
+        Number of other seats that are not left out.
+    """
+    left_out = len(table.seats) - 1 - others
+    losses = table.losses if table.seats[number].is_released else table.losses - 1
+    return min(losses, table.replication_factor - 2 - left_out)
+
+
 def as_complete(outcome: CopyOutcome, if_lost: CopyOutcome) -> CopyOutcome:
     """Return the outcome for a disk that the table says has all records.
 
@@ -230,9 +215,7 @@
     others : list of CopyOutcome
         What those of the other seats gave.
     tolerated : int
-        Number of other disks that need not be read: one less than the failures to
-        tolerate, since the last complete disk of this seat counts as one of them,
-        unless its records were stored at the others.
+        Number of other disks that need not be read.
     """
     if own is CopyOutcome.WHOLE:
         return True
--- a/src/cedarchute/turns/group_commit_writer.py
+++ b/src/cedarchute/turns/group_commit_writer.py
@@ -19,7 +19,14 @@
 
 
 class GroupCommitWriter:
-    """Writes records in one task; those that arrive meanwhile share the next sync."""
+    """Writes records in one task; those that arrive meanwhile share the next sync.
+
+    Attributes
+    ----------
+    has_failed : bool
+        Whether a write failed since the journal was last rewritten, so that records
+        that were applied may not be durable.
+    """
 
     def __init__(self, journal: TurnJournal, metrics: Metrics) -> None:
         self.journal = journal
@@ -28,10 +35,16 @@
         self.done = Event()
         self.writing = False
         self.starts_segment = False
+        self.has_failed = False
 
     def write(self, records: list[Record]) -> None:
-        """Write `records` and wait until durable; raise ``OSError`` on failure."""
+        """Write `records` and wait until durable; raise ``OSError`` on failure.
+
+        All that was written before is durable then as well.
+        """
         self.lines.extend(encode_line(record) for record in records)
+        if not records:
+            self.lines.append(b"")
         self.wait_written()
 
     def start_segment(self) -> int:
@@ -62,6 +75,7 @@
             try:
                 segment = self.journal.append(lines, starts_segment)
             except OSError as error:
+                self.has_failed = True
                 self.metrics.count("journal.failures")
                 log.error(
                     "Failed to write records to the journal.", extra={"why": str(error)}
--- a/src/cedarchute/turns/holder.py
+++ b/src/cedarchute/turns/holder.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 import time
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING
 
 from cedarchute.turns.messages import (
     Account,
     Chain,
-    CopiedRecords,
     IdleTimes,
     Presence,
     RecordsTaken,
@@ -21,24 +20,22 @@
 
 if TYPE_CHECKING:
     from cedarchute.turns.active_seat_table import ActiveSeatTable
+    from cedarchute.turns.copy_messages import ListRecords
     from cedarchute.turns.messages import (
         Addressed,
         AskPresence,
         AskStanding,
         BeginTurn,
-        CopyRecords,
         ReadAccount,
         ReadChain,
         ReadIdleTimes,
         TakeRecords,
     )
-    from cedarchute.turns.records import Record, Turn
+    from cedarchute.turns.records import Turn
     from cedarchute.turns.seat_table import SeatTable
     from cedarchute.turns.seat_version_file import SeatVersionFile
     from cedarchute.turns.turn_storage import TurnStorage
 
-PAGE_BYTES: Final = 1_000_000
-
 
 class HolderError(Exception):
     """The holder cannot serve a request.
@@ -194,24 +191,21 @@
         used_at = {p: self.storage.find_last_use(p) for p in message.programs}
         return IdleTimes({p: now - at for p, at in used_at.items() if at is not None})
 
-    def check_disk(self, message: CopyRecords) -> None:
-        """Reject a request for a disk that this box does not have.
-
-        Requests of earlier versions name none.
-        """
-        if message.disk in ("", self.disk):
+    def check_disk(self, box: str, disk: str) -> None:
+        """Reject a request for a disk that this box does not have."""
+        if disk == self.disk:
             return
-        if message.box != self.box:
+        if box != self.box:
             raise HolderError("another box has this address")
         raise HolderError("the disk was lost", is_disk_lost=True)
 
-    def copy_records(self, message: CopyRecords) -> CopiedRecords:
-        """Return a page of the records of one seat to its new holder.
+    def admit_reader(self, message: ListRecords) -> None:
+        """Install the table of a holder that reads this disk, or reject it.
 
-        A disk without a seat, or one that may lack records, hands out those that it
-        has: they can be the last copies, if it had a seat before.
+        A complete disk with a seat is read only once it serves, so that what it holds
+        is known to be all.
         """
-        self.check_disk(message)
+        self.check_disk(message.box, message.disk)
         self.seats.update(message.table, "holder")
         table = self.seats.table
         if message.table.version < table.version:
@@ -219,18 +213,6 @@
         self.persist_table_version()
         if self.is_disk_complete and table.find_disk(self.disk) is not None:
             self.check_caught_up()
-        is_complete = self.caught_up
-        records: list[Record] = []
-        size = 0
-        for program in sorted(p for p in self.storage.programs if p > message.after):
-            if message.seat not in message.table.find_seats(program):
-                continue
-            found = self.storage.programs[program].list_records(program)
-            records.extend(found)
-            size += sum(estimate_bytes(record) for record in found)
-            if size > PAGE_BYTES:
-                return CopiedRecords(tuple(records), program, is_complete)
-        return CopiedRecords(tuple(records), is_complete=is_complete)
 
 
 def is_other_workspace(turn: Turn, program: str) -> bool:
@@ -246,8 +228,3 @@
 def list_programs(chain: list[Turn]) -> tuple[str, ...]:
     """Return the programs with turns in a chain."""
     return tuple(sorted({turn.program for turn in chain}))
-
-
-def estimate_bytes(record: Record) -> int:
-    """Return the approximate encoded size of a record, in bytes."""
-    return len(getattr(record, "input", b"")) + len(getattr(record, "output", b"")) + 99
--- a/src/cedarchute/turns/holder_app.py
+++ b/src/cedarchute/turns/holder_app.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from cedarchute.turns.copy_messages import CoverSeats, ListRecords, ReadTurns
 from cedarchute.turns.holder import Holder, HolderError
 from cedarchute.turns.messages import (
     QUOTA_PATH,
@@ -14,7 +15,6 @@
     AskQuota,
     AskStanding,
     BeginTurn,
-    CopyRecords,
     ReadAccount,
     ReadChain,
     ReadIdleTimes,
@@ -26,6 +26,8 @@
     from collections.abc import Callable, Iterable
 
     from cedarchute.turns.quota_server import QuotaServer
+    from cedarchute.turns.record_source import RecordSource
+    from cedarchute.turns.seat_coverage import SeatCoverage
 
 log = logging.getLogger("cedarchute.turns")
 
@@ -36,7 +38,13 @@
 class HolderApp:
     """Decodes requests, dispatches them to the holder and encodes the answers."""
 
-    def __init__(self, holder: Holder, quotas: QuotaServer) -> None:
+    def __init__(
+        self,
+        holder: Holder,
+        quotas: QuotaServer,
+        source: RecordSource,
+        coverage: SeatCoverage,
+    ) -> None:
         self.box = holder.box
         self.handlers: dict[str, tuple[type, Callable[[Any], object]]] = {
             "/turns/begin": (BeginTurn, holder.begin_turn),
@@ -46,7 +54,9 @@
             "/turns/presence": (AskPresence, holder.read_presence),
             "/turns/chain": (ReadChain, holder.read_chain),
             "/turns/idle": (ReadIdleTimes, holder.read_idle_times),
-            "/turns/copy": (CopyRecords, holder.copy_records),
+            "/turns/index": (ListRecords, source.list_records),
+            "/turns/read": (ReadTurns, source.read_turns),
+            "/turns/cover": (CoverSeats, coverage.cover),
             QUOTA_PATH: (AskQuota, quotas.ask),
         }
 
--- a/src/cedarchute/turns/messages.py
+++ b/src/cedarchute/turns/messages.py
@@ -198,39 +198,6 @@
     seconds: dict[str, float]
 
 
-class CopyRecords(msgspec.Struct, frozen=True):
-    """Request the records of a seat, in pages by program.
-
-    Carries the new table. The holder installs it first and accepts no writes under
-    an older one afterwards.
-
-    Attributes
-    ----------
-    box, disk : str
-        Whose records are asked for; empty in requests of earlier versions.
-    """
-
-    table: SeatTable
-    seat: int
-    after: str = ""
-    box: str = ""
-    disk: str = ""
-
-
-class CopiedRecords(msgspec.Struct, frozen=True):
-    """One page; `next` is the `after` of the next request, empty at the end.
-
-    Attributes
-    ----------
-    is_complete : bool
-        False from a disk that may lack records; a copy needs another source as well.
-    """
-
-    records: tuple[Record, ...]
-    next: str = ""
-    is_complete: bool = True
-
-
 class Refused(msgspec.Struct, frozen=True):
     """A holder cannot serve a request.
 
--- /dev/null
+++ b/src/cedarchute/turns/record_puller.py
@@ -0,0 +1,151 @@
+"""Copies to this disk the records that it lacks and another disk has."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from cedarchute.turns.copy_messages import (
+    ListRecords,
+    ReadTurns,
+    RecordIndex,
+    TurnsRead,
+)
+from cedarchute.turns.records import Reserved, Settled
+
+if TYPE_CHECKING:
+    from cedarchute.metrics import Metrics
+    from cedarchute.turns.copy_messages import ProgramIndex
+    from cedarchute.turns.disk_location import DiskLocation
+    from cedarchute.turns.holder_client import HolderClient
+    from cedarchute.turns.program_state import ProgramState
+    from cedarchute.turns.records import Record
+    from cedarchute.turns.seat_table import SeatTable
+    from cedarchute.turns.turn_storage import TurnStorage
+
+# Names in one request; their turns are read in several answers if they are long.
+TURNS_PER_REQUEST: Final = 1000
+
+
+class RecordPuller:
+    """Reads what changed at other disks, and writes what is missing here.
+
+    Attributes
+    ----------
+    positions : dict
+        How far each disk was read for a seat: its process and position. All before is
+        stored here.
+    copied_records, copied_bytes : int
+        What was copied since the start of this process.
+    """
+
+    def __init__(
+        self, client: HolderClient, storage: TurnStorage, metrics: Metrics
+    ) -> None:
+        self.client = client
+        self.storage = storage
+        self.metrics = metrics
+        self.positions: dict[tuple[str, int], tuple[str, int]] = {}
+        self.copied_records = 0
+        self.copied_bytes = 0
+
+    def pull(self, source: DiskLocation, table: SeatTable, seat: int) -> bool:
+        """Copy all records of a seat that a disk has; return whether it has all.
+
+        The source installs `table` before it answers, so all that it acknowledged
+        under older tables is copied.
+
+        Raises
+        ------
+        HolderUnavailableError
+            If the source does not answer or refuses.
+        OSError
+            If a record cannot be written.
+        """
+        key = (source.disk, seat)
+        while True:
+            process, after = self.positions.get(key, ("", 0))
+            message = ListRecords(table, seat, source.box, source.disk, process, after)
+            page = self.client.ask(source.address, "/turns/index", message, RecordIndex)
+            self.copy_page(source, page)
+            self.positions[key] = (page.process, page.next)
+            if page.is_last:
+                return page.is_complete
+
+    def copy_page(self, source: DiskLocation, page: RecordIndex) -> None:
+        """Copy what is missing of one page of programs."""
+        programs = self.storage.programs
+        idle_seconds = {index.program: index.idle_seconds for index in page.programs}
+        turns = [
+            turn
+            for index in page.programs
+            for turn in list_missing_turns(index, programs.get(index.program))
+        ]
+        for start in range(0, len(turns), TURNS_PER_REQUEST):
+            names = tuple(turns[start : start + TURNS_PER_REQUEST])
+            self.copy_turns(source, names, idle_seconds)
+        others = [
+            record
+            for index in page.programs
+            for record in list_missing_counts(index, programs.get(index.program))
+        ]
+        self.store(others, idle_seconds)
+
+    def copy_turns(
+        self,
+        source: DiskLocation,
+        names: tuple[str, ...],
+        idle_seconds: dict[str, float],
+    ) -> None:
+        """Copy completed turns by name."""
+        while names:
+            message = ReadTurns(source.box, source.disk, names)
+            answer = self.client.ask(source.address, "/turns/read", message, TurnsRead)
+            self.store(list(answer.turns), idle_seconds)
+            self.copied_bytes += sum(
+                len(turn.input) + len(turn.output) for turn in answer.turns
+            )
+            names = names[max(1, answer.handled) :]
+
+    def store(self, records: list[Record], idle_seconds: dict[str, float]) -> None:
+        """Write copied records durably."""
+        if not records:
+            return
+        self.storage.write_copies(records, idle_seconds)
+        self.copied_records += len(records)
+        self.metrics.count("holders.records_copied", len(records))
+
+
+def list_missing_turns(index: ProgramIndex, state: ProgramState | None) -> list[str]:
+    """Return the completed turns that are not stored here."""
+    if state is None:
+        return list(index.completed)
+    return [turn for turn in index.completed if turn not in state.completed]
+
+
+def list_missing_counts(
+    index: ProgramIndex, state: ProgramState | None
+) -> list[Record]:
+    """Return the token counts and the budget that are not stored here."""
+    program, budget = index.program, index.budget
+    settled = state.settled if state else {}
+    known = settled.keys() | (state.open.keys() if state else set())
+    records: list[Record] = [
+        Settled(program, turn, tokens)
+        for turn, tokens in index.settled.items()
+        if turn not in settled
+    ]
+    records += [
+        Reserved(program, turn, tokens, budget)
+        for turn, tokens in index.open.items()
+        if turn not in known
+    ]
+    own_budget = state.budget if state else None
+    is_lower = budget is not None and (own_budget is None or budget < own_budget)
+    if is_lower:
+        # A reservation of a settled turn carries only the budget.
+        turn = next(iter((*index.settled, *index.completed)), None)
+        if turn is not None:
+            records.append(Reserved(program, turn, 0, budget))
+        else:
+            records += [Reserved(program, t, n, budget) for t, n in index.open.items()]
+    return records
--- a/src/cedarchute/turns/seat_manager.py
+++ b/src/cedarchute/turns/seat_manager.py
@@ -26,9 +26,9 @@
     from cedarchute.turns.active_seat_table import ActiveSeatTable
     from cedarchute.turns.catch_up import CatchUp
     from cedarchute.turns.disk_identity import DiskIdentity
-    from cedarchute.turns.evacuation import Evacuation
     from cedarchute.turns.holder import Holder
     from cedarchute.turns.seat import Seat
+    from cedarchute.turns.seat_coverage import SeatCoverage
 
 log = logging.getLogger("cedarchute.turns")
 
@@ -64,7 +64,7 @@
         catch_up: CatchUp,
         directory: BoxDirectory,
         retirements: Retirements,
-        evacuation: Evacuation,
+        coverage: SeatCoverage,
         absent_holders: AbsentHolders,
     ) -> None:
         self.write_table = SeatTableWriter(store, seats).write
@@ -77,7 +77,7 @@
         self.catch_up = catch_up
         self.directory = directory
         self.retirements = retirements
-        self.evacuation = evacuation
+        self.coverage = coverage
         self.absent_holders = absent_holders
         self.join_at = 0.0
         self.opened_at: float | None = None
@@ -254,13 +254,13 @@
         return self.absent_holders.find_gone(table, among)
 
     def retire(self, table: SeatTable) -> None:
-        """Release the seat, then copy all records to the other holders."""
+        """Vacate the seat, and leave once the other holders have all its records."""
         if self.retired:
             return
         self.retirements.tell_started(self.own_seat.box)
         number = table.find_box(self.own_seat.box)
         if number is None:
-            self.hand_over_records(table)
+            self.leave(table)
             return
         if not table.can_vacate(number, self.list_present()):
             self.warn_once(table)
@@ -270,14 +270,12 @@
         if waited > SUCCESSOR_WAIT_SECONDS or not self.has_spare_holder(table):
             self.write_table(table.vacate_seat(number, self.own_seat.disk))
 
-    def hand_over_records(self, table: SeatTable) -> None:
-        """Store all records at the other holders, so that nobody needs this disk."""
-        if not self.store_table_version() or table.has_reader(self.own_seat.disk):
+    def leave(self, table: SeatTable) -> None:
+        """Tell that this disk may go, once no seat needs it any more."""
+        if not self.store_table_version():
             return
-        if not self.evacuation.run_once():
-            return
-        released = table.release_disk(self.own_seat.disk)
-        if released.seats != table.seats and not self.write_table(released):
+        if table.find_needing(self.own_seat.disk):
+            self.coverage.release_seats(table)
             return
         self.retired = True
         self.retirements.tell_completed(self.own_seat.box)
--- a/src/cedarchute/turns/seat_table.py
+++ b/src/cedarchute/turns/seat_table.py
@@ -83,6 +83,43 @@
         """Return the numbers of the seats without a disk that has all records."""
         return [n for n, seat in enumerate(self.seats) if seat.is_complete is False]
 
+    def list_complete(self) -> list[int]:
+        """Return the numbers of the seats whose disk has all records."""
+        return [n for n, seat in enumerate(self.seats) if seat.is_complete]
+
+    def list_unreleased(self) -> list[int]:
+        """Return the incomplete seats whose records the others may lack."""
+        return [n for n in self.list_incomplete() if not self.seats[n].is_released]
+
+    def may_release(self, numbers: list[int]) -> bool:
+        """Whether the complete disks have the records of some seats, and are enough.
+
+        Of those of each program, more than may be lost have to be left: a disk that
+        lost its seat may still exist, and nobody needs it afterwards.
+        """
+        incomplete = len(self.list_incomplete())
+        return (
+            self.closed
+            and bool(numbers)
+            and incomplete + self.losses < self.replication_factor
+            and incomplete + len(self.list_complete()) == len(self.seats)
+        )
+
+    def release_seats(self, numbers: list[int]) -> SeatTable:
+        """Return the next version of the table, with all records in the other seats."""
+        seats = tuple(
+            msgspec.structs.replace(seat, predecessor=None, is_released=True)
+            if number in numbers
+            else seat
+            for number, seat in enumerate(self.seats)
+        )
+        return SeatTable(self.version + 1, self.closed, self.losses, seats)
+
+    def is_stored_at(self, program: str, number: int) -> bool:
+        """Whether a seat is one of those of a program."""
+        is_everywhere = self.replication_factor == len(self.seats)
+        return is_everywhere or number in self.find_seats(program)
+
     def count_for_absence(self) -> int:
         """Return how many holders must lack a record to prove that none has it.
 
@@ -173,20 +210,6 @@
         """Return the seats whose last complete disk is `disk`, without the seat."""
         return [n for n in range(len(self.seats)) if self.needs_disk(n, disk)]
 
-    def has_reader(self, disk: str) -> bool:
-        """Whether the holder of a seat still has to read its predecessor, `disk`."""
-        return any(self.needs_disk(number, disk) for number in self.list_occupied())
-
-    def release_disk(self, disk: str) -> SeatTable:
-        """Return the next version of the table, with no vacant seat needing a disk."""
-        seats = tuple(
-            Seat(is_complete=False, is_released=True)
-            if seat.is_vacant and self.needs_disk(number, disk)
-            else seat
-            for number, seat in enumerate(self.seats)
-        )
-        return SeatTable(self.version + 1, self.closed, self.losses, seats)
-
     def add_seat(self, seat: Seat) -> SeatTable:
         """Return the next version of the table, with one more seat."""
         seats = (*self.seats, seat)
--- a/src/cedarchute/turns/turn_storage.py
+++ b/src/cedarchute/turns/turn_storage.py
@@ -14,11 +14,19 @@
 
 
 class TurnStorage:
-    """Applies records in memory and appends them to the journal."""
+    """Applies records in memory and appends them to the journal.
+
+    Attributes
+    ----------
+    changes : dict of str to int
+        Position of the last change of each program, in ascending order.
+    """
 
     def __init__(self, writer: GroupCommitWriter) -> None:
         self.writer = writer
         self.programs: dict[str, ProgramState] = {}
+        self.changes: dict[str, int] = {}
+        self.position = 0
         self.program_by_turn: dict[str, str] = {}
         self.continued_by: dict[str, set[str]] = {}
 
@@ -32,12 +40,32 @@
 
     def apply(self, record: Record) -> None:
         """Apply a record in memory."""
-        self.get_or_create(record.program).apply(record)
+        state = self.get_or_create(record.program)
+        budget = state.budget
+        if state.apply(record) or state.budget != budget:
+            self.position += 1
+            self.changes.pop(record.program, None)
+            self.changes[record.program] = self.position
         if isinstance(record, Turn):
             self.program_by_turn[record.turn] = record.program
             for program in record.continued:
                 self.continued_by.setdefault(program, set()).add(record.program)
 
+    def list_changes(self, after: int) -> list[tuple[int, str]]:
+        """Return the programs that changed after a position, each with its own."""
+        found = []
+        for program in reversed(self.changes):
+            position = self.changes[program]
+            if position <= after:
+                break
+            found.append((position, program))
+        return found[::-1]
+
+    def find_turn(self, turn: str) -> Turn | None:
+        """Return a completed turn, or None."""
+        program = self.program_by_turn.get(turn)
+        return None if program is None else self.programs[program].completed[turn]
+
     def find_last_use(self, program: str) -> float | None:
         """Return when a program, or one that continues it, was last used, if known."""
         names = (program, *self.continued_by.get(program, ()))
@@ -78,6 +106,40 @@
             self.apply(record)
         self.writer.write(records)
 
+    def write_copies(
+        self, records: list[Record], idle_seconds: dict[str, float]
+    ) -> None:
+        """Write records of another disk, and return once they are durable.
+
+        Parameters
+        ----------
+        idle_seconds : dict of str to float
+            Time since the last use of each program there; a copy is none.
+        """
+        now = time.monotonic()
+        for record in records:
+            program = record.program
+            state = self.programs.get(program)
+            used_at = now - idle_seconds[program]
+            if state is not None:
+                used_at = max(used_at, state.last_used_at)
+            self.apply(record)
+            self.programs[program].last_used_at = used_at
+        self.writer.write(records)
+
+    def sync(self) -> None:
+        """Return once all that is known here is durable.
+
+        Raises
+        ------
+        OSError
+            If it cannot be written.
+        """
+        if self.writer.has_failed:
+            self.compact()
+        else:
+            self.writer.write([])
+
     def list_expired(self) -> list[str]:
         """Return the programs past their retention time at this holder."""
         for program in self.continued_by:
@@ -89,6 +151,7 @@
 
     def drop(self, program: str) -> None:
         """Forget a program."""
+        self.changes.pop(program, None)
         for turn in self.programs.pop(program).completed.values():
             self.program_by_turn.pop(turn.turn, None)
             for continued in turn.continued:
@@ -103,6 +166,7 @@
 
     def compact(self) -> None:
         """Rewrite the live records to new segments and delete the older ones."""
+        self.writer.has_failed = False
         keep_from = self.writer.start_segment()
         for program in list(self.programs):
             state = self.programs.get(program)
--- a/tests/stateful/seat_box.py
+++ b/tests/stateful/seat_box.py
@@ -19,13 +19,16 @@
 from cedarchute.turns.active_seat_table import ActiveSeatTable
 from cedarchute.turns.catch_up import CatchUp
 from cedarchute.turns.disk_identity import DiskIdentity
-from cedarchute.turns.evacuation import Evacuation
 from cedarchute.turns.expiry import Expiry
 from cedarchute.turns.group_commit_writer import GroupCommitWriter
 from cedarchute.turns.holder import Holder
 from cedarchute.turns.holder_app import HolderApp
 from cedarchute.turns.holder_client import HolderRefusedError, HolderUnavailableError
+from cedarchute.turns.record_exchange import RecordExchange
+from cedarchute.turns.record_puller import RecordPuller
+from cedarchute.turns.record_source import RecordSource
 from cedarchute.turns.seat import Seat
+from cedarchute.turns.seat_coverage import SeatCoverage
 from cedarchute.turns.seat_manager import SeatManager
 from cedarchute.turns.seat_version_file import SeatVersionFile
 from cedarchute.turns.turn_journal import TurnJournal
@@ -108,6 +111,9 @@
         versions = SeatVersionFile(box.folder)
         self.holder = Holder(storage, self.seats, self.disk, versions, box.name)
         self.holder.is_disk_complete = identity.complete
+        puller = RecordPuller(client, storage, Metrics())
+        self.exchange = RecordExchange(puller, self.seats, self.holder)
+        self.coverage = SeatCoverage(client, store, self.seats, self.holder, puller)
         self.manager = SeatManager(
             store,
             self.seats,
@@ -116,16 +122,18 @@
             box.folder,
             Seat(box.name, box.address, self.disk, box.name),
             world.losses,
-            CatchUp(client, storage, self.seats, Metrics()),
+            CatchUp(puller, self.seats, Metrics()),
             self.directory,
             self.retirements,
-            Evacuation(client, storage, self.seats),
+            self.coverage,
             AbsentHolders(self.directory, client, is_joining=not versions.version),
         )
         share = zlib.crc32(box.name.encode()) / 2**32
         self.manager.join_at = world.clock.now + share * seat_manager.JITTER_SECONDS
         self.expiry = Expiry(client, storage, self.seats, self.disk)
-        self.app = HolderApp(self.holder, SimpleNamespace(ask=None))
+        source = RecordSource(self.holder)
+        quotas = SimpleNamespace(ask=None)
+        self.app = HolderApp(self.holder, quotas, source, self.coverage)
 
     @property
     def serves(self):
@@ -192,6 +200,10 @@
 
     def step(self):
         self.run(lambda process: process.manager.step())
+        self.run(lambda process: process.coverage.step())
+
+    def exchange(self):
+        self.run(lambda process: process.exchange.step())
 
     def drop_expired(self):
         self.run(lambda process: process.expiry.run_once())
--- a/tests/stateful/test_quorum_machine.py
+++ b/tests/stateful/test_quorum_machine.py
@@ -32,6 +32,8 @@
 from cedarchute.turns.holder_client import HolderRefusedError, HolderUnavailableError
 from cedarchute.turns.holder_fanout import NoQuorumError
 from cedarchute.turns.messages import Refused
+from cedarchute.turns.record_puller import RecordPuller
+from cedarchute.turns.record_source import RecordSource
 from cedarchute.turns.records import Settled, Turn
 from cedarchute.turns.seat import Seat
 from cedarchute.turns.seat_table import SeatTable
@@ -98,7 +100,8 @@
         self.book = TurnStorage(GroupCommitWriter(journal, Metrics()))
         self.book.load()
         seen = SeatVersionFile(self.folder / self.disk)
-        self.holder = Holder(self.book, self.seats, self.disk, seen)
+        self.holder = Holder(self.book, self.seats, self.disk, seen, self.box)
+        self.source = RecordSource(self.holder)
 
     def mark_complete(self):
         self.is_complete = True
@@ -132,10 +135,12 @@
             "/turns/take": "take_records",
             "/turns/account": "read_account",
             "/turns/chain": "read_chain",
-            "/turns/copy": "copy_records",
+            "/turns/index": "list_records",
+            "/turns/read": "read_turns",
         }[path]
+        part = target.source if hasattr(target.source, name) else target.holder
         try:
-            result = getattr(target.holder, name)(message)
+            result = getattr(part, name)(message)
         except HolderError as error:
             refusal = Refused(error.reason, error.table, error.is_empty)
             raise HolderRefusedError(refusal) from None
@@ -306,7 +311,8 @@
         if holder.is_complete or holder.mode != "up":
             return
         number = holder.seats.table.find_disk(holder.disk)
-        copier = CatchUp(self.client, holder.book, holder.seats, Metrics())
+        puller = RecordPuller(self.client, holder.book, Metrics())
+        copier = CatchUp(puller, holder.seats, Metrics())
         if copier.run_once(number):
             holder.mark_complete()
 
--- a/tests/stateful/test_seat_machine.py
+++ b/tests/stateful/test_seat_machine.py
@@ -89,6 +89,13 @@
     def step(self, index, hears):
         self.world.step(self.pick(index), hears)
 
+    @rule(index=INDEXES, points=POINTS, stops=st.booleans())
+    def exchange_records(self, index, points, stops):
+        box = self.pick(index)
+        if stops:
+            self.world.set_trap(box.name, points, box.kill)
+        box.exchange()
+
     @rule(index=INDEXES, points=POINTS, hears=st.booleans())
     def step_and_stop(self, index, points, hears):
         box = self.pick(index)
--- a/tests/turns/seat_site.py
+++ b/tests/turns/seat_site.py
@@ -15,13 +15,16 @@
 from cedarchute.turns.active_seat_table import ActiveSeatTable
 from cedarchute.turns.catch_up import CatchUp
 from cedarchute.turns.disk_identity import DiskIdentity
-from cedarchute.turns.evacuation import Evacuation
 from cedarchute.turns.group_commit_writer import GroupCommitWriter
 from cedarchute.turns.holder import Holder
 from cedarchute.turns.holder_app import HolderApp
 from cedarchute.turns.holder_client import HolderRefusedError, HolderUnavailableError
 from cedarchute.turns.messages import Refused
+from cedarchute.turns.record_exchange import RecordExchange
+from cedarchute.turns.record_puller import RecordPuller
+from cedarchute.turns.record_source import RecordSource
 from cedarchute.turns.seat import Seat
+from cedarchute.turns.seat_coverage import SeatCoverage
 from cedarchute.turns.seat_manager import SeatManager
 from cedarchute.turns.seat_version_file import SeatVersionFile
 from cedarchute.turns.turn_journal import TurnJournal
@@ -69,7 +72,12 @@
         versions = SeatVersionFile(folder)
         self.holder = Holder(self.storage, self.seats, self.disk, versions, name)
         self.holder.is_disk_complete = identity.complete
-        self.app = HolderApp(self.holder, SimpleNamespace(ask=None))
+        puller = RecordPuller(site, self.storage, Metrics())
+        self.exchange = RecordExchange(puller, self.seats, self.holder)
+        self.coverage = SeatCoverage(site, site.store, self.seats, self.holder, puller)
+        source = RecordSource(self.holder)
+        quotas = SimpleNamespace(ask=None)
+        self.app = HolderApp(self.holder, quotas, source, self.coverage)
         self.manager = SeatManager(
             site.store,
             self.seats,
@@ -78,10 +86,10 @@
             folder,
             Seat(name, site.find_address(name), self.disk, name),
             site.losses,
-            CatchUp(site, self.storage, self.seats, Metrics()),
+            CatchUp(puller, self.seats, Metrics()),
             site.directory,
             site.retirements,
-            Evacuation(site, self.storage, self.seats),
+            self.coverage,
             AbsentHolders(site.directory, site),
         )
 
@@ -103,6 +111,7 @@
         )
         self.boxes = {}
         self.addresses = {}
+        self.watch = lambda path, message: None
 
     @property
     def table(self):
@@ -141,6 +150,7 @@
             if self.store.entry is not None:
                 box.seats.update(self.table, "store")
             box.manager.step()
+            box.coverage.step()
 
     def settle(self, steps=12, seconds=1.0):
         """Let time go on until every wait is over."""
@@ -158,6 +168,7 @@
 
     def ask(self, address, path, message, answer, timeout=None):
         """Carry a message as `HolderClient` does."""
+        self.watch(path, message)
         names = {a: name for name, a in self.addresses.items()}
         if names[address] not in self.boxes:
             raise HolderUnavailableError(address)
--- a/tests/turns/test_catch_up.py
+++ b/tests/turns/test_catch_up.py
@@ -6,10 +6,13 @@
 from cedarchute.metrics import Metrics
 from cedarchute.turns.active_seat_table import ActiveSeatTable
 from cedarchute.turns.catch_up import CatchUp
+from cedarchute.turns.copy_messages import ProgramIndex, RecordIndex, TurnsRead
 from cedarchute.turns.disk_location import DiskLocation
 from cedarchute.turns.holder import Holder, HolderError
 from cedarchute.turns.holder_client import HolderRefusedError, HolderUnavailableError
-from cedarchute.turns.messages import CopiedRecords, Refused
+from cedarchute.turns.messages import Refused
+from cedarchute.turns.record_puller import RecordPuller
+from cedarchute.turns.record_source import RecordSource
 from cedarchute.turns.seat import Seat
 from cedarchute.turns.seat_table import SeatTable
 from cedarchute.turns.seat_version_file import SeatVersionFile
@@ -36,7 +39,14 @@
         if state == NEWER:
             newer = self.table.replace_seat(0, Seat("new", "new", "d", "z"))
             raise HolderRefusedError(Refused("old", newer))
-        return CopiedRecords((make_turn(f"of-{address}"),))
+        if path == "/turns/read":
+            return TurnsRead(tuple(map(make_turn, message.turns)), len(message.turns))
+        index = ProgramIndex("p", 0.0, None, {}, {}, (f"of-{address}",))
+        return RecordIndex((index,), "process", 1, is_last=True, is_complete=True)
+
+
+def make_catch_up(client, storage, seats):
+    return CatchUp(RecordPuller(client, storage, Metrics()), seats, Metrics())
 
 
 def run(folder, losses, *states):
@@ -47,7 +57,7 @@
     active_table = ActiveSeatTable()
     active_table.update(table, "test")
     client = ScriptedClient(table, dict(zip(names[1:], states, strict=True)))
-    done = CatchUp(client, storage, active_table, Metrics()).run_once(0)
+    done = make_catch_up(client, storage, active_table).run_once(0)
     return done, set(storage.program_by_turn)
 
 
@@ -88,7 +98,7 @@
     active_table = ActiveSeatTable()
     active_table.update(table, "test")
     client = ScriptedClient(table, {"box-1": WHOLE, "box-2": WHOLE})
-    catch_up = CatchUp(client, make_storage(tmp_path), active_table, Metrics())
+    catch_up = make_catch_up(client, make_storage(tmp_path), active_table)
     assert catch_up.run_once(0)
 
 
@@ -100,7 +110,10 @@
 
     def ask(self, address, path, message, answer):
         try:
-            return self.holders[address].copy_records(message)
+            source = RecordSource(self.holders[address])
+            if path == "/turns/read":
+                return source.read_turns(message)
+            return source.list_records(message)
         except HolderError as error:
             refusal = Refused(error.reason, error.table, error.is_empty)
             raise HolderRefusedError(refusal) from None
@@ -124,7 +137,7 @@
             storage.write([make_turn(f"of-{name}")])
             holder.is_disk_complete = True
     lost = holders["lost"]
-    catch_up = CatchUp(DirectClient(holders), lost.storage, lost.seats, Metrics())
+    catch_up = make_catch_up(DirectClient(holders), lost.storage, lost.seats)
     assert not catch_up.run_once(0)
     holders["box-1"].caught_up = True
     assert not catch_up.run_once(0)
@@ -149,7 +162,6 @@
     holders["returned"].storage.write([make_turn("kept")])
     holders["box-3"].is_disk_complete = holders["box-3"].caught_up = True
     spare = holders["spare"]
-    assert CatchUp(
-        DirectClient(holders), spare.storage, spare.seats, Metrics()
-    ).run_once(0)
+    client = DirectClient(holders)
+    assert make_catch_up(client, spare.storage, spare.seats).run_once(0)
     assert set(spare.storage.program_by_turn) == {"kept"}
--- a/tests/turns/test_seat_manager.py
+++ b/tests/turns/test_seat_manager.py
@@ -57,7 +57,7 @@
         catch_up=None,
         directory=directory,
         retirements=SimpleNamespace(asked=set(asked)),
-        evacuation=None,
+        coverage=None,
         absent_holders=AbsentHolders(directory, ScriptedClient(alive)),
     )
     return manager, table
--- a/tests/turns/test_seat_table.py
+++ b/tests/turns/test_seat_table.py
@@ -124,3 +124,19 @@
         elif "has" not in states:
             enough = states.count("lacks") >= table.count_for_absence()
             assert outcome == ("absent" if enough else "unknown"), states
+
+
+@pytest.mark.parametrize(("size", "losses"), SIZES)
+def test_seats_are_released_only_if_more_disks_than_may_be_lost_are_left(size, losses):
+    for incomplete in list_subsets(range(size), 1, size):
+        table = make_table(size, losses)
+        for number in range(size):
+            table = table.complete_seat(number)
+        for number in incomplete:
+            table = table.mark_incomplete(number)
+        if not table.may_release(table.list_unreleased()):
+            continue
+        released = table.release_seats(table.list_unreleased())
+        assert released.list_unreleased() == []
+        for stored in combinations(range(size), table.replication_factor):
+            assert len(set(stored) - incomplete) > losses
