Ask holders side by side whether they are gone, and count the time that this takes

What callers would see: the seat of a machine that is gone is taken the later the more machines are silent (0.5 s each in a round), and nothing is safe against the next loss before. Cause: probes one after the other, and a full pause of 0.25 s after a round that had lasted 0.5 s. A test that holders are asked at the same time is red before (timeout).

That a seat is taken only after 1 s of silence in two rounds is as before.

--- a/src/cedarchute/turns/absent_holders.py
+++ b/src/cedarchute/turns/absent_holders.py
@@ -6,6 +6,7 @@
 import time
 from typing import TYPE_CHECKING, Final
 
+import eventlet
 import urllib3
 
 from cedarchute.fleet.box_entry import Role
@@ -110,11 +111,11 @@
 
     def list_silent(self, table: SeatTable) -> set[str]:
         """Ask all holders with a seat; return the boxes that give no answer."""
-        return {
-            seat.box
-            for seat in table.seats
-            if not seat.is_vacant and self.is_unreachable(seat, PROBE_TIMEOUT)
-        }
+        seats = [seat for seat in table.seats if not seat.is_vacant]
+        answers = eventlet.GreenPool().imap(
+            lambda seat: self.is_unreachable(seat, PROBE_TIMEOUT), seats
+        )
+        return {seat.box for seat, silent in zip(seats, answers, strict=True) if silent}
 
     def is_unreachable(
         self, seat: Seat, timeout: urllib3.Timeout | None = None
--- a/src/cedarchute/turns/seat_manager.py
+++ b/src/cedarchute/turns/seat_manager.py
@@ -91,6 +91,7 @@
         self.join_at = time.monotonic() + share * JITTER_SECONDS
         while True:
             version = self.seats.table.version
+            started = time.monotonic()
             try:
                 self.step()
             except StoreUnavailableError as error:
@@ -100,7 +101,9 @@
                 )
             is_changed = self.seats.table.version != version
             polls_fast = is_changed or self.is_starting()
-            eventlet.sleep(FAST_POLL_SECONDS if polls_fast else POLL_SECONDS)
+            # The time that silent holders have taken counts as well.
+            left = POLL_SECONDS - (time.monotonic() - started)
+            eventlet.sleep(FAST_POLL_SECONDS if polls_fast else max(0.0, left))
 
     def is_starting(self) -> bool:
         """Whether this holder has a seat and only has to read the table to serve."""
--- a/tests/turns/test_absent_holders.py
+++ b/tests/turns/test_absent_holders.py
@@ -4,6 +4,7 @@
 
 from types import SimpleNamespace
 
+import eventlet
 import pytest
 
 from cedarchute.fleet.box_directory import BoxDirectory
@@ -80,6 +81,22 @@
     assert clock.now == 100.0 + JOINING_TIMEOUT_SECONDS
 
 
+def test_holders_that_are_silent_at_the_same_time_are_asked_side_by_side(holders):
+    """The time until a seat is taken does not grow with the machines that are gone."""
+    absent = AbsentHolders(holders.directory, holders, is_joining=True)
+    waiting = []
+    holders.alive.clear()
+
+    def wait_for_all():
+        waiting.append("asked")
+        with eventlet.Timeout(10.0):
+            while len(waiting) < len(BOXES):
+                eventlet.sleep(0)
+
+    holders.on_silence = wait_for_all
+    assert absent.list_silent(TABLE) == set(BOXES)
+
+
 def test_a_joining_box_that_stood_still_asks_again(clock, holders):
     absent = AbsentHolders(holders.directory, holders, is_joining=True)
     holders.alive.remove("b")
