Give callers addresses while no entry reaches the holders

What callers saw: while all holders are away, or for good after more losses than are tolerated, GET /resolve answers 503 without a body at every entry, so callers of plain calls, which need no holder, get no address either. Cause: an entry without a quorum published the state of a planned stop; once all had, the list for callers was empty, and no box was left to read the store for its failure domain, so each did by itself.

Change: the entry of a box has a state of its own for it. Callers are sent to the others first, and to all if no others are left; draining is for planned stops only.

--- a/src/cedarchute/fleet/box_directory.py
+++ b/src/cedarchute/fleet/box_directory.py
@@ -31,8 +31,7 @@
         before = self.known.put(entry.name, entry)
         self.update_addresses()
         if before != entry:
-            text = "Box is draining." if entry.leaving else "Box is registered."
-            log.info(text, extra={"box": entry.name, "role": entry.role})
+            log.info(describe(entry), extra={"box": entry.name, "role": entry.role})
 
     def remove(self, name: str) -> None:
         """Remove a box whose entry was removed, at once or after a grace period."""
@@ -65,14 +64,25 @@
     ) -> list[str]:
         """Return addresses for a caller, of its own failure domain if it has enough.
 
+        Boxes without a quorum of holders are left out, unless there are no others:
+        calls that need no holder are still served.
+
         Parameters
         ----------
         is_behind : bool
             Whether the box that serves the request is overloaded; then the addresses
             of the whole region are returned.
         """
-        boxes = self.list_boxes(Role.ENTRY)
+        entries = self.list_boxes(Role.ENTRY)
+        boxes = [box for box in entries if not box.is_isolated] or entries
         nearby = [box for box in boxes if box.failure_domain == failure_domain]
         if is_behind or len(nearby) < MIN_OWN_DOMAIN_BOXES:
             nearby = [box for box in boxes if box.region == region] or boxes
         return sorted(box.callers for box in nearby)[:MAX_ADDRESSES]
+
+
+def describe(entry: BoxEntry) -> str:
+    """Return the log message for a new state of a box."""
+    if entry.leaving:
+        return "Box is draining."
+    return "Box reaches no holders." if entry.is_isolated else "Box is registered."
--- a/src/cedarchute/fleet/box_entry.py
+++ b/src/cedarchute/fleet/box_entry.py
@@ -27,6 +27,9 @@
         Identifier of the contents of its disk; empty for boxes without one.
     leaving : bool
         Whether it is draining and accepts no new work.
+    is_isolated : bool
+        Whether it reaches no quorum of holders, so that callers should use another box
+        if there is one; it still serves calls that need no holder.
     """
 
     name: str
@@ -37,3 +40,4 @@
     peers: str
     disk: str = ""
     leaving: bool = False
+    is_isolated: bool = False
--- a/src/cedarchute/fleet/holder_contact.py
+++ b/src/cedarchute/fleet/holder_contact.py
@@ -1,4 +1,4 @@
-"""Drains this box while it cannot reach a quorum of holders."""
+"""Sends callers to other boxes while this one cannot reach a quorum of holders."""
 
 from __future__ import annotations
 
@@ -43,7 +43,7 @@
                 self.check_once()
 
     def check_once(self) -> None:
-        """Publish this box as draining while it is isolated from the holders."""
+        """Publish whether this box is isolated from the holders."""
         if self.quorum.fanout.failing_since is not None:
             self.try_probe()
         isolated = self.quorum.fanout.is_isolated
@@ -54,7 +54,7 @@
         if isolated == self.isolated:
             return
         self.isolated = isolated
-        self.registration.publish_draining(isolated)
+        self.registration.publish_isolated(isolated)
 
     def log_changes(self, isolated: bool) -> None:
         """Log contact that is lost or back, and each change of what holders say."""
--- a/src/cedarchute/fleet/registration.py
+++ b/src/cedarchute/fleet/registration.py
@@ -111,18 +111,22 @@
 
     def leave(self) -> None:
         """Mark this box as draining: it accepts no new work."""
-        self.publish_draining(True)
+        self.publish(msgspec.structs.replace(self.entry, leaving=True))
 
-    def publish_draining(self, leaving: bool) -> None:
-        """Publish whether this box is draining."""
-        self.entry = msgspec.structs.replace(self.entry, leaving=leaving)
+    def publish_isolated(self, is_isolated: bool) -> None:
+        """Publish whether this box reaches a quorum of holders."""
+        self.publish(msgspec.structs.replace(self.entry, is_isolated=is_isolated))
+
+    def publish(self, entry: BoxEntry) -> None:
+        """Publish another state of this box."""
+        self.entry = entry
         if self.lease is None:
             return
         try:
             self.write(self.lease)
         except (StoreUnavailableError, LeaseGoneError) as error:
             log.warning(
-                "Draining state could not be published.", extra={"why": str(error)}
+                "State of this box could not be published.", extra={"why": str(error)}
             )
 
     def end(self) -> None:
--- a/tests/fleet/test_box_directory.py
+++ b/tests/fleet/test_box_directory.py
@@ -4,11 +4,20 @@
 from cedarchute.fleet.box_entry import BoxEntry, Role
 
 
-def make_directory():
+def make_directory(isolated=(), leaving=()):
     directory = BoxDirectory()
     for number, domain in enumerate("aabbc"):
         name = f"entry-{number}"
-        entry = BoxEntry(name, Role.ENTRY, domain, "r", f"{name}:1", f"{name}:2")
+        entry = BoxEntry(
+            name,
+            Role.ENTRY,
+            domain,
+            "r",
+            f"{name}:1",
+            f"{name}:2",
+            leaving=number in leaving,
+            is_isolated=number in isolated,
+        )
         directory.put(entry)
     return directory
 
@@ -28,3 +37,14 @@
 
 def test_a_box_that_is_behind_sends_callers_to_other_domains_too():
     assert len(list_names(make_directory(), "a", is_behind=True)) == 5
+
+
+def test_callers_are_sent_to_boxes_that_reach_the_holders():
+    names = list_names(make_directory(isolated={0, 2}), "a")
+    assert names == ["entry-1", "entry-3", "entry-4"]
+
+
+def test_callers_get_addresses_while_no_box_reaches_the_holders():
+    directory = make_directory(isolated=range(5), leaving={1})
+    assert list_names(directory, "b") == ["entry-2", "entry-3"]
+    assert "entry-1" not in list_names(directory, "a")
--- a/tests/fleet/test_holder_contact.py
+++ b/tests/fleet/test_holder_contact.py
@@ -13,8 +13,8 @@
     def __init__(self):
         self.published = []
 
-    def publish_draining(self, draining):
-        self.published.append(draining)
+    def publish_isolated(self, is_isolated):
+        self.published.append(is_isolated)
 
 
 class Quorum:
