Run what a holder does side by side in one task in the stateful tests

Traced by the stacks of all tasks; the fault is the test's. The series run in one task there, as everything else of the virtual world.

--- a/tests/stateful/seat_clock.py
+++ b/tests/stateful/seat_clock.py
@@ -9,6 +9,8 @@
 import time
 from unittest import mock
 
+from eventlet import GreenPool
+
 from cedarchute.turns import (
     chain_reader,
     disk_identity,
@@ -71,6 +73,8 @@
         patch(disk_identity, "secrets", mock.Mock(token_hex=token_hex))
         for module in (disk_identity, seat_version_file):
             patch(module, "replace_file", replace_file)
+        # A process that stops in a task of its own would not end the step.
+        patch(GreenPool, "imap", lambda pool, function, items: map(function, items))
         patch(turn_journal, "os", UnsyncedOs())
         patch(turn_journal, "sync_folder", lambda path: None)
         yield
