Let a machine that the soak removes for good stand still instead of refusing

Why no soak showed the users' case: it ended a removed machine by SIGKILL, so connections to it were reset at once, where a machine without power says nothing and each probe lasts until a timeout. The play turnover pauses it now and ends it with the site.

--- a/src/experiments/soak/machines.py
+++ b/src/experiments/soak/machines.py
@@ -74,13 +74,16 @@
             self.busy.discard(name)
 
     def remove(self, name: str, is_stopped: bool) -> None:
-        """End a machine for good, by SIGTERM or at once."""
+        """End a machine for good, by SIGTERM or as by a loss of power.
+
+        A machine without power says nothing, so its process stays, and stands still.
+        """
         process = self.site.nodes.processes[name]
         with self.supervisor.locks[name]:
-            number = signal.SIGTERM if is_stopped else signal.SIGKILL
             was_running = process.is_running
+            number = signal.SIGTERM if is_stopped else signal.SIGSTOP
             self.supervisor.send(name, number)
-            code = process.wait()
+            code = process.wait() if is_stopped else None
             if is_stopped and was_running and code != 0:
                 what = f"STOP {name} ended with {code} when it left for good"
                 self.supervisor.failures.append(what)
