Read the changes of programs in order, without collecting all of them for each page

What callers would see: after a start, the first reading of another disk takes the longer, faster than the number of programs grows, and the holder that answers serves no turn meanwhile. Cause: each page of names collected all changes after its position.

--- a/src/cedarchute/turns/record_source.py
+++ b/src/cedarchute/turns/record_source.py
@@ -34,22 +34,22 @@
         """Return a page of the records of one seat."""
         self.holder.admit_reader(message)
         after = message.after if message.process == self.process else 0
-        changes = self.storage.list_changes(after)
         now = time.monotonic()
         programs: list[ProgramIndex] = []
         names = 0
         position = after
-        for sequence, program in changes:
-            position = sequence
+        is_last = True
+        for changed_at, program in self.storage.changes.list_after(after):
+            if names >= PAGE_NAMES:
+                is_last = False
+                break
+            position = changed_at
             if not message.table.is_stored_at(program, message.seat):
                 continue
             state = self.storage.programs[program]
             used_at = self.storage.find_last_use(program) or now
             programs.append(describe(program, state, now - used_at))
             names += 1 + len(state.open) + len(state.settled)
-            if names >= PAGE_NAMES:
-                break
-        is_last = not changes or position == changes[-1][0]
         return RecordIndex(
             tuple(programs), self.process, position, is_last, self.holder.caught_up
         )
--- a/src/cedarchute/turns/turn_storage.py
+++ b/src/cedarchute/turns/turn_storage.py
@@ -5,6 +5,7 @@
 import time
 from typing import TYPE_CHECKING
 
+from cedarchute.turns.change_log import ChangeLog
 from cedarchute.turns.program_state import ProgramState
 from cedarchute.turns.records import Turn
 
@@ -14,19 +15,12 @@
 
 
 class TurnStorage:
-    """Applies records in memory and appends them to the journal.
-
-    Attributes
-    ----------
-    changes : dict of str to int
-        Position of the last change of each program, in ascending order.
-    """
+    """Applies records in memory and appends them to the journal."""
 
     def __init__(self, writer: GroupCommitWriter) -> None:
         self.writer = writer
         self.programs: dict[str, ProgramState] = {}
-        self.changes: dict[str, int] = {}
-        self.position = 0
+        self.changes = ChangeLog()
         self.program_by_turn: dict[str, str] = {}
         self.continued_by: dict[str, set[str]] = {}
 
@@ -43,24 +37,12 @@
         state = self.get_or_create(record.program)
         budget = state.budget
         if state.apply(record) or state.budget != budget:
-            self.position += 1
-            self.changes.pop(record.program, None)
-            self.changes[record.program] = self.position
+            self.changes.note(record.program)
         if isinstance(record, Turn):
             self.program_by_turn[record.turn] = record.program
             for program in record.continued:
                 self.continued_by.setdefault(program, set()).add(record.program)
 
-    def list_changes(self, after: int) -> list[tuple[int, str]]:
-        """Return the programs that changed after a position, each with its own."""
-        found = []
-        for program in reversed(self.changes):
-            position = self.changes[program]
-            if position <= after:
-                break
-            found.append((position, program))
-        return found[::-1]
-
     def find_turn(self, turn: str) -> Turn | None:
         """Return a completed turn, or None."""
         program = self.program_by_turn.get(turn)
@@ -151,7 +133,7 @@
 
     def drop(self, program: str) -> None:
         """Forget a program."""
-        self.changes.pop(program, None)
+        self.changes.drop(program)
         for turn in self.programs.pop(program).completed.values():
             self.program_by_turn.pop(turn.turn, None)
             for continued in turn.continued:
