--- a/src/cedarchute/daemon/holder_box.py
+++ b/src/cedarchute/daemon/holder_box.py
@@ -174,7 +174,8 @@
             dropped = self.expiry.run_once()
             if dropped:
                 log.info("Expired programs dropped.", extra={"programs": dropped})
-            if self.journal.since_compaction > COMPACT_BYTES:
+            is_long = self.journal.since_compaction > COMPACT_BYTES
+            if is_long or self.book.writer.has_failed:
                 self.compact()
 
     def compact(self) -> None:
