--- a/src/cedarchute/platform/routing_document.py
+++ b/src/cedarchute/platform/routing_document.py
@@ -54,6 +54,7 @@
     retention_s: float = 0
     # Whether calls are accepted without an API key.
     public: bool = False
+    resumable: bool = False
 
 
 class _Engine(_Wire):
@@ -175,6 +176,7 @@
         retains_turns=route.retained,
         retention_seconds=route.retention_s,
         is_public=route.public,
+        is_resumable=route.resumable,
     )
 
 
--- /dev/null
+++ b/src/cedarchute/pressure/__init__.py
@@ -0,0 +1,1 @@
+"""Bounds on the bytes and connections that a box holds."""
--- /dev/null
+++ b/src/cedarchute/pressure/held_bytes.py
@@ -0,0 +1,45 @@
+"""The bytes that a box holds for callers and targets."""
+
+from __future__ import annotations
+
+from contextlib import contextmanager
+from enum import StrEnum
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+
+class HeldCause(StrEnum):
+    """What bytes are held for."""
+
+    REQUEST_BODY = "request_body"
+    ANSWER = "answer"
+    KEPT_EVENTS = "kept_events"
+
+
+class HeldBytes(Protocol):
+    """Counts the bytes that are held, by cause."""
+
+    @property
+    def is_near_bound(self) -> bool:
+        """Whether targets should be read no faster than callers read."""
+        ...
+
+    @property
+    def is_at_bound(self) -> bool:
+        """Whether new calls should be refused."""
+        ...
+
+    def add(self, cause: HeldCause, count: int) -> None:
+        """Count bytes that are held from now on."""
+        ...
+
+    def remove(self, cause: HeldCause, count: int) -> None:
+        """Count bytes that are no longer held."""
+        ...
+
+    @contextmanager
+    def holding(self, cause: HeldCause, count: int) -> Iterator[None]:
+        """Count bytes as held for as long as the block runs."""
+        ...
--- a/src/cedarchute/routing/route.py
+++ b/src/cedarchute/routing/route.py
@@ -42,6 +42,8 @@
         Retention of a turn after its end.
     is_public : bool
         Whether calls need no workspace key.
+    is_resumable : bool
+        Whether a stream that broke off may go on at another target.
     """
 
     name: str
@@ -56,6 +58,7 @@
     retains_turns: bool = False
     retention_seconds: float = 0.0
     is_public: bool = False
+    is_resumable: bool = False
 
     @property
     def is_stream(self) -> bool:
--- a/src/cedarchute/settings/node_settings.py
+++ b/src/cedarchute/settings/node_settings.py
@@ -3,13 +3,22 @@
 from __future__ import annotations
 
 from pathlib import Path
+from typing import Final, TypeVar
 
 import msgspec
+from msgspec.structs import replace
 
 from cedarchute.address import Address
 from cedarchute.decisions.quota_share import QuotaTolerance
 from cedarchute.fleet.box_entry import Role
 from cedarchute.ini import IniError, parse_sections
+from cedarchute.platform.contracts import calls_for_bounded_load
+
+ValueT = TypeVar("ValueT")
+
+# Share of a box's memory that may be held for callers and targets; the rest is needed
+# by the process itself, which grows with the configuration.
+HELD_MEMORY_SHARE: Final = 0.2
 
 
 class NodeSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -19,6 +28,8 @@
     ----------
     peer_port : int
         Port on `ip` for connections of other boxes.
+    memory_mb : float
+        Memory that the process may use; 0 if unknown.
     """
 
     role: Role
@@ -28,6 +39,7 @@
     ip: str
     peer_port: int
     data_folder: str = ""
+    memory_mb: float = 0.0
 
 
 class ListenSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -92,6 +104,78 @@
     """``[quotas]``: tolerance of workspace limits."""
 
 
+class FairShareSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """``[fair_share]``: how workspaces share their limits.
+
+    Attributes
+    ----------
+    whole_programs : bool or None
+        Whether programs are admitted only if their limit holds all of their calls.
+        None: if the contracts of the deployment call for it, as for other parts.
+    """
+
+    whole_programs: bool | None = None
+
+
+class PlacementSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """``[placement]``: how the targets of calls are selected.
+
+    Attributes
+    ----------
+    share_knowledge : bool
+        Whether boxes of a failure domain tell each other what they know of targets.
+    by_pace : bool
+        Whether targets are selected by chance, weighted by measured pace and room.
+        Both apply to services with streams that may run at one target only: there a
+        wrong choice is final.
+    """
+
+    share_knowledge: bool = False
+    by_pace: bool = False
+
+
+class WaitingSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """``[waiting]``: how calls wait while no target has a free place.
+
+    Attributes
+    ----------
+    in_order : bool or None
+        Whether calls wait in order of urgency, which engines are told as well.
+    max_calls : int
+        Calls that may wait in this box at once.
+    """
+
+    in_order: bool | None = None
+    max_calls: int = 64
+
+
+class StreamsSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """``[streams]``: what happens to streams whose target fails.
+
+    Attributes
+    ----------
+    resume : bool or None
+        Whether they go on at another target where their route allows it.
+    """
+
+    resume: bool | None = None
+
+
+class PressureSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """``[pressure]``: bounds on what this box holds.
+
+    Attributes
+    ----------
+    max_held_mb : float or None
+        Megabytes held for callers and targets; 0 sets no bound.
+    share_connections : bool or None
+        Whether this box opens only its share of the connections of a target.
+    """
+
+    max_held_mb: float | None = None
+    share_connections: bool | None = None
+
+
 class StopSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """``[stop]``: how long a planned stop may take before the process is killed."""
 
@@ -99,7 +183,13 @@
 
 
 class NodeSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Every setting of one box."""
+    """Every setting of one box.
+
+    Attributes
+    ----------
+    contracts : dict of str to bool
+        ``[contracts]``: what the platform expects of this deployment, by its names.
+    """
 
     box: NodeSection
     platform: StoreSection
@@ -109,6 +199,12 @@
     keys: KeysSection = KeysSection()
     quotas: QuotasSection = QuotasSection()
     stop: StopSection = StopSection()
+    fair_share: FairShareSection = FairShareSection()
+    placement: PlacementSection = PlacementSection()
+    waiting: WaitingSection = WaitingSection()
+    streams: StreamsSection = StreamsSection()
+    pressure: PressureSection = PressureSection()
+    contracts: dict[str, bool] = {}
 
     @property
     def known_seconds(self) -> float:
@@ -152,7 +248,31 @@
     faults = find_faults(settings)
     if faults:
         raise IniError(file, faults)
-    return settings
+    return apply_contracts(settings)
+
+
+def apply_contracts(settings: NodeSettings) -> NodeSettings:
+    """Return the settings with each open switch as the contracts call for it."""
+    is_on = calls_for_bounded_load(settings.contracts)
+    share, waiting = settings.fair_share, settings.waiting
+    streams, pressure = settings.streams, settings.pressure
+    held_mb = HELD_MEMORY_SHARE * settings.box.memory_mb if is_on else 0.0
+    return replace(
+        settings,
+        fair_share=replace(share, whole_programs=pick(share.whole_programs, is_on)),
+        waiting=replace(waiting, in_order=pick(waiting.in_order, is_on)),
+        streams=replace(streams, resume=pick(streams.resume, is_on)),
+        pressure=replace(
+            pressure,
+            max_held_mb=pick(pressure.max_held_mb, held_mb),
+            share_connections=pick(pressure.share_connections, is_on),
+        ),
+    )
+
+
+def pick(value: ValueT | None, default: ValueT) -> ValueT:
+    """Return a value, or its default if it is not set."""
+    return default if value is None else value
 
 
 def find_faults(settings: NodeSettings) -> list[str]:
@@ -186,4 +306,10 @@
         faults.append("[quotas] window_seconds: must be more than nothing")
     if settings.quotas.overrun < 0 or settings.quotas.slack < 0:
         faults.append("[quotas] overrun, slack: must not be negative")
+    if settings.waiting.max_calls < 1:
+        faults.append("[waiting] max_calls: must be at least 1")
+    if not 0 <= (settings.pressure.max_held_mb or 0.0) < float("inf"):
+        faults.append("[pressure] max_held_mb: must be a number that is not negative")
+    if not 0 <= settings.box.memory_mb < float("inf"):
+        faults.append("[box] memory_mb: must be a number that is not negative")
     return faults
--- a/src/cedarchute/turns/messages.py
+++ b/src/cedarchute/turns/messages.py
@@ -139,6 +139,23 @@
     patience_seconds: float = 0.0
 
 
+class AskProgramQuota(AskQuota, frozen=True, kw_only=True):
+    """Request a call where whole programs are admitted.
+
+    Attributes
+    ----------
+    program, kind : str
+        Key of the call's program and the name of its route; empty for a call without.
+    calls_per_turn : float
+        Mean number of calls for each turn of a program, as seen by the box; 0 if
+        unknown.
+    """
+
+    program: str = ""
+    kind: str = ""
+    calls_per_turn: float = 0.0
+
+
 class QuotaAnswered(msgspec.Struct, frozen=True):
     """Whether the call is granted.
 
--- a/tests/settings/test_node_settings.py
+++ b/tests/settings/test_node_settings.py
@@ -61,3 +61,66 @@
     with pytest.raises(IniError) as refused:
         load_node_settings(str(tmp_path / "none.ini"))
     assert "none.ini" in str(refused.value)
+
+
+PARTS = """
+[fair_share]
+whole_programs = {0}
+[waiting]
+in_order = {0}
+[streams]
+resume = {0}
+[pressure]
+share_connections = {0}
+"""
+
+
+def list_switches(settings):
+    return [
+        settings.fair_share.whole_programs,
+        settings.waiting.in_order,
+        settings.streams.resume,
+        settings.pressure.share_connections,
+    ]
+
+
+def test_parts_are_off_unless_settings_or_contracts_call_for_them():
+    settings = parse_node_settings(ENTRY, "box.ini")
+    assert list_switches(settings) == [False] * 4
+    assert settings.pressure.max_held_mb == 0
+    assert not settings.placement.share_knowledge
+    assert not settings.placement.by_pace
+    others = ENTRY + "[contracts]\nbase = true\nquota = true\n"
+    assert list_switches(parse_node_settings(others, "box.ini")) == [False] * 4
+
+
+def test_a_contract_calls_for_parts_that_a_setting_may_switch_off():
+    entry = ENTRY.replace("peer_port = 7000", "peer_port = 7000\nmemory_mb = 100")
+    contracts = "[contracts]\npressure = true\n"
+    settings = parse_node_settings(entry + contracts, "box.ini")
+    assert list_switches(settings) == [True] * 4
+    assert settings.pressure.max_held_mb == 20
+    settings = parse_node_settings(entry + contracts + PARTS.format("false"), "box.ini")
+    assert list_switches(settings) == [False] * 4
+
+
+def test_parts_are_switched_on_by_settings_alone():
+    settings = parse_node_settings(ENTRY + PARTS.format("true"), "box.ini")
+    assert list_switches(settings) == [True] * 4
+
+
+@pytest.mark.parametrize(
+    ("more", "place"),
+    [
+        ("[pressure]\nmax_held_mb = -1\n", "[pressure] max_held_mb"),
+        ("[pressure]\nmax_held_mb = nan\n", "[pressure] max_held_mb"),
+        ("[pressure]\nmax_held_mb = much\n", "max_held_mb"),
+        ("[waiting]\nmax_calls = 0\n", "[waiting] max_calls"),
+        ("[streams]\nresume = maybe\n", "resume"),
+        ("[contracts]\npressure = 3\n", "contracts"),
+    ],
+)
+def test_a_wrong_value_of_a_part_is_refused_with_its_place(more, place):
+    with pytest.raises(IniError) as raised:
+        parse_node_settings(ENTRY + more, "box.ini")
+    assert place in str(raised.value)
