Send callers to no box that is cut off from store and holders

Change: boxes that share knowledge tell their reader over its long poll, at once when it changes and before the probe of the holders; the reader tells the boxes of its domain. Off by default; requests and answers of boxes without it are the ones of before. Tests of tests/fleet, routing, platform, daemon and settings pass.

--- a/src/cedarchute/daemon/entry_box.py
+++ b/src/cedarchute/daemon/entry_box.py
@@ -33,6 +33,7 @@
 from cedarchute.fleet.box_directory import BoxDirectory
 from cedarchute.fleet.box_entry import BoxEntry, Role
 from cedarchute.fleet.holder_contact import HolderContact
+from cedarchute.fleet.news_exchange import NewsExchange
 from cedarchute.fleet.peer_server import PeerServer
 from cedarchute.fleet.turned_away import TurnedAway
 from cedarchute.platform.directory_app import DirectoryApp
@@ -88,6 +89,8 @@
             listen.callers,
             peers,
         )
+        self.news = NewsExchange(box.name, self.shares_knowledge, metrics)
+        self.directory.list_isolated = self.news.list_isolated
         followers = {
             CONFIGURATION: ConfigurationFollower(self.routes, turned_away),
             TARGETS: TargetFollower(self.registry, turned_away),
@@ -100,6 +103,7 @@
             turned_away,
             self.supervisor,
             metrics,
+            self.news,
         )
         chance = random.Random()
         self.choice = LoadBalancer(
@@ -131,7 +135,10 @@
             settings.stop.grace_seconds,
         )
         self.contact = HolderContact(
-            quorum, self.parts.registration, lambda: self.stop.asked
+            quorum,
+            self.parts.registration,
+            lambda: self.stop.asked,
+            self.tell_contact,
         )
         directory = DirectoryApp(
             self.directory,
@@ -146,11 +153,29 @@
             (self.listen(listen.directory, file, "directory"), directory),
             (
                 self.listen(peers, file, "exchange"),
-                PeerServer(self.parts.mirror, metrics),
+                PeerServer(self.parts.mirror, metrics, news=self.news),
             ),
         ]
         self.serve_metrics = partial(serve_metrics, listen.metrics, metrics, file)
 
+    def shares_knowledge(self) -> bool:
+        """Whether boxes of a failure domain tell each other what they know.
+
+        They do where room is contended, or where a stream can't be repeated at another
+        target, so that a wrong choice is final.
+        """
+        if not self.settings.placement.share_knowledge:
+            return False
+        table = self.routes.table
+        if table is None:
+            return False
+        return self.settings.is_contended or table.has_single_attempt_streams
+
+    def tell_contact(self, is_isolated: bool) -> None:
+        """Tell other boxes whether this one reaches a quorum of holders."""
+        if self.shares_knowledge() and self.news.take_own(is_isolated):
+            self.parts.reader.tell_news()
+
     def listen(self, address: str, file: str, key: str) -> object:
         """Open one listener; None when the key is not set."""
         if not address:
--- a/src/cedarchute/daemon/node_parts.py
+++ b/src/cedarchute/daemon/node_parts.py
@@ -23,6 +23,7 @@
 if TYPE_CHECKING:
     from cedarchute.fleet.box_directory import BoxDirectory
     from cedarchute.fleet.box_entry import BoxEntry
+    from cedarchute.fleet.news_exchange import NewsExchange
     from cedarchute.fleet.store_follower import StoreFollower
     from cedarchute.fleet.turned_away import TurnedAway
     from cedarchute.metrics import Metrics
@@ -45,6 +46,7 @@
         turned_away: TurnedAway,
         supervisor: Supervisor,
         metrics: Metrics,
+        news: NewsExchange | None = None,
     ) -> None:
         address = Address.parse(settings.platform.store)
         self.store = StoreClient(address, metrics, STORE_SECONDS)
@@ -58,7 +60,7 @@
         self.readers = ReaderChoice(self.directory, me)
         self.supervisor = supervisor
         self.reader = StoreReader(
-            self.store, self.mirror, self.readers, supervisor, metrics
+            self.store, self.mirror, self.readers, supervisor, metrics, news
         )
         chance = random.Random()
         self.puller = StatePuller(
--- a/src/cedarchute/fleet/box_directory.py
+++ b/src/cedarchute/fleet/box_directory.py
@@ -9,6 +9,8 @@
 from cedarchute.fleet.lapsing_entries import LapsingEntries
 
 if TYPE_CHECKING:
+    from collections.abc import Callable, Collection
+
     from cedarchute.address import Address
 
 log = logging.getLogger("cedarchute.fleet")
@@ -20,11 +22,19 @@
 
 
 class BoxDirectory:
-    """Tracks the registered boxes."""
+    """Tracks the registered boxes.
+
+    Attributes
+    ----------
+    list_isolated : Callable
+        Returns the boxes without a quorum of holders that have said so to other boxes;
+        they may not reach the store to publish it.
+    """
 
     def __init__(self) -> None:
         self.known: LapsingEntries[BoxEntry] = LapsingEntries(self.log_removal)
         self.addresses: frozenset[str] = frozenset()
+        self.list_isolated: Callable[[], Collection[str]] = tuple
 
     def put(self, entry: BoxEntry) -> None:
         """Add or update a box."""
@@ -74,7 +84,9 @@
             of the whole region are returned.
         """
         entries = self.list_boxes(Role.ENTRY)
-        boxes = [box for box in entries if not box.is_isolated] or entries
+        told = self.list_isolated()
+        boxes = [box for box in entries if not (box.is_isolated or box.name in told)]
+        boxes = boxes or entries
         nearby = [box for box in boxes if box.failure_domain == failure_domain]
         if is_behind or len(nearby) < MIN_OWN_DOMAIN_BOXES:
             nearby = [box for box in boxes if box.region == region] or boxes
--- a/src/cedarchute/fleet/holder_contact.py
+++ b/src/cedarchute/fleet/holder_contact.py
@@ -21,14 +21,23 @@
 
 
 class HolderContact:
-    """Tracks the results of turn writes; probes the holders only while they fail."""
+    """Tracks the results of turn writes; probes the holders only while they fail.
+
+    Parameters
+    ----------
+    tell_boxes : Callable
+        Tells other boxes whether this one is isolated; it may be called with the same
+        state again.
+    """
 
     def __init__(
         self,
         quorum: TurnQuorum,
         registration: Registration,
         is_stopping: Callable[[], bool],
+        tell_boxes: Callable[[bool], None] = lambda isolated: None,
     ) -> None:
+        self.tell_boxes = tell_boxes
         self.quorum = quorum
         self.registration = registration
         self.is_stopping = is_stopping
@@ -45,11 +54,14 @@
     def check_once(self) -> None:
         """Publish whether this box is isolated from the holders."""
         if self.quorum.fanout.failing_since is not None:
+            # A probe takes longer than telling other boxes.
+            self.tell_boxes(self.quorum.fanout.is_isolated)
             self.try_probe()
         isolated = self.quorum.fanout.is_isolated
         # A stop that began during the probe has published this box as draining.
         if self.is_stopping():
             return
+        self.tell_boxes(isolated)
         self.log_changes(isolated)
         if isolated == self.isolated:
             return
--- a/src/cedarchute/fleet/peer_server.py
+++ b/src/cedarchute/fleet/peer_server.py
@@ -8,11 +8,17 @@
 import msgspec
 
 from cedarchute.fleet.metrics_app import METRICS_PATH, MetricsApp
-from cedarchute.fleet.state_messages import STATE_PATH, AskState
+from cedarchute.fleet.state_messages import (
+    STATE_PATH,
+    AskStateAndNews,
+    StateAndNews,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
+    from cedarchute.fleet.box_news import BoxNews
+    from cedarchute.fleet.news_exchange import NewsExchange
     from cedarchute.fleet.store_mirror import StoreMirror
     from cedarchute.metrics import Metrics
     from cedarchute.turns.holder_app import HolderApp
@@ -26,9 +32,14 @@
     """WSGI application for store state, metrics and, on holders, turn records."""
 
     def __init__(
-        self, mirror: StoreMirror, metrics: Metrics, holder: HolderApp | None = None
+        self,
+        mirror: StoreMirror,
+        metrics: Metrics,
+        holder: HolderApp | None = None,
+        news: NewsExchange | None = None,
     ) -> None:
         self.mirror = mirror
+        self.news = news
         self.metrics = MetricsApp(metrics)
         self.holder = holder
 
@@ -52,14 +63,25 @@
         asked_at = time.monotonic()
         body = environ["wsgi.input"].read()
         try:
-            asked = msgspec.json.decode(body, type=AskState)
+            asked = msgspec.json.decode(body, type=AskStateAndNews)
         except msgspec.MsgspecError:
             return self.reply(start_response, "400 Bad Request", b"{}")
+        self.take_news(asked.news)
         wait_seconds = min(asked.wait_seconds, MAX_WAIT_SECONDS)
         self.mirror.wait_for_update(asked.after, wait_seconds)
         state = self.mirror.tell(asked.after, asked.takes_keys, asked_at)
+        if asked.news is not None and self.news is not None:
+            told = self.news.make_domain()
+            state = StateAndNews(**msgspec.structs.asdict(state), news=told)
         return self.reply(start_response, "200 OK", msgspec.json.encode(state))
 
+    def take_news(self, news: BoxNews | None) -> None:
+        """Take in news of another box; wake those that wait here to hear them."""
+        if news is None or self.news is None:
+            return
+        if self.news.take_box(news):
+            self.mirror.notify_waiters()
+
     def reply(
         self, start_response: Callable[..., Any], status: str, body: bytes
     ) -> list[bytes]:
--- a/src/cedarchute/fleet/state_client.py
+++ b/src/cedarchute/fleet/state_client.py
@@ -7,11 +7,17 @@
 import msgspec
 import urllib3
 
-from cedarchute.fleet.state_messages import STATE_PATH, AskState, State
+from cedarchute.fleet.state_messages import (
+    STATE_PATH,
+    AskState,
+    AskStateAndNews,
+    StateAndNews,
+)
 from cedarchute.host_pools import HostPools
 
 if TYPE_CHECKING:
     from cedarchute.address import Address
+    from cedarchute.fleet.box_news import BoxNews
 
 # Response timeout, in addition to the long poll at the other box; the response is small
 # and the network path short.
@@ -38,7 +44,8 @@
         after: int | None,
         wait_seconds: float = 0.0,
         answer_seconds: float = ANSWER_SECONDS,
-    ) -> State:
+        news: BoxNews | None = None,
+    ) -> StateAndNews:
         """Return the state of a box after revision `after`.
 
         Parameters
@@ -47,25 +54,28 @@
             How long the other box may wait for a change.
         answer_seconds : float
             Response timeout in addition to `wait_seconds`.
+        news : BoxNews or None
+            What this box tells of itself.
 
         Raises
         ------
         StateNotToldError
             When no valid response arrived in time.
         """
+        message = AskState(after, wait_seconds, takes_keys=True)
+        if news is not None:
+            message = AskStateAndNews(after, wait_seconds, takes_keys=True, news=news)
         try:
             response = self.pools.request(
                 "POST",
                 address,
                 STATE_PATH,
-                body=msgspec.json.encode(
-                    AskState(after, wait_seconds, takes_keys=True)
-                ),
+                body=msgspec.json.encode(message),
                 headers=JSON_HEADERS,
                 timeout=urllib3.Timeout(
                     connect=answer_seconds, read=wait_seconds + answer_seconds
                 ),
             )
-            return msgspec.json.decode(response.data, type=State)
+            return msgspec.json.decode(response.data, type=StateAndNews)
         except (urllib3.exceptions.HTTPError, OSError, msgspec.MsgspecError) as error:
             raise StateUnavailableError(f"{address}: {error}") from error
--- a/src/cedarchute/fleet/state_messages.py
+++ b/src/cedarchute/fleet/state_messages.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from cedarchute.fleet.box_news import BoxNews, DomainNews
+
 # HTTP path of the state request.
 STATE_PATH: Final = "/fleet/state"
 
@@ -42,6 +44,18 @@
     takes_keys: bool = False
 
 
+class AskStateAndNews(AskState, frozen=True):
+    """Request that tells news of the client and asks for those of its domain.
+
+    Attributes
+    ----------
+    news : BoxNews or None
+        None from boxes that exchange none.
+    """
+
+    news: BoxNews | None = None
+
+
 class State(msgspec.Struct, frozen=True):
     """State of the store as known to a box.
 
@@ -72,3 +86,15 @@
     keys: tuple[str, ...] | None = None
     proof_age_seconds: float | None = None
     proof_revision: int = 0
+
+
+class StateAndNews(State, frozen=True):
+    """State of the store with the news of a failure domain.
+
+    Attributes
+    ----------
+    news : DomainNews or None
+        None from boxes that exchange none.
+    """
+
+    news: DomainNews | None = None
--- a/src/cedarchute/fleet/store_reader.py
+++ b/src/cedarchute/fleet/store_reader.py
@@ -20,7 +20,9 @@
 
 if TYPE_CHECKING:
     from cedarchute.fleet.box_entry import BoxEntry
+    from cedarchute.fleet.news_exchange import NewsExchange
     from cedarchute.fleet.reader_choice import ReaderChoice
+    from cedarchute.fleet.state_messages import State
     from cedarchute.fleet.store_mirror import StoreMirror
     from cedarchute.metrics import Metrics
     from cedarchute.platform.store_client import StoreClient
@@ -58,7 +60,9 @@
         readers: ReaderChoice,
         supervisor: Supervisor,
         metrics: Metrics,
+        news: NewsExchange | None = None,
     ) -> None:
+        self.news = news
         self.store = store
         self.mirror = mirror
         self.readers = readers
@@ -191,7 +195,7 @@
         asked_at = time.monotonic()
         address = Address.parse(reader.peers)
         try:
-            state = self.state_client.ask(address, self.mirror.revision, wait_seconds)
+            state = self.ask_with_news(address, wait_seconds)
         except StateUnavailableError as error:
             self.record_reader_failure(reader, str(error))
             return
@@ -205,6 +209,27 @@
         self.mirror.take_state(state, asked_at)
         self.consecutive_reader_failures = 0
 
+    def ask_with_news(self, address: Address, wait_seconds: float) -> State:
+        """Ask a reader for the state of the store, and exchange news with it."""
+        news = self.news.make_own() if self.news else None
+        revision = self.mirror.revision
+        if news is None:
+            return self.state_client.ask(address, revision, wait_seconds)
+        state = self.state_client.ask(address, revision, wait_seconds, news=news)
+        self.news.take_domain(state.news)
+        return state
+
+    def tell_news(self) -> None:
+        """Tell the reader at once what has changed at this box."""
+        reader = self.readers.choose(0)
+        if reader is None:
+            self.mirror.notify_waiters()
+            return
+        try:
+            self.ask_with_news(Address.parse(reader.peers), 0.0)
+        except StateUnavailableError as error:
+            log.info("News not told.", extra={"box": reader.name, "why": str(error)})
+
     def record_reader_failure(self, reader: BoxEntry, why: str) -> None:
         """Record that a reader failed or has no connection to the store."""
         self.consecutive_reader_failures += 1
--- a/src/cedarchute/routing/route_table.py
+++ b/src/cedarchute/routing/route_table.py
@@ -35,6 +35,11 @@
         for route in sorted(self.routes, key=lambda route: -len(route.prefix)):
             self.by_host.setdefault(route.host.lower(), []).append(route)
 
+    @property
+    def has_single_attempt_streams(self) -> bool:
+        """Whether some streams may run at one target only."""
+        return any(route.is_stream and route.max_targets == 1 for route in self.routes)
+
     def find(self, host: str, path: bytes) -> Route | None:
         """Return the route with the longest prefix of `path`, or None."""
         for route in self.by_host.get(host, ()):
--- a/src/cedarchute/settings/node_settings.py
+++ b/src/cedarchute/settings/node_settings.py
@@ -211,6 +211,11 @@
         """Time limit for learning of any change in the store."""
         return min(self.configuration.apply_ms, self.configuration.leave_ms) / 1000
 
+    @property
+    def is_contended(self) -> bool:
+        """Whether the contracts say that callers compete for too little room."""
+        return calls_for_bounded_load(self.contracts)
+
     @property
     def peers(self) -> Address:
         """The address for connections of other boxes."""
--- a/tests/fleet/test_holder_contact.py
+++ b/tests/fleet/test_holder_contact.py
@@ -67,3 +67,11 @@
 
 def test_a_stop_that_begins_during_a_probe_is_not_taken_back():
     assert probe(begins_stop=True) == []
+
+
+def test_other_boxes_are_told_before_a_probe_that_may_take_long():
+    told = []
+    quorum = Quorum(lambda: told.append("probe"))
+    contact = HolderContact(quorum, Registration(), lambda: False, told.append)
+    contact.check_once()
+    assert told == [True, "probe", False]
