Reach holders through another box while the direct way is cut

Change: after half a second without an answer of any holder, requests to holders go through other entry boxes, three at most, until the direct way is back. A box sends on to known boxes only, never through a third. Off unless boxes share knowledge.

--- a/src/cedarchute/daemon/entry_box.py
+++ b/src/cedarchute/daemon/entry_box.py
@@ -33,8 +33,10 @@
 from cedarchute.fleet.box_directory import BoxDirectory
 from cedarchute.fleet.box_entry import BoxEntry, Role
 from cedarchute.fleet.holder_contact import HolderContact
+from cedarchute.fleet.holder_relay import HolderRelay
 from cedarchute.fleet.news_exchange import NewsExchange
 from cedarchute.fleet.peer_server import PeerServer
+from cedarchute.fleet.relayed_transport import RelayedTransport
 from cedarchute.fleet.turned_away import TurnedAway
 from cedarchute.platform.directory_app import DirectoryApp
 from cedarchute.platform.followers import ConfigurationFollower, TargetFollower
@@ -89,6 +91,7 @@
             listen.callers,
             peers,
         )
+        self.connections = HolderConnections()
         self.news = NewsExchange(box.name, self.shares_knowledge, metrics)
         self.directory.list_isolated = self.news.list_isolated
         followers = {
@@ -111,7 +114,7 @@
         )
         trust = ProofAgeLimit(settings.keys.revoke_ms / 1000)
         self.keys = KeyAuthenticator(self.routes, trust, self.parts.prover, metrics)
-        holders = HolderClient(HolderConnections(), metrics)
+        holders = HolderClient(self.make_transport(chance), metrics)
         quorum = TurnQuorum(self.parts.seats, holders, box.failure_domain, metrics)
         quota = QuotaCheck(QuotaClient(quorum.fanout, holders, box.name), metrics)
         exchange = TargetClient(self.pool, self.choice, self.keys, quota, metrics)
@@ -153,7 +156,12 @@
             (self.listen(listen.directory, file, "directory"), directory),
             (
                 self.listen(peers, file, "exchange"),
-                PeerServer(self.parts.mirror, metrics, news=self.news),
+                PeerServer(
+                    self.parts.mirror,
+                    metrics,
+                    news=self.news,
+                    relay=HolderRelay(self.connections, self.directory, metrics),
+                ),
             ),
         ]
         self.serve_metrics = partial(serve_metrics, listen.metrics, metrics, file)
@@ -171,6 +179,23 @@
             return False
         return self.settings.is_contended or table.has_single_attempt_streams
 
+    def make_transport(self, random_source: random.Random) -> RelayedTransport:
+        """Return what reaches holders, through other boxes where it has to."""
+
+        def list_peers() -> list[Address]:
+            boxes = self.directory.list_boxes(Role.ENTRY)
+            isolated = self.news.list_isolated()
+            others = [box for box in boxes if box.name != self.settings.box.name]
+            return [Address.parse(b.peers) for b in others if b.name not in isolated]
+
+        return RelayedTransport(
+            self.connections,
+            list_peers,
+            self.shares_knowledge,
+            random_source,
+            self.metrics,
+        )
+
     def tell_contact(self, is_isolated: bool) -> None:
         """Tell other boxes whether this one reaches a quorum of holders."""
         if self.shares_knowledge() and self.news.take_own(is_isolated):
--- a/src/cedarchute/fleet/peer_server.py
+++ b/src/cedarchute/fleet/peer_server.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import logging
 import time
 from typing import TYPE_CHECKING, Any, Final
 
 import msgspec
 
 from cedarchute.fleet.metrics_app import METRICS_PATH, MetricsApp
+from cedarchute.fleet.relay_messages import RELAY_PATH, RelayRequest
 from cedarchute.fleet.state_messages import (
     STATE_PATH,
     AskStateAndNews,
@@ -18,11 +20,14 @@
     from collections.abc import Callable, Iterable
 
     from cedarchute.fleet.box_news import BoxNews
+    from cedarchute.fleet.holder_relay import HolderRelay
     from cedarchute.fleet.news_exchange import NewsExchange
     from cedarchute.fleet.store_mirror import StoreMirror
     from cedarchute.metrics import Metrics
     from cedarchute.turns.holder_app import HolderApp
 
+log = logging.getLogger("cedarchute.fleet")
+
 JSON_TYPE: Final = "application/json"
 # Upper bound of a long poll, which occupies a connection and a task here.
 MAX_WAIT_SECONDS: Final = 5.0
@@ -37,7 +42,9 @@
         metrics: Metrics,
         holder: HolderApp | None = None,
         news: NewsExchange | None = None,
+        relay: HolderRelay | None = None,
     ) -> None:
+        self.relay = relay
         self.mirror = mirror
         self.news = news
         self.metrics = MetricsApp(metrics)
@@ -52,6 +59,8 @@
             return self.answer_state(environ, start_response)
         if path == METRICS_PATH:
             return self.metrics(environ, start_response)
+        if path == RELAY_PATH and self.relay is not None:
+            return self.send_on(environ, start_response)
         if self.holder is not None:
             return self.holder(environ, start_response)
         return self.reply(start_response, "404 Not Found", b"{}")
@@ -82,6 +91,19 @@
         if self.news.take_box(news):
             self.mirror.notify_waiters()
 
+    def send_on(
+        self, environ: dict[str, Any], start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        """Send a request of another box on to a holder."""
+        body = environ["wsgi.input"].read()
+        try:
+            asked = msgspec.json.decode(body, type=RelayRequest)
+            answer = self.relay.send_on(asked)
+        except (msgspec.MsgspecError, ValueError) as error:
+            log.info("Relay request refused.", extra={"why": str(error)})
+            return self.reply(start_response, "400 Bad Request", b"{}")
+        return self.reply(start_response, "200 OK", msgspec.json.encode(answer))
+
     def reply(
         self, start_response: Callable[..., Any], status: str, body: bytes
     ) -> list[bytes]:
--- a/src/cedarchute/relay/target_connection.py
+++ b/src/cedarchute/relay/target_connection.py
@@ -27,6 +27,8 @@
 KEEP_ALIVE_MARGIN_SECONDS: Final = 0.5
 # Keep-alive timeout of a target that sends none.
 DEFAULT_KEEP_ALIVE_SECONDS: Final = 4.0
+# Reason of a failure by which a connection can still be used: nothing has come yet.
+SILENT: Final = "silent"
 
 
 class TargetConnection:
@@ -116,7 +118,7 @@
             On a timeout, a reset, a premature close or a malformed response.
         """
         try:
-            data = receive_within(self.sock, max(0.0, seconds), "silent")
+            data = receive_within(self.sock, max(0.0, seconds), SILENT)
         except OSError as error:
             raise TargetFailureError(f"{error}", Verdict.MAY_HAVE_RUN) from None
         if not data:
--- a/src/cedarchute/turns/holder_connections.py
+++ b/src/cedarchute/turns/holder_connections.py
@@ -7,11 +7,13 @@
 from collections import OrderedDict
 from typing import TYPE_CHECKING, Final
 
-from cedarchute.relay.target_connection import TargetConnection
+from cedarchute.relay.target_connection import SILENT, TargetConnection
 from cedarchute.relay.target_failure import TargetFailureError
 from cedarchute.turns.holder_transport import HolderAnswer, NoAnswerError
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from cedarchute.address import Address
     from cedarchute.relay.target_answer import TargetAnswer
     from cedarchute.turns.answer_timeout import AnswerTimeout
@@ -23,6 +25,8 @@
 MAX_HOLDERS: Final = 16
 # Holders keep idle connections for a minute.
 KEEP_ALIVE_SECONDS: Final = 50.0
+# How often a request without an answer is looked at.
+LOOK_SECONDS: Final = 0.05
 # For a request with many records over a slow link.
 SEND_SECONDS: Final = 20.0
 
@@ -49,25 +53,35 @@
         self.idle: OrderedDict[Address, list[TargetConnection]] = OrderedDict()
 
     def post(
-        self, address: Address, path: str, body: bytes, timeout: AnswerTimeout
+        self,
+        address: Address,
+        path: str,
+        body: bytes,
+        timeout: AnswerTimeout,
+        must_give_up: Callable[[], bool] | None = None,
     ) -> HolderAnswer:
         """Send one request: see `HolderTransport`."""
         try:
             connection = self.take(address, timeout.connect_seconds)
-            return self.exchange(
-                connection, build_request(address, path, body), timeout
-            )
+            request = build_request(address, path, body)
+            return self.exchange(connection, request, timeout, must_give_up)
         except TargetFailureError as error:
             raise NoAnswerError(error.reason) from error
 
     def exchange(
-        self, connection: TargetConnection, request: bytes, timeout: AnswerTimeout
+        self,
+        connection: TargetConnection,
+        request: bytes,
+        timeout: AnswerTimeout,
+        must_give_up: Callable[[], bool] | None,
     ) -> HolderAnswer:
         """Send a request on a connection and return its answer."""
         answers = connection.reader.answers
         asked_at = time.monotonic()
         try:
             connection.send(request, SEND_SECONDS)
+            if must_give_up is not None:
+                wait_for_bytes(connection, timeout.read_seconds, must_give_up)
             while not answers or not answers[0].is_complete:
                 asked_at = time.monotonic()
                 connection.receive(timeout.read_seconds)
@@ -123,3 +137,23 @@
         f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
     )
     return head.encode() + body
+
+
+def wait_for_bytes(
+    connection: TargetConnection, seconds: float, must_give_up: Callable[[], bool]
+) -> None:
+    """Return once bytes have come or `seconds` are over.
+
+    Raises
+    ------
+    TargetFailureError
+        When `must_give_up` says so before.
+    """
+    deadline = time.monotonic() + seconds - LOOK_SECONDS
+    while time.monotonic() < deadline:
+        try:
+            connection.receive(LOOK_SECONDS)
+            return
+        except TargetFailureError as error:
+            if error.reason != SILENT or must_give_up():
+                raise
--- a/src/cedarchute/turns/holder_transport.py
+++ b/src/cedarchute/turns/holder_transport.py
@@ -7,6 +7,8 @@
 from cedarchute.record import Record
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from cedarchute.address import Address
     from cedarchute.turns.answer_timeout import AnswerTimeout
 
@@ -28,13 +30,23 @@
     """Sends requests over connections that it keeps open."""
 
     def post(
-        self, address: Address, path: str, body: bytes, timeout: AnswerTimeout
+        self,
+        address: Address,
+        path: str,
+        body: bytes,
+        timeout: AnswerTimeout,
+        must_give_up: Callable[[], bool] | None = None,
     ) -> HolderAnswer:
         """Send one request with a JSON body and return its whole answer.
 
         There is no retry. When no answer comes in time, the idle connections to the
         address are closed: open ones may go silent together while new ones work.
 
+        Parameters
+        ----------
+        must_give_up : Callable or None
+            Asked now and then while nothing comes; ends the wait early.
+
         Raises
         ------
         NoAnswerError
--- a/src/cedarchute/turns/pooled_transport.py
+++ b/src/cedarchute/turns/pooled_transport.py
@@ -10,6 +10,8 @@
 from cedarchute.turns.holder_transport import HolderAnswer, NoAnswerError
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from cedarchute.address import Address
     from cedarchute.turns.answer_timeout import AnswerTimeout
 
@@ -25,9 +27,14 @@
         self.pools = HostPools(MAX_CONNECTIONS_PER_HOLDER, MAX_HOLDERS)
 
     def post(
-        self, address: Address, path: str, body: bytes, timeout: AnswerTimeout
+        self,
+        address: Address,
+        path: str,
+        body: bytes,
+        timeout: AnswerTimeout,
+        must_give_up: Callable[[], bool] | None = None,
     ) -> HolderAnswer:
-        """Send one request: see `HolderTransport`."""
+        """Send one request: see `HolderTransport`; it is never given up early."""
         limits = urllib3.Timeout(
             connect=timeout.connect_seconds, read=timeout.read_seconds
         )
