Admit programs whose calls all fit into their workspace's limit

The ledger of a workspace, its first quota server by rank, expects what the programs under way still need.

--- a/src/cedarchute/calls/call.py
+++ b/src/cedarchute/calls/call.py
@@ -54,6 +54,8 @@
         How far the call has come; shared by the copies of this record.
     configuration_version : int
         The version that the limit of the caller's workspace is from.
+    kind : str
+        Name of the call's route; empty until it is known.
     """
 
     id: str
@@ -62,6 +64,7 @@
     caller_identity: CallerIdentity | None = None
     progress: CallProgress = msgspec.field(default_factory=CallProgress)
     configuration_version: int = 0
+    kind: str = ""
 
     @property
     def workspace(self) -> str:
@@ -76,6 +79,11 @@
         program = self.program.program
         return make_program_key(self.workspace, program) if program else ""
 
+    @property
+    def is_turn(self) -> bool:
+        """Whether the call is a turn of a program."""
+        return self.program.max_tokens > 0 and bool(self.program.program)
+
     @property
     def begins_program(self) -> bool:
         """Whether the call is the first turn of a program, judged by its headers."""
--- a/src/cedarchute/calls/call_dispatcher.py
+++ b/src/cedarchute/calls/call_dispatcher.py
@@ -121,6 +121,7 @@
                 request, call, route, table
             ),
             configuration_version=self.routes.version,
+            kind=route.name,
         )
         self.quota_check.check(call)
         return call, route
--- a/src/cedarchute/calls/quota_check.py
+++ b/src/cedarchute/calls/quota_check.py
@@ -8,11 +8,14 @@
 import eventlet
 
 from cedarchute.calls.call_errors import CallRefusedError
+from cedarchute.decisions.calls_per_turn import CallsPerTurn
+from cedarchute.decisions.program_turn import ProgramTurn
 from cedarchute.decisions.quota_share import MAX_WAIT_SECONDS, QuotaLimit
 from cedarchute.turns.quota_client import NoQuotaServerError
 
 if TYPE_CHECKING:
     from cedarchute.calls.call import Call
+    from cedarchute.decisions.quota_share import QuotaGrant
     from cedarchute.metrics import Metrics
     from cedarchute.turns.quota_client import QuotaClient
 
@@ -26,6 +29,12 @@
 MAX_WAIT_TIMEOUT_SHARE: Final = 0.25
 # Minimum retry delay: a caller that returns at once competes with all others that do.
 MIN_RETRY_SECONDS: Final = 0.1
+PROGRAM_REFUSED: Final = "whole_program"
+# By whether a whole program was refused.
+REASONS: Final = {
+    False: "beyond the workspace's limit",
+    True: "the workspace's limit does not hold a further program",
+}
 
 
 def compute_max_wait(call: Call) -> float:
@@ -36,11 +45,21 @@
 
 
 class QuotaCheck:
-    """Enforces rate limits; calls of workspaces without one pass at no cost."""
+    """Enforces rate limits; calls of workspaces without one pass at no cost.
 
-    def __init__(self, client: QuotaClient, metrics: Metrics) -> None:
+    Parameters
+    ----------
+    whole_programs : bool
+        Whether a program is admitted only if its limit holds all of its calls.
+    """
+
+    def __init__(
+        self, client: QuotaClient, metrics: Metrics, *, whole_programs: bool = False
+    ) -> None:
         self.client = client
         self.metrics = metrics
+        self.whole_programs = whole_programs
+        self.calls_per_turn = CallsPerTurn()
         self.counted_workspaces: set[str] = set()
 
     def check(self, call: Call) -> None:
@@ -60,16 +79,18 @@
         begins = call.begins_program
         max_wait = compute_max_wait(call)
         try:
-            grant = self.client.ask(workspace.name, limit, begins, max_wait)
+            grant = self.ask(call, limit, max_wait)
         except NoQuotaServerError as error:
             self.metrics.count_refusal("no_quota_keeper")
             facts = {"workspace": workspace.name}
             wait = NO_KEEPER_RETRY_SECONDS
             raise CallRefusedError(503, str(error), wait, facts) from None
         if grant.granted:
+            self.count_calls(call)
             self.wait(grant.wait_seconds, workspace.name)
             return
-        self.metrics.count_refusal("quota")
+        reason = PROGRAM_REFUSED if grant.refuses_program else "quota"
+        self.metrics.count_refusal(reason)
         self.count_by_workspace(workspace.name)
         wait = max(MIN_RETRY_SECONDS, grant.wait_seconds)
         facts = {
@@ -77,10 +98,36 @@
             "calls_per_second": workspace.calls_per_second,
             "burst": workspace.burst,
             "begins_program": begins,
-            "level": round(grant.level, 2),
+            "tokens_left": round(grant.level, 2),
             "retry_after": round(wait, 2),
         }
-        raise CallRefusedError(429, "beyond the workspace's limit", wait, facts)
+        if grant.refuses_program:
+            facts.update(self.describe_program(call, wait))
+        raise CallRefusedError(429, REASONS[grant.refuses_program], wait, facts)
+
+    def ask(self, call: Call, limit: QuotaLimit, max_wait: float) -> QuotaGrant:
+        """Return whether a call is granted; a turn's program is named if it counts."""
+        begins = call.begins_program
+        if not (self.whole_programs and call.is_turn):
+            return self.client.ask(call.workspace, limit, begins, max_wait)
+        turn = ProgramTurn(
+            call.program_key, call.kind, round(self.calls_per_turn.mean, 3), begins
+        )
+        return self.client.ask(call.workspace, limit, begins, max_wait, turn)
+
+    def count_calls(self, call: Call) -> None:
+        """Count a granted call of a program, for the mean calls of a turn."""
+        if self.whole_programs and call.program.program:
+            self.calls_per_turn.count(call.is_turn)
+
+    def describe_program(self, call: Call, wait: float) -> dict[str, object]:
+        """Return the facts about a refused program."""
+        left = call.program.soft_deadline_seconds
+        return {
+            "kind": call.kind,
+            "calls_per_turn": round(self.calls_per_turn.mean, 2),
+            "in_time": left is None or wait < left,
+        }
 
     def wait(self, seconds: float, workspace: str) -> None:
         """Sleep for `seconds` and record the delay."""
--- a/src/cedarchute/daemon/entry_box.py
+++ b/src/cedarchute/daemon/entry_box.py
@@ -113,7 +113,11 @@
         self.keys = KeyAuthenticator(self.routes, trust, self.parts.prover, metrics)
         holders = HolderClient(HolderConnections(), metrics)
         quorum = TurnQuorum(self.parts.seats, holders, box.failure_domain, metrics)
-        quota = QuotaCheck(QuotaClient(quorum.fanout, holders, box.name), metrics)
+        quota = QuotaCheck(
+            QuotaClient(quorum.fanout, holders, box.name),
+            metrics,
+            whole_programs=bool(settings.fair_share.whole_programs),
+        )
         exchange = TargetClient(self.pool, self.choice, self.keys, quota, metrics)
         self.gate = ProgramAdmissionController(quorum, self.routes, metrics)
         turns = StreamCallHandler(exchange, quorum, self.routes, self.gate, metrics)
--- /dev/null
+++ b/src/cedarchute/decisions/program_ledger.py
@@ -0,0 +1,156 @@
+"""Admits a program if the limit of its workspace holds all of its calls.
+
+Programs that are let in as soon as one call fits compete for the calls that come, and
+all of them are cut short. The ledger knows which programs of a workspace are under way
+and expects what they still need. It grants no calls, so it can exceed no limit.
+
+Programs that were refused are admitted in the order in which they were: each is told
+when it fits after those before it, and what they need is held for them until then.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import TYPE_CHECKING, Final
+
+from cedarchute.decisions.ledger_decision import LedgerDecision
+from cedarchute.decisions.program_promise import ProgramPromise
+from cedarchute.decisions.program_under_way import ProgramUnderWay
+from cedarchute.decisions.program_verdict import ProgramVerdict
+
+if TYPE_CHECKING:
+    from cedarchute.clock import Clock
+    from cedarchute.decisions.program_kinds import ProgramKinds
+    from cedarchute.decisions.program_turn import ProgramTurn
+
+MAX_PROGRAMS: Final = 512
+# A program not seen for so long has ended.
+FORGET_SECONDS: Final = 6.0
+# Until the box that asks has seen enough turns.
+DEFAULT_CALLS_PER_TURN: Final = 2.5
+MIN_RETRY_SECONDS: Final = 0.2
+MAX_RETRY_SECONDS: Final = 10.0
+# How late a refused program may come back and still find its calls held: the way to
+# its caller and back, and what the caller adds.
+PROMISE_GRACE_SECONDS: Final = 0.5
+# Nothing is held for programs told to come back later than this: most give up.
+MAX_PROMISE_SECONDS: Final = 3.0
+
+
+class ProgramLedger:
+    """Programs of one workspace, at most `MAX_PROGRAMS` under way and as many refused.
+
+    Parameters
+    ----------
+    kinds : ProgramKinds
+        What the programs of all workspaces have in common.
+    """
+
+    def __init__(self, kinds: ProgramKinds, clock: Clock) -> None:
+        self.kinds = kinds
+        self.clock = clock
+        # By the time at which they were last seen.
+        self.programs: OrderedDict[str, ProgramUnderWay] = OrderedDict()
+        # By the time of the first refusal.
+        self.promises: OrderedDict[str, ProgramPromise] = OrderedDict()
+
+    def decide(
+        self, turn: ProgramTurn, tokens: float, calls_per_second: float
+    ) -> LedgerDecision:
+        """Return whether the program of a turn may go on; take note of the turn.
+
+        Parameters
+        ----------
+        tokens : float
+            Calls left to the workspace.
+        calls_per_second : float
+            Rate at which further calls come.
+        """
+        now = self.clock.monotonic()
+        self.forget(now)
+        known = self.programs.get(turn.program)
+        if known is not None:
+            known.turns += 1
+            known.last_seen_at = now
+            self.programs.move_to_end(turn.program)
+            return LedgerDecision(ProgramVerdict.UNDER_WAY)
+        if not turn.begins_program:
+            self.admit(turn, now)
+            return LedgerDecision(ProgramVerdict.UNDER_WAY)
+        decision = self.judge(turn, tokens, calls_per_second, now)
+        if decision.verdict is ProgramVerdict.UNDER_WAY:
+            self.admit(turn, now)
+        else:
+            self.promise(turn.program, decision, now)
+        return decision
+
+    def judge(
+        self, turn: ProgramTurn, tokens: float, calls_per_second: float, now: float
+    ) -> LedgerDecision:
+        """Return whether the calls of a new program fit, and if not, when."""
+        calls_per_turn = turn.calls_per_turn or DEFAULT_CALLS_PER_TURN
+        shape = self.kinds.find(turn.kind)
+        calls = max(1.0, shape.turns * calls_per_turn)
+        needed = self.sum_needed(calls_per_turn, now)
+        promised = self.sum_promised(turn.program)
+        coming = tokens + calls_per_second * shape.seconds
+        lacking = needed + promised + calls - coming
+        is_alone = needed <= 0.0 and tokens >= -calls
+        fits = lacking <= 0.0 or is_alone
+        wait = min(MAX_RETRY_SECONDS, max(0.0, lacking) / calls_per_second)
+        return LedgerDecision(
+            ProgramVerdict.UNDER_WAY if fits else ProgramVerdict.REFUSED,
+            is_new=True,
+            wait_seconds=0.0 if fits else max(MIN_RETRY_SECONDS, wait),
+            tokens=coming,
+            needed=needed,
+            promised=promised,
+            calls=calls,
+            under_way=len(self.programs),
+        )
+
+    def sum_needed(self, calls_per_turn: float, now: float) -> float:
+        """Return how many calls the programs under way still need."""
+        return sum(
+            program.expect_calls(self.kinds.find(program.kind), calls_per_turn, now)
+            for program in self.programs.values()
+        )
+
+    def sum_promised(self, program: str) -> float:
+        """Return the calls held for programs that were refused before this one."""
+        calls = 0.0
+        for other, promise in self.promises.items():
+            if other == program:
+                break
+            calls += promise.calls
+        return calls
+
+    def admit(self, turn: ProgramTurn, now: float) -> None:
+        """Take note of a program under way; the one not seen longest goes if full."""
+        self.promises.pop(turn.program, None)
+        self.programs[turn.program] = ProgramUnderWay(turn.kind, now, now)
+        if len(self.programs) > MAX_PROGRAMS:
+            self.programs.popitem(last=False)
+
+    def promise(self, program: str, decision: LedgerDecision, now: float) -> None:
+        """Hold the calls of a refused program until it is due; keep its place."""
+        if decision.wait_seconds > MAX_PROMISE_SECONDS:
+            self.promises.pop(program, None)
+            return
+        until = now + decision.wait_seconds + PROMISE_GRACE_SECONDS
+        self.promises[program] = ProgramPromise(decision.calls, until)
+        if len(self.promises) > MAX_PROGRAMS:
+            self.promises.popitem(last=False)
+
+    def forget(self, now: float) -> None:
+        """Drop programs that ended, and learn from them; drop promises not taken up."""
+        while self.programs:
+            key, program = next(iter(self.programs.items()))
+            if now - program.last_seen_at <= FORGET_SECONDS:
+                break
+            del self.programs[key]
+            seconds = program.last_seen_at - program.started_at
+            self.kinds.learn(program.kind, program.turns, seconds)
+        overdue = [key for key, held in self.promises.items() if held.expires_at < now]
+        for key in overdue:
+            del self.promises[key]
--- a/src/cedarchute/decisions/quota_share.py
+++ b/src/cedarchute/decisions/quota_share.py
@@ -86,11 +86,14 @@
         of its kind would be granted.
     level : float
         Tokens left.
+    refuses_program : bool
+        Whether the limit does not hold the whole program that the call begins.
     """
 
     granted: bool
     wait_seconds: float = 0.0
     level: float = 0.0
+    refuses_program: bool = False
 
 
 class QuotaShare:
--- a/src/cedarchute/turns/holder_app.py
+++ b/src/cedarchute/turns/holder_app.py
@@ -12,7 +12,7 @@
 from cedarchute.turns.messages import (
     QUOTA_PATH,
     AskPresence,
-    AskQuota,
+    AskProgramQuota,
     AskStanding,
     BeginTurn,
     ReadAccount,
@@ -57,7 +57,7 @@
             "/turns/index": (ListRecords, source.list_records),
             "/turns/read": (ReadTurns, source.read_turns),
             "/turns/cover": (CoverSeats, coverage.cover),
-            QUOTA_PATH: (AskQuota, quotas.ask),
+            QUOTA_PATH: (AskProgramQuota, quotas.ask),
         }
 
     def __call__(
--- a/src/cedarchute/turns/messages.py
+++ b/src/cedarchute/turns/messages.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from cedarchute.decisions.program_verdict import ProgramVerdict
 from cedarchute.turns.records import Record, Turn
 from cedarchute.turns.seat_table import SeatTable
 
@@ -172,6 +173,19 @@
     level: float = 0.0
 
 
+class ProgramQuotaAnswered(QuotaAnswered, frozen=True, kw_only=True):
+    """Whether the call is granted, and whether its program may go on.
+
+    Attributes
+    ----------
+    verdict : ProgramVerdict
+        A program that is refused is not to be asked about elsewhere. Empty in earlier
+        versions.
+    """
+
+    verdict: ProgramVerdict = ProgramVerdict.NONE
+
+
 class ReadChain(Addressed, frozen=True, kw_only=True):
     """Request the chain of turns that ends at `turn`."""
 
--- a/src/cedarchute/turns/quota_client.py
+++ b/src/cedarchute/turns/quota_client.py
@@ -6,17 +6,25 @@
 import time
 from collections import OrderedDict
 from hashlib import blake2b
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Final, TypeVar
 
-from msgspec.structs import replace
+from msgspec.structs import asdict, replace
 
+from cedarchute.decisions.program_verdict import ProgramVerdict
 from cedarchute.decisions.quota_share import KEEPERS, QuotaGrant
 from cedarchute.record import Record
 from cedarchute.turns.answer_timeout import AnswerTimeout
 from cedarchute.turns.holder_client import HolderUnavailableError
-from cedarchute.turns.messages import QUOTA_PATH, AskQuota, QuotaAnswered
+from cedarchute.turns.messages import (
+    QUOTA_PATH,
+    AskProgramQuota,
+    AskQuota,
+    ProgramQuotaAnswered,
+    QuotaAnswered,
+)
 
 if TYPE_CHECKING:
+    from cedarchute.decisions.program_turn import ProgramTurn
     from cedarchute.decisions.quota_share import QuotaLimit
     from cedarchute.turns.holder_client import HolderClient
     from cedarchute.turns.holder_fanout import HolderFanout
@@ -24,6 +32,8 @@
 
 log = logging.getLogger("cedarchute.turns")
 
+AnswerT = TypeVar("AnswerT", bound=QuotaAnswered)
+
 # Some ten times the usual latency; the next quota server is asked after it.
 ANSWER_TIMEOUT: Final = AnswerTimeout(0.1, 0.1)
 # Longest time for which a refusal is cached, which limits the requests of a workspace
@@ -80,12 +90,20 @@
         limit: QuotaLimit,
         begins_program: bool,
         patience_seconds: float,
+        turn: ProgramTurn | None = None,
     ) -> QuotaGrant:
         """Return whether a call is granted, and after how long.
 
         If no quota server can grant the call now, it is reserved at the one with the
         shortest wait, provided that the call may wait so long.
 
+        Parameters
+        ----------
+        turn : ProgramTurn or None
+            The turn that the call is, if whole programs are admitted: the ledger of
+            its workspace is asked first, and no cached refusal answers, since only the
+            ledger knows whether the program is under way.
+
         Raises
         ------
         NoQuotaServerError
@@ -94,7 +112,7 @@
         kind = (workspace, begins_program)
         now = time.monotonic()
         refusal = self.cached_refusals.get(kind)
-        if refusal is not None and now < refusal.expires_at:
+        if turn is None and refusal is not None and now < refusal.expires_at:
             return QuotaGrant(False, refusal.next_call_at - now, refusal.level)
         if self.fanout.is_isolated:
             raise NoQuotaServerError("this box is cut off from the holders")
@@ -109,6 +127,19 @@
         )
         answers: list[tuple[Seat, QuotaAnswered]] = []
         seats = self.order_servers(workspace, numbers)
+        if turn is not None:
+            asked = self.ask_ledger(numbers, message, turn)
+            if asked is None:
+                raise self.report_silence(len(seats))
+            if asked[1].granted:
+                return QuotaGrant(True)
+            if asked[1].verdict is ProgramVerdict.REFUSED:
+                return QuotaGrant(False, asked[1].wait_seconds, asked[1].level, True)
+            if asked[1].verdict is ProgramVerdict.UNDER_WAY:
+                begins_program = False
+                message = replace(message, begins_program=False)
+            answers.append(asked)
+            seats = [seat for seat in seats if seat.disk != asked[0].disk]
         for seat in seats:
             answer = self.ask_one(seat, message)
             if answer is None:
@@ -118,9 +149,7 @@
                 return QuotaGrant(True)
             answers.append((seat, answer))
         if not answers:
-            # Later calls fail fast, and callers are sent to another box.
-            self.fanout.mark_unreachable()
-            raise NoQuotaServerError(f"none of {len(seats)} keepers answers")
+            raise self.report_silence(len(seats))
         seat, soonest = min(answers, key=lambda pair: pair[1].wait_seconds)
         if not begins_program and soonest.wait_seconds <= patience_seconds:
             patient = replace(message, patience_seconds=patience_seconds)
@@ -128,8 +157,37 @@
             if answer.granted:
                 return QuotaGrant(True, answer.wait_seconds)
         level = sum(answer.level for _, answer in answers)
+        if turn is not None:
+            return QuotaGrant(False, soonest.wait_seconds, level)
         return self.cache_refusal(kind, soonest.wait_seconds, level)
 
+    def ask_ledger(
+        self, numbers: list[int], message: AskQuota, turn: ProgramTurn
+    ) -> tuple[Seat, ProgramQuotaAnswered] | None:
+        """Return the first answer in the order of rank, the same at all boxes.
+
+        A silent ledger is passed over: the next quota server decides in its place.
+        """
+        about_program = AskProgramQuota(
+            **asdict(message),
+            program=turn.program,
+            kind=turn.kind,
+            calls_per_turn=turn.calls_per_turn,
+        )
+        for seat in self.list_reachable(numbers):
+            answer = self.ask_one(seat, about_program, ProgramQuotaAnswered)
+            if answer is not None:
+                return seat, answer
+        return None
+
+    def report_silence(self, asked: int) -> NoQuotaServerError:
+        """Return the error for a call that no quota server answered.
+
+        Later calls fail fast, and callers are sent to another box.
+        """
+        self.fanout.mark_unreachable()
+        return NoQuotaServerError(f"none of {asked} keepers answers")
+
     def cache_refusal(
         self, kind: tuple[str, bool], wait_seconds: float, level: float
     ) -> QuotaGrant:
@@ -154,7 +212,15 @@
         last = self.granted_by.get(workspace)
         occupied.sort(key=lambda n: self.hash_order(workspace, n))
         occupied.sort(key=lambda n: table.seats[n].disk != last)
-        seats = [table.seats[n] for n in self.fanout.order_seats(occupied, table)]
+        return self.list_reachable(self.fanout.order_seats(occupied, table))
+
+    def list_reachable(self, numbers: list[int]) -> list[Seat]:
+        """Return the occupied seats in the given order, without unreachable ones.
+
+        All are returned if none is reachable.
+        """
+        table = self.fanout.seats.table
+        seats = [table.seats[n] for n in numbers if not table.seats[n].is_vacant]
         now = time.monotonic()
         reachable = [s for s in seats if self.unreachable_until.get(s.disk, now) <= now]
         return reachable or seats
@@ -164,11 +230,16 @@
         text = f"{self.box}/{workspace}/{number}".encode()
         return blake2b(text, digest_size=8).digest()
 
-    def ask_one(self, seat: Seat, message: AskQuota) -> QuotaAnswered | None:
+    def ask_one(
+        self,
+        seat: Seat,
+        message: AskQuota,
+        answer: type[AnswerT] = QuotaAnswered,
+    ) -> AnswerT | None:
         """Return the answer of one quota server, or None if there is none."""
         try:
             return self.client.ask(
-                seat.address, QUOTA_PATH, message, QuotaAnswered, ANSWER_TIMEOUT
+                seat.address, QUOTA_PATH, message, answer, ANSWER_TIMEOUT
             )
         except HolderUnavailableError as error:
             self.fanout.mark_late(seat)
--- a/src/cedarchute/turns/quota_server.py
+++ b/src/cedarchute/turns/quota_server.py
@@ -6,11 +6,20 @@
 from collections import OrderedDict
 from typing import TYPE_CHECKING, Final
 
+from cedarchute.decisions.program_kinds import ProgramKinds
+from cedarchute.decisions.program_ledger import ProgramLedger
+from cedarchute.decisions.program_turn import ProgramTurn
+from cedarchute.decisions.program_verdict import ProgramVerdict
 from cedarchute.decisions.quota_share import QuotaLimit, QuotaShare
-from cedarchute.turns.messages import QuotaAnswered
+from cedarchute.turns.messages import (
+    AskProgramQuota,
+    ProgramQuotaAnswered,
+    QuotaAnswered,
+)
 
 if TYPE_CHECKING:
     from cedarchute.clock import Clock
+    from cedarchute.decisions.ledger_decision import LedgerDecision
     from cedarchute.decisions.quota_share import QuotaTolerance
     from cedarchute.turns.messages import AskQuota
 
@@ -38,6 +47,8 @@
         self.is_restarted = is_restarted
         self.started_at = clock.monotonic()
         self.shares: OrderedDict[str, QuotaShare] = OrderedDict()
+        self.kinds = ProgramKinds()
+        self.ledgers: dict[str, ProgramLedger] = {}
 
     def ask(self, message: AskQuota) -> QuotaAnswered:
         """Grant a call of a workspace, or return when one may be granted."""
@@ -52,9 +63,39 @@
             share = self.create_share(message.workspace, limit)
         self.shares.move_to_end(message.workspace)
         share.update_limit(limit)
+        turn = read_turn(message)
+        if turn is not None:
+            return self.ask_ledger(message, share, turn)
         grant = share.acquire(message.begins_program, message.patience_seconds)
         return QuotaAnswered(grant.granted, grant.wait_seconds, grant.level)
 
+    def ask_ledger(
+        self, message: AskQuota, share: QuotaShare, turn: ProgramTurn
+    ) -> ProgramQuotaAnswered:
+        """Grant a turn if its program is under way or fits as a whole."""
+        ledger = self.ledgers.get(message.workspace)
+        if ledger is None:
+            ledger = ProgramLedger(self.kinds, self.clock)
+            self.ledgers[message.workspace] = ledger
+        share.bucket.refill()
+        keepers = share.limit.keepers
+        decision = ledger.decide(
+            turn, share.bucket.level * keepers, share.bucket.rate * keepers
+        )
+        if decision.is_new:
+            log_decision(message.workspace, turn, decision)
+        if decision.verdict is ProgramVerdict.REFUSED:
+            return ProgramQuotaAnswered(
+                False,
+                decision.wait_seconds,
+                share.bucket.level,
+                verdict=decision.verdict,
+            )
+        grant = share.acquire(False, message.patience_seconds)
+        return ProgramQuotaAnswered(
+            grant.granted, grant.wait_seconds, grant.level, verdict=decision.verdict
+        )
+
     def create_share(self, workspace: str, limit: QuotaLimit) -> QuotaShare:
         """Return a new share of a workspace; evict another if there are too many."""
         share = QuotaShare(
@@ -66,7 +107,8 @@
         )
         self.shares[workspace] = share
         if len(self.shares) > MAX_SHARES:
-            self.shares.popitem(last=False)
+            evicted, _ = self.shares.popitem(last=False)
+            self.ledgers.pop(evicted, None)
             # Nothing is known any more of what the evicted share granted.
             self.started_at = self.clock.monotonic()
             self.is_restarted = True
@@ -74,9 +116,39 @@
             "Share of a workspace opened.",
             extra={
                 "workspace": workspace,
-                "level": round(share.bucket.level, 2),
+                "tokens_left": round(share.bucket.level, 2),
                 "server_age": round(self.clock.monotonic() - self.started_at, 3),
                 "is_restarted": self.is_restarted,
             },
         )
         return share
+
+
+def read_turn(message: AskQuota) -> ProgramTurn | None:
+    """Return the turn that a ledger can judge; None for other calls."""
+    if not isinstance(message, AskProgramQuota):
+        return None
+    turn = ProgramTurn(
+        message.program, message.kind, message.calls_per_turn, message.begins_program
+    )
+    return turn if turn.is_valid else None
+
+
+def log_decision(workspace: str, turn: ProgramTurn, decision: LedgerDecision) -> None:
+    """Log whether a new program is admitted, with the inputs."""
+    is_refused = decision.verdict is ProgramVerdict.REFUSED
+    log.info(
+        "Program refused as a whole." if is_refused else "Program admitted as a whole.",
+        extra={
+            "workspace": workspace,
+            "program": turn.program,
+            "kind": turn.kind,
+            "calls_per_turn": round(turn.calls_per_turn, 2),
+            "tokens": round(decision.tokens, 2),
+            "needed": round(decision.needed, 2),
+            "promised": round(decision.promised, 2),
+            "calls": round(decision.calls, 2),
+            "under_way": decision.under_way,
+            "retry_after": round(decision.wait_seconds, 2),
+        },
+    )
