--- a/src/cedarchute/calls/quota_check.py
+++ b/src/cedarchute/calls/quota_check.py
@@ -111,7 +111,11 @@
         if not (self.whole_programs and call.is_turn):
             return self.client.ask(call.workspace, limit, begins, max_wait)
         turn = ProgramTurn(
-            call.program_key, call.kind, round(self.calls_per_turn.mean, 3), begins
+            call.program_key,
+            call.kind,
+            round(self.calls_per_turn.mean, 3),
+            begins,
+            call.program.soft_deadline_seconds,
         )
         return self.client.ask(call.workspace, limit, begins, max_wait, turn)
 
--- a/src/cedarchute/decisions/program_ledger.py
+++ b/src/cedarchute/decisions/program_ledger.py
@@ -6,6 +6,10 @@
 
 Programs that were refused are admitted in the order in which they were: each is told
 when it fits after those before it, and what they need is held for them until then.
+A program that would miss its soft deadline anyway gets only what is left at present.
+
+A ledger that takes over from another knows no program at first. On routes whose turns
+name no earlier one, a turn midway then looks like a start, so for a moment all pass.
 """
 
 from __future__ import annotations
@@ -28,6 +32,11 @@
 FORGET_SECONDS: Final = 6.0
 # Until the box that asks has seen enough turns.
 DEFAULT_CALLS_PER_TURN: Final = 2.5
+# How long a ledger that takes over lets all programs pass: the usual time between two
+# turns, after which it knows those under way.
+GATHER_SECONDS: Final = 0.75
+# A ledger that was not asked for so long may have missed programs that others kept.
+MAX_IDLE_SECONDS: Final = 20.0
 MIN_RETRY_SECONDS: Final = 0.2
 MAX_RETRY_SECONDS: Final = 10.0
 # How late a refused program may come back and still find its calls held: the way to
@@ -53,6 +62,8 @@
         self.programs: OrderedDict[str, ProgramUnderWay] = OrderedDict()
         # By the time of the first refusal.
         self.promises: OrderedDict[str, ProgramPromise] = OrderedDict()
+        self.gathers_until = clock.monotonic() + GATHER_SECONDS
+        self.asked_at = clock.monotonic()
 
     def decide(
         self, turn: ProgramTurn, tokens: float, calls_per_second: float
@@ -68,20 +79,23 @@
         """
         now = self.clock.monotonic()
         self.forget(now)
+        if now - self.asked_at > MAX_IDLE_SECONDS:
+            self.gathers_until = now + GATHER_SECONDS
+        self.asked_at = now
         known = self.programs.get(turn.program)
         if known is not None:
             known.turns += 1
             known.last_seen_at = now
             self.programs.move_to_end(turn.program)
             return LedgerDecision(ProgramVerdict.UNDER_WAY)
-        if not turn.begins_program:
+        if not turn.begins_program or now < self.gathers_until:
             self.admit(turn, now)
             return LedgerDecision(ProgramVerdict.UNDER_WAY)
         decision = self.judge(turn, tokens, calls_per_second, now)
         if decision.verdict is ProgramVerdict.UNDER_WAY:
             self.admit(turn, now)
         else:
-            self.promise(turn.program, decision, now)
+            self.promise(turn, decision, now)
         return decision
 
     def judge(
@@ -93,7 +107,9 @@
         calls = max(1.0, shape.turns * calls_per_turn)
         needed = self.sum_needed(calls_per_turn, now)
         promised = self.sum_promised(turn.program)
-        coming = tokens + calls_per_second * shape.seconds
+        coming = tokens
+        if turn.ends_in_time(shape.seconds):
+            coming += calls_per_second * shape.seconds
         lacking = needed + promised + calls - coming
         is_alone = needed <= 0.0 and tokens >= -calls
         fits = lacking <= 0.0 or is_alone
@@ -132,13 +148,18 @@
         if len(self.programs) > MAX_PROGRAMS:
             self.programs.popitem(last=False)
 
-    def promise(self, program: str, decision: LedgerDecision, now: float) -> None:
-        """Hold the calls of a refused program until it is due; keep its place."""
-        if decision.wait_seconds > MAX_PROMISE_SECONDS:
-            self.promises.pop(program, None)
+    def promise(self, turn: ProgramTurn, decision: LedgerDecision, now: float) -> None:
+        """Hold the calls of a refused program until it is due; keep its place.
+
+        Nothing is held for one that would come too late to end in time.
+        """
+        wait = decision.wait_seconds
+        ends_after = wait + self.kinds.find(turn.kind).seconds
+        if wait > MAX_PROMISE_SECONDS or not turn.ends_in_time(ends_after):
+            self.promises.pop(turn.program, None)
             return
-        until = now + decision.wait_seconds + PROMISE_GRACE_SECONDS
-        self.promises[program] = ProgramPromise(decision.calls, until)
+        until = now + wait + PROMISE_GRACE_SECONDS
+        self.promises[turn.program] = ProgramPromise(decision.calls, until)
         if len(self.promises) > MAX_PROGRAMS:
             self.promises.popitem(last=False)
 
--- a/src/cedarchute/decisions/program_turn.py
+++ b/src/cedarchute/decisions/program_turn.py
@@ -22,12 +22,19 @@
         Mean number of calls for each turn, turns included; 0 if unknown.
     begins_program : bool
         False if the turn names an earlier one, so that its program is under way.
+    seconds_left : float or None
+        Time left until the program's soft deadline, if it has one.
     """
 
     program: str
     kind: str
     calls_per_turn: float = 0.0
     begins_program: bool = True
+    seconds_left: float | None = None
+
+    def ends_in_time(self, seconds: float) -> bool:
+        """Return whether a program that ends after `seconds` meets its deadline."""
+        return self.seconds_left is None or seconds <= self.seconds_left
 
     @property
     def is_valid(self) -> bool:
--- a/src/cedarchute/turns/messages.py
+++ b/src/cedarchute/turns/messages.py
@@ -150,11 +150,18 @@
     calls_per_turn : float
         Mean number of calls for each turn of a program, as seen by the box; 0 if
         unknown.
+    reachable : int
+        Number of quota servers that the box reaches, since lost shares grant nothing;
+        0 if unknown.
+    seconds_left : float or None
+        Time left until the program's soft deadline.
     """
 
     program: str = ""
     kind: str = ""
     calls_per_turn: float = 0.0
+    reachable: int = 0
+    seconds_left: float | None = None
 
 
 class QuotaAnswered(msgspec.Struct, frozen=True):
--- a/src/cedarchute/turns/quota_client.py
+++ b/src/cedarchute/turns/quota_client.py
@@ -173,9 +173,13 @@
             program=turn.program,
             kind=turn.kind,
             calls_per_turn=turn.calls_per_turn,
+            seconds_left=turn.seconds_left,
         )
-        for seat in self.list_reachable(numbers):
-            answer = self.ask_one(seat, about_program, ProgramQuotaAnswered)
+        seats = self.list_reachable(numbers)
+        for position, seat in enumerate(seats):
+            reachable = len(seats) - position
+            told = replace(about_program, reachable=reachable)
+            answer = self.ask_one(seat, told, ProgramQuotaAnswered)
             if answer is not None:
                 return seat, answer
         return None
--- a/src/cedarchute/turns/quota_server.py
+++ b/src/cedarchute/turns/quota_server.py
@@ -63,14 +63,15 @@
             share = self.create_share(message.workspace, limit)
         self.shares.move_to_end(message.workspace)
         share.update_limit(limit)
-        turn = read_turn(message)
-        if turn is not None:
-            return self.ask_ledger(message, share, turn)
+        if isinstance(message, AskProgramQuota):
+            turn = read_turn(message)
+            if turn.is_valid:
+                return self.ask_ledger(message, share, turn)
         grant = share.acquire(message.begins_program, message.patience_seconds)
         return QuotaAnswered(grant.granted, grant.wait_seconds, grant.level)
 
     def ask_ledger(
-        self, message: AskQuota, share: QuotaShare, turn: ProgramTurn
+        self, message: AskProgramQuota, share: QuotaShare, turn: ProgramTurn
     ) -> ProgramQuotaAnswered:
         """Grant a turn if its program is under way or fits as a whole."""
         ledger = self.ledgers.get(message.workspace)
@@ -78,9 +79,11 @@
             ledger = ProgramLedger(self.kinds, self.clock)
             self.ledgers[message.workspace] = ledger
         share.bucket.refill()
-        keepers = share.limit.keepers
+        shares = share.limit.keepers
+        if 0 < message.reachable < shares:
+            shares = message.reachable
         decision = ledger.decide(
-            turn, share.bucket.level * keepers, share.bucket.rate * keepers
+            turn, share.bucket.level * shares, share.bucket.rate * shares
         )
         if decision.is_new:
             log_decision(message.workspace, turn, decision)
@@ -124,14 +127,15 @@
         return share
 
 
-def read_turn(message: AskQuota) -> ProgramTurn | None:
-    """Return the turn that a ledger can judge; None for other calls."""
-    if not isinstance(message, AskProgramQuota):
-        return None
-    turn = ProgramTurn(
-        message.program, message.kind, message.calls_per_turn, message.begins_program
+def read_turn(message: AskProgramQuota) -> ProgramTurn:
+    """Return the turn that a request is about."""
+    return ProgramTurn(
+        message.program,
+        message.kind,
+        message.calls_per_turn,
+        message.begins_program,
+        message.seconds_left,
     )
-    return turn if turn.is_valid else None
 
 
 def log_decision(workspace: str, turn: ProgramTurn, decision: LedgerDecision) -> None:
--- a/tests/turns/quota_replay.py
+++ b/tests/turns/quota_replay.py
@@ -139,7 +139,8 @@
         turn = None
         if is_turn and self.is_on:
             mean = self.ratios[box].mean
-            turn = ProgramTurn(program.name, program.kind, mean)
+            left = program.started_at + DEADLINE_SECONDS - self.clock.now
+            turn = ProgramTurn(program.name, program.kind, mean, seconds_left=left)
         grant = self.clients[box].ask(program.workspace, limit, is_turn, 1.0, turn)
         if grant.granted:
             self.ratios[box].count(is_turn)
