--- a/src/cedarchute/turns/messages.py
+++ b/src/cedarchute/turns/messages.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from cedarchute.decisions.program_verdict import ProgramVerdict
 from cedarchute.turns.records import Record, Turn
 from cedarchute.turns.seat_table import SeatTable
 
@@ -149,11 +150,18 @@
     calls_per_turn : float
         Mean number of calls for each turn of a program, as seen by the box; 0 if
         unknown.
+    reachable : int
+        Number of quota servers that the box reaches, since lost shares grant nothing;
+        0 if unknown.
+    seconds_left : float or None
+        Time left until the program's soft deadline.
     """
 
     program: str = ""
     kind: str = ""
     calls_per_turn: float = 0.0
+    reachable: int = 0
+    seconds_left: float | None = None
 
 
 class QuotaAnswered(msgspec.Struct, frozen=True):
@@ -172,6 +180,19 @@
     level: float = 0.0
 
 
+class ProgramQuotaAnswered(QuotaAnswered, frozen=True, kw_only=True):
+    """Whether the call is granted, and whether its program may go on.
+
+    Attributes
+    ----------
+    verdict : ProgramVerdict
+        A program that is refused is not to be asked about elsewhere. Empty in earlier
+        versions.
+    """
+
+    verdict: ProgramVerdict = ProgramVerdict.NONE
+
+
 class ReadChain(Addressed, frozen=True, kw_only=True):
     """Request the chain of turns that ends at `turn`."""
 
