Go on at another target with a stream whose target broke off

A stream whose target is reset or ends within an event was lost with its program, also on routes that allow another target to go on. With [streams] resume set, such a route that allows a further target and a known last event, the relay closes the broken connection and sends the request with Last-Event-Id to another target. Events pass only if their ids rise and, where a budget holds, within the reserved tokens. A stream without a first event is not run again: without an id it would be a second run of the request.

--- a/src/cedarchute/calls/attempts.py
+++ b/src/cedarchute/calls/attempts.py
@@ -10,6 +10,7 @@
 
 from cedarchute.calls.call_errors import CallRefusedError
 from cedarchute.calls.shutdown_deadline import STOPPING
+from cedarchute.platform.call_headers import continue_after
 from cedarchute.relay.shutdown_error import ShutdownError
 from cedarchute.relay.target_failure import TargetFailureError
 from cedarchute.routing.route import Repeatability
@@ -50,6 +51,10 @@
     ----------
     tried : set of str
         Ids of targets that are excluded from the next attempt.
+    broken : set of str
+        Ids of targets that broke off a stream of the call; excluded for good.
+    is_resumed : bool
+        Whether a stream of the call goes on at another target.
     possible_runs : int
         Number of targets that have run the call or may have.
     granted_runs : int
@@ -80,14 +85,20 @@
         self.preferred_target = preferred_target
         self.slowdown_meter = slowdown_meter
         self.tried: set[str] = set()
+        self.broken: set[str] = set()
+        self.is_resumed = False
         self.possible_runs = 0
         self.granted_runs = 1
         self.deadline = request.read_at + route.timeout_seconds
         if call.caller_timeout_seconds is not None:
             caller_deadline = request.read_at + call.caller_timeout_seconds
             self.deadline = min(self.deadline, caller_deadline)
-        max_full_wait = MAX_FULL_WAIT_SHARE * route.objective_seconds
-        self.full_wait_deadline = time.monotonic() + max_full_wait
+        self.full_wait_deadline = self.compute_full_wait_deadline()
+
+    def compute_full_wait_deadline(self) -> float:
+        """Return until when a call that is sent now may wait for capacity."""
+        max_full_wait = MAX_FULL_WAIT_SHARE * self.route.objective_seconds
+        return time.monotonic() + max_full_wait
 
     def open(self) -> OpenResponse:
         """Send the call until a target answers; return that response.
@@ -124,6 +135,23 @@
             self.possible_runs += 1
             return opened
 
+    def resume(self, failed: TargetEntry, last_event_id: bytes) -> OpenResponse:
+        """Have another target go on with a stream that `failed` broke off.
+
+        The connection to `failed` must be closed already.
+
+        Raises
+        ------
+        CallRefusedError
+            When no target or no time is left.
+        """
+        self.broken.add(failed.id)
+        self.tried.add(failed.id)
+        self.is_resumed = True
+        self.request = continue_after(self.request, last_event_id)
+        self.full_wait_deadline = self.compute_full_wait_deadline()
+        return self.open()
+
     def check_quota(self) -> None:
         """Have a further run granted; the first one was before this object was made.
 
@@ -185,7 +213,7 @@
             if time.monotonic() >= self.full_wait_deadline:
                 raise self.make_final_error("no target takes it")
             self.wait_for_capacity()
-            self.tried.clear()
+            self.tried = set(self.broken)
 
     def wait_for_capacity(self) -> None:
         """Wait until targets are looked at again; raise if the box stops."""
@@ -205,7 +233,8 @@
 
     def ensure_repeatable(self, reason: str) -> None:
         """Raise unless a call that may have run can be retried."""
-        if self.route.repeatability is not Repeatability.REPEATABLE:
+        is_repeatable = self.route.repeatability is Repeatability.REPEATABLE
+        if not is_repeatable and not self.is_resumed:
             raise self.make_final_error(reason)
         if self.possible_runs >= self.route.max_targets:
             raise self.make_final_error(reason)
--- a/src/cedarchute/calls/stream_call_handler.py
+++ b/src/cedarchute/calls/stream_call_handler.py
@@ -36,6 +36,11 @@
 
     A call with a budget is accounted for at the holders of its program even on routes
     that store no turns; the holders then record its token count but no text.
+
+    Attributes
+    ----------
+    resumes_streams : bool
+        Whether broken streams go on at another target where their route allows it.
     """
 
     def __init__(
@@ -45,7 +50,9 @@
         routes: ActiveRouteTable,
         admission_controller: ProgramAdmissionController,
         metrics: Metrics,
+        resumes_streams: bool = False,
     ) -> None:
+        self.resumes_streams = resumes_streams
         self.admission_controller = admission_controller
         self.target_client = target_client
         self.quorum = quorum
--- a/src/cedarchute/calls/turn_relay.py
+++ b/src/cedarchute/calls/turn_relay.py
@@ -8,6 +8,8 @@
 
 from cedarchute.calls.attempts import Attempts
 from cedarchute.calls.call_errors import CallRefusedError
+from cedarchute.calls.stream_position import StreamPosition
+from cedarchute.calls.stream_resumption import BrokenStream, may_resume
 from cedarchute.relay.event_splitter import EventSplitter, read_data
 from cedarchute.relay.target_failure import TargetFailureError
 from cedarchute.turns.holder_fanout import NoQuorumError
@@ -37,6 +39,8 @@
         Number of tokens sent to the caller so far.
     is_stored : bool
         Whether a quorum of holders has stored the turn and its token count.
+    position : StreamPosition or None
+        Where the caller stands in a stream that may be resumed; None for any other.
     """
 
     def __init__(
@@ -59,6 +63,9 @@
         self.tokens = 0
         self.is_stored = False
         self.output: list[bytes] = []
+        self.position = (
+            StreamPosition() if handler.resumes_streams and route.is_resumable else None
+        )
         self.programs = admission.programs
         body = admission.text + request.body
         self.attempts = Attempts(
@@ -76,21 +83,36 @@
     def run(self) -> None:
         """Relay the response until it is complete."""
         opened = self.attempts.open()
+        error = self.relay_response(opened)
+        while error is not None:
+            self.handle_broken_stream(opened, error)
+            opened, error = self.resume(opened)
+        if opened.answer.status == OK:
+            self.complete(opened)
+
+    def relay_response(self, opened: OpenResponse) -> TargetFailureError | None:
+        """Relay the response of one target; return how it broke, None if complete.
+
+        The connection to a target that broke off is closed.
+        """
         finished = False
         try:
             if opened.answer.status == OK:
                 self.relay_events(opened)
+            elif self.attempts.is_resumed:
+                reason = f"resumed with {opened.answer.status}"
+                raise TargetFailureError(reason, Verdict.MAY_HAVE_RUN)
             else:
                 self.relay_error_response(opened)
             self.handler.target_client.finish(opened)
             finished = True
         except TargetFailureError as error:
-            self.handle_broken_stream(opened, error)
+            self.handler.target_client.handle_failure(opened.target, self.call, error)
+            return error
         finally:
             if not finished:
                 self.handler.target_client.abandon(opened)
-        if opened.answer.status == OK:
-            self.complete(opened)
+        return None
 
     def relay_error_response(self, opened: OpenResponse) -> None:
         """Relay a response of the target whose status is not 200."""
@@ -139,22 +161,91 @@
         if not self.writer.started:
             headers = opened.answer.headers.select_end_to_end()
             self.writer.start_stream(opened.answer.status, headers)
+        if self.attempts.is_resumed:
+            self.check_resumed_event(event)
         data = read_data(event)
         if data is not None:
             self.tokens += event_tokens
             self.output.append(data + b"\n")
         self.writer.write_part(event)
+        if self.position is not None:
+            self.position.advance(event)
+
+    def check_resumed_event(self, event: bytes) -> None:
+        """Raise if an event of a resumed stream must not reach the caller.
+
+        A target that does not heed where to go on would have the caller get events
+        twice, or more tokens than were reserved for them.
+        """
+        if not self.position.follows(event):
+            reason = "resumed with an event that does not follow"
+            raise TargetFailureError(reason, Verdict.MAY_HAVE_RUN)
+        context = self.call.program
+        if read_data(event) is None or context.budget is None:
+            return
+        if self.tokens >= context.max_tokens:
+            reason = "resumed beyond the reserved tokens"
+            raise TargetFailureError(reason, Verdict.MAY_HAVE_RUN)
 
     def handle_broken_stream(
         self, opened: OpenResponse, error: TargetFailureError
     ) -> None:
-        """Raise for a stream that broke; the call has run, so it is not retried."""
-        self.handler.target_client.handle_failure(opened.target, self.call, error)
+        """Return if another target may go on with a broken stream; raise otherwise.
+
+        The call has run, so it is not retried from its start.
+        """
+        if self.position is not None:
+            seconds_left = self.attempts.deadline - time.monotonic()
+            stream = BrokenStream(
+                self.route.is_resumable,
+                self.attempts.possible_runs,
+                self.route.max_targets,
+                self.position.last_event_id,
+                seconds_left,
+            )
+            if may_resume(stream):
+                return
         if self.writer.started:
             self.handler.metrics.count("turns.broken")
             raise CallRefusedError(502, error.reason)
         raise self.attempts.make_final_error(error.reason)
 
+    def resume(
+        self, broken: OpenResponse
+    ) -> tuple[OpenResponse, TargetFailureError | None]:
+        """Relay the rest of a stream from another target.
+
+        Return its response, and how it broke off as well, None if it is complete.
+        """
+        last_event_id = self.position.last_event_id
+        try:
+            opened = self.attempts.resume(broken.target, last_event_id)
+        except CallRefusedError as refusal:
+            self.handler.metrics.count("turns.broken")
+            self.record_resumption("", last_event_id, refusal.reason)
+            raise
+        error = self.relay_response(opened)
+        outcome = error.reason if error else "complete"
+        self.record_resumption(opened.target.id, last_event_id, outcome)
+        return opened, error
+
+    def record_resumption(
+        self, target_id: str, last_event_id: bytes, outcome: str
+    ) -> None:
+        """Count and log a stream that another target went on with, or none did."""
+        is_complete = outcome == "complete"
+        counter = "streams.resumed" if is_complete else "streams.resume_failed"
+        self.handler.metrics.count(counter)
+        log.info(
+            "Stream resumed." if is_complete else "Stream not resumed.",
+            extra={
+                "target": target_id,
+                "last_event": last_event_id.decode("latin-1"),
+                "sends": self.call.progress.sends,
+                "outcome": outcome,
+            },
+        )
+
     def complete(self, opened: OpenResponse) -> None:
         """Store the turn, then end the caller's stream.
 
--- a/src/cedarchute/daemon/entry_box.py
+++ b/src/cedarchute/daemon/entry_box.py
@@ -116,7 +116,14 @@
         quota = QuotaCheck(QuotaClient(quorum.fanout, holders, box.name), metrics)
         exchange = TargetClient(self.pool, self.choice, self.keys, quota, metrics)
         self.gate = ProgramAdmissionController(quorum, self.routes, metrics)
-        turns = StreamCallHandler(exchange, quorum, self.routes, self.gate, metrics)
+        turns = StreamCallHandler(
+            exchange,
+            quorum,
+            self.routes,
+            self.gate,
+            metrics,
+            resumes_streams=bool(settings.streams.resume),
+        )
         plain = PlainCallHandler(exchange, metrics)
         shutdown = ShutdownDeadline()
         desk = CallDispatcher(
--- a/src/cedarchute/platform/headers.py
+++ b/src/cedarchute/platform/headers.py
@@ -17,6 +17,8 @@
 # Soft deadline of the whole program in milliseconds; not enforced.
 PROGRAM_SOFT_DEADLINE_MS: Final = b"program-deadline-ms"
 BUDGET: Final = b"token-budget"
+# Id of the last event that the caller of a stream got; the target continues after it.
+LAST_EVENT_ID: Final = b"last-event-id"
 PREVIOUS_TURN: Final = b"previous-turn"
 # Two numbers: prompt tokens and maximum output tokens.
 TOKENS: Final = b"token-count"
--- a/src/cedarchute/relay/event_splitter.py
+++ b/src/cedarchute/relay/event_splitter.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 DATA_FIELD: Final = b"data"
+ID_FIELD: Final = b"id"
 BLANK_LINES: Final = (b"\r\n\r\n", b"\n\n", b"\r\r")
 
 
@@ -43,9 +44,21 @@
 
 def read_data(event: bytes) -> bytes | None:
     """Return the data lines of an event, joined; None if it has none."""
-    lines = []
+    lines = read_fields(event, DATA_FIELD)
+    return b"\n".join(lines) if lines else None
+
+
+def read_id(event: bytes) -> bytes | None:
+    """Return the id of an event; None if it has none."""
+    lines = read_fields(event, ID_FIELD)
+    return lines[-1] if lines else None
+
+
+def read_fields(event: bytes, wanted: bytes) -> list[bytes]:
+    """Return the values of one field of an event, in their order."""
+    values = []
     for line in event.replace(b"\r\n", b"\n").replace(b"\r", b"\n").split(b"\n"):
         name, _, value = line.partition(b":")
-        if name == DATA_FIELD:
-            lines.append(value.removeprefix(b" "))
-    return b"\n".join(lines) if lines else None
+        if name == wanted:
+            values.append(value.removeprefix(b" "))
+    return values
