--- a/src/cedarchute/daemon/entry_box.py
+++ b/src/cedarchute/daemon/entry_box.py
@@ -123,7 +123,14 @@
         )
         exchange = TargetClient(self.pool, self.choice, self.keys, quota, metrics)
         self.gate = ProgramAdmissionController(quorum, self.routes, metrics)
-        turns = StreamCallHandler(exchange, quorum, self.routes, self.gate, metrics)
+        turns = StreamCallHandler(
+            exchange,
+            quorum,
+            self.routes,
+            self.gate,
+            metrics,
+            resumes_streams=bool(settings.streams.resume),
+        )
         plain = PlainCallHandler(exchange, metrics)
         shutdown = ShutdownDeadline()
         desk = CallDispatcher(
