Let calls wait for places in order of urgency and tell engines

Cause: while all targets are full, each call looks again by itself every 30 ms, so a burst of a less urgent kind of call displaces the urgent one, a call whose turn can't come in time waits until its limit, and all refused callers come back after the same time.

Change: with [waiting] in_order, calls of a service wait in one bounded line of their box, by rank of workspace and route, programs under way, and slack, with a step up for each second waited. Each call that ends at a target or gets a place wakes the first. A call whose turn is expected too late is refused at once with 503, and return times are spread in the order of refusal. Engines are told the urgency of streams. Without the setting nothing changes.

--- a/src/cedarchute/calls/attempts.py
+++ b/src/cedarchute/calls/attempts.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Final
 
 import eventlet
+from msgspec.structs import replace
 
 from cedarchute.calls.call_errors import CallRefusedError
 from cedarchute.calls.shutdown_deadline import STOPPING
@@ -23,6 +24,8 @@
     from cedarchute.relay.caller_request import CallerRequest
     from cedarchute.routing.route import Route
     from cedarchute.routing.target_entry import TargetEntry
+    from cedarchute.waiting.call_order import CallOrder
+    from cedarchute.waiting.waiting_call import WaitingCall
 
 log = logging.getLogger("cedarchute.calls")
 
@@ -56,6 +59,8 @@
         Number of runs that the limit of the caller's workspace allows.
     deadline : float
         Monotonic time at which the call times out.
+    waiting_call : WaitingCall or None
+        What decides when the call goes next; None if calls wait in no order.
     """
 
     def __init__(
@@ -69,6 +74,7 @@
         body: bytes,
         preferred_target: str = "",
         slowdown_meter: SlowdownMeter | None = None,
+        call_order: CallOrder | None = None,
     ) -> None:
         self.target_client = target_client
         self.metrics = metrics
@@ -88,6 +94,18 @@
             self.deadline = min(self.deadline, caller_deadline)
         max_full_wait = MAX_FULL_WAIT_SHARE * route.objective_seconds
         self.full_wait_deadline = time.monotonic() + max_full_wait
+        self.call_order = call_order
+        self.has_waited = False
+        self.waiting_call: WaitingCall | None = None
+        if call_order is not None:
+            self.waiting_call = call_order.describe(
+                call,
+                route,
+                service,
+                request.read_at,
+                self.deadline,
+                self.full_wait_deadline,
+            )
 
     def open(self) -> OpenResponse:
         """Send the call until a target answers; return that response.
@@ -122,6 +140,10 @@
             except CallRefusedError as error:
                 raise self.resolve_refusal(error) from None
             self.possible_runs += 1
+            if self.call_order is not None:
+                self.call_order.record_placed(
+                    self.call, self.waiting_call, self.has_waited
+                )
             return opened
 
     def check_quota(self) -> None:
@@ -140,12 +162,16 @@
     def send(self, target: TargetEntry) -> OpenResponse:
         """Send the call to `target`; report its wait to the slowdown meter."""
         wait = None
+        call = self.call
+        if self.call_order is not None:
+            urgency = self.call_order.find_urgency(self.waiting_call, self.route)
+            call = replace(call, urgency=urgency)
         if self.slowdown_meter is not None:
             wait = self.slowdown_meter.begin_wait(target.incarnation, time.monotonic())
         try:
             return self.target_client.open(
                 self.request,
-                self.call,
+                call,
                 target,
                 self.body,
                 self.deadline,
@@ -173,6 +199,8 @@
 
     def choose_target(self) -> TargetEntry:
         """Return the next target; wait for capacity if all are full."""
+        if self.goes_after_others():
+            self.wait_for_capacity()
         while True:
             if time.monotonic() >= self.deadline:
                 raise self.make_final_error("no time left")
@@ -182,7 +210,7 @@
             )
             if target is not None:
                 return target
-            if time.monotonic() >= self.full_wait_deadline:
+            if self.call_order is None and time.monotonic() >= self.full_wait_deadline:
                 raise self.make_final_error("no target takes it")
             self.wait_for_capacity()
             self.tried.clear()
@@ -190,9 +218,21 @@
     def wait_for_capacity(self) -> None:
         """Wait until targets are looked at again; raise if the box stops."""
         try:
-            eventlet.sleep(FULL_POLL_SECONDS)
+            if self.call_order is None:
+                eventlet.sleep(FULL_POLL_SECONDS)
+            else:
+                self.has_waited = True
+                self.call_order.line.wait(self.waiting_call)
         except ShutdownError:
             raise self.make_final_error(STOPPING) from None
+        except CallRefusedError as error:
+            raise self.resolve_refusal(error) from None
+
+    def goes_after_others(self) -> bool:
+        """Return whether more urgent calls wait for the places that come free."""
+        if self.call_order is None or self.tried:
+            return False
+        return self.call_order.line.is_behind(self.waiting_call)
 
     def handle_attempt_failure(self, error: TargetFailureError) -> None:
         """Count a failed attempt; raise if the call must not be retried."""
--- a/src/cedarchute/calls/call.py
+++ b/src/cedarchute/calls/call.py
@@ -54,6 +54,8 @@
         How far the call has come; shared by the copies of this record.
     configuration_version : int
         The version that the limit of the caller's workspace is from.
+    urgency : int or None
+        What engines are told, 0 to 9, 0 being the most urgent; None if nothing.
     """
 
     id: str
@@ -62,6 +64,7 @@
     caller_identity: CallerIdentity | None = None
     progress: CallProgress = msgspec.field(default_factory=CallProgress)
     configuration_version: int = 0
+    urgency: int | None = None
 
     @property
     def workspace(self) -> str:
--- a/src/cedarchute/calls/plain_call_handler.py
+++ b/src/cedarchute/calls/plain_call_handler.py
@@ -42,6 +42,7 @@
             route,
             service,
             request.body,
+            call_order=self.target_client.call_order,
         )
         while True:
             opened = attempts.open()
--- a/src/cedarchute/calls/stream_call_handler.py
+++ b/src/cedarchute/calls/stream_call_handler.py
@@ -180,6 +180,7 @@
             body,
             admission.target,
             self.slowdown_meter,
+            handler.target_client.call_order,
         )
 
     def run(self) -> None:
--- a/src/cedarchute/calls/target_client.py
+++ b/src/cedarchute/calls/target_client.py
@@ -29,6 +29,7 @@
     from cedarchute.relay.target_pool import TargetPool
     from cedarchute.routing.load_balancer import LoadBalancer
     from cedarchute.routing.target_entry import TargetEntry
+    from cedarchute.waiting.call_order import CallOrder
 
 log = logging.getLogger("cedarchute.calls")
 
@@ -65,7 +66,13 @@
 
 
 class TargetClient:
-    """Sends calls to targets and tracks the load and failures of each."""
+    """Sends calls to targets and tracks the load and failures of each.
+
+    Attributes
+    ----------
+    call_order : CallOrder or None
+        The order in which calls wait; None if they wait in no order.
+    """
 
     def __init__(
         self,
@@ -74,7 +81,9 @@
         key_authenticator: KeyAuthenticator,
         quota_check: QuotaCheck,
         metrics: Metrics,
+        call_order: CallOrder | None = None,
     ) -> None:
+        self.call_order = call_order
         self.pool = pool
         self.quota_check = quota_check
         self.key_authenticator = key_authenticator
@@ -115,7 +124,12 @@
             connection = self.connect(target, deadline - sent_at)
             seconds_left = deadline - time.monotonic()
             head = build_request(
-                request, target, body, seconds_left, call.caller_identity
+                request,
+                target,
+                body,
+                seconds_left,
+                call.caller_identity,
+                call.urgency,
             )
             self.key_authenticator.revalidate(call)
             connection.send(head + body, deadline - time.monotonic())
@@ -203,11 +217,18 @@
         self.metrics.time("targets.seconds", seconds)
         opened.connection.finish(opened.answer)
         self.pool.give_back(opened.connection)
+        self.report_end(opened.target, seconds)
 
     def abandon(self, opened: OpenResponse) -> None:
         """Close the connection of a response that is not read to its end."""
         self.load_balancer.loads[opened.target.incarnation].active -= 1
         opened.connection.close()
+        self.report_end(opened.target)
+
+    def report_end(self, target: TargetEntry, seconds: float | None = None) -> None:
+        """Tell waiting calls that one left `target`, with its time if answered."""
+        if self.call_order is not None:
+            self.call_order.record_end(target.service, seconds)
 
 
 def is_target_error(status: int) -> bool:
@@ -225,9 +246,12 @@
     body: bytes,
     seconds_left: float,
     caller_identity: CallerIdentity | None,
+    urgency: int | None = None,
 ) -> bytes:
     """Return the request line and headers of a request to a target."""
-    headers = write_target_headers(request, target, seconds_left, caller_identity)
+    headers = write_target_headers(
+        request, target, seconds_left, caller_identity, urgency
+    )
     line = b"%s %s HTTP/1.1\r\n" % (request.method, request.target)
     if body or request.method not in METHODS_WITHOUT_BODY:
         headers = headers.extend((b"Content-Length", b"%d" % len(body)))
--- a/src/cedarchute/daemon/entry_box.py
+++ b/src/cedarchute/daemon/entry_box.py
@@ -50,6 +50,9 @@
 from cedarchute.turns.holder_connections import HolderConnections
 from cedarchute.turns.quota_client import QuotaClient
 from cedarchute.turns.turn_quorum import TurnQuorum
+from cedarchute.waiting.box_line import BoxLine
+from cedarchute.waiting.call_order import CallOrder
+from cedarchute.waiting.line_order import LineOrder
 
 if TYPE_CHECKING:
     from cedarchute.metrics import Metrics
@@ -114,7 +117,9 @@
         holders = HolderClient(HolderConnections(), metrics)
         quorum = TurnQuorum(self.parts.seats, holders, box.failure_domain, metrics)
         quota = QuotaCheck(QuotaClient(quorum.fanout, holders, box.name), metrics)
-        exchange = TargetClient(self.pool, self.choice, self.keys, quota, metrics)
+        exchange = TargetClient(
+            self.pool, self.choice, self.keys, quota, metrics, self.make_call_order()
+        )
         self.gate = ProgramAdmissionController(quorum, self.routes, metrics)
         turns = StreamCallHandler(exchange, quorum, self.routes, self.gate, metrics)
         plain = PlainCallHandler(exchange, metrics)
@@ -158,6 +163,14 @@
         ]
         self.serve_metrics = partial(serve_metrics, listen.metrics, metrics, file)
 
+    def make_call_order(self) -> CallOrder | None:
+        """Return the order in which calls wait, None if it is switched off."""
+        waiting = self.settings.waiting
+        if not waiting.in_order:
+            return None
+        line = BoxLine(LineOrder(waiting.max_calls), self.metrics)
+        return CallOrder(line, self.routes)
+
     def shares_knowledge(self) -> bool:
         """Whether boxes of a failure domain tell each other what they know.
 
--- a/src/cedarchute/platform/call_headers.py
+++ b/src/cedarchute/platform/call_headers.py
@@ -104,11 +104,13 @@
     target: TargetEntry,
     seconds_left: float,
     caller_identity: CallerIdentity | None,
+    urgency: int | None = None,
 ) -> Headers:
     """Return the headers of a request to a target.
 
     When workspaces have API keys, the target receives the authenticated workspace
-    instead of the key, and the caller's own workspace header is dropped.
+    instead of the key, and the caller's own workspace header is dropped. Engines are
+    told the urgency if there is one.
     """
     rewritten = (
         names.REWRITTEN if caller_identity is None else names.REWRITTEN_WITH_KEYS
@@ -119,6 +121,8 @@
         (b"Deadline-Ms", b"%d" % milliseconds),
         (b"Expect-Instance", target.id.encode("latin-1")),
     )
+    if urgency is not None:
+        kept = kept.extend((b"Request-Priority", b"%d" % urgency))
     if caller_identity is None or caller_identity.workspace is None:
         return kept
     return kept.extend((b"Tenant", caller_identity.workspace.name.encode()))
--- a/src/cedarchute/waiting/capacity_line.py
+++ b/src/cedarchute/waiting/capacity_line.py
@@ -23,6 +23,14 @@
         """
         ...
 
+    def is_behind(self, call: WaitingCall) -> bool:
+        """Return whether calls that go before this one wait for the same service."""
+        ...
+
     def note_free(self, service: str) -> None:
         """Record that a target of a service may have a free place."""
         ...
+
+    def note_placed(self, call: WaitingCall, has_waited: bool) -> None:
+        """Record that a call got a place, so that there may be more."""
+        ...
--- a/src/cedarchute/waiting/waiting_call.py
+++ b/src/cedarchute/waiting/waiting_call.py
@@ -22,6 +22,8 @@
         Time left until the soft deadline of its program, less what it still needs.
     entered_at, deadline : float
         Monotonic times at which it began to wait and at which it times out.
+    latest_start : float
+        Monotonic time until which it may wait, not after its deadline.
     """
 
     id: str
@@ -32,3 +34,4 @@
     slack_seconds: float | None
     entered_at: float
     deadline: float
+    latest_start: float
