--- a/tests/waiting/test_box_line.py
+++ b/tests/waiting/test_box_line.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import time
 
 import eventlet
@@ -135,3 +136,30 @@
     assert not line.order.waiting
     totals = line.metrics.totals
     assert totals["waiting.entered"] == totals["waiting.left"] == 4
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_each_request_ends_whatever_happens(seed):
+    """Requests come, leave and are stopped while places come free at random."""
+    chance = random.Random(seed)
+    line = BoxLine(LineOrder(8), Metrics())
+    requests = Requests(line)
+    threads = []
+    for number in range(60):
+        rank = chance.randrange(3)
+        threads.append(requests.start(number, chance.uniform(0, 0.2), route_rank=rank))
+        what = chance.randrange(5)
+        if what == 0:
+            line.note_free("s")
+        if what == 1:
+            eventlet.kill(chance.choice(threads))
+        if what == 2:
+            eventlet.kill(chance.choice(threads), ShutdownError())
+        eventlet.sleep(chance.choice((0, 0, 0.005)))
+        assert len(line.order.waiting) <= 8
+    with eventlet.Timeout(10):
+        while line.waiters:
+            eventlet.sleep(0.01)
+    assert len({name for name, _ in requests.ended}) == len(requests.ended) == 60
+    assert not line.waiters
+    assert not line.order.waiting
