Estimate the turn of a waiting call from counts by standing

Cause: each estimate went through all calls ahead, so an entry took time with the square of the line.

Change: calls ahead are counted by their standing. Decisions are the same.

--- a/src/cedarchute/waiting/line_order.py
+++ b/src/cedarchute/waiting/line_order.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from typing import TYPE_CHECKING
 
 from cedarchute.waiting.line_refusal import LineRefusal, RefusalReason
@@ -16,6 +16,7 @@
 from cedarchute.waiting.sort_key import compute_sort_key, find_standing
 
 if TYPE_CHECKING:
+    from cedarchute.waiting.sort_key import Standing
     from cedarchute.waiting.waiting_call import WaitingCall
 
 
@@ -47,26 +48,31 @@
         The first one waits until then in any case: what it finds keeps the rate known.
         """
         refusals = []
-        ahead: list[WaitingCall] = []
+        ahead: Counter[Standing] = Counter()
         for call in self.sort(service, now):
             if now + self.estimate_wait(call, ahead) < call.latest_start:
-                ahead.append(call)
+                ahead[find_standing(call)] += 1
                 continue
             refusals.append(self.refuse(call, RefusalReason.NOT_IN_TIME, now))
         return refusals
 
-    def estimate_wait(self, call: WaitingCall, ahead: list[WaitingCall]) -> float:
-        """Return the seconds until the expected turn of a call, 0 if unknown."""
+    def estimate_wait(self, call: WaitingCall, ahead: Counter[Standing]) -> float:
+        """Return the seconds until the expected turn of a call, 0 if unknown.
+
+        Parameters
+        ----------
+        ahead : Counter
+            Calls that go before it, by their standing.
+        """
+        standing = find_standing(call)
         rates = self.rates[call.service]
-        rate = rates.measure(find_standing(call))
+        rate = rates.measure(standing)
         if not ahead or rate is None:
             return 0.0
-        first = find_standing(ahead[0])
-        standing = find_standing(call)
-        urgent = sum(1 for each in ahead if find_standing(each) < standing)
-        return (
-            urgent / (rates.measure(first) or rate) + (len(ahead) - urgent + 1) / rate
-        )
+        first_rate = rates.measure(min(ahead)) or rate
+        urgent = sum(count for key, count in ahead.items() if key < standing)
+        others = ahead.total() - urgent
+        return urgent / first_rate + (others + 1) / rate
 
     def refuse(
         self, call: WaitingCall, reason: RefusalReason, now: float
