--- a/src/cedarchute/calls/call.py
+++ b/src/cedarchute/calls/call.py
@@ -56,6 +56,8 @@
         The version that the limit of the caller's workspace is from.
     kind : str
         Name of the call's route; empty until it is known.
+    urgency : int or None
+        What engines are told, 0 to 9, 0 being the most urgent; None if nothing.
     """
 
     id: str
@@ -65,6 +67,7 @@
     progress: CallProgress = msgspec.field(default_factory=CallProgress)
     configuration_version: int = 0
     kind: str = ""
+    urgency: int | None = None
 
     @property
     def workspace(self) -> str:
--- a/src/cedarchute/platform/call_headers.py
+++ b/src/cedarchute/platform/call_headers.py
@@ -106,11 +106,13 @@
     target: TargetEntry,
     seconds_left: float,
     caller_identity: CallerIdentity | None,
+    urgency: int | None = None,
 ) -> Headers:
     """Return the headers of a request to a target.
 
     When workspaces have API keys, the target receives the authenticated workspace
-    instead of the key, and the caller's own workspace header is dropped.
+    instead of the key, and the caller's own workspace header is dropped. Engines are
+    told the urgency if there is one.
     """
     rewritten = (
         names.REWRITTEN if caller_identity is None else names.REWRITTEN_WITH_KEYS
@@ -121,6 +123,8 @@
         (b"Deadline-Ms", b"%d" % milliseconds),
         (b"Expect-Instance", target.id.encode("latin-1")),
     )
+    if urgency is not None:
+        kept = kept.extend((b"Request-Priority", b"%d" % urgency))
     if caller_identity is None or caller_identity.workspace is None:
         return kept
     return kept.extend((b"Tenant", caller_identity.workspace.name.encode()))
@@ -128,12 +132,9 @@
 
 def continue_after(request: CallerRequest, last_event_id: bytes) -> CallerRequest:
     """Return a request that asks for the events after `last_event_id` only."""
-    kept = (
-        pair
-        for pair in request.headers.fields
-        if pair[0].lower() != names.LAST_EVENT_ID
-    )
-    headers = Headers((*kept, (b"Last-Event-Id", last_event_id)))
+    # What the caller's Connection header names must not take the new field along.
+    kept = request.headers.select_end_to_end(frozenset((names.LAST_EVENT_ID,)))
+    headers = kept.extend((b"Last-Event-Id", last_event_id))
     return replace(request, headers=headers)
 
 
--- a/tests/calls/test_resumed_streams.py
+++ b/tests/calls/test_resumed_streams.py
@@ -425,3 +425,11 @@
     assert turn.output == b"one\ntwo\nthree\nfour\n"
     assert turn.tokens == 4
     assert turn.target == f"t-{stage.runs[1][0]}"
+
+
+def test_a_caller_cannot_have_the_place_to_go_on_from_dropped():
+    """A field that Connection names is not passed on, but this one is the box's own."""
+    headers = CALLER_HEADERS.extend((b"Connection", b"Last-Event-Id"))
+    stage = Stage(break_off(*EVENTS[:2]), send_events(*EVENTS[2:]))
+    stage.run(headers=headers)
+    assert stage.read_resumed_ids() == [None, "1"]
