--- a/src/cedarchute/pressure/held_bytes.py
+++ b/src/cedarchute/pressure/held_bytes.py
@@ -31,6 +31,10 @@
         """Whether new calls should be refused."""
         ...
 
+    def has_room(self, count: int) -> bool:
+        """Return whether `count` more bytes stay below the bound."""
+        ...
+
     def add(self, cause: HeldCause, count: int) -> None:
         """Count bytes that are held from now on."""
         ...
