Open only this box's share of a target's connections

Targets accept a number of connections from all boxes together and reset any more; boxes opened as many as they liked, so one busy box cost the calls of others. With [pressure] share_connections a box opens half as much again as an equal part of the bound, at least two; beyond it the target counts as full for a moment, not as failed, and the call goes elsewhere or is refused as not run. Idle connections beyond half of the share are closed first. tests/pressure, test_target_pool, test_target_client, test_attempts: passed.

--- a/src/cedarchute/calls/target_client.py
+++ b/src/cedarchute/calls/target_client.py
@@ -13,6 +13,7 @@
     write_target_headers,
 )
 from cedarchute.record import MutableRecord
+from cedarchute.relay.connection_share_error import ConnectionShareError
 from cedarchute.relay.shutdown_error import ShutdownError
 from cedarchute.relay.target_failure import TargetFailureError
 from cedarchute.verdict import Verdict
@@ -147,6 +148,10 @@
         """Return a connection to `target`; nothing is sent on it yet."""
         try:
             return self.pool.take(target.address, seconds)
+        except ConnectionShareError:
+            load = self.load_balancer.loads[target.incarnation]
+            load.record_overload(FULL_TARGET_PAUSE_SECONDS)
+            raise
         except ShutdownError:
             raise make_shutdown_refusal() from None
 
--- a/src/cedarchute/daemon/entry_box.py
+++ b/src/cedarchute/daemon/entry_box.py
@@ -39,6 +39,7 @@
 from cedarchute.platform.directory_app import DirectoryApp
 from cedarchute.platform.followers import ConfigurationFollower, TargetFollower
 from cedarchute.platform.keys import CONFIGURATION, TARGETS
+from cedarchute.pressure.connection_share_finder import ConnectionShareFinder
 from cedarchute.relay.caller_server import CallerServer
 from cedarchute.relay.input_limits import InputLimits
 from cedarchute.relay.target_pool import TargetPool
@@ -76,11 +77,14 @@
         self.metrics = metrics
         self.lag = LoopLag()
         self.routes = ActiveRouteTable(metrics)
-        self.pool = TargetPool(metrics)
         self.supervisor = Supervisor(metrics)
         self.directory = BoxDirectory()
         turned_away = TurnedAway(metrics)
         self.registry = TargetRegistry(self.drop_target, self.directory.is_box)
+        shares = ConnectionShareFinder(self.routes, self.registry, self.directory)
+        self.pool = TargetPool(
+            metrics, shares.find if settings.pressure.share_connections else None
+        )
         me = BoxEntry(
             box.name,
             Role.ENTRY,
--- a/src/cedarchute/relay/target_connection.py
+++ b/src/cedarchute/relay/target_connection.py
@@ -30,7 +30,13 @@
 
 
 class TargetConnection:
-    """An open connection; failures raise `TargetFailureError` with a verdict."""
+    """An open connection; failures raise `TargetFailureError` with a verdict.
+
+    Attributes
+    ----------
+    is_closed : bool
+        Whether this side has closed it.
+    """
 
     def __init__(self, address: Address, sock: socket.socket) -> None:
         self.address = address
@@ -39,6 +45,7 @@
         self.idle_since = time.monotonic()
         self.keep_alive_seconds = DEFAULT_KEEP_ALIVE_SECONDS
         self.reusable = True
+        self.is_closed = False
         self.sender: eventlet.greenthread.GreenThread | None = None
         self.send_failed = False
 
@@ -186,6 +193,7 @@
     def close(self) -> None:
         """Close at once; this cancels a request that the target is processing."""
         self.reusable = False
+        self.is_closed = True
         if self.sender is not None:
             self.sender.kill()
         self.sock.close()
--- a/src/cedarchute/relay/target_pool.py
+++ b/src/cedarchute/relay/target_pool.py
@@ -2,11 +2,17 @@
 
 from __future__ import annotations
 
+from collections import Counter, defaultdict
 from typing import TYPE_CHECKING, Final
+from weakref import WeakSet
 
+from cedarchute.pressure.connection_shares import compute_idle_share
+from cedarchute.relay.connection_share_error import ConnectionShareError
 from cedarchute.relay.target_connection import TargetConnection
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from cedarchute.address import Address
     from cedarchute.metrics import Metrics
 
@@ -16,22 +22,82 @@
 
 
 class TargetPool:
-    """Idle connections by address; the most recently used one is reused first."""
+    """Idle connections by address; the most recently used one is reused first.
+
+    Parameters
+    ----------
+    find_share : Callable or None
+        Returns how many connections to an address may be open; None sets no bound.
+
+    Attributes
+    ----------
+    opened : dict of Address to WeakSet
+        Connections that may be open. Those of calls that were killed are not closed by
+        anyone and leave on their own.
+    opening : Counter
+        Connections by address that are being opened.
+    """
 
-    def __init__(self, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        metrics: Metrics,
+        find_share: Callable[[Address], int | None] | None = None,
+    ) -> None:
         self.metrics = metrics
+        self.find_share = find_share or (lambda address: None)
         self.idle: dict[Address, list[TargetConnection]] = {}
+        self.opened: defaultdict[Address, WeakSet[TargetConnection]] = defaultdict(
+            WeakSet
+        )
+        self.opening: Counter[Address] = Counter()
 
     def take(self, address: Address, seconds: float) -> TargetConnection:
-        """Return an idle connection, or open one within `seconds`."""
+        """Return an idle connection, or open one within `seconds`.
+
+        Raises
+        ------
+        ConnectionShareError
+            When this box has as many connections to `address` as it may open.
+        """
         connections = self.idle.get(address, [])
         while connections:
             connection = connections.pop()
             if connection.is_available:
                 return connection
             connection.close()
+        share = self.find_share(address)
+        if share is not None:
+            self.check_share(address, share)
         self.metrics.count("targets.connections")
-        return TargetConnection.open(address, min(CONNECT_TIMEOUT_SECONDS, seconds))
+        return self.open(address, min(CONNECT_TIMEOUT_SECONDS, seconds))
+
+    def check_share(self, address: Address, share: int) -> None:
+        """Raise `ConnectionShareError` if no connection may be opened."""
+        if self.count_open(address) < share:
+            return
+        self.metrics.count_refusal("connection_share")
+        raise ConnectionShareError(share)
+
+    def open(self, address: Address, seconds: float) -> TargetConnection:
+        """Open a connection, which counts from now on."""
+        self.opening[address] += 1
+        try:
+            connection = TargetConnection.open(address, seconds)
+            self.opened[address].add(connection)
+        finally:
+            self.opening[address] -= 1
+            if not self.opening[address]:
+                del self.opening[address]
+        return connection
+
+    def count_open(self, address: Address) -> int:
+        """Return how many connections to `address` are open or being opened."""
+        opened = self.opened.get(address, ())
+        for connection in [each for each in opened if each.is_closed]:
+            opened.discard(connection)
+        if not opened:
+            self.opened.pop(address, None)
+        return len(opened) + self.opening[address]
 
     def is_warm(self, address: Address) -> bool:
         """Return whether an idle connection to `address` can be reused."""
@@ -40,12 +106,25 @@
 
     def give_back(self, connection: TargetConnection) -> None:
         """Return a connection to the pool, or close it if it cannot be reused."""
-        if not connection.is_available:
+        if not connection.is_available or self.exceeds_share(connection.address):
             connection.close()
             return
         self.idle.setdefault(connection.address, []).append(connection)
 
+    def exceeds_share(self, address: Address) -> bool:
+        """Return whether one more idle connection is more than this box may keep.
+
+        A share falls as boxes come, below what is open already.
+        """
+        share = self.find_share(address)
+        if share is None:
+            return False
+        if self.count_open(address) > share:
+            return True
+        return len(self.idle.get(address, ())) >= compute_idle_share(share)
+
     def drop(self, address: Address) -> None:
         """Close the idle connections to a target that was removed."""
         for connection in self.idle.pop(address, []):
             connection.close()
+        self.count_open(address)
--- a/tests/calls/test_target_client.py
+++ b/tests/calls/test_target_client.py
@@ -8,12 +8,18 @@
 import pytest
 
 from cedarchute.address import Address
+from cedarchute.calls.call import Call, ProgramContext
 from cedarchute.calls.target_client import OpenResponse, TargetClient
 from cedarchute.metrics import Metrics
+from cedarchute.relay.caller_request import CallerRequest
+from cedarchute.relay.connection_share_error import ConnectionShareError
+from cedarchute.relay.headers import Headers
 from cedarchute.relay.target_answer import TargetAnswer
+from cedarchute.relay.target_failure import TargetFailureError
 from cedarchute.routing.load_balancer import LoadBalancer
 from cedarchute.routing.target_entry import TargetEntry
 from cedarchute.routing.target_registry import TargetRegistry
+from cedarchute.verdict import Verdict
 
 
 class Connection:
@@ -62,3 +68,26 @@
     finish(client, "t-2", 200, 0.5)
     assert client.load_balancer.select_target("s", set()).id == "t-1"
     assert client.load_balancer.loads["t-1"].failure_share == 0
+
+
+class ExhaustedPool(Pool):
+    """A pool of which this box's share is in use."""
+
+    def take(self, address, seconds):
+        raise ConnectionShareError(2)
+
+
+def test_a_target_at_the_share_of_connections_counts_as_full_not_as_failed(client):
+    client.pool = ExhaustedPool()
+    target = client.load_balancer.registry.known.entries["t-1"]
+    request = CallerRequest(b"POST", b"/", Headers(), b"", True, time.monotonic())
+    call = Call("a1", None, ProgramContext("", None, "", 0))
+    deadline = time.monotonic() + 9
+    with pytest.raises(TargetFailureError) as caught:
+        client.open(request, call, target, b"", deadline, deadline)
+    assert caught.value.verdict is Verdict.NOT_RUN
+    load = client.load_balancer.loads["t-1"]
+    assert load.active == 0
+    assert load.failure_share == 0
+    assert load.is_backing_off
+    assert client.load_balancer.select_target("s", set()).id == "t-2"
