Bound the bytes that a box holds for callers and targets

Answers and bodies were gathered without a sum: a box of 128 MB with some callers that read nothing could grow past its memory. With [pressure] max_held_mb bodies are counted from their head on, whole answers until they are sent, and events of kept turns until they are stored. At the bound new calls get a 503 before their body is gathered.

--- a/src/cedarchute/calls/call_dispatcher.py
+++ b/src/cedarchute/calls/call_dispatcher.py
@@ -18,6 +18,7 @@
     read_program,
     write_refusal_headers,
 )
+from cedarchute.pressure.unbounded_bytes import UNBOUNDED
 from cedarchute.relay.reply_writer import CallerDisconnectedError
 from cedarchute.relay.request_error import RequestError
 from cedarchute.relay.shutdown_error import ShutdownError
@@ -31,6 +32,7 @@
     from cedarchute.calls.shutdown_deadline import ShutdownDeadline
     from cedarchute.calls.stream_call_handler import StreamCallHandler
     from cedarchute.metrics import Metrics
+    from cedarchute.pressure.held_bytes import HeldBytes
     from cedarchute.relay.caller_request import CallerRequest
     from cedarchute.relay.reply_writer import ReplyWriter
     from cedarchute.routing.active_route_table import ActiveRouteTable
@@ -44,6 +46,8 @@
 # configuration within some 20 ms.
 FIRST_CONFIGURATION_SECONDS = 0.25
 NO_CONFIGURATION_RETRY_SECONDS = 0.3
+# Another box probably has room at once; this one has once a slow caller is ended.
+FULL_RETRY_SECONDS = 0.25
 
 
 class CallDispatcher:
@@ -58,7 +62,9 @@
         stream_handler: StreamCallHandler,
         shutdown: ShutdownDeadline,
         metrics: Metrics,
+        held: HeldBytes = UNBOUNDED,
     ) -> None:
+        self.held = held
         self.routes = routes
         self.key_authenticator = key_authenticator
         self.quota_check = quota_check
@@ -75,6 +81,7 @@
         try:
             if writer.follows_close:
                 raise make_shutdown_refusal()
+            self.check_room()
             call = replace(read_call(request), progress=progress)
             self.route_call(request, writer, call)
         except CallRefusedError as error:
@@ -97,6 +104,12 @@
             refusal = CallRefusedError(502, f"fault of this box: {error}")
             self.send_refusal(request, writer, call_id, refusal, progress)
 
+    def check_room(self) -> None:
+        """Raise `CallRefusedError` if this box holds as much as it may."""
+        if self.held.is_at_bound:
+            self.metrics.count_refusal("held_bytes")
+            raise CallRefusedError(503, "this box is full", FULL_RETRY_SECONDS)
+
     def route_call(
         self, request: CallerRequest, writer: ReplyWriter, call: Call
     ) -> None:
--- a/src/cedarchute/calls/plain_call_handler.py
+++ b/src/cedarchute/calls/plain_call_handler.py
@@ -6,6 +6,7 @@
 
 from cedarchute.calls.attempts import Attempts
 from cedarchute.calls.target_client import MIN_SERVER_ERROR
+from cedarchute.pressure.held_bytes import HeldCause
 from cedarchute.relay.target_failure import TargetFailureError
 from cedarchute.routing.route import Repeatability
 
@@ -13,6 +14,7 @@
     from cedarchute.calls.call import Call
     from cedarchute.calls.target_client import OpenResponse, TargetClient
     from cedarchute.metrics import Metrics
+    from cedarchute.pressure.held_amount import HeldAmount
     from cedarchute.relay.caller_request import CallerRequest
     from cedarchute.relay.reply_writer import ReplyWriter
     from cedarchute.routing.route import Route
@@ -43,24 +45,38 @@
             service,
             request.body,
         )
-        while True:
+        is_answered = False
+        while not is_answered:
             opened = attempts.open()
-            body = self.read_body(attempts, opened)
-            if body is None:
-                continue
-            answer = opened.answer
-            if answer.status >= MIN_SERVER_ERROR and self.may_repeat(attempts):
-                self.metrics.count_retry("target_error")
-                continue
-            headers = answer.headers.select_end_to_end()
-            writer.write_whole(answer.status, headers, body)
-            return
+            with self.target_client.hold(HeldCause.ANSWER) as amount:
+                is_answered = self.relay(writer, attempts, opened, amount)
 
-    def read_body(self, attempts: Attempts, opened: OpenResponse) -> bytes | None:
+    def relay(
+        self,
+        writer: ReplyWriter,
+        attempts: Attempts,
+        opened: OpenResponse,
+        amount: HeldAmount,
+    ) -> bool:
+        """Relay a response; return False if the call should be retried elsewhere."""
+        body = self.read_body(attempts, opened, amount)
+        if body is None:
+            return False
+        answer = opened.answer
+        if answer.status >= MIN_SERVER_ERROR and self.may_repeat(attempts):
+            self.metrics.count_retry("target_error")
+            return False
+        headers = answer.headers.select_end_to_end()
+        writer.write_whole(answer.status, headers, body)
+        return True
+
+    def read_body(
+        self, attempts: Attempts, opened: OpenResponse, amount: HeldAmount
+    ) -> bytes | None:
         """Return the full body, or None if the call should be retried elsewhere."""
         finished = False
         try:
-            body = self.target_client.read_full_body(opened)
+            body = self.target_client.read_full_body(opened, amount)
             self.target_client.finish(opened)
             finished = True
         except TargetFailureError as error:
--- a/src/cedarchute/calls/stream_call_handler.py
+++ b/src/cedarchute/calls/stream_call_handler.py
@@ -9,6 +9,7 @@
 from cedarchute.calls.attempts import Attempts
 from cedarchute.calls.call_errors import CallRefusedError
 from cedarchute.calls.shutdown_deadline import make_shutdown_refusal
+from cedarchute.pressure.held_bytes import HeldCause
 from cedarchute.relay.event_splitter import EventSplitter, read_data
 from cedarchute.relay.shutdown_error import ShutdownError
 from cedarchute.relay.target_failure import TargetFailureError
@@ -75,6 +76,7 @@
             relay.run()
             self.record_turn_end(relay, admission)
         finally:
+            relay.kept.release()
             if is_accounted and not relay.is_stored:
                 self.quorum.settle(call.program_key, call.id, relay.tokens)
 
@@ -168,6 +170,7 @@
         self.tokens = 0
         self.is_stored = False
         self.output: list[bytes] = []
+        self.kept = handler.target_client.hold(HeldCause.KEPT_EVENTS)
         self.programs = admission.programs
         body = admission.text + request.body
         self.attempts = Attempts(
@@ -203,9 +206,11 @@
 
     def relay_error_response(self, opened: OpenResponse) -> None:
         """Relay a response of the target whose status is not 200."""
-        body = self.handler.target_client.read_full_body(opened)
-        headers = opened.answer.headers.select_end_to_end()
-        self.writer.write_whole(opened.answer.status, headers, body)
+        client = self.handler.target_client
+        with client.hold(HeldCause.ANSWER) as amount:
+            body = client.read_full_body(opened, amount)
+            headers = opened.answer.headers.select_end_to_end()
+            self.writer.write_whole(opened.answer.status, headers, body)
 
     def relay_events(self, opened: OpenResponse) -> None:
         """Forward events as they arrive until the target's response is complete."""
@@ -252,6 +257,7 @@
         if data is not None:
             self.tokens += event_tokens
             self.output.append(data + b"\n")
+            self.kept.grow(len(data) + 1)
         self.writer.write_part(event)
 
     def handle_broken_stream(
--- a/src/cedarchute/calls/target_client.py
+++ b/src/cedarchute/calls/target_client.py
@@ -4,7 +4,9 @@
 
 import logging
 import time
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
+
+import eventlet
 
 from cedarchute.calls.shutdown_deadline import make_shutdown_refusal
 from cedarchute.platform.call_headers import (
@@ -12,6 +14,9 @@
     says_not_run,
     write_target_headers,
 )
+from cedarchute.pressure.growth_order import GrowthOrder
+from cedarchute.pressure.held_amount import HeldAmount
+from cedarchute.pressure.unbounded_bytes import UNBOUNDED
 from cedarchute.record import MutableRecord
 from cedarchute.relay.connection_share_error import ConnectionShareError
 from cedarchute.relay.shutdown_error import ShutdownError
@@ -24,6 +29,7 @@
     from cedarchute.calls.key_authenticator import KeyAuthenticator
     from cedarchute.calls.quota_check import QuotaCheck
     from cedarchute.metrics import Metrics
+    from cedarchute.pressure.held_bytes import HeldBytes, HeldCause
     from cedarchute.relay.caller_request import CallerRequest
     from cedarchute.relay.target_answer import TargetAnswer
     from cedarchute.relay.target_connection import TargetConnection
@@ -45,6 +51,8 @@
 # If a caller disconnects after its target was silent for this long, the target counts
 # as failed: callers of streams wait at least two seconds for an event.
 SILENT_TARGET_SECONDS = 1.5
+# Interval between checks for room near the bound on held bytes.
+ROOM_CHECK_SECONDS: Final = 0.05
 
 
 class OpenResponse(MutableRecord):
@@ -75,7 +83,10 @@
         key_authenticator: KeyAuthenticator,
         quota_check: QuotaCheck,
         metrics: Metrics,
+        held: HeldBytes = UNBOUNDED,
     ) -> None:
+        self.held = held
+        self.growth_order = GrowthOrder(held)
         self.pool = pool
         self.quota_check = quota_check
         self.key_authenticator = key_authenticator
@@ -186,15 +197,37 @@
             },
         )
 
-    def read_full_body(self, opened: OpenResponse) -> bytes:
-        """Return the full body of a response."""
+    def hold(self, cause: HeldCause) -> HeldAmount:
+        """Return an amount of held bytes to accumulate."""
+        return HeldAmount(self.held, cause)
+
+    def read_full_body(self, opened: OpenResponse, amount: HeldAmount) -> bytes:
+        """Return the full body of a response, which `amount` counts."""
         answer = opened.answer
         parts = [answer.take_parts()]
+        amount.grow(len(parts[0]))
         while not answer.is_complete:
+            self.wait_for_room(amount, opened.read_deadline)
             opened.connection.receive(opened.read_deadline - time.monotonic())
             parts.append(answer.take_parts())
+            amount.grow(len(parts[-1]))
         return b"".join(parts)
 
+    def wait_for_room(self, amount: HeldAmount, deadline: float) -> None:
+        """Leave a large response unread near the bound, so that TCP slows its target.
+
+        Raises
+        ------
+        TargetFailureError
+            At `deadline`; the target is not at fault, but its response is lost.
+        """
+        while not self.growth_order.may_grow(amount):
+            if time.monotonic() >= deadline:
+                self.metrics.count_refusal("held_answer")
+                reason = "refused here: no room for its response"
+                raise TargetFailureError(reason, Verdict.MAY_HAVE_RUN)
+            eventlet.sleep(ROOM_CHECK_SECONDS)
+
     def finish(self, opened: OpenResponse) -> None:
         """Record a complete response and return its connection to the pool."""
         seconds = time.monotonic() - opened.sent_at
--- a/src/cedarchute/daemon/entry_box.py
+++ b/src/cedarchute/daemon/entry_box.py
@@ -40,6 +40,7 @@
 from cedarchute.platform.followers import ConfigurationFollower, TargetFollower
 from cedarchute.platform.keys import CONFIGURATION, TARGETS
 from cedarchute.pressure.connection_share_finder import ConnectionShareFinder
+from cedarchute.pressure.held_bytes_factory import make_held_bytes
 from cedarchute.relay.caller_server import CallerServer
 from cedarchute.relay.input_limits import InputLimits
 from cedarchute.relay.target_pool import TargetPool
@@ -118,19 +119,21 @@
         holders = HolderClient(HolderConnections(), metrics)
         quorum = TurnQuorum(self.parts.seats, holders, box.failure_domain, metrics)
         quota = QuotaCheck(QuotaClient(quorum.fanout, holders, box.name), metrics)
-        exchange = TargetClient(self.pool, self.choice, self.keys, quota, metrics)
+        held = make_held_bytes(settings.pressure, metrics)
+        exchange = TargetClient(self.pool, self.choice, self.keys, quota, metrics, held)
         self.gate = ProgramAdmissionController(quorum, self.routes, metrics)
         turns = StreamCallHandler(exchange, quorum, self.routes, self.gate, metrics)
         plain = PlainCallHandler(exchange, metrics)
         shutdown = ShutdownDeadline()
         desk = CallDispatcher(
-            self.routes, self.keys, quota, plain, turns, shutdown, metrics
+            self.routes, self.keys, quota, plain, turns, shutdown, metrics, held
         )
         self.server = CallerServer(
             self.listen(listen.callers, file, "callers"),
             desk.handle,
             self.read_limits,
             metrics,
+            held,
         )
         self.stop = EntryStop(
             self.server,
--- a/src/cedarchute/relay/caller_connection.py
+++ b/src/cedarchute/relay/caller_connection.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import contextlib
 import logging
 import socket
 import time
@@ -11,15 +10,23 @@
 import eventlet
 from eventlet.queue import LightQueue
 
+from cedarchute.pressure.unbounded_bytes import UNBOUNDED
 from cedarchute.relay.continue_expected import ContinueExpected
+from cedarchute.relay.discarded_input import discard_input
+from cedarchute.relay.input_throttle import wait_for_room
 from cedarchute.relay.reply_writer import CONTINUE, ReplyWriter
 from cedarchute.relay.request_error import RequestError
 from cedarchute.relay.request_reader import RequestReader
 from cedarchute.relay.shutdown_error import ShutdownError
-from cedarchute.relay.socket_io import receive_within, send_within
+from cedarchute.relay.socket_io import (
+    receive_within,
+    send_while_patient,
+    send_within,
+)
 from cedarchute.relay.unread_input import has_unread_input
 
 if TYPE_CHECKING:
+    from cedarchute.pressure.held_bytes import HeldBytes
     from cedarchute.relay.caller_request import CallerRequest
     from cedarchute.relay.caller_server import CallerServer
 
@@ -27,6 +34,8 @@
 
 # A caller that accepts no data for this long counts as disconnected.
 WRITE_TIMEOUT_SECONDS: Final = 10.0
+# The same near the bound on held bytes; a pause of a caller's process is shorter.
+SHORT_WRITE_TIMEOUT_SECONDS: Final = 3.0
 # After the last response, input is read for this long: closing a socket with unread
 # data sends a reset, which can discard the response.
 LINGER_SECONDS: Final = 0.5
@@ -50,10 +59,13 @@
         Whether the last response was written and its caller may still be reading it.
     """
 
-    def __init__(self, sock: socket.socket, server: CallerServer) -> None:
+    def __init__(
+        self, sock: socket.socket, server: CallerServer, held: HeldBytes = UNBOUNDED
+    ) -> None:
         self.sock = sock
         self.server = server
-        self.reader = RequestReader(server.limits)
+        self.held = held
+        self.reader = RequestReader(server.limits, held)
         # Errors and marks are queued behind the requests that were received before.
         self.requests = LightQueue()
         self.busy = False
@@ -106,7 +118,7 @@
             self.server.record_bad_request(error)
             self.enqueue_ready()
             self.requests.put(error)
-            self.discard_input()
+            discard_input(self, LINGER_SECONDS, error.body_follows)
 
     def read_requests(self) -> None:
         """Read requests until the caller closes the connection or is idle too long.
@@ -117,6 +129,7 @@
             When a request is invalid or incomplete at its deadline.
         """
         while True:
+            wait_for_room(self)
             try:
                 data = self.receive(self.compute_wait())
             except TimeoutError:
@@ -172,6 +185,8 @@
                 keep_open = self.answer(request)
             except (OSError, ShutdownError):
                 keep_open = False
+            finally:
+                self.reader.bodies.shrink(len(request.body))
             self.busy = False
             self.active_at = time.monotonic()
             self.answered += 1
@@ -183,7 +198,9 @@
     def answer(self, request: CallerRequest) -> bool:
         """Handle one request; return whether the connection stays open."""
         follows_close = self.has_announced_close
-        writer = ReplyWriter(request, self.send, self.must_close, follows_close)
+        writer = ReplyWriter(
+            request, self.send, self.must_close, follows_close, self.held
+        )
         self.writer = writer
         try:
             self.server.handle(request, writer)
@@ -236,7 +253,21 @@
 
     def send(self, data: bytes) -> None:
         """Write bytes; raise ``TimeoutError`` if the caller does not accept them."""
-        send_within(self.sock, data, WRITE_TIMEOUT_SECONDS)
+        try:
+            if self.held is UNBOUNDED:
+                send_within(self.sock, data, WRITE_TIMEOUT_SECONDS)
+            else:
+                send_while_patient(self.sock, data, self.read_patience)
+        except TimeoutError:
+            if self.held.is_near_bound:
+                self.server.record_slow_caller(self)
+            raise
+
+    def read_patience(self) -> float:
+        """Return for how long the caller may accept no data."""
+        if self.held.is_near_bound:
+            return SHORT_WRITE_TIMEOUT_SECONDS
+        return WRITE_TIMEOUT_SECONDS
 
     def send_continue(self) -> None:
         """Tell the caller to send the body that it holds back."""
@@ -256,20 +287,6 @@
         self.is_lingering = True
         self.shut_down(socket.SHUT_WR)
 
-    def discard_input(self) -> None:
-        """Discard input until the queued requests are handled, then linger briefly.
-
-        Returns early if the caller disconnects.
-        """
-        while not self.worker.dead:
-            with contextlib.suppress(TimeoutError):
-                if not self.receive(LINGER_SECONDS):
-                    return
-        deadline = time.monotonic() + LINGER_SECONDS
-        while (remaining := deadline - time.monotonic()) > 0:
-            if not self.receive(remaining):
-                return
-
     def close_for_stop(self) -> None:
         """Close an idle connection because the process ends."""
         if self.is_shut_down:
@@ -297,5 +314,6 @@
     def close(self) -> None:
         """Close the socket and drop the queued requests."""
         self.sock.close()
+        self.reader.bodies.release()
         while not self.requests.empty():
             self.requests.get_nowait()
--- a/src/cedarchute/relay/caller_server.py
+++ b/src/cedarchute/relay/caller_server.py
@@ -9,6 +9,7 @@
 import eventlet
 from eventlet.greenio import GreenSocket
 
+from cedarchute.pressure.unbounded_bytes import UNBOUNDED
 from cedarchute.relay.caller_connection import CallerConnection
 from cedarchute.relay.unread_input import has_unread_input
 
@@ -17,6 +18,7 @@
     from collections.abc import Callable
 
     from cedarchute.metrics import Metrics
+    from cedarchute.pressure.held_bytes import HeldBytes
     from cedarchute.relay.caller_request import CallerRequest
     from cedarchute.relay.input_limits import InputLimits
     from cedarchute.relay.reply_writer import ReplyWriter
@@ -37,7 +39,9 @@
         handle: Callable[[CallerRequest, ReplyWriter], None],
         limits: Callable[[], InputLimits],
         metrics: Metrics,
+        held: HeldBytes = UNBOUNDED,
     ) -> None:
+        self.held = held
         self.listener = listener
         self.handle = handle
         self.limits = limits
@@ -60,7 +64,7 @@
 
     def start_connection(self, sock: socket.socket) -> None:
         """Serve one connection in a task of its own; it counts from now on."""
-        connection = CallerConnection(sock, self)
+        connection = CallerConnection(sock, self, self.held)
         self.connections.add(connection)
         eventlet.spawn_n(self.serve, connection)
 
@@ -83,6 +87,14 @@
             extra={"status": error.status, "why": error.reason},
         )
 
+    def record_slow_caller(self, connection: CallerConnection) -> None:
+        """Count and log that a caller who reads nothing is ended to make room."""
+        self.metrics.count("held.slow_callers_ended")
+        log.info(
+            "Ended a caller that reads nothing.",
+            extra={"answered": connection.answered},
+        )
+
     def record_close(self, connection: CallerConnection, reason: str) -> None:
         """Count and log that this side closes a connection without being asked."""
         has_unread = has_unread_input(connection.sock)
--- /dev/null
+++ b/src/cedarchute/relay/input_throttle.py
@@ -0,0 +1,30 @@
+"""Leaves a caller's input unread while a box holds nearly as much as it may."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+import eventlet
+
+if TYPE_CHECKING:
+    from cedarchute.relay.caller_connection import CallerConnection
+
+# A body of unknown length is read this much later each time: 64 KB in each pause are
+# some 2.6 Mbit/s.
+BODY_PAUSE_SECONDS: Final = 0.2
+ROOM_CHECK_SECONDS: Final = 0.05
+
+
+def wait_for_room(connection: CallerConnection) -> None:
+    """Wait near the bound, so that TCP slows the caller down.
+
+    Only what would accumulate waits: requests behind a queued one, and bodies of
+    unknown length. The wait ends with the request in progress at the latest.
+    """
+    held = connection.held
+    while held.is_near_bound and not connection.requests.empty():
+        if connection.is_shut_down or connection.worker.dead:
+            return
+        eventlet.sleep(ROOM_CHECK_SECONDS)
+    if held.is_near_bound and connection.reader.grows:
+        eventlet.sleep(BODY_PAUSE_SECONDS)
--- a/src/cedarchute/relay/reply_writer.py
+++ b/src/cedarchute/relay/reply_writer.py
@@ -5,13 +5,19 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Final
 
+from cedarchute.pressure.held_bytes import HeldCause
+from cedarchute.pressure.unbounded_bytes import UNBOUNDED
 from cedarchute.relay.headers import Headers
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from cedarchute.pressure.held_bytes import HeldBytes
     from cedarchute.relay.caller_request import CallerRequest
 
+# A body of this size is sent apart from its head: joined, both the body and its copy
+# would be held while the caller reads.
+LARGE_BODY_BYTES: Final = 65_536
 BODILESS_STATUSES: Final = frozenset((204, 304))
 CONTINUE: Final = b"HTTP/1.1 100 Continue\r\n\r\n"
 
@@ -34,6 +40,9 @@
     follows_close : bool
         Whether an earlier response said that the connection closes. The caller may
         ignore any later one, so the request must not run (RFC 9112, section 9.6).
+    held : HeldBytes
+        Counts the parts of a stream while they are sent; whoever has a whole response
+        counts it.
 
     Attributes
     ----------
@@ -51,7 +60,9 @@
         send: Callable[[bytes], None],
         must_close: Callable[[], bool],
         follows_close: bool = False,
+        held: HeldBytes = UNBOUNDED,
     ) -> None:
+        self.held = held
         self.request = request
         self.send_bytes = send
         self.must_close = must_close
@@ -74,7 +85,11 @@
         if not self.has_body or status in BODILESS_STATUSES:
             body = b""
         self.started = True
-        self.send(head + b"\r\n" + body)
+        if len(body) < LARGE_BODY_BYTES:
+            self.send(head + b"\r\n" + body)
+        else:
+            self.send(head + b"\r\n")
+            self.send(body)
         self.finished = True
 
     def start_stream(self, status: int, headers: Headers) -> None:
@@ -86,7 +101,8 @@
     def write_part(self, part: bytes) -> None:
         """Write one chunk; skips an empty one, which would end the stream."""
         if part and self.has_body:
-            self.send(b"%x\r\n%s\r\n" % (len(part), part))
+            with self.held.holding(HeldCause.ANSWER, len(part)):
+                self.send(b"%x\r\n%s\r\n" % (len(part), part))
 
     def end_stream(self, part: bytes = b"") -> None:
         """Write `part`, if any, and the last chunk, which ends the stream."""
--- a/src/cedarchute/relay/request_reader.py
+++ b/src/cedarchute/relay/request_reader.py
@@ -4,10 +4,13 @@
 
 import time
 from collections import deque
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 import httptools
 
+from cedarchute.pressure.held_amount import HeldAmount
+from cedarchute.pressure.held_bytes import HeldCause
+from cedarchute.pressure.unbounded_bytes import UNBOUNDED
 from cedarchute.relay.caller_request import CallerRequest
 from cedarchute.relay.continue_expected import ContinueExpected
 from cedarchute.relay.headers import Headers
@@ -16,8 +19,15 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from cedarchute.pressure.held_bytes import HeldBytes
     from cedarchute.relay.input_limits import InputLimits
 
+# A request with a body up to this size is read also at the bound on held bytes: its
+# handler refuses it, and the connection stays open.
+SMALL_BODY_BYTES: Final = 16_384
+# Another box probably has room at once; this one has once a slow caller is ended.
+FULL_RETRY_SECONDS: Final = 0.25
+
 
 class RequestReader:
     """Collects complete requests and enforces size limits.
@@ -29,6 +39,8 @@
     ----------
     read_limits : Callable
         Returns the limits in force; those at its beginning apply to a request.
+    held : HeldBytes
+        Bounds what all connections hold together.
 
     Attributes
     ----------
@@ -36,10 +48,17 @@
         Monotonic time at which the newest request began; 0 before the first one.
     has_completed : bool
         Whether the bytes that were fed last completed a request.
+    bodies : HeldAmount
+        Bytes of bodies that are read or announced; whoever handles a request takes off
+        those of its body.
     """
 
-    def __init__(self, read_limits: Callable[[], InputLimits]) -> None:
+    def __init__(
+        self, read_limits: Callable[[], InputLimits], held: HeldBytes = UNBOUNDED
+    ) -> None:
         self.read_limits = read_limits
+        self.held = held
+        self.bodies = HeldAmount(held, HeldCause.REQUEST_BODY)
         self.limits = read_limits()
         self.parser = httptools.HttpRequestParser(self)
         self.ready: deque[CallerRequest | ContinueExpected] = deque()
@@ -57,6 +76,7 @@
         self.parts: list[bytes] = []
         self.header_bytes = 0
         self.body_bytes = 0
+        self.reserved_bytes = 0
 
     def feed(self, data: bytes) -> None:
         """Parse bytes; complete requests are appended to `ready`.
@@ -127,6 +147,9 @@
         length = headers.get(b"content-length")
         if length is not None and int(length) > self.limits.body_bytes:
             raise self.make_size_error(413, "request body too large")
+        if length is not None:
+            self.reserve(int(length), int(length))
+            self.reserved_bytes = int(length)
         expectation = headers.get_text(b"expect").lower()
         self.expects_continue = expectation == "100-continue"
 
@@ -135,8 +158,30 @@
         self.body_bytes += len(body)
         if self.body_bytes > self.limits.body_bytes:
             raise self.make_size_error(413, "request body too large")
+        if not self.reserved_bytes:
+            self.reserve(len(body), self.body_bytes)
         self.parts.append(body)
 
+    @property
+    def grows(self) -> bool:
+        """Whether a body of unknown length is being read."""
+        return self.in_body and not self.reserved_bytes
+
+    def reserve(self, count: int, size: int) -> None:
+        """Count bytes of a body as held; raise `RequestError` if there is no room.
+
+        A body of known length is counted whole before it is read: one that was begun is
+        then read to its end.
+
+        Parameters
+        ----------
+        size : int
+            Size of the body with these bytes, as far as it is known.
+        """
+        if size > SMALL_BODY_BYTES and not self.held.has_room(count):
+            raise RequestError(503, "no room for the body", FULL_RETRY_SECONDS, True)
+        self.bodies.grow(count)
+
     def on_message_complete(self) -> None:
         """Append the request to `ready`, unless it asks for another protocol.
 
--- a/src/experiments/node_site.py
+++ b/src/experiments/node_site.py
@@ -46,6 +46,8 @@
         self.version = 0
         self.ports = HeldPorts()
         self.is_stopped = False
+        # Further lines of the settings of entry boxes.
+        self.entry_settings: list[str] = []
         folder.mkdir(parents=True, exist_ok=True)
 
     def __enter__(self) -> NodeSite:
@@ -136,6 +138,7 @@
                 f"directory = {self.directory[name]}",
                 "[keys]",
                 f"revoke_ms = {self.revoke_ms}",
+                *self.entry_settings,
             ]
         settings = self.folder / f"{name}.ini"
         settings.write_text("\n".join(lines) + "\n")
