--- a/tests/calls/test_stream_call_handler.py
+++ b/tests/calls/test_stream_call_handler.py
@@ -15,6 +15,9 @@
 from cedarchute.calls.stream_call_handler import StreamCallHandler
 from cedarchute.calls.target_client import TargetClient
 from cedarchute.metrics import Metrics
+from cedarchute.pressure.held_byte_account import HeldByteAccount
+from cedarchute.pressure.held_bytes import HeldCause
+from cedarchute.pressure.unbounded_bytes import UNBOUNDED
 from cedarchute.relay.caller_request import CallerRequest
 from cedarchute.relay.headers import Headers
 from cedarchute.relay.reply_writer import ReplyWriter
@@ -89,13 +92,13 @@
         pass
 
 
-def relay(quorum, body):
+def relay(quorum, body, held=UNBOUNDED):
     """Relay one turn; return what the caller received."""
     registry = TargetRegistry(lambda entry: None)
     registry.put(TargetEntry("t", "s", Address("10.0.0.1", 1), "a", True, 8))
     balancer = LoadBalancer(registry, "a", random.Random(7), lambda address: True)
     metrics = Metrics()
-    client = TargetClient(Pool(body), balancer, Keys(), None, metrics)
+    client = TargetClient(Pool(body), balancer, Keys(), None, metrics, held)
     gate = ProgramAdmissionController(quorum, Routes(), metrics)
     handler = StreamCallHandler(client, quorum, Routes(), gate, metrics)
     request = CallerRequest(b"POST", b"/", Headers(), b"a", True, time.monotonic())
@@ -131,3 +134,26 @@
     assert error.status == 502
     assert not received.endswith(LAST_CHUNK)
     assert bool(received) == bool(body)
+
+
+class CountingQuorum(SlowQuorum):
+    """Holders that note how much is held while they store a turn."""
+
+    def __init__(self, needed_seconds, held):
+        super().__init__(needed_seconds)
+        self.held = held
+        self.kept_bytes = 0
+
+    def write(self, record, min_seconds=0.0):
+        self.kept_bytes = self.held.counts[HeldCause.KEPT_EVENTS]
+        super().write(record, min_seconds)
+
+
+@pytest.mark.parametrize("is_stored", [True, False])
+def test_the_events_of_a_turn_are_counted_until_it_is_stored(is_stored):
+    held = HeldByteAccount(1_000_000, Metrics())
+    quorum = CountingQuorum(TIMEOUT_SECONDS * (0.5 if is_stored else 2), held)
+    error, _ = relay(quorum, 3 * EVENT, held)
+    assert (error is None) == is_stored
+    assert quorum.kept_bytes == 3 * len(b"one\n")
+    assert held.total == 0
--- a/tests/calls/test_target_client.py
+++ b/tests/calls/test_target_client.py
@@ -11,6 +11,9 @@
 from cedarchute.calls.call import Call, ProgramContext
 from cedarchute.calls.target_client import OpenResponse, TargetClient
 from cedarchute.metrics import Metrics
+from cedarchute.pressure.growth_order import GrowthOrder
+from cedarchute.pressure.held_byte_account import HeldByteAccount
+from cedarchute.pressure.held_bytes import HeldCause
 from cedarchute.relay.caller_request import CallerRequest
 from cedarchute.relay.connection_share_error import ConnectionShareError
 from cedarchute.relay.headers import Headers
@@ -91,3 +94,34 @@
     assert load.failure_share == 0
     assert load.is_backing_off
     assert client.load_balancer.select_target("s", set()).id == "t-2"
+
+
+class GrowingConnection(Connection):
+    """A connection whose response never ends."""
+
+    def __init__(self, answer):
+        self.answer = answer
+
+    def receive(self, seconds):
+        self.answer.parts.append(b"x" * 65_536)
+
+
+def test_a_large_response_is_left_unread_near_the_bound(client):
+    client.held = HeldByteAccount(8_000_000, Metrics())
+    client.growth_order = GrowthOrder(client.held)
+    first = client.hold(HeldCause.ANSWER)
+    first.grow(6_000_000)
+    assert client.growth_order.may_grow(first)
+    target = client.load_balancer.registry.known.entries["t-1"]
+    answer = TargetAnswer()
+    now = time.monotonic()
+    opened = OpenResponse(target, GrowingConnection(answer), answer, now, now + 0.2)
+    with (
+        pytest.raises(TargetFailureError) as caught,
+        client.hold(HeldCause.ANSWER) as amount,
+    ):
+        client.read_full_body(opened, amount)
+    assert caught.value.verdict is Verdict.MAY_HAVE_RUN
+    assert caught.value.reason.startswith("refused")
+    assert client.held.total == 6_000_000
+    assert client.metrics.totals["refused.held_answer"] == 1
