--- a/src/experiments/node_site.py
+++ b/src/experiments/node_site.py
@@ -46,6 +46,8 @@
         self.version = 0
         self.ports = HeldPorts()
         self.is_stopped = False
+        # Connections that a target of any service accepts.
+        self.max_connections = 100
         # Further lines of the settings of entry boxes.
         self.entry_settings: list[str] = []
         folder.mkdir(parents=True, exist_ok=True)
@@ -184,11 +186,15 @@
             "Version": self.version,
             "Routes": routes,
             "Services": [
-                {"Name": "plain", "HealthPath": "/healthz", "MaxConns": 100},
+                {
+                    "Name": "plain",
+                    "HealthPath": "/healthz",
+                    "MaxConns": self.max_connections,
+                },
                 {
                     "Name": "model",
                     "HealthPath": "/healthz",
-                    "MaxConns": 100,
+                    "MaxConns": self.max_connections,
                     "Engine": {"Slots": SLOTS, "KvCapacity": 1000, "ChunkTokens": 3},
                 },
             ],
--- a/tests/platform_site/test_pressure.py
+++ b/tests/platform_site/test_pressure.py
@@ -37,22 +37,27 @@
         self.rest = b""
 
 
+def hang(request, connection):
+    request.closed.wait(20)
+
+
 def respond(request, connection):
     body = LARGE if b"/large" in request.line else b"done"
     connection.sendall(answer(request, body))
 
 
 @contextlib.contextmanager
-def start_site(folder, *entry_settings):
+def start_site(folder, *entry_settings, max_connections=100, script=respond):
     """Start an entry box with one plain target."""
     with NodeSite(folder) as site:
+        site.max_connections = max_connections
         site.start_store()
         site.entry_settings = ["[pressure]", *entry_settings]
         site.start_entry("entry-1", "a")
         # Connections outlast the wait for a slow caller.
         site.configure(ROUTES, MaxBodyBytes=4_000_000, IdleTimeoutMs=60_000)
         site.wait_ready()
-        with contextlib.closing(RawTarget(respond)) as target:
+        with contextlib.closing(RawTarget(script)) as target:
             target.id = "t-1"
             site.add_target(target.id, "plain", target.address)
             wait_known(site, [target])
@@ -158,3 +163,23 @@
         assert call(site.callers["entry-1"], b"/once/x", b"other")[0] == 200
         assert site.count("entry-1", "held.peak.answer") == 0
         assert site.count("entry-1", "held.reached.near_bound") == 0
+
+
+@pytest.mark.parametrize(("is_on", "sent"), [("true", 2), ("false", 3)])
+def test_a_box_opens_its_share_of_the_connections_of_a_target(tmp_path, is_on, sent):
+    """The smallest share is two; a further call is refused as not run."""
+    setting = f"share_connections = {is_on}"
+    with (
+        start_site(tmp_path, setting, max_connections=1, script=hang) as site,
+        contextlib.ExitStack() as stack,
+    ):
+        entry = site.callers["entry-1"]
+        callers = [stack.enter_context(RawCaller(entry)) for _ in range(3)]
+        for number, caller in enumerate(callers):
+            caller.send(build_request(b"/once/x", b"c%d" % number, patience=3000))
+            wait_until(
+                lambda n=number: len(site.target.requests) >= min(n + 1, sent), "sent"
+            )
+        assert callers[-1].read_answer()[0] == (503 if sent == 2 else 504)
+        assert len(site.target.requests) == sent
+        assert bool(site.count("entry-1", "refused.connection_share")) == (sent == 2)
