--- a/src/cedarchute/calls/stream_call_handler.py
+++ b/src/cedarchute/calls/stream_call_handler.py
@@ -77,6 +77,7 @@
             relay.run()
             self.record_turn_end(relay, admission)
         finally:
+            relay.kept.release()
             if is_accounted and not relay.is_stored:
                 self.quorum.settle(call.program_key, call.id, relay.tokens)
 
--- a/src/cedarchute/calls/turn_relay.py
+++ b/src/cedarchute/calls/turn_relay.py
@@ -10,6 +10,7 @@
 from cedarchute.calls.call_errors import CallRefusedError
 from cedarchute.calls.stream_position import StreamPosition
 from cedarchute.calls.stream_resumption import BrokenStream, may_resume
+from cedarchute.pressure.held_bytes import HeldCause
 from cedarchute.relay.event_splitter import EventSplitter, read_data
 from cedarchute.relay.target_failure import TargetFailureError
 from cedarchute.turns.holder_fanout import NoQuorumError
@@ -63,6 +64,7 @@
         self.tokens = 0
         self.is_stored = False
         self.output: list[bytes] = []
+        self.kept = handler.target_client.hold(HeldCause.KEPT_EVENTS)
         self.position = (
             StreamPosition() if handler.resumes_streams and route.is_resumable else None
         )
@@ -117,9 +119,11 @@
 
     def relay_error_response(self, opened: OpenResponse) -> None:
         """Relay a response of the target whose status is not 200."""
-        body = self.handler.target_client.read_full_body(opened)
-        headers = opened.answer.headers.select_end_to_end()
-        self.writer.write_whole(opened.answer.status, headers, body)
+        client = self.handler.target_client
+        with client.hold(HeldCause.ANSWER) as amount:
+            body = client.read_full_body(opened, amount)
+            headers = opened.answer.headers.select_end_to_end()
+            self.writer.write_whole(opened.answer.status, headers, body)
 
     def relay_events(self, opened: OpenResponse) -> None:
         """Forward events as they arrive until the target's response is complete."""
@@ -168,6 +172,7 @@
         if data is not None:
             self.tokens += event_tokens
             self.output.append(data + b"\n")
+            self.kept.grow(len(data) + 1)
         self.writer.write_part(event)
         if self.position is not None:
             self.position.advance(event)
--- a/src/cedarchute/daemon/entry_box.py
+++ b/src/cedarchute/daemon/entry_box.py
@@ -41,6 +41,8 @@
 from cedarchute.platform.directory_app import DirectoryApp
 from cedarchute.platform.followers import ConfigurationFollower, TargetFollower
 from cedarchute.platform.keys import CONFIGURATION, TARGETS
+from cedarchute.pressure.connection_share_finder import ConnectionShareFinder
+from cedarchute.pressure.held_bytes_factory import make_held_bytes
 from cedarchute.relay.caller_server import CallerServer
 from cedarchute.relay.input_limits import InputLimits
 from cedarchute.relay.target_pool import TargetPool
@@ -81,11 +83,14 @@
         self.metrics = metrics
         self.lag = LoopLag()
         self.routes = ActiveRouteTable(metrics)
-        self.pool = TargetPool(metrics)
         self.supervisor = Supervisor(metrics)
         self.directory = BoxDirectory()
         turned_away = TurnedAway(metrics)
         self.registry = TargetRegistry(self.drop_target, self.directory.is_box)
+        shares = ConnectionShareFinder(self.routes, self.registry, self.directory)
+        self.pool = TargetPool(
+            metrics, shares.find if settings.pressure.share_connections else None
+        )
         me = BoxEntry(
             box.name,
             Role.ENTRY,
@@ -124,8 +129,15 @@
             metrics,
             whole_programs=bool(settings.fair_share.whole_programs),
         )
+        held = make_held_bytes(settings.pressure, metrics)
         exchange = TargetClient(
-            self.pool, self.choice, self.keys, quota, metrics, self.make_call_order()
+            self.pool,
+            self.choice,
+            self.keys,
+            quota,
+            metrics,
+            held,
+            self.make_call_order(),
         )
         self.gate = ProgramAdmissionController(quorum, self.routes, metrics)
         turns = StreamCallHandler(
@@ -139,13 +151,14 @@
         plain = PlainCallHandler(exchange, metrics)
         shutdown = ShutdownDeadline()
         desk = CallDispatcher(
-            self.routes, self.keys, quota, plain, turns, shutdown, metrics
+            self.routes, self.keys, quota, plain, turns, shutdown, metrics, held
         )
         self.server = CallerServer(
             self.listen(listen.callers, file, "callers"),
             desk.handle,
             self.read_limits,
             metrics,
+            held,
         )
         self.stop = EntryStop(
             self.server,
--- a/tests/waiting/test_attempts_in_line.py
+++ b/tests/waiting/test_attempts_in_line.py
@@ -99,7 +99,12 @@
             line = BoxLine(LineOrder(max_calls), self.metrics)
             self.order = CallOrder(line, Routes())
         self.client = TargetClient(
-            places, balancer, Accepting(), None, self.metrics, self.order
+            places,
+            balancer,
+            Accepting(),
+            None,
+            self.metrics,
+            call_order=self.order,
         )
         self.ended = []
 
