Refuse no waiting call on a rate that nobody observed

Change: no estimate without a recent place; a call whose wait is used up tries its targets instead of standing behind others. Test: 30 calls while targets are away for 0.75 s, red before the change.

--- a/src/cedarchute/calls/attempts.py
+++ b/src/cedarchute/calls/attempts.py
@@ -267,6 +267,8 @@
         """Return whether more urgent calls wait for the places that come free."""
         if self.call_order is None or self.tried:
             return False
+        if time.monotonic() >= self.full_wait_deadline:
+            return False
         return self.call_order.line.is_behind(self.waiting_call)
 
     def handle_attempt_failure(self, error: TargetFailureError) -> None:
--- a/src/cedarchute/waiting/placing_rate.py
+++ b/src/cedarchute/waiting/placing_rate.py
@@ -16,6 +16,9 @@
 MEMORY_SECONDS: Final = 2.0
 # Waiting time that has to be observed before calls are refused by this rate.
 MIN_WAITING_SECONDS: Final = 0.5
+# Without any recent place, of which this is the decayed rest, nothing is known of the
+# rate: targets that restart have all of their places free at once.
+MIN_PLACES: Final = 0.5
 
 
 class PlacingRate(MutableRecord):
@@ -60,5 +63,7 @@
         """
         if self.waiting_seconds < MIN_WAITING_SECONDS:
             return None
+        if sum(self.placed.values()) < MIN_PLACES:
+            return None
         left = sum(places for key, places in self.placed.items() if key >= standing)
         return (left + 1.0) / self.waiting_seconds
--- a/tests/waiting/test_attempts_in_line.py
+++ b/tests/waiting/test_attempts_in_line.py
@@ -257,3 +257,17 @@
     assert later.is_under_way
     assert later.slack_seconds == pytest.approx(3.0, abs=0.1)
     assert order.find_urgency(later, route) < order.find_urgency(first, route)
+
+
+@pytest.mark.parametrize("in_order", [True, False])
+def test_calls_outlast_targets_that_are_away_for_a_moment(in_order):
+    """All of their places are free again within what each call may wait."""
+    places = Places(free=0)
+    box = Box(places, in_order)
+    threads = []
+    for number in range(30):
+        threads.append(box.start(str(number), objective=4.0))
+        eventlet.sleep(0.025)
+    places.free = 50
+    wait_for(threads)
+    assert [status for _, status in box.ended] == [200] * 30
