Select uneven targets by their pace and what other boxes told

Cause: engines differ 2.5 times in speed, and some are slow for 600 ms; a box has one to three calls at a time and measures each of 44 engines by itself. Change: for services with streams that may run at one target only, the choice is among the targets that the box measured itself and three others, drawn by their free places; the one with the least expected wait wins. A call that was slow fades from the estimate within a second. Tests of placement, routing, fleet, calls and daemon pass.

--- a/src/cedarchute/daemon/entry_box.py
+++ b/src/cedarchute/daemon/entry_box.py
@@ -36,6 +36,7 @@
 from cedarchute.fleet.news_exchange import NewsExchange
 from cedarchute.fleet.peer_server import PeerServer
 from cedarchute.fleet.turned_away import TurnedAway
+from cedarchute.placement.paced_selection import PacedSelection
 from cedarchute.platform.directory_app import DirectoryApp
 from cedarchute.platform.followers import ConfigurationFollower, TargetFollower
 from cedarchute.platform.keys import CONFIGURATION, TARGETS
@@ -44,6 +45,7 @@
 from cedarchute.relay.target_pool import TargetPool
 from cedarchute.routing.active_route_table import ActiveRouteTable
 from cedarchute.routing.load_balancer import LoadBalancer
+from cedarchute.routing.target_placement import TargetPlacement
 from cedarchute.routing.target_registry import TargetRegistry
 from cedarchute.supervisor import Supervisor
 from cedarchute.turns.holder_client import HolderClient
@@ -106,9 +108,13 @@
             self.news,
         )
         chance = random.Random()
+        placement = TargetPlacement(
+            PacedSelection(chance), self.news, self.places_by_pace, metrics
+        )
         self.choice = LoadBalancer(
-            self.registry, box.failure_domain, chance, self.pool.is_warm
+            self.registry, box.failure_domain, chance, self.pool.is_warm, placement
         )
+        self.news.targets.list_reports = self.choice.list_reports
         trust = ProofAgeLimit(settings.keys.revoke_ms / 1000)
         self.keys = KeyAuthenticator(self.routes, trust, self.parts.prover, metrics)
         holders = HolderClient(HolderConnections(), metrics)
@@ -171,6 +177,13 @@
             return False
         return self.settings.is_contended or table.has_single_attempt_streams
 
+    def places_by_pace(self, service: str) -> bool:
+        """Whether targets of a service are selected by pace and told knowledge."""
+        table = self.routes.table
+        if table is None or not self.settings.placement.by_pace:
+            return False
+        return service in table.single_attempt_services
+
     def tell_contact(self, is_isolated: bool) -> None:
         """Tell other boxes whether this one reaches a quorum of holders."""
         if self.shares_knowledge() and self.news.take_own(is_isolated):
--- a/src/cedarchute/routing/load_balancer.py
+++ b/src/cedarchute/routing/load_balancer.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import time
 from collections import defaultdict
 from typing import TYPE_CHECKING, Final
 
+from cedarchute.placement.report_board import MAX_AGE_MS, MAX_REPORTS
+from cedarchute.placement.target_report import TargetReport
 from cedarchute.routing.target_load import TargetLoad
 
 if TYPE_CHECKING:
@@ -14,6 +17,7 @@
     from cedarchute.address import Address
     from cedarchute.routing.route import Route
     from cedarchute.routing.target_entry import TargetEntry
+    from cedarchute.routing.target_placement import TargetPlacement
     from cedarchute.routing.target_registry import TargetRegistry
 
 
@@ -41,7 +45,13 @@
 
 
 class LoadBalancer:
-    """Selects the target with the least expected wait, as observed by this box."""
+    """Selects the target with the least expected wait, as observed by this box.
+
+    Parameters
+    ----------
+    placement : TargetPlacement or None
+        Selects the targets of the services that it applies to.
+    """
 
     def __init__(
         self,
@@ -49,7 +59,9 @@
         failure_domain: str,
         random_source: random.Random,
         has_connection: Callable[[Address], bool],
+        placement: TargetPlacement | None = None,
     ) -> None:
+        self.placement = placement
         self.has_connection = has_connection
         self.registry = registry
         self.failure_domain = failure_domain
@@ -75,6 +87,14 @@
         """
         ready = [e for e in self.registry.list_ready(service) if e.id not in tried]
         available = [e for e in ready if not self.loads[e.incarnation].is_backing_off]
+        if self.placement is not None and self.placement.applies_to(service) and ready:
+            return self.placement.select(
+                available or ready,
+                self.loads,
+                self.failure_domain,
+                self.has_connection,
+                preferred,
+            )
         for entry in available:
             if entry.incarnation == preferred and self.has_capacity(entry):
                 return entry
@@ -107,6 +127,26 @@
             if not self.loads[key].active:
                 del self.loads[key]
 
+    def list_reports(self) -> tuple[TargetReport, ...]:
+        """Return what this box saw of the targets that it used lately."""
+        now = time.monotonic()
+        oldest = now - MAX_AGE_MS / 1000
+        used = [
+            (incarnation, load)
+            for incarnation, load in self.loads.items()
+            if load.active or load.used_at >= oldest
+        ]
+        used.sort(key=lambda item: (item[1].active, item[1].used_at), reverse=True)
+        return tuple(
+            TargetReport(
+                incarnation,
+                load.active,
+                round(1000 * (load.estimate_seconds(now) or 0.0)),
+                round(100 * load.failure_share),
+            )
+            for incarnation, load in used[:MAX_REPORTS]
+        )
+
     def has_capacity(self, entry: TargetEntry) -> bool:
         """Return whether a target has free slots, counting this box's calls only."""
         return self.loads[entry.incarnation].active < entry.slots
--- a/src/cedarchute/routing/route_table.py
+++ b/src/cedarchute/routing/route_table.py
@@ -22,6 +22,8 @@
     ----------
     keys : WorkspaceKeys or None
         Keys by which calls are admitted; None where calls need no key.
+    single_attempt_services : set of str
+        Services with streams that may run at one target only.
     """
 
     version: int
@@ -30,15 +32,19 @@
     limits: InputLimits
     keys: WorkspaceKeys | None = None
     by_host: dict[str, list[Route]] = msgspec.field(default_factory=dict)
+    single_attempt_services: set[str] = msgspec.field(default_factory=set)
 
     def __post_init__(self) -> None:
         for route in sorted(self.routes, key=lambda route: -len(route.prefix)):
             self.by_host.setdefault(route.host.lower(), []).append(route)
+            if route.is_stream and route.max_targets == 1:
+                services = (share.service for share in route.shares)
+                self.single_attempt_services.update(services)
 
     @property
     def has_single_attempt_streams(self) -> bool:
         """Whether some streams may run at one target only."""
-        return any(route.is_stream and route.max_targets == 1 for route in self.routes)
+        return bool(self.single_attempt_services)
 
     def find(self, host: str, path: bytes) -> Route | None:
         """Return the route with the longest prefix of `path`, or None."""
--- a/src/cedarchute/routing/target_load.py
+++ b/src/cedarchute/routing/target_load.py
@@ -7,6 +7,9 @@
 
 # Weight of the newest sample in the moving averages, which cover about ten samples.
 EWMA_WEIGHT: Final = 0.15
+# A target that was slow or fast for a moment counts as usual again after about twice
+# this time.
+SURGE_HALF_LIFE_SECONDS: Final = 0.5
 # Backoff after a failure, doubled with each consecutive one: long enough for a restart
 # to show in the registry, short after a lost packet.
 INITIAL_BACKOFF_SECONDS: Final = 0.5
@@ -21,6 +24,10 @@
     failure_share : float
         Moving average of the share of calls that failed without a response. A target
         may fail some calls while its health checks pass.
+    last_seconds : float
+        Duration of the last response.
+    used_at : float
+        When a call there ended last; monotonic seconds.
     """
 
     def __init__(self) -> None:
@@ -29,6 +36,8 @@
         self.failures = 0
         self.failure_share = 0.0
         self.backoff_until = 0.0
+        self.last_seconds = 0.0
+        self.used_at = float("-inf")
 
     @property
     def is_backing_off(self) -> bool:
@@ -39,6 +48,8 @@
         """Record a response and the time that it took."""
         self.failures = 0
         self.backoff_until = 0.0
+        self.last_seconds = seconds
+        self.used_at = time.monotonic()
         self.failure_share -= EWMA_WEIGHT * self.failure_share
         if self.mean_latency_seconds is None:
             self.mean_latency_seconds = seconds
@@ -47,12 +58,25 @@
                 seconds - self.mean_latency_seconds
             )
 
+    def estimate_seconds(self, now: float) -> float | None:
+        """Return the expected duration of a response, None if none is known.
+
+        Begins at the last one and returns to the mean, since targets are often slow
+        for less than a second.
+        """
+        if self.mean_latency_seconds is None:
+            return None
+        surge = self.last_seconds - self.mean_latency_seconds
+        left = 0.5 ** ((now - self.used_at) / SURGE_HALF_LIFE_SECONDS)
+        return self.mean_latency_seconds + left * surge
+
     def record_failure(self) -> None:
         """Record a call that failed without a response."""
         backoff = INITIAL_BACKOFF_SECONDS * 2**self.failures
         self.failures = min(self.failures + 1, 8)
         self.failure_share += EWMA_WEIGHT * (1.0 - self.failure_share)
-        self.backoff_until = time.monotonic() + min(backoff, MAX_BACKOFF_SECONDS)
+        self.used_at = time.monotonic()
+        self.backoff_until = self.used_at + min(backoff, MAX_BACKOFF_SECONDS)
 
     def record_overload(self, seconds: float) -> None:
         """Record that the target rejected a call because it is at capacity."""
