--- a/src/cedarchute/daemon/entry_box.py
+++ b/src/cedarchute/daemon/entry_box.py
@@ -220,7 +220,7 @@
         table = self.routes.table
         if table is None:
             return False
-        return self.settings.is_contended or bool(table.single_attempt_services)
+        return self.settings.is_contended or table.has_single_attempt_streams
 
     def make_transport(self, random_source: random.Random) -> RelayedTransport:
         """Return what reaches holders, through other boxes where it has to."""
--- a/src/cedarchute/routing/route_table.py
+++ b/src/cedarchute/routing/route_table.py
@@ -41,6 +41,11 @@
                 services = (share.service for share in route.shares)
                 self.single_attempt_services.update(services)
 
+    @property
+    def has_single_attempt_streams(self) -> bool:
+        """Whether some streams may run at one target only."""
+        return bool(self.single_attempt_services)
+
     def find(self, host: str, path: bytes) -> Route | None:
         """Return the route with the longest prefix of `path`, or None."""
         for route in self.by_host.get(host, ()):
