Leave the bounds on held bytes and connections to operators' settings

Cause (review): near its bound one steady slow reader makes a box lose the answers of others, and announced bodies hold the bound; until that is mended no contract switches the part on. Change: it is on by its own settings only.

--- a/src/cedarchute/settings/node_settings.py
+++ b/src/cedarchute/settings/node_settings.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from pathlib import Path
-from typing import Final, TypeVar
+from typing import TypeVar
 
 import msgspec
 from msgspec.structs import replace
@@ -16,10 +16,6 @@
 
 ValueT = TypeVar("ValueT")
 
-# Share of a box's memory that may be held for callers and targets; the rest is needed
-# by the process itself, which grows with the configuration.
-HELD_MEMORY_SHARE: Final = 0.2
-
 
 class NodeSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """``[box]``: identity and address of this box.
@@ -28,8 +24,6 @@
     ----------
     peer_port : int
         Port on `ip` for connections of other boxes.
-    memory_mb : float
-        Memory that the process may use; 0 if unknown.
     """
 
     role: Role
@@ -39,7 +33,6 @@
     ip: str
     peer_port: int
     data_folder: str = ""
-    memory_mb: float = 0.0
 
 
 class ListenSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -166,14 +159,14 @@
 
     Attributes
     ----------
-    max_held_mb : float or None
+    max_held_mb : float
         Megabytes held for callers and targets; 0 sets no bound.
-    share_connections : bool or None
+    share_connections : bool
         Whether this box opens only its share of the connections of a target.
     """
 
-    max_held_mb: float | None = None
-    share_connections: bool | None = None
+    max_held_mb: float = 0.0
+    share_connections: bool = False
 
 
 class StopSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -260,18 +253,12 @@
     """Return the settings with each open switch as the contracts call for it."""
     is_on = calls_for_bounded_load(settings.contracts)
     share, waiting = settings.fair_share, settings.waiting
-    streams, pressure = settings.streams, settings.pressure
-    held_mb = HELD_MEMORY_SHARE * settings.box.memory_mb if is_on else 0.0
+    streams = settings.streams
     return replace(
         settings,
         fair_share=replace(share, whole_programs=pick(share.whole_programs, is_on)),
         waiting=replace(waiting, in_order=pick(waiting.in_order, is_on)),
         streams=replace(streams, resume=pick(streams.resume, is_on)),
-        pressure=replace(
-            pressure,
-            max_held_mb=pick(pressure.max_held_mb, held_mb),
-            share_connections=pick(pressure.share_connections, is_on),
-        ),
     )
 
 
@@ -313,8 +300,6 @@
         faults.append("[quotas] overrun, slack: must not be negative")
     if settings.waiting.max_calls < 1:
         faults.append("[waiting] max_calls: must be at least 1")
-    if not 0 <= (settings.pressure.max_held_mb or 0.0) < float("inf"):
+    if not 0 <= settings.pressure.max_held_mb < float("inf"):
         faults.append("[pressure] max_held_mb: must be a number that is not negative")
-    if not 0 <= settings.box.memory_mb < float("inf"):
-        faults.append("[box] memory_mb: must be a number that is not negative")
     return faults
