--- a/src/cedarchute/turns/quota_server.py
+++ b/src/cedarchute/turns/quota_server.py
@@ -82,8 +82,9 @@
         shares = share.limit.keepers
         if 0 < message.reachable < shares:
             shares = message.reachable
+        bucket = share.bucket
         decision = ledger.decide(
-            turn, share.bucket.level * shares, share.bucket.rate * shares
+            turn, bucket.level * shares, bucket.rate * shares, bucket.burst * shares
         )
         if decision.is_new:
             log_decision(message.workspace, turn, decision)
--- a/tests/turns/test_ledger_requests.py
+++ b/tests/turns/test_ledger_requests.py
@@ -258,6 +258,27 @@
     assert granted == int(server.shares["w"].bucket.burst)
 
 
+@pytest.mark.parametrize("rate", [1.0, 2.0, 3.0])
+def test_a_second_program_begins_in_time_at_a_limit_that_holds_one(rate):
+    clock = FakeClock()
+    server = QuotaServer(QuotaTolerance(), clock, is_restarted=False)
+    clock.now += 60.0
+    limits = {"calls_per_second": rate, "burst": rate}
+    server.ask(replace(make_message("w\nfirst"), **limits))
+    clock.now += 1.0
+    due = began = clock.now
+    while clock.now < began + 10.0:
+        server.ask(replace(make_message("w\nfirst"), **limits))
+        if clock.now >= due:
+            answer = server.ask(replace(make_message("w\nsecond"), **limits))
+            if answer.verdict is UNDER_WAY:
+                break
+            due = clock.now + answer.wait_seconds
+        clock.now += 0.5
+    assert answer.verdict is UNDER_WAY
+    assert clock.now - began > 1.0
+
+
 def test_what_lost_servers_would_grant_counts_for_nothing(server):
     def count_admitted(workspace, reachable):
         server.ledgers[workspace] = ProgramLedger(server.kinds, server.clock)
