Bound the counted calls of boxes that see no turns

The counts were halved by turns alone, so a box that sees only calls of tools counted on without end. A test that counts 120,000 of them was red.

--- a/src/cedarchute/decisions/calls_per_turn.py
+++ b/src/cedarchute/decisions/calls_per_turn.py
@@ -8,6 +8,8 @@
 MIN_TURNS: Final = 20
 # Beyond it, both counts are halved, so that the mean follows a change.
 MAX_TURNS: Final = 400
+# The same for calls, since a box may see no turns of the programs that make them.
+MAX_CALLS: Final = 100 * MAX_TURNS
 
 
 class CallsPerTurn:
@@ -21,7 +23,7 @@
         """Count a call of a program."""
         self.calls += 1.0
         self.turns += is_turn
-        if self.turns > MAX_TURNS:
+        if self.turns > MAX_TURNS or self.calls > MAX_CALLS:
             self.calls /= 2.0
             self.turns /= 2.0
 
--- a/tests/decisions/test_program_ledger.py
+++ b/tests/decisions/test_program_ledger.py
@@ -10,7 +10,12 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from cedarchute.decisions import program_ledger
-from cedarchute.decisions.calls_per_turn import MAX_TURNS, MIN_TURNS, CallsPerTurn
+from cedarchute.decisions.calls_per_turn import (
+    MAX_CALLS,
+    MAX_TURNS,
+    MIN_TURNS,
+    CallsPerTurn,
+)
 from cedarchute.decisions.program_kinds import MAX_KINDS, ProgramKinds, ProgramShape
 from cedarchute.decisions.program_ledger import (
     FORGET_REFUSAL_SECONDS,
@@ -229,6 +234,16 @@
     assert mean.mean == pytest.approx(1.0, abs=0.05)
 
 
+def test_calls_without_turns_are_bounded():
+    mean = CallsPerTurn()
+    for _ in range(3 * MAX_CALLS):
+        mean.count(False)
+        assert mean.calls <= MAX_CALLS
+    for _ in range(20 * MAX_TURNS):
+        mean.count(True)
+    assert mean.mean == pytest.approx(1.0, abs=0.05)
+
+
 @pytest.mark.parametrize("mean", [-1.0, math.nan, math.inf, 1e9])
 def test_a_mean_that_cannot_be_is_not_judged_by(mean):
     assert not ProgramTurn("p", "k", mean).is_valid
