Ask a ledger that was just silent only once for a call

The other servers were listed before the ledger was asked, so one that had just not answered was waited for again.

--- a/src/cedarchute/turns/quota_client.py
+++ b/src/cedarchute/turns/quota_client.py
@@ -126,9 +126,12 @@
             keepers=len(numbers),
         )
         answers: list[tuple[Seat, QuotaAnswered]] = []
-        seats = self.order_servers(workspace, numbers)
+        asked = None
         if turn is not None:
             asked = self.ask_ledger(numbers, message, turn)
+        # Those that were just silent are not asked again.
+        seats = self.order_servers(workspace, numbers)
+        if turn is not None:
             if asked is None:
                 raise self.report_silence(len(seats))
             if asked[1].granted:
--- a/tests/turns/test_ledger_requests.py
+++ b/tests/turns/test_ledger_requests.py
@@ -146,6 +146,15 @@
     assert [message.reachable for _, message in told.messages] == [3, 2, 2, 2]
 
 
+def test_a_ledger_that_was_just_silent_is_not_asked_again_for_the_same_call():
+    client, servers, _ = make_client(GRANTED, GRANTED, GRANTED)
+    first, second, third = rank(client)
+    told = Told(servers, {first: None, second: lacks_call()}, {"": GRANTED})
+    client.granted_by["w"] = f"d{first[1:]}"
+    assert client.ask("w", LIMIT, True, 1.0, TURN).granted
+    assert told.addresses == [first, second, third]
+
+
 def test_without_any_server_a_turn_is_not_granted():
     client, servers, _ = make_client(None, None, None)
     with pytest.raises(NoQuotaServerError):
