--- a/tests/calls/test_whole_program_check.py
+++ b/tests/calls/test_whole_program_check.py
@@ -2,17 +2,27 @@
 
 from __future__ import annotations
 
+import time
+
 import pytest
 from msgspec.structs import replace
 
 from cedarchute.calls.call import Call, ProgramContext
+from cedarchute.calls.call_dispatcher import CallDispatcher
 from cedarchute.calls.call_errors import CallRefusedError
 from cedarchute.calls.caller_identity import CallerIdentity
 from cedarchute.calls.quota_check import QuotaCheck
+from cedarchute.calls.shutdown_deadline import ShutdownDeadline
 from cedarchute.cli.explain import KNOWN_FIELDS
 from cedarchute.decisions.calls_per_turn import MIN_TURNS
 from cedarchute.decisions.quota_share import QuotaGrant
 from cedarchute.metrics import Metrics
+from cedarchute.relay.caller_request import CallerRequest
+from cedarchute.relay.headers import Headers
+from cedarchute.relay.input_limits import InputLimits
+from cedarchute.routing.active_route_table import ActiveRouteTable
+from cedarchute.routing.route import Repeatability, Route
+from cedarchute.routing.route_table import RouteTable
 from cedarchute.routing.workspace import Workspace
 
 LIMITED = Workspace("limited", 0, 5.0, 5.0)
@@ -97,3 +107,37 @@
         check.check(make_call(max_tokens=30))
     assert "tokens_left" in caught.value.facts
     assert not set(caught.value.facts) & KNOWN_FIELDS
+
+
+class Unlocked:
+    """Authenticates every call as of the limited workspace."""
+
+    def authenticate(self, request, call, route, table):
+        return CallerIdentity(LIMITED, b"x")
+
+
+def test_an_admitted_call_is_judged_by_the_route_that_it_comes_by():
+    check, client, _ = make_check()
+    metrics = Metrics()
+    routes = ActiveRouteTable(metrics)
+    found = [
+        Route(name, "h", b"/%s/" % name.encode(), Repeatability.STREAM, (), 8.0, 0.4)
+        for name in ("planner", "writer")
+    ]
+    routes.update_if_newer(RouteTable(1, tuple(found), {}, InputLimits()), "test")
+    dispatcher = CallDispatcher(
+        routes, Unlocked(), check, None, None, ShutdownDeadline(), metrics
+    )
+    for route in found:
+        context = ProgramContext("p", None, "", 30)
+        request = CallerRequest(
+            b"POST",
+            route.prefix + b"x",
+            Headers(((b"Host", b"h"),)),
+            b"",
+            True,
+            time.monotonic(),
+        )
+        dispatcher.admit(request, Call("c", 4.0, context))
+    assert [asked[4].kind for asked in client.asked] == ["planner", "writer"]
+    assert {asked[0] for asked in client.asked} == {"limited"}
