--- a/src/cedarchute/calls/call_dispatcher.py
+++ b/src/cedarchute/calls/call_dispatcher.py
@@ -18,6 +18,7 @@
     read_program,
     write_refusal_headers,
 )
+from cedarchute.pressure.held_bytes import FULL_RETRY_SECONDS
 from cedarchute.pressure.unbounded_bytes import UNBOUNDED
 from cedarchute.relay.reply_writer import CallerDisconnectedError
 from cedarchute.relay.request_error import RequestError
@@ -46,8 +47,6 @@
 # configuration within some 20 ms.
 FIRST_CONFIGURATION_SECONDS = 0.25
 NO_CONFIGURATION_RETRY_SECONDS = 0.3
-# Another box probably has room at once; this one has once a slow caller is ended.
-FULL_RETRY_SECONDS = 0.25
 
 
 class CallDispatcher:
--- a/src/cedarchute/pressure/held_bytes.py
+++ b/src/cedarchute/pressure/held_bytes.py
@@ -4,11 +4,14 @@
 
 from contextlib import contextmanager
 from enum import StrEnum
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING, Final, Protocol
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+# Another box probably has room at once; this one has once a slow caller is ended.
+FULL_RETRY_SECONDS: Final = 0.25
+
 
 class HeldCause(StrEnum):
     """What bytes are held for."""
--- a/src/cedarchute/relay/request_reader.py
+++ b/src/cedarchute/relay/request_reader.py
@@ -9,7 +9,7 @@
 import httptools
 
 from cedarchute.pressure.held_amount import HeldAmount
-from cedarchute.pressure.held_bytes import HeldCause
+from cedarchute.pressure.held_bytes import FULL_RETRY_SECONDS, HeldCause
 from cedarchute.pressure.unbounded_bytes import UNBOUNDED
 from cedarchute.relay.caller_request import CallerRequest
 from cedarchute.relay.continue_expected import ContinueExpected
@@ -25,8 +25,6 @@
 # A request with a body up to this size is read also at the bound on held bytes: its
 # handler refuses it, and the connection stays open.
 SMALL_BODY_BYTES: Final = 16_384
-# Another box probably has room at once; this one has once a slow caller is ended.
-FULL_RETRY_SECONDS: Final = 0.25
 
 
 class RequestReader:
