Let answers that fit grow near the bound beside slow callers' large ones

Now an answer grows whose known rest fits beside the rests promised before, one that is complete is no longer first, and one that hardly grows for a second moves on. The first of those that don't fit grows past the bound only if no complete answer will make room.

--- a/src/cedarchute/calls/target_client.py
+++ b/src/cedarchute/calls/target_client.py
@@ -206,14 +206,20 @@
         answer = opened.answer
         parts = [answer.take_parts()]
         amount.grow(len(parts[0]))
-        while not answer.is_complete:
-            self.wait_for_room(amount, opened.read_deadline)
-            opened.connection.receive(opened.read_deadline - time.monotonic())
-            parts.append(answer.take_parts())
-            amount.grow(len(parts[-1]))
+        try:
+            while not answer.is_complete:
+                rest = find_rest(answer, amount.count)
+                self.wait_for_room(amount, rest, opened.read_deadline)
+                opened.connection.receive(opened.read_deadline - time.monotonic())
+                parts.append(answer.take_parts())
+                amount.grow(len(parts[-1]))
+        finally:
+            self.growth_order.finish(amount, answer.is_complete)
         return b"".join(parts)
 
-    def wait_for_room(self, amount: HeldAmount, deadline: float) -> None:
+    def wait_for_room(
+        self, amount: HeldAmount, rest: int | None, deadline: float
+    ) -> None:
         """Leave a large response unread near the bound, so that TCP slows its target.
 
         Raises
@@ -221,7 +227,7 @@
         TargetFailureError
             At `deadline`; the target is not at fault, but its response is lost.
         """
-        while not self.growth_order.may_grow(amount):
+        while not self.growth_order.may_grow(amount, rest):
             if time.monotonic() >= deadline:
                 self.metrics.count_refusal("held_answer")
                 reason = "refused here: no room for its response"
@@ -248,6 +254,12 @@
         opened.connection.close()
 
 
+def find_rest(answer: TargetAnswer, count: int) -> int | None:
+    """Return how much of a body is missing after `count` bytes; None if unknown."""
+    length = answer.headers.get(b"content-length")
+    return None if length is None else max(0, int(length) - count)
+
+
 def is_target_error(status: int) -> bool:
     """Return whether a status reports a failure of the target.
 
--- a/tests/calls/test_target_client.py
+++ b/tests/calls/test_target_client.py
@@ -125,3 +125,40 @@
     assert caught.value.reason.startswith("refused")
     assert client.held.total == 6_000_000
     assert client.metrics.totals["refused.held_answer"] == 1
+
+
+class SizedConnection(Connection):
+    """A connection whose response of a known length comes in small parts."""
+
+    def __init__(self, answer, size):
+        self.answer = answer
+        self.rest = size
+        answer.headers = Headers(((b"content-length", b"%d" % size),))
+
+    def receive(self, seconds):
+        part = min(65_536, self.rest)
+        self.answer.parts.append(b"x" * part)
+        self.rest -= part
+        self.answer.is_complete = not self.rest
+
+
+def read_sized(client, size, amount):
+    answer = TargetAnswer()
+    target = client.load_balancer.registry.known.entries["t-1"]
+    now = time.monotonic()
+    connection = SizedConnection(answer, size)
+    opened = OpenResponse(target, connection, answer, now, now + 0.5)
+    return client.read_full_body(opened, amount)
+
+
+def test_fast_callers_get_responses_that_fit_while_slow_ones_read_large_ones(client):
+    client.held = HeldByteAccount(8_000_000, Metrics())
+    client.growth_order = GrowthOrder(client.held)
+    slow = [client.hold(HeldCause.ANSWER) for _ in range(4)]
+    for amount in slow:
+        read_sized(client, 1_700_000, amount)
+    for _ in range(5):
+        with client.hold(HeldCause.ANSWER) as amount:
+            assert len(read_sized(client, 200_000, amount)) == 200_000
+    assert client.held.total == 4 * 1_700_000
+    assert not client.metrics.totals["refused.held_answer"]
--- a/tests/pressure/test_growth_order.py
+++ b/tests/pressure/test_growth_order.py
@@ -71,3 +71,88 @@
     assert order.may_grow(large)
     assert not order.may_grow(other)
     assert order.may_grow(small)
+
+
+def test_answers_that_fit_end_while_slow_steady_callers_read_large_ones():
+    """The load: large answers are complete, or wait, and their callers read slowly."""
+    account, (waiting, *complete) = make_amounts(5, 6_000_000)
+    order = GrowthOrder(account)
+    for amount in complete:
+        order.finish(amount, is_complete=True)
+    assert not order.may_grow(waiting, 3_000_000)
+    for _ in range(20):
+        with HeldAmount(account, HeldCause.ANSWER) as fast:
+            fast.grow(READ_BYTES + 1)
+            assert order.may_grow(fast, 200_000)
+            fast.grow(200_000)
+            order.finish(fast, is_complete=True)
+    complete[0].release()
+    assert order.may_grow(waiting, 3_000_000)
+
+
+def test_rests_that_were_promised_room_count_for_the_next():
+    account, (first, second, *_) = make_amounts(4, 7_000_000)
+    order = GrowthOrder(account)
+    assert order.may_grow(first, 3_000_000)
+    assert not order.may_grow(second, 3_000_000)
+    assert order.may_grow(first, 3_000_000)
+    first.grow(3_000_000)
+    order.finish(first, is_complete=True)
+    assert not order.may_grow(second, 3_000_000)
+    first.release()
+    assert order.may_grow(second, 3_000_000)
+
+
+def test_the_next_grows_once_the_answer_of_the_first_is_complete():
+    account, (first, second, *_) = make_amounts(4, 6_000_000)
+    order = GrowthOrder(account)
+    assert order.may_grow(first)
+    assert not order.may_grow(second)
+    order.finish(first, is_complete=True)
+    assert order.may_grow(second)
+
+
+def test_the_next_grows_once_the_first_hardly_grows():
+    account, (first, second, *_) = make_amounts(4, 6_000_000)
+    now = [1.0]
+    order = GrowthOrder(account, lambda: now[0])
+    assert order.may_grow(first)
+    first.grow(READ_BYTES)
+    now[0] = 2.1
+    assert not order.may_grow(second)
+    first.grow(1000)
+    now[0] = 3.2
+    assert order.may_grow(second)
+    assert not order.may_grow(first)
+
+
+@given(
+    st.lists(st.integers(1, 6_000_000), min_size=1, max_size=40),
+    st.randoms(use_true_random=False),
+)
+def test_answers_of_known_length_that_are_read_late_stay_below_the_bound(sizes, chance):
+    account, amounts = make_amounts(len(sizes))
+    order = GrowthOrder(account)
+    missing = dict(zip(amounts, sizes, strict=True))
+    unread = []
+    while missing:
+        has_progress = False
+        for amount in chance.sample(list(missing), len(missing)):
+            if not order.may_grow(amount, missing[amount]):
+                continue
+            has_progress = True
+            part = min(READ_BYTES, missing[amount])
+            amount.grow(part)
+            missing[amount] -= part
+            assert account.total < MAX_BYTES
+            if not missing[amount]:
+                del missing[amount]
+                order.finish(amount, is_complete=True)
+                unread.append(amount)
+        if unread and (not has_progress or chance.random() < 0.1):
+            unread.pop(chance.randrange(len(unread))).release()
+            has_progress = True
+        assert has_progress
+    for amount in unread:
+        amount.release()
+    assert account.total == 0
