End bodies that trickle in while the box holds nearly as much as it may

The whole length of a body was counted from its head and held for as long as a byte came within the idle limit: two callers that sent a byte a second refused all larger bodies for ever. Near the bound a body above 16 KB of which less than 48 KB comes in 3 s is now ended with 408 and its room is free at once. Time in which the box leaves the input unread, or the body waits behind a queued request, does not count; without a bound nothing changes.

--- a/src/cedarchute/relay/caller_connection.py
+++ b/src/cedarchute/relay/caller_connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging
 import socket
 import time
@@ -11,6 +12,7 @@
 from eventlet.queue import LightQueue
 
 from cedarchute.pressure.unbounded_bytes import UNBOUNDED
+from cedarchute.relay.body_pace import BodyPace
 from cedarchute.relay.continue_expected import ContinueExpected
 from cedarchute.relay.discarded_input import discard_input
 from cedarchute.relay.input_throttle import wait_for_room
@@ -36,6 +38,8 @@
 WRITE_TIMEOUT_SECONDS: Final = 10.0
 # The same near the bound on held bytes; a pause of a caller's process is shorter.
 SHORT_WRITE_TIMEOUT_SECONDS: Final = 3.0
+# Interval between looks at how fast a body comes, if the held bytes have a bound.
+PACE_CHECK_SECONDS: Final = 0.5
 # After the last response, input is read for this long: closing a socket with unread
 # data sends a reset, which can discard the response.
 LINGER_SECONDS: Final = 0.5
@@ -66,6 +70,7 @@
         self.server = server
         self.held = held
         self.reader = RequestReader(server.limits, held)
+        self.pace = BodyPace(held)
         # Errors and marks are queued behind the requests that were received before.
         self.requests = LightQueue()
         self.busy = False
@@ -115,6 +120,7 @@
         try:
             self.read_requests()
         except RequestError as error:
+            self.reader.drop_body()
             self.server.record_bad_request(error)
             self.enqueue_ready()
             self.requests.put(error)
@@ -129,9 +135,10 @@
             When a request is invalid or incomplete at its deadline.
         """
         while True:
-            wait_for_room(self)
+            if wait_for_room(self):
+                self.pace.restart()
             try:
-                data = self.receive(self.compute_wait())
+                data = self.receive_paced(self.compute_wait())
             except TimeoutError:
                 if self.is_shut_down:
                     return
@@ -170,6 +177,35 @@
         """
         return receive_within(self.sock, max(0.001, seconds), "read timed out")
 
+    def receive_paced(self, seconds: float) -> bytes:
+        """Return the next bytes, like `receive`.
+
+        Raises
+        ------
+        RequestError
+            When a body comes too slowly for a box that holds nearly as much as it may.
+        """
+        if self.held is UNBOUNDED:
+            return self.receive(seconds)
+        deadline = time.monotonic() + seconds
+        while True:
+            self.check_pace()
+            rest = deadline - time.monotonic()
+            if not self.reader.holds_large_body or rest <= PACE_CHECK_SECONDS:
+                return self.receive(rest)
+            with contextlib.suppress(TimeoutError):
+                return self.receive(PACE_CHECK_SECONDS)
+
+    def check_pace(self) -> None:
+        """Raise `RequestError` if a body comes too slowly.
+
+        Behind a queued request its caller may wait to be told to send it.
+        """
+        if not self.reader.holds_large_body or not self.requests.empty():
+            self.pace.restart()
+        elif self.pace.is_too_slow(self.reader.body_bytes, time.monotonic()):
+            raise RequestError(408, "body sent too slowly", body_follows=True)
+
     def answer_forever(self) -> None:
         """Handle requests one by one; an invalid request ends the connection."""
         while True:
--- a/src/cedarchute/relay/input_throttle.py
+++ b/src/cedarchute/relay/input_throttle.py
@@ -15,16 +15,20 @@
 ROOM_CHECK_SECONDS: Final = 0.05
 
 
-def wait_for_room(connection: CallerConnection) -> None:
-    """Wait near the bound, so that TCP slows the caller down.
+def wait_for_room(connection: CallerConnection) -> bool:
+    """Wait near the bound, so that TCP slows the caller down; return whether it did.
 
     Only what would accumulate waits: requests behind a queued one, and bodies of
-    unknown length. The wait ends with the request in progress at the latest.
+    unknown length, whose short pauses are not told. The wait ends with the request in
+    progress at the latest.
     """
     held = connection.held
+    has_waited = False
     while held.is_near_bound and not connection.requests.empty():
         if connection.is_shut_down or connection.worker.dead:
-            return
+            return has_waited
+        has_waited = True
         eventlet.sleep(ROOM_CHECK_SECONDS)
     if held.is_near_bound and connection.reader.grows:
         eventlet.sleep(BODY_PAUSE_SECONDS)
+    return has_waited
--- a/src/cedarchute/relay/request_reader.py
+++ b/src/cedarchute/relay/request_reader.py
@@ -75,6 +75,7 @@
         self.header_bytes = 0
         self.body_bytes = 0
         self.reserved_bytes = 0
+        self.counted_bytes = 0
 
     def feed(self, data: bytes) -> None:
         """Parse bytes; complete requests are appended to `ready`.
@@ -165,6 +166,17 @@
         """Whether a body of unknown length is being read."""
         return self.in_body and not self.reserved_bytes
 
+    @property
+    def holds_large_body(self) -> bool:
+        """Whether a body is being read for which much is counted."""
+        return self.in_body and self.counted_bytes > SMALL_BODY_BYTES
+
+    def drop_body(self) -> None:
+        """Forget a body that is not read to its end."""
+        self.parts.clear()
+        self.bodies.shrink(self.counted_bytes)
+        self.counted_bytes = 0
+
     def reserve(self, count: int, size: int) -> None:
         """Count bytes of a body as held; raise `RequestError` if there is no room.
 
@@ -179,6 +191,7 @@
         if size > SMALL_BODY_BYTES and not self.held.has_room(count):
             raise RequestError(503, "no room for the body", FULL_RETRY_SECONDS, True)
         self.bodies.grow(count)
+        self.counted_bytes += count
 
     def on_message_complete(self) -> None:
         """Append the request to `ready`, unless it asks for another protocol.
--- a/tests/relay/test_held_bytes.py
+++ b/tests/relay/test_held_bytes.py
@@ -12,7 +12,7 @@
 from cedarchute.metrics import Metrics
 from cedarchute.pressure.held_byte_account import HeldByteAccount
 from cedarchute.pressure.held_bytes import HeldCause
-from cedarchute.relay import caller_connection, discarded_input
+from cedarchute.relay import body_pace, caller_connection, discarded_input
 from cedarchute.relay.caller_server import CallerServer
 from cedarchute.relay.headers import Headers
 from cedarchute.relay.input_limits import InputLimits
@@ -232,3 +232,61 @@
     with held.holding(HeldCause.ANSWER, 3 * len(LONG_PART)):
         wait_for(lambda: not server.connections)
     assert held.total == 0
+
+
+def test_trickling_bodies_do_not_refuse_others_for_ever(server, handler, held):
+    """The load: announced bodies fill the bound, and a byte of each comes at a time."""
+    with contextlib.ExitStack() as stack:
+        address = server.listener.getsockname()
+        slow = [stack.enter_context(GreenCaller(address)) for _ in range(2)]
+        for each in slow:
+            each.send(build_request(b"/x", b"c1", b"x" * 3_950_000)[:1000])
+        wait_for(lambda: held.total == 2 * 3_950_000)
+
+        def trickle():
+            with contextlib.suppress(OSError):
+                while True:
+                    for each in slow:
+                        each.send(b"x")
+                    eventlet.sleep(0.1)
+
+        sending = eventlet.spawn(trickle)
+        with eventlet.Timeout(3 * body_pace.PACE_SECONDS):
+            wait_for(lambda: not held.is_near_bound)
+        sending.kill()
+        with GreenCaller(address) as other:
+            other.send(build_request(b"/x", b"c2", b"y" * 150_000))
+            assert other.read_answer()[0] == 200
+        # The other one keeps its room: it is not needed now.
+        wait_for(lambda: held.total == 3_950_000)
+        assert server.metrics.totals["refused.input_408"] == 1
+    assert len(handler.received) == 1
+
+
+def test_a_body_behind_a_running_call_is_not_too_slow(
+    caller, handler, held, monkeypatch
+):
+    """Near the bound it is left unread, so it cannot be sent."""
+    monkeypatch.setattr(body_pace, "PACE_SECONDS", SHORT_SECONDS)
+    with held.holding(HeldCause.ANSWER, NEAR_BYTES):
+        caller.send(build_request(b"/wait", b"c1"))
+        wait_for(lambda: handler.received)
+        request = build_request(b"/x", b"c3", b"x" * 100_000)
+        caller.send(build_request(b"/x", b"c2") + request[:1000])
+        eventlet.sleep(5 * SHORT_SECONDS)
+        handler.may_answer.send()
+        caller.send(request[1000:])
+        for _ in range(3):
+            assert caller.read_answer()[0] == 200
+    caller.sock.close()
+
+
+def test_a_body_that_stops_coming_ends_at_the_idle_limit_with_a_bound_too(
+    caller, server, held, monkeypatch
+):
+    monkeypatch.setattr(server, "limits", lambda: InputLimits(idle_seconds=1.0))
+    caller.send(build_request(b"/x", b"c1", BODY)[:1000])
+    wait_for(lambda: held.total)
+    with eventlet.Timeout(HANG_SECONDS):
+        assert caller.read_answer()[0] == 408
+    caller.sock.close()
