Keep nothing of the connections to targets that are gone

An empty set stayed for each address whose target was removed while a call to it was under way, with shares switched off too. Without shares nothing is tracked; with them the sets that have become empty leave as the next target is removed.

--- a/src/cedarchute/relay/target_pool.py
+++ b/src/cedarchute/relay/target_pool.py
@@ -32,8 +32,8 @@
     Attributes
     ----------
     opened : dict of Address to WeakSet
-        Connections that may be open. Those of calls that were killed are not closed by
-        anyone and leave on their own.
+        Connections that may be open; none are kept here without shares. Those of calls
+        that were killed are not closed by anyone and leave on their own.
     opening : Counter
         Connections by address that are being opened.
     """
@@ -44,6 +44,7 @@
         find_share: Callable[[Address], int | None] | None = None,
     ) -> None:
         self.metrics = metrics
+        self.has_shares = find_share is not None
         self.find_share = find_share or (lambda address: None)
         self.idle: dict[Address, list[TargetConnection]] = {}
         self.opened: defaultdict[Address, WeakSet[TargetConnection]] = defaultdict(
@@ -83,7 +84,8 @@
         self.opening[address] += 1
         try:
             connection = TargetConnection.open(address, seconds)
-            self.opened[address].add(connection)
+            if self.has_shares:
+                self.opened[address].add(connection)
         finally:
             self.opening[address] -= 1
             if not self.opening[address]:
@@ -127,4 +129,6 @@
         """Close the idle connections to a target that was removed."""
         for connection in self.idle.pop(address, []):
             connection.close()
-        self.count_open(address)
+        # Calls that were under way to targets removed before may have ended.
+        for opened_address in list(self.opened):
+            self.count_open(opened_address)
--- a/tests/relay/test_target_pool.py
+++ b/tests/relay/test_target_pool.py
@@ -140,3 +140,17 @@
         pool.give_back(connection)
     assert len(pool.idle[address]) == 30
     assert not any(each.is_closed for each in connections)
+
+
+@pytest.mark.parametrize("find_share", [None, lambda address: 2])
+def test_nothing_is_kept_of_targets_that_are_gone(find_share):
+    """A target is often removed while a call to it is under way."""
+    pool = TargetPool(Metrics(), find_share)
+    for _ in range(20):
+        with contextlib.closing(eventlet.listen(("127.0.0.1", 0))) as listener:
+            address = Address(*listener.getsockname())
+            connection = pool.take(address, SECONDS)
+            pool.drop(address)
+            connection.close()
+    # The last one is dropped with the next target.
+    assert len(pool.opened) <= (0 if find_share is None else 1)
