Send a large body apart from its head only if held bytes have a bound

From 64 KB on responses took two writes also with the bound off, so the setting did not switch this off. The test was red (two writes) and passes.

--- a/src/cedarchute/relay/reply_writer.py
+++ b/src/cedarchute/relay/reply_writer.py
@@ -15,8 +15,8 @@
     from cedarchute.pressure.held_bytes import HeldBytes
     from cedarchute.relay.caller_request import CallerRequest
 
-# A body of this size is sent apart from its head: joined, both the body and its copy
-# would be held while the caller reads.
+# If held bytes have a bound, a body of this size is sent apart from its head: joined,
+# both the body and its copy would be held while the caller reads.
 LARGE_BODY_BYTES: Final = 65_536
 BODILESS_STATUSES: Final = frozenset((204, 304))
 CONTINUE: Final = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -85,7 +85,7 @@
         if not self.has_body or status in BODILESS_STATUSES:
             body = b""
         self.started = True
-        if len(body) < LARGE_BODY_BYTES:
+        if self.held is UNBOUNDED or len(body) < LARGE_BODY_BYTES:
             self.send(head + b"\r\n" + body)
         else:
             self.send(head + b"\r\n")
