--- a/src/cedarchute/relay/request_reader.py
+++ b/src/cedarchute/relay/request_reader.py
@@ -9,7 +9,7 @@
 import httptools
 
 from cedarchute.pressure.held_amount import HeldAmount
-from cedarchute.pressure.held_bytes import HeldCause
+from cedarchute.pressure.held_bytes import FULL_RETRY_SECONDS, HeldCause
 from cedarchute.pressure.unbounded_bytes import UNBOUNDED
 from cedarchute.relay.caller_request import CallerRequest
 from cedarchute.relay.continue_expected import ContinueExpected
@@ -25,8 +25,6 @@
 # A request with a body up to this size is read also at the bound on held bytes: its
 # handler refuses it, and the connection stays open.
 SMALL_BODY_BYTES: Final = 16_384
-# Another box probably has room at once; this one has once a slow caller is ended.
-FULL_RETRY_SECONDS: Final = 0.25
 
 
 class RequestReader:
@@ -77,6 +75,7 @@
         self.header_bytes = 0
         self.body_bytes = 0
         self.reserved_bytes = 0
+        self.counted_bytes = 0
 
     def feed(self, data: bytes) -> None:
         """Parse bytes; complete requests are appended to `ready`.
@@ -167,6 +166,17 @@
         """Whether a body of unknown length is being read."""
         return self.in_body and not self.reserved_bytes
 
+    @property
+    def holds_large_body(self) -> bool:
+        """Whether a body is being read for which much is counted."""
+        return self.in_body and self.counted_bytes > SMALL_BODY_BYTES
+
+    def drop_body(self) -> None:
+        """Forget a body that is not read to its end."""
+        self.parts.clear()
+        self.bodies.shrink(self.counted_bytes)
+        self.counted_bytes = 0
+
     def reserve(self, count: int, size: int) -> None:
         """Count bytes of a body as held; raise `RequestError` if there is no room.
 
@@ -181,6 +191,7 @@
         if size > SMALL_BODY_BYTES and not self.held.has_room(count):
             raise RequestError(503, "no room for the body", FULL_RETRY_SECONDS, True)
         self.bodies.grow(count)
+        self.counted_bytes += count
 
     def on_message_complete(self) -> None:
         """Append the request to `ready`, unless it asks for another protocol.
