--- a/src/cedarchute/daemon/entry_box.py
+++ b/src/cedarchute/daemon/entry_box.py
@@ -62,6 +62,7 @@
 
 if TYPE_CHECKING:
     from cedarchute.metrics import Metrics
+    from cedarchute.placement.target_report import TargetReport
     from cedarchute.routing.target_entry import TargetEntry
     from cedarchute.settings.node_settings import NodeSettings
 
@@ -125,7 +126,7 @@
         self.choice = LoadBalancer(
             self.registry, box.failure_domain, chance, self.pool.is_warm, placement
         )
-        self.news.targets.list_reports = self.choice.list_reports
+        self.news.targets.list_reports = self.report_targets
         trust = ProofAgeLimit(settings.keys.revoke_ms / 1000)
         self.keys = KeyAuthenticator(self.routes, trust, self.parts.prover, metrics)
         holders = HolderClient(self.make_transport(chance), metrics)
@@ -246,6 +247,13 @@
             return False
         return service in table.single_attempt_services
 
+    def report_targets(self) -> tuple[TargetReport, ...]:
+        """Return what this box tells others of targets; nothing where none use it."""
+        table = self.routes.table
+        if table is None or not any(map(self.places_by_pace, table.services)):
+            return ()
+        return self.choice.list_reports()
+
     def tell_contact(self, is_isolated: bool) -> None:
         """Tell other boxes whether this one reaches a quorum of holders."""
         if self.shares_knowledge() and self.news.take_own(is_isolated):
--- a/src/cedarchute/placement/failing.py
+++ b/src/cedarchute/placement/failing.py
@@ -4,7 +4,7 @@
 
 from typing import Final
 
-# A mean over boxes: one box with a broken link of its own stays below it among others.
+# Of the mean over the boxes that used the target lately: one failure at one of three.
 FAILING_SHARE: Final = 0.05
 
 
--- a/src/cedarchute/routing/load_balancer.py
+++ b/src/cedarchute/routing/load_balancer.py
@@ -142,7 +142,7 @@
                 incarnation,
                 load.active,
                 round(1000 * (load.estimate_seconds(now) or 0.0)),
-                round(100 * load.failure_share),
+                round(100 * load.find_recent_failure_share(now)),
             )
             for incarnation, load in used[:MAX_REPORTS]
         )
--- a/src/cedarchute/routing/target_load.py
+++ b/src/cedarchute/routing/target_load.py
@@ -14,6 +14,9 @@
 # to show in the registry, short after a lost packet.
 INITIAL_BACKOFF_SECONDS: Final = 0.5
 MAX_BACKOFF_SECONDS: Final = 4.0
+# How long other boxes are told of a failure; a target that restarts is back after about
+# as long.
+RECENT_FAILURE_SECONDS: Final = 1.0
 
 
 class TargetLoad:
@@ -26,8 +29,9 @@
         may fail some calls while its health checks pass.
     last_seconds : float
         Duration of the last response.
-    used_at : float
-        When a call there ended last; monotonic seconds.
+    used_at, answered_at, failed_at : float
+        When a call there ended last, was answered last and failed last; monotonic
+        seconds.
     """
 
     def __init__(self) -> None:
@@ -38,6 +42,8 @@
         self.backoff_until = 0.0
         self.last_seconds = 0.0
         self.used_at = float("-inf")
+        self.answered_at = float("-inf")
+        self.failed_at = float("-inf")
 
     @property
     def is_backing_off(self) -> bool:
@@ -49,7 +55,7 @@
         self.failures = 0
         self.backoff_until = 0.0
         self.last_seconds = seconds
-        self.used_at = time.monotonic()
+        self.used_at = self.answered_at = time.monotonic()
         self.failure_share -= EWMA_WEIGHT * self.failure_share
         if self.mean_latency_seconds is None:
             self.mean_latency_seconds = seconds
@@ -67,15 +73,23 @@
         if self.mean_latency_seconds is None:
             return None
         surge = self.last_seconds - self.mean_latency_seconds
-        left = 0.5 ** ((now - self.used_at) / SURGE_HALF_LIFE_SECONDS)
+        left = 0.5 ** ((now - self.answered_at) / SURGE_HALF_LIFE_SECONDS)
         return self.mean_latency_seconds + left * surge
 
+    def find_recent_failure_share(self, now: float) -> float:
+        """Return the share of failures; 0 if the last one was long ago.
+
+        The share alone stays until further calls are answered, which may be never.
+        """
+        is_recent = now - self.failed_at <= RECENT_FAILURE_SECONDS
+        return self.failure_share if is_recent else 0.0
+
     def record_failure(self) -> None:
         """Record a call that failed without a response."""
         backoff = INITIAL_BACKOFF_SECONDS * 2**self.failures
         self.failures = min(self.failures + 1, 8)
         self.failure_share += EWMA_WEIGHT * (1.0 - self.failure_share)
-        self.used_at = time.monotonic()
+        self.used_at = self.failed_at = time.monotonic()
         self.backoff_until = self.used_at + min(backoff, MAX_BACKOFF_SECONDS)
 
     def record_overload(self, seconds: float) -> None:
--- a/tests/fleet/test_news_exchange.py
+++ b/tests/fleet/test_news_exchange.py
@@ -17,6 +17,7 @@
 from cedarchute.fleet.state_messages import AskState, AskStateAndNews, State
 from cedarchute.fleet.store_mirror import StoreMirror
 from cedarchute.metrics import Metrics
+from cedarchute.placement.target_report import TargetReport
 
 
 @pytest.fixture
@@ -137,3 +138,16 @@
     status, _ = ask(server, {"news": news})
     assert status == "400 Bad Request"
     assert reader.list_isolated() == []
+
+
+def test_a_box_is_not_told_of_its_own_calls():
+    reader = make_news("entry-1")
+    server = PeerServer(StoreMirror({}), Metrics(), news=reader)
+    report = TargetReport("t-1", 2, 300, 0)
+    ask(server, AskStateAndNews(news=BoxNews("entry-2", False, (report,))))
+    _, told = ask(server, AskStateAndNews(news=BoxNews("entry-2", False, (report,))))
+    assert msgspec.json.decode(told)["news"]["reports"] == []
+    _, told = ask(server, AskStateAndNews(news=BoxNews("entry-3")))
+    assert [entry[0] for entry in msgspec.json.decode(told)["news"]["reports"]] == [
+        "t-1"
+    ]
--- a/tests/routing/test_target_placement.py
+++ b/tests/routing/test_target_placement.py
@@ -126,3 +126,21 @@
     )
     assert table.single_attempt_services == {"single"}
     assert table.has_single_attempt_streams
+
+
+def test_a_failure_of_long_ago_is_told_no_more():
+    load = TargetLoad()
+    load.record_failure()
+    assert load.find_recent_failure_share(load.failed_at + 0.5) > 0
+    assert load.find_recent_failure_share(load.failed_at + 5.0) == 0
+
+
+def test_a_failure_does_not_renew_the_last_answer():
+    load = TargetLoad()
+    load.record_answer(0.2)
+    load.record_answer(1.0)
+    load.answered_at -= 10.0
+    load.record_failure()
+    assert load.estimate_seconds(load.failed_at) == pytest.approx(
+        load.mean_latency_seconds, abs=0.01
+    )
