Notice near the bound that a caller leaves whose input is left unread

Behind a queued request the connection was not read, so a caller that left kept its call running until its end. The wait looks at whether a close comes next. The test was red (connection still there after 3 s). Not seen: a close behind bytes that are not read yet.

--- a/src/cedarchute/relay/input_throttle.py
+++ b/src/cedarchute/relay/input_throttle.py
@@ -6,6 +6,8 @@
 
 import eventlet
 
+from cedarchute.relay.unread_input import has_ended_input
+
 if TYPE_CHECKING:
     from cedarchute.relay.caller_connection import CallerConnection
 
@@ -20,13 +22,15 @@
 
     Only what would accumulate waits: requests behind a queued one, and bodies of
     unknown length, whose short pauses are not told. The wait ends with the request in
-    progress at the latest.
+    progress at the latest, or as the caller leaves.
     """
     held = connection.held
     has_waited = False
     while held.is_near_bound and not connection.requests.empty():
         if connection.is_shut_down or connection.worker.dead:
             return has_waited
+        if has_ended_input(connection.sock):
+            return has_waited
         has_waited = True
         eventlet.sleep(ROOM_CHECK_SECONDS)
     if held.is_near_bound and connection.reader.grows:
--- a/src/cedarchute/relay/unread_input.py
+++ b/src/cedarchute/relay/unread_input.py
@@ -1,4 +1,4 @@
-"""Tells whether a socket has received bytes that are not read yet."""
+"""Tells what a socket has received that is not read yet."""
 
 from __future__ import annotations
 
@@ -11,3 +11,13 @@
         return bool(sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
     except OSError:
         return False
+
+
+def has_ended_input(sock: socket.socket) -> bool:
+    """Return whether a close or an error comes next."""
+    try:
+        return not sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
--- a/tests/relay/test_held_bytes.py
+++ b/tests/relay/test_held_bytes.py
@@ -290,3 +290,16 @@
     with eventlet.Timeout(HANG_SECONDS):
         assert caller.read_answer()[0] == 408
     caller.sock.close()
+
+
+def test_a_caller_that_leaves_while_its_input_is_left_unread_is_noticed(
+    caller, server, handler, held
+):
+    with held.holding(HeldCause.ANSWER, NEAR_BYTES):
+        caller.send(build_request(b"/wait", b"c1") + build_request(b"/wait", b"c2"))
+        wait_for(lambda: handler.received)
+        eventlet.sleep(SHORT_SECONDS)
+        caller.sock.close()
+        with eventlet.Timeout(10 * SHORT_SECONDS):
+            wait_for(lambda: not server.connections)
+    assert len(handler.received) == 1
