--- a/src/cedarchute/pressure/held_bytes.py
+++ b/src/cedarchute/pressure/held_bytes.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-from contextlib import contextmanager
 from enum import StrEnum
 from typing import TYPE_CHECKING, Final, Protocol
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from contextlib import AbstractContextManager
 
 # Another box probably has room at once; this one has once a slow caller is ended.
 FULL_RETRY_SECONDS: Final = 0.25
@@ -46,7 +45,6 @@
         """Count bytes that are no longer held."""
         ...
 
-    @contextmanager
-    def holding(self, cause: HeldCause, count: int) -> Iterator[None]:
+    def holding(self, cause: HeldCause, count: int) -> AbstractContextManager[None]:
         """Count bytes as held for as long as the block runs."""
         ...
--- a/src/cedarchute/pressure/unbounded_bytes.py
+++ b/src/cedarchute/pressure/unbounded_bytes.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
-from contextlib import contextmanager
-from typing import TYPE_CHECKING
+from contextlib import nullcontext
+from typing import TYPE_CHECKING, Final
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from contextlib import AbstractContextManager
 
     from cedarchute.pressure.held_bytes import HeldCause
 
+NOTHING: Final = nullcontext()
+
 
 class UnboundedBytes:
     """Counts nothing and never reaches a bound; implements `HeldBytes`."""
@@ -27,10 +29,9 @@
     def remove(self, cause: HeldCause, count: int) -> None:
         """Count nothing."""
 
-    @contextmanager
-    def holding(self, cause: HeldCause, count: int) -> Iterator[None]:
+    def holding(self, cause: HeldCause, count: int) -> AbstractContextManager[None]:
         """Run the block."""
-        yield
+        return NOTHING
 
 
 UNBOUNDED = UnboundedBytes()
