--- a/src/cedarchute/pressure/held_bytes_factory.py
+++ b/src/cedarchute/pressure/held_bytes_factory.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from cedarchute.metrics import Metrics
     from cedarchute.pressure.held_bytes import HeldBytes
-    from cedarchute.settings.node_settings import PressureSection
+    from cedarchute.settings.load_sections import PressureSection
 
 BYTES_PER_MB: Final = 1_000_000
 
--- a/src/cedarchute/settings/node_settings.py
+++ b/src/cedarchute/settings/node_settings.py
@@ -13,6 +13,13 @@
 from cedarchute.fleet.box_entry import Role
 from cedarchute.ini import IniError, parse_sections
 from cedarchute.platform.contracts import calls_for_bounded_load
+from cedarchute.settings.load_sections import (
+    FairShareSection,
+    PlacementSection,
+    PressureSection,
+    StreamsSection,
+    WaitingSection,
+)
 
 ValueT = TypeVar("ValueT")
 
@@ -97,78 +104,6 @@
     """``[quotas]``: tolerance of workspace limits."""
 
 
-class FairShareSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """``[fair_share]``: how workspaces share their limits.
-
-    Attributes
-    ----------
-    whole_programs : bool or None
-        Whether programs are admitted only if their limit holds all of their calls.
-        None: if the contracts of the deployment call for it, as for other parts.
-    """
-
-    whole_programs: bool | None = None
-
-
-class PlacementSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """``[placement]``: how the targets of calls are selected.
-
-    Attributes
-    ----------
-    share_knowledge : bool
-        Whether boxes of a failure domain tell each other what they know of targets.
-    by_pace : bool
-        Whether targets are selected by chance, weighted by measured pace and room.
-        Both apply to services with streams that may run at one target only: there a
-        wrong choice is final.
-    """
-
-    share_knowledge: bool = False
-    by_pace: bool = False
-
-
-class WaitingSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """``[waiting]``: how calls wait while no target has a free place.
-
-    Attributes
-    ----------
-    in_order : bool or None
-        Whether calls wait in order of urgency, which engines are told as well.
-    max_calls : int
-        Calls that may wait in this box at once.
-    """
-
-    in_order: bool | None = None
-    max_calls: int = 64
-
-
-class StreamsSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """``[streams]``: what happens to streams whose target fails.
-
-    Attributes
-    ----------
-    resume : bool or None
-        Whether they go on at another target where their route allows it.
-    """
-
-    resume: bool | None = None
-
-
-class PressureSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """``[pressure]``: bounds on what this box holds.
-
-    Attributes
-    ----------
-    max_held_mb : float
-        Megabytes held for callers and targets; 0 sets no bound.
-    share_connections : bool
-        Whether this box opens only its share of the connections of a target.
-    """
-
-    max_held_mb: float = 0.0
-    share_connections: bool = False
-
-
 class StopSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """``[stop]``: how long a planned stop may take before the process is killed."""
 
--- a/tests/pressure/test_held_bytes_factory.py
+++ b/tests/pressure/test_held_bytes_factory.py
@@ -7,7 +7,7 @@
 from cedarchute.metrics import Metrics
 from cedarchute.pressure.held_bytes_factory import make_held_bytes
 from cedarchute.pressure.unbounded_bytes import UNBOUNDED
-from cedarchute.settings.node_settings import PressureSection
+from cedarchute.settings.load_sections import PressureSection
 
 
 @pytest.mark.parametrize("max_held_mb", [None, 0.0])
