Say which request a target crashed under

A reset, a cut and a crash looked alike in the log, and nothing told that two attempts are one request. A target that breaks off a call that may have run is connected to once more; if it refuses, one line names the target, the digest that all attempts of the request share, its content and the count within the attempt. What is sent is unchanged.

--- a/src/cedarchute/calls/attempts.py
+++ b/src/cedarchute/calls/attempts.py
@@ -11,6 +11,7 @@
 
 from cedarchute.calls.call_errors import CallRefusedError
 from cedarchute.calls.shutdown_deadline import STOPPING
+from cedarchute.crashes.unwatched_call import UNWATCHED
 from cedarchute.platform.call_headers import continue_after
 from cedarchute.relay.shutdown_error import ShutdownError
 from cedarchute.relay.target_failure import TargetFailureError
@@ -20,6 +21,7 @@
 if TYPE_CHECKING:
     from cedarchute.calls.call import Call
     from cedarchute.calls.target_client import OpenResponse, TargetClient
+    from cedarchute.crashes.call_watch import CallWatch
     from cedarchute.decisions.pace_meter import SlowdownMeter
     from cedarchute.metrics import Metrics
     from cedarchute.relay.caller_request import CallerRequest
@@ -66,6 +68,8 @@
         Monotonic time at which the call times out.
     waiting_call : WaitingCall or None
         What decides when the call goes next; None if calls wait in no order.
+    crash_watch : CallWatch
+        Is told of runs that failed.
     """
 
     def __init__(
@@ -80,6 +84,7 @@
         preferred_target: str = "",
         slowdown_meter: SlowdownMeter | None = None,
         call_order: CallOrder | None = None,
+        crash_watch: CallWatch = UNWATCHED,
     ) -> None:
         self.target_client = target_client
         self.metrics = metrics
@@ -100,6 +105,7 @@
             caller_deadline = request.read_at + call.caller_timeout_seconds
             self.deadline = min(self.deadline, caller_deadline)
         self.full_wait_deadline = self.compute_full_wait_deadline()
+        self.crash_watch = crash_watch
         self.call_order = call_order
         self.has_waited = False
         self.waiting_call = self.describe_wait()
@@ -152,7 +158,7 @@
             except TargetFailureError as error:
                 if self.is_resumed and error.verdict is not Verdict.NOT_RUN:
                     self.broken.add(target.id)
-                self.handle_attempt_failure(error)
+                self.handle_attempt_failure(target, error)
                 continue
             except CallRefusedError as error:
                 raise self.resolve_refusal(error) from None
@@ -271,12 +277,15 @@
             return False
         return self.call_order.line.is_behind(self.waiting_call)
 
-    def handle_attempt_failure(self, error: TargetFailureError) -> None:
+    def handle_attempt_failure(
+        self, target: TargetEntry, error: TargetFailureError
+    ) -> None:
         """Count a failed attempt; raise if the call must not be retried."""
         if error.verdict is Verdict.NOT_RUN:
             self.metrics.count_retry("not_run")
             return
         self.possible_runs += 1
+        self.crash_watch.record_failure(target, error)
         self.ensure_repeatable(error.reason)
         self.metrics.count_retry("may_have_run")
 
--- a/src/cedarchute/calls/plain_call_handler.py
+++ b/src/cedarchute/calls/plain_call_handler.py
@@ -45,6 +45,7 @@
             service,
             request.body,
             call_order=self.target_client.call_order,
+            crash_watch=self.target_client.watch_crashes(request, call),
         )
         is_answered = False
         while not is_answered:
@@ -82,6 +83,7 @@
             finished = True
         except TargetFailureError as error:
             self.target_client.handle_failure(opened.target, attempts.call, error)
+            attempts.crash_watch.record_failure(opened.target, error)
             attempts.ensure_repeatable(error.reason)
             return None
         finally:
--- a/src/cedarchute/calls/turn_relay.py
+++ b/src/cedarchute/calls/turn_relay.py
@@ -81,6 +81,7 @@
             admission.target,
             self.slowdown_meter,
             handler.target_client.call_order,
+            handler.target_client.watch_crashes(request, call),
         )
 
     def run(self) -> None:
@@ -111,6 +112,7 @@
             finished = True
         except TargetFailureError as error:
             self.handler.target_client.handle_failure(opened.target, self.call, error)
+            self.attempts.crash_watch.record_failure(opened.target, error)
             return error
         finally:
             if not finished:
--- a/src/cedarchute/daemon/entry_box.py
+++ b/src/cedarchute/daemon/entry_box.py
@@ -47,6 +47,7 @@
 from cedarchute.relay.caller_server import CallerServer
 from cedarchute.relay.input_limits import InputLimits
 from cedarchute.relay.target_pool import TargetPool
+from cedarchute.relay.target_probe import TargetProbe
 from cedarchute.routing.active_route_table import ActiveRouteTable
 from cedarchute.routing.load_balancer import LoadBalancer
 from cedarchute.routing.target_placement import TargetPlacement
@@ -145,6 +146,7 @@
             metrics,
             held,
             self.make_call_order(),
+            TargetProbe(),
         )
         self.gate = ProgramAdmissionController(quorum, self.routes, metrics)
         turns = StreamCallHandler(
--- a/src/cedarchute/platform/call_headers.py
+++ b/src/cedarchute/platform/call_headers.py
@@ -22,6 +22,15 @@
 
 ANSWER_ID = names.CALL_ID
 KEY_SCHEME: Final = b"token"
+# What stays the same in all attempts of a request and tells it from other ones.
+IDENTITY: Final = (
+    names.PROGRAM,
+    names.LINE,
+    names.PREVIOUS_TURN,
+    names.MODEL,
+    names.TOKENS,
+    names.PROMPT_PARTS,
+)
 # Header numbers must fit into a signed 64-bit integer.
 MAX_NUMBER = 2**63 - 1
 MAX_DIGITS = len(str(MAX_NUMBER))
@@ -87,6 +96,22 @@
     return request.headers.get_text(names.PROGRAM)
 
 
+def read_request_identity(request: CallerRequest) -> tuple[bytes, ...]:
+    """Return the headers that tell a request from others with the same body."""
+    headers = request.headers
+    fields = tuple(headers.get(name) or b"" for name in IDENTITY)
+    return (*fields, _read_object(headers))
+
+
+def _read_object(headers: Headers) -> bytes:
+    for field in headers.get_all(b"cookie"):
+        for cookie in field.split(b";"):
+            name, _, value = cookie.strip().partition(b"=")
+            if name.lower() == names.OBJECT_COOKIE:
+                return value
+    return b""
+
+
 def read_key(request: CallerRequest) -> bytes | None:
     """Return the API key of a request, or None if missing or ambiguous.
 
--- a/src/cedarchute/platform/headers.py
+++ b/src/cedarchute/platform/headers.py
@@ -14,6 +14,8 @@
 NOT_RUN: Final = b"not-executed"
 RETRY_AFTER: Final = b"retry-after"
 PROGRAM: Final = b"program-id"
+# One line of turns within a program; sub-agents have their own.
+LINE: Final = b"session-id"
 # Soft deadline of the whole program in milliseconds; not enforced.
 PROGRAM_SOFT_DEADLINE_MS: Final = b"program-deadline-ms"
 BUDGET: Final = b"token-budget"
@@ -22,6 +24,11 @@
 PREVIOUS_TURN: Final = b"previous-turn"
 # Two numbers: prompt tokens and maximum output tokens.
 TOKENS: Final = b"token-count"
+MODEL: Final = b"model"
+# Digests of the parts of a prompt; the last one is the request's or its line's own.
+PROMPT_PARTS: Final = b"prefix-hash"
+# Names the object that a request is about.
+OBJECT_COOKIE: Final = b"affinity-key"
 # Authentication scheme and the caller's secret key.
 CALLER_KEY: Final = b"authorization"
 # The workspace that owns the caller's key, as passed to targets.
