--- /dev/null
+++ b/src/standins/mortal_target.py
@@ -0,0 +1,53 @@
+"""A target that ends for good under the requests that its script says so for."""
+
+from __future__ import annotations
+
+import socket
+import threading
+from typing import TYPE_CHECKING
+
+from standins.raw_target import RawTarget, reset
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from standins.raw_target import RawRequest
+
+
+class MortalTarget(RawTarget):
+    """Ends as a process does: no listener, every connection reset."""
+
+    def __init__(
+        self,
+        script: Callable[[RawRequest, socket.socket], None],
+        is_fatal: Callable[[RawRequest], bool],
+    ) -> None:
+        self.is_fatal = is_fatal
+        self.connections: list[socket.socket] = []
+        self.ended = threading.Event()
+        super().__init__(self.run_or_end)
+        self.run = script
+
+    def serve(self, connection: socket.socket) -> None:
+        """Serve a connection; reset one that was accepted after the end."""
+        self.connections.append(connection)
+        if self.ended.is_set():
+            reset(connection)
+            return
+        super().serve(connection)
+
+    def run_or_end(self, request: RawRequest, connection: socket.socket) -> None:
+        """Run a request, or end under it."""
+        if self.is_fatal(request):
+            self.end()
+        else:
+            self.run(request, connection)
+
+    def end(self) -> None:
+        """End for good."""
+        self.ended.set()
+        # A thread that waits in accept keeps a closed listener open.
+        self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+        for connection in self.connections:
+            reset(connection)
