Count crashes of targets by request and send one that crashed three no further

Callers saw targets end one after the other: a request that crashes whatever runs it was sent to N more after the third, since each attempt of its caller has an id of its own, comes to another box within milliseconds and began a count of its own there (Attempts lives as long as one attempt). Class: a limit counted by a part that lives shorter than what it limits.

Now a crash (connections refused after a break) is counted by the digest that all attempts of a request share, told to all entry boxes over the readers of the failure domains before the call is sent again or answered, and learnt by boxes that start. A count is a chain: a run that was sent knowing of k crashes makes it k + 1, so crashes side by side count once, and a whole answer clears it. The third blocks the request for 60 s: 503 with Retry-After if this attempt ran nowhere (true), else 502 as before. Calls that harm nobody are not digested.

--- a/src/cedarchute/calls/attempts.py
+++ b/src/cedarchute/calls/attempts.py
@@ -69,7 +69,7 @@
     waiting_call : WaitingCall or None
         What decides when the call goes next; None if calls wait in no order.
     crash_watch : CallWatch
-        Is told of runs that failed.
+        Counts crashes of targets under the request.
     """
 
     def __init__(
@@ -137,8 +137,12 @@
             When no target or no time is left.
         """
         while True:
+            self.check_crashes()
             self.check_quota()
             target = self.choose_target()
+            # It may have waited for a target.
+            self.check_crashes()
+            self.crash_watch.begin_run()
             self.tried.add(target.id)
             self.call.progress.sends += 1
             log.info(
@@ -187,6 +191,15 @@
         self.waiting_call = self.describe_wait()
         return self.open()
 
+    def check_crashes(self) -> None:
+        """Raise if too many targets crashed while they ran the same request."""
+        seconds = self.crash_watch.find_block()
+        if seconds is None:
+            return
+        self.metrics.count_refusal("crashes")
+        refusal = CallRefusedError(503, "targets crashed under this request", seconds)
+        raise self.resolve_refusal(refusal)
+
     def check_quota(self) -> None:
         """Have a further run granted; the first one was before this object was made.
 
@@ -298,7 +311,7 @@
             raise self.make_final_error(reason)
 
     def resolve_refusal(self, error: CallRefusedError) -> CallRefusedError:
-        """Return the error of a call whose key failed revalidation.
+        """Return the error of a call that must not be sent to another target.
 
         If an earlier attempt may have run, the status must not say that none did.
         """
--- a/src/cedarchute/calls/plain_call_handler.py
+++ b/src/cedarchute/calls/plain_call_handler.py
@@ -81,6 +81,7 @@
             body = self.target_client.read_full_body(opened, amount)
             self.target_client.finish(opened)
             finished = True
+            attempts.crash_watch.record_answer(opened.answer.status)
         except TargetFailureError as error:
             self.target_client.handle_failure(opened.target, attempts.call, error)
             attempts.crash_watch.record_failure(opened.target, error)
--- a/src/cedarchute/calls/target_client.py
+++ b/src/cedarchute/calls/target_client.py
@@ -9,7 +9,6 @@
 import eventlet
 
 from cedarchute.calls.shutdown_deadline import make_shutdown_refusal
-from cedarchute.crashes.crash_watch import CrashWatch
 from cedarchute.crashes.unwatched_call import UNWATCHED
 from cedarchute.platform.call_headers import (
     ANSWER_ID,
@@ -31,13 +30,13 @@
     from cedarchute.calls.key_authenticator import KeyAuthenticator
     from cedarchute.calls.quota_check import QuotaCheck
     from cedarchute.crashes.call_watch import CallWatch
+    from cedarchute.crashes.crash_watcher import CrashWatcher
     from cedarchute.metrics import Metrics
     from cedarchute.pressure.held_bytes import HeldBytes, HeldCause
     from cedarchute.relay.caller_request import CallerRequest
     from cedarchute.relay.target_answer import TargetAnswer
     from cedarchute.relay.target_connection import TargetConnection
     from cedarchute.relay.target_pool import TargetPool
-    from cedarchute.relay.target_probe import TargetProbe
     from cedarchute.routing.load_balancer import LoadBalancer
     from cedarchute.routing.target_entry import TargetEntry
     from cedarchute.waiting.call_order import CallOrder
@@ -85,8 +84,8 @@
     ----------
     call_order : CallOrder or None
         The order in which calls wait; None if they wait in no order.
-    probe : TargetProbe or None
-        Finds out which targets crashed; None if nobody asks.
+    crash_watcher : CrashWatcher or None
+        Counts crashes of targets by request; None if nobody does.
     """
 
     def __init__(
@@ -98,7 +97,7 @@
         metrics: Metrics,
         held: HeldBytes = UNBOUNDED,
         call_order: CallOrder | None = None,
-        probe: TargetProbe | None = None,
+        crash_watcher: CrashWatcher | None = None,
     ) -> None:
         self.call_order = call_order
         self.held = held
@@ -108,13 +107,13 @@
         self.key_authenticator = key_authenticator
         self.load_balancer = load_balancer
         self.metrics = metrics
-        self.probe = probe
+        self.crash_watcher = crash_watcher
 
     def watch_crashes(self, request: CallerRequest, call: Call) -> CallWatch:
-        """Return what notices crashes of targets that run a call."""
-        if self.probe is None:
+        """Return what counts crashes of targets that run a call."""
+        if self.crash_watcher is None:
             return UNWATCHED
-        return CrashWatch(request, call, self.probe, self.metrics)
+        return self.crash_watcher.watch(request, call)
 
     def open(
         self,
--- a/src/cedarchute/calls/turn_relay.py
+++ b/src/cedarchute/calls/turn_relay.py
@@ -110,6 +110,7 @@
                 self.relay_error_response(opened)
             self.handler.target_client.finish(opened)
             finished = True
+            self.attempts.crash_watch.record_answer(opened.answer.status)
         except TargetFailureError as error:
             self.handler.target_client.handle_failure(opened.target, self.call, error)
             self.attempts.crash_watch.record_failure(opened.target, error)
--- a/src/cedarchute/crashes/call_watch.py
+++ b/src/cedarchute/crashes/call_watch.py
@@ -12,5 +12,14 @@
 class CallWatch(Protocol):
     """Is told how the runs of one attempt of a caller end."""
 
+    def find_block(self) -> float | None:
+        """Return for how many seconds the call must not be sent; None if it may."""
+
+    def begin_run(self) -> None:
+        """Take in that the call is sent to a target now."""
+
     def record_failure(self, target: TargetEntry, error: TargetFailureError) -> None:
         """Take in that a target that may have run the call did not answer it."""
+
+    def record_answer(self, status: int) -> None:
+        """Take in that a target answered the call in full, with `status`."""
--- a/src/cedarchute/crashes/unwatched_call.py
+++ b/src/cedarchute/crashes/unwatched_call.py
@@ -10,10 +10,20 @@
 
 
 class UnwatchedCall:
-    """Makes nothing of how runs end."""
+    """Is never blocked, and makes nothing of how runs end; implements `CallWatch`."""
+
+    def find_block(self) -> float | None:
+        """Return None."""
+        return None
+
+    def begin_run(self) -> None:
+        """Do nothing."""
 
     def record_failure(self, target: TargetEntry, error: TargetFailureError) -> None:
         """Do nothing."""
 
+    def record_answer(self, status: int) -> None:
+        """Do nothing."""
+
 
 UNWATCHED: Final = UnwatchedCall()
--- a/src/cedarchute/daemon/entry_box.py
+++ b/src/cedarchute/daemon/entry_box.py
@@ -19,6 +19,9 @@
 from cedarchute.calls.shutdown_deadline import ShutdownDeadline
 from cedarchute.calls.stream_call_handler import StreamCallHandler
 from cedarchute.calls.target_client import TargetClient
+from cedarchute.crashes.crash_exchange import CrashExchange
+from cedarchute.crashes.crash_table import CrashTable
+from cedarchute.crashes.crash_watcher import CrashWatcher
 from cedarchute.daemon.entry_stop import EntryStop
 from cedarchute.daemon.lean_start import let_modules_in
 from cedarchute.daemon.listeners import (
@@ -138,6 +141,9 @@
             whole_programs=bool(settings.fair_share.whole_programs),
         )
         held = make_held_bytes(settings.pressure, metrics)
+        crashes = CrashExchange(
+            CrashTable(), self.directory, me, HolderConnections(), metrics
+        )
         exchange = TargetClient(
             self.pool,
             self.choice,
@@ -146,7 +152,7 @@
             metrics,
             held,
             self.make_call_order(),
-            TargetProbe(),
+            CrashWatcher(crashes, TargetProbe(), metrics),
         )
         self.gate = ProgramAdmissionController(quorum, self.routes, metrics)
         turns = StreamCallHandler(
@@ -199,6 +205,7 @@
                     metrics,
                     news=self.news,
                     relay=HolderRelay(self.connections, self.directory, metrics),
+                    crashes=crashes,
                 ),
             ),
         ]
--- a/src/cedarchute/fleet/peer_server.py
+++ b/src/cedarchute/fleet/peer_server.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from cedarchute.crashes.crash_report import CRASHES_PATH, CrashAnnouncement
 from cedarchute.fleet.metrics_app import METRICS_PATH, MetricsApp
 from cedarchute.fleet.relay_messages import RELAY_PATH, RelayRequest
 from cedarchute.fleet.state_messages import (
@@ -19,6 +20,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
+    from cedarchute.crashes.crash_exchange import CrashExchange
     from cedarchute.fleet.box_news import BoxNews
     from cedarchute.fleet.holder_relay import HolderRelay
     from cedarchute.fleet.news_exchange import NewsExchange
@@ -43,7 +45,9 @@
         holder: HolderApp | None = None,
         news: NewsExchange | None = None,
         relay: HolderRelay | None = None,
+        crashes: CrashExchange | None = None,
     ) -> None:
+        self.crashes = crashes
         self.relay = relay
         self.mirror = mirror
         self.news = news
@@ -61,6 +65,8 @@
             return self.metrics(environ, start_response)
         if path == RELAY_PATH and self.relay is not None:
             return self.send_on(environ, start_response)
+        if path == CRASHES_PATH and self.crashes is not None:
+            return self.take_crashes(environ, start_response)
         if self.holder is not None:
             return self.holder(environ, start_response)
         return self.reply(start_response, "404 Not Found", b"{}")
@@ -104,6 +110,19 @@
             return self.reply(start_response, "400 Bad Request", b"{}")
         return self.reply(start_response, "200 OK", msgspec.json.encode(answer))
 
+    def take_crashes(
+        self, environ: dict[str, Any], start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        """Take in under which requests targets crashed; return what is known here."""
+        body = environ["wsgi.input"].read()
+        try:
+            told = msgspec.json.decode(body, type=CrashAnnouncement)
+        except msgspec.MsgspecError as error:
+            log.info("Crash reports refused.", extra={"why": str(error)})
+            return self.reply(start_response, "400 Bad Request", b"{}")
+        known = self.crashes.receive(told)
+        return self.reply(start_response, "200 OK", msgspec.json.encode(known))
+
     def reply(
         self, start_response: Callable[..., Any], status: str, body: bytes
     ) -> list[bytes]:
--- a/tests/calls/test_attempts.py
+++ b/tests/calls/test_attempts.py
@@ -56,9 +56,25 @@
         return "opened"
 
 
-def make_attempts(targets):
+class Watch:
+    """Blocks a call once targets have failed it a number of times."""
+
+    def __init__(self, failures_allowed):
+        self.failures_left = failures_allowed
+
+    def find_block(self):
+        return None if self.failures_left else 20.0
+
+    def begin_run(self):
+        pass
+
+    def record_failure(self, target, error):
+        self.failures_left -= 1
+
+
+def make_attempts(targets, **options):
     request = CallerRequest(b"POST", b"/", Headers(), b"", True, time.monotonic())
-    return Attempts(targets, Metrics(), request, CALL, ROUTE, "s", b"")
+    return Attempts(targets, Metrics(), request, CALL, ROUTE, "s", b"", **options)
 
 
 def test_each_further_run_of_a_call_counts_for_the_limit_of_its_workspace():
@@ -86,3 +102,23 @@
     targets = Targets(Quota(0), [Verdict.NOT_RUN, Verdict.NOT_RUN])
     assert make_attempts(targets).open() == "opened"
     assert targets.quota_check.asked == 0
+
+
+def test_a_request_under_which_targets_crashed_is_refused_at_once_as_not_run():
+    targets = Targets(Quota(0), [])
+    attempts = make_attempts(targets, crash_watch=Watch(0))
+    with pytest.raises(CallRefusedError) as caught:
+        attempts.open()
+    assert caught.value.status == 503
+    assert caught.value.retry_after_seconds == 20.0
+    assert not targets.sends
+
+
+def test_an_attempt_that_ran_before_its_request_was_blocked_promises_nothing():
+    targets = Targets(Quota(9), [Verdict.MAY_HAVE_RUN] * 3)
+    attempts = make_attempts(targets, crash_watch=Watch(1))
+    with pytest.raises(CallRefusedError) as caught:
+        attempts.open()
+    assert caught.value.status == 502
+    assert caught.value.retry_after_seconds is None
+    assert targets.sends == 1
--- a/tests/platform_site/test_fatal_requests.py
+++ b/tests/platform_site/test_fatal_requests.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import itertools
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 from conftest_nodes import ROUTES, wait_known
@@ -17,12 +20,20 @@
 # After as many targets have ended under a request, it is sent to no other one.
 ENDS_ALLOWED = 3
 ENTRIES = 4
+# Attempts that a caller makes for one request.
+ATTEMPTS = 3
+RUN_SECONDS = 0.02
 
 
 def respond(request, connection):
     connection.sendall(answer(request))
 
 
+def respond_later(request, connection):
+    time.sleep(RUN_SECONDS)
+    connection.sendall(answer(request))
+
+
 def is_fatal(request):
     return FATAL in request.body
 
@@ -84,3 +95,82 @@
         status = take_turn(next(entries), f"t-{number}", FATAL, "p")[0]
         assert status >= 500
     assert count_sends(targets) == ENDS_ALLOWED
+
+
+def ask_until_answered(site, name, body, is_over):
+    """Send the same request until `is_over`; return the statuses that ended each."""
+    entries = itertools.cycle(site.callers.values())
+    results = []
+    while not is_over.is_set():
+        for attempt in range(ATTEMPTS):
+            call_id = f"{name}-{len(results)}-{attempt}".encode()
+            status = call(next(entries), b"/again/x", call_id, body)[0]
+            if status == 200:
+                break
+        results.append(status)
+    return results
+
+
+def ask_beside(site, bodies, what):
+    """Send each body over and over from a caller of its own while `what` happens."""
+    is_over = threading.Event()
+    with ThreadPoolExecutor(len(bodies)) as pool:
+        tasks = [
+            pool.submit(ask_until_answered, site, f"c{number}", body, is_over)
+            for number, body in enumerate(bodies)
+        ]
+        try:
+            what()
+        finally:
+            is_over.set()
+        return [status for task in tasks for status in task.result()]
+
+
+def read_logs(site):
+    return "".join(site.processes[name].read_log() for name in site.callers)
+
+
+@pytest.mark.parametrize(
+    "bodies", [[b"same"] * 4, [b"a", b"b", b"c", b"d"]], ids=["one", "several"]
+)
+def test_requests_on_targets_that_crash_by_themselves_are_all_served(site, bodies):
+    targets = add_targets(site, 16, script=respond_later)
+
+    def crash_one_after_the_other():
+        for target in targets[:12]:
+            time.sleep(0.1)
+            target.end()
+
+    statuses = ask_beside(site, bodies, crash_one_after_the_other)
+    assert statuses
+    assert set(statuses) == {200}
+    assert "Target crashed under a call." in read_logs(site)
+    assert "targets crashed under this request" not in read_logs(site)
+
+
+def test_requests_on_a_failure_domain_that_goes_dark_are_all_served(site):
+    targets = add_targets(site, 12, script=respond_later)
+
+    def crash_together():
+        for group in (targets[:4], targets[4:8]):
+            time.sleep(0.3)
+            for target in group:
+                target.end()
+        time.sleep(0.3)
+
+    statuses = ask_beside(site, [b"same"] * 8, crash_together)
+    assert set(statuses) == {200}
+    assert "targets crashed under this request" not in read_logs(site)
+
+
+def test_requests_beside_one_that_ends_targets_are_served(site):
+    targets = add_targets(site, 10, script=respond_later)
+
+    def send_fatal():
+        time.sleep(0.2)
+        assert 200 not in send_attempts(site, FATAL, 2 * ENTRIES)
+        time.sleep(0.2)
+
+    statuses = ask_beside(site, [b"a", b"a", b"b", b"c"], send_fatal)
+    assert set(statuses) == {200}
+    assert count_sends(targets) == ENDS_ALLOWED
