--- a/src/cedarchute/crashes/crash_exchange.py
+++ b/src/cedarchute/crashes/crash_exchange.py
@@ -43,8 +43,8 @@
     Audience.FLEET: 0.25,
 }
 CONNECT_SECONDS: Final = 0.05
-# A box that did not answer is told nothing for this long: each message that waits for
-# it delays the next one.
+# A box that did not answer is told again after this: meanwhile each message that waits
+# for it would delay the next one.
 SILENCE_SECONDS: Final = 1.0
 # Other boxes asked at the start; one of them may be starting too.
 BOXES_ASKED: Final = 2
@@ -60,8 +60,8 @@
 
     Attributes
     ----------
-    silent_until : dict of Address to float
-        Boxes that did not answer, and until when they are told nothing.
+    missed : dict of Address to set of str
+        Requests that boxes which did not answer lately are to be told of.
     learnt : Event or None
         Triggered once other boxes were asked after the start; None before that.
     """
@@ -79,7 +79,7 @@
         self.me = me
         self.transport = transport
         self.metrics = metrics
-        self.silent_until: dict[Address, float] = {}
+        self.missed: dict[Address, set[str]] = {}
         self.learnt: Event | None = None
         self.senders = {
             Audience.NOBODY: BatchSender(self.tell_reader),
@@ -191,10 +191,23 @@
     def post(
         self, box: BoxEntry, audience: Audience, reports: tuple[CrashReport, ...]
     ) -> bool:
-        """Send one message; return whether it was answered."""
+        """Send one message; return whether it was answered.
+
+        Nobody waits for a box that did not answer lately. It is sent messages
+        nevertheless: one that stands still reads them once it goes on.
+        """
+        missed = self.missed.get(Address.parse(box.peers))
+        if missed is None:
+            return self.send(box, audience, reports)
+        missed.update(report.request for report in reports)
+        eventlet.spawn_n(self.send, box, audience, reports)
+        return False
+
+    def send(
+        self, box: BoxEntry, audience: Audience, reports: tuple[CrashReport, ...]
+    ) -> bool:
+        """Send one message and wait for its answer; return whether it came."""
         address = Address.parse(box.peers)
-        if time.monotonic() < self.silent_until.get(address, 0.0):
-            return False
         message = msgspec.json.encode(CrashAnnouncement(reports, audience))
         timeout = AnswerTimeout(CONNECT_SECONDS, ANSWER_SECONDS[audience])
         self.metrics.count("crashes.messages")
@@ -204,18 +217,45 @@
                 raise NoAnswerError(f"status {answer.status}")
             known = msgspec.json.decode(answer.body, type=CrashAnnouncement)
         except (NoAnswerError, msgspec.MsgspecError) as error:
-            self.silent_until[address] = time.monotonic() + SILENCE_SECONDS
             self.metrics.count("crashes.not_told")
+            self.note_missed(box, reports)
             log.info(
                 "Box not told of crashes.",
                 extra={"box": box.name, "why": str(error), "reports": len(reports)},
             )
             return False
-        self.silent_until.pop(address, None)
         for report in self.table.merge_reports(known.reports):
             log_report(report)
+        self.tell_missed(box)
         return True
 
+    def note_missed(self, box: BoxEntry, reports: tuple[CrashReport, ...]) -> None:
+        """Have a box that did not answer told later."""
+        address = Address.parse(box.peers)
+        digests = {report.request for report in reports}
+        if address in self.missed:
+            self.missed[address] |= digests
+            return
+        self.missed[address] = digests
+        eventlet.spawn_n(self.tell_later, box)
+
+    def tell_later(self, box: BoxEntry) -> None:
+        """Tell a box what it missed after a while, if it has not answered before."""
+        eventlet.sleep(SILENCE_SECONDS)
+        if box in self.list_entries():
+            self.tell_missed(box)
+        else:
+            self.missed.pop(Address.parse(box.peers), None)
+
+    def tell_missed(self, box: BoxEntry) -> None:
+        """Tell a box what it missed, if it missed anything."""
+        missed = self.missed.pop(Address.parse(box.peers), set())
+        reports = self.table.list_reports(missed)
+        if not reports:
+            return
+        is_near = box.failure_domain == self.me.failure_domain
+        self.post(box, Audience.NOBODY if is_near else Audience.DOMAIN, reports)
+
 
 def log_report(report: CrashReport) -> None:
     """Log a count that another box told."""
--- a/src/cedarchute/crashes/crash_table.py
+++ b/src/cedarchute/crashes/crash_table.py
@@ -84,6 +84,7 @@
 
     def list_reports(self, digests: Iterable[str]) -> tuple[CrashReport, ...]:
         """Return what is known of requests, to be told to other boxes."""
+        self.expire()
         now = self.clock()
         known = [(digest, self.known[digest]) for digest in digests if digest in self]
         return tuple(
--- /dev/null
+++ b/src/experiments/crash_soak/main.py
@@ -0,0 +1,55 @@
+"""Plays seeds of the crash soak, each on a site of its own."""
+
+from __future__ import annotations
+
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+from absl import app, flags
+
+from experiments.crash_soak.crash_run import CrashSoakResult, play_seed
+from experiments.signals import exit_on_signals
+
+SEED = flags.DEFINE_integer("seed", None, "The first seed; else drawn from the time.")
+RUNS = flags.DEFINE_integer("runs", 1, "How many seeds.")
+SECONDS = flags.DEFINE_float("seconds", 12.0, "How long faults are played.")
+ENTRIES = flags.DEFINE_integer("entries", 8, "How many entry boxes.")
+
+
+def describe(result: CrashSoakResult) -> str:
+    """Return one line on a run."""
+    ending = "BROKEN" if result.broken else "holds"
+    return (
+        f"seed {result.seed}: {ending}; {result.faults} faults, {result.fatal} fatal "
+        f"requests sent {result.sends} times, {result.sound} sound ones, "
+        f"{result.unanswered} of them unanswered"
+    )
+
+
+def run(argv: list[str]) -> int:
+    """Play seeds; 1 when a check failed."""
+    del argv
+    exit_on_signals()
+    first = SEED.value if SEED.value is not None else int(time.time())
+    is_broken = False
+    for seed in range(first, first + RUNS.value):
+        folder = tempfile.mkdtemp(prefix="crash-soak-")
+        result = play_seed(seed, SECONDS.value, ENTRIES.value, Path(folder))
+        if result.broken:
+            print(folder)
+        print(describe(result), flush=True)
+        for line in result.broken:
+            print(f"  {line}", flush=True)
+        is_broken = is_broken or bool(result.broken)
+    return int(is_broken)
+
+
+def main() -> None:
+    """Run the command."""
+    app.run(run, argv=sys.argv)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/standins/mortal_target.py
+++ b/src/standins/mortal_target.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 import threading
 from typing import TYPE_CHECKING
@@ -15,7 +16,13 @@
 
 
 class MortalTarget(RawTarget):
-    """Ends as a process does: no listener, every connection reset."""
+    """Ends as a process does: no listener, every connection reset.
+
+    Attributes
+    ----------
+    under_way : list of RawRequest
+        Requests that it runs, or ran when it ended.
+    """
 
     def __init__(
         self,
@@ -25,6 +32,8 @@
         self.is_fatal = is_fatal
         self.connections: list[socket.socket] = []
         self.ended = threading.Event()
+        self.lock = threading.Lock()
+        self.under_way: list[RawRequest] = []
         super().__init__(self.run_or_end)
         self.run = script
 
@@ -38,16 +47,31 @@
 
     def run_or_end(self, request: RawRequest, connection: socket.socket) -> None:
         """Run a request, or end under it."""
+        self.under_way.append(request)
         if self.is_fatal(request):
             self.end()
         else:
             self.run(request, connection)
+        if not self.ended.is_set():
+            self.under_way.remove(request)
 
     def end(self) -> None:
-        """End for good."""
-        self.ended.set()
+        """End for good; what is under way stays listed as such."""
+        with self.lock:
+            if self.ended.is_set():
+                return
+            self.ended.set()
         # A thread that waits in accept keeps a closed listener open.
         self.listener.shutdown(socket.SHUT_RDWR)
         self.listener.close()
         for connection in self.connections:
-            reset(connection)
+            end_connection(connection)
+
+
+def end_connection(connection: socket.socket) -> None:
+    """Reset a connection at once, also one that a thread reads from."""
+    # It may have been closed before.
+    with contextlib.suppress(OSError):
+        # A thread that waits for bytes keeps a closed connection open.
+        connection.shutdown(socket.SHUT_RD)
+        reset(connection)
--- a/tests/crashes/test_crash_exchange.py
+++ b/tests/crashes/test_crash_exchange.py
@@ -158,10 +158,23 @@
     fleet = Fleet(1, 3)
     fleet.lost = {"box-0-001"}
     block(fleet, "box-0-000")
-    before = len(fleet.messages)
+    for exchange in fleet.exchanges.values():
+        exchange.transport.answer_seconds = 600.0
+    with eventlet.Timeout(20):
+        block(fleet, "box-0-000")
+    assert set(fleet.list_uninformed()) == fleet.lost
+
+
+def test_a_box_that_answers_again_is_told_at_once_what_it_missed():
+    fleet = Fleet(1, 3)
+    fleet.lost = {"box-0-001"}
     block(fleet, "box-0-000")
-    later = fleet.messages[before:]
-    assert later == [("box-0-000", "box-0-002")]
+    fleet.lost = set()
+    exchange = fleet.exchanges["box-0-000"]
+    exchange.table.merge("other", BLOCKING)
+    exchange.tell_and_wait("other")
+    wait_told(fleet)
+    assert not exchange.missed
 
 
 def test_a_box_that_starts_learns_what_the_others_know():
@@ -192,9 +205,20 @@
     wait_told(fleet)
     fleet.lost = set()
     for exchange in fleet.exchanges.values():
-        exchange.silent_until.clear()
+        exchange.missed.clear()
     late = fleet.exchanges["box-1-001"]
     assert late.table.find_block("r") is None
     late.table.merge("r", CrashCount(0, 1))
     late.tell_and_wait("r")
     assert late.table.find_block("r")
+
+
+def test_a_box_that_was_away_is_told_later(monkeypatch):
+    monkeypatch.setattr(crash_exchange, "SILENCE_SECONDS", 0.05)
+    fleet = Fleet(2, 2)
+    fleet.lost = {"box-0-001", "box-1-000"}
+    block(fleet, "box-0-000")
+    wait_told(fleet)
+    fleet.lost = set()
+    wait_told(fleet)
+    wait_until(lambda: not any(e.missed for e in fleet.exchanges.values()))
