Don't say not run of a stream whose engine is gone when it goes on

Older wing: a model call broke off after it had begun, the engine refused the attempt to go on (it had crashed), and the caller was told 'not run' by that attempt's verdict; a call that may not be repeated would have been sent elsewhere. The new test was red before: verdict 'not run' of a call whose first piece had come.

--- a/src/cedarchute/programs/model_caller.py
+++ b/src/cedarchute/programs/model_caller.py
@@ -61,6 +61,7 @@
         """
         address = target.section.address
         resumes = 0
+        broken: TargetError | None = None
         while True:
             try:
                 if is_resumed:
@@ -75,6 +76,9 @@
                 self.pin_shared_prefix(call, target)
                 return outcome
             except TargetError as error:
+                if broken is not None and error.verdict is Verdict.NOT_RUN:
+                    # Only the attempt to go on did not run; the call had begun.
+                    raise broken from error
                 is_resumable = error.reason in ("target_broke_off", "target_timeout")
                 if not is_resumable or resumes >= MAX_RESUMES:
                     raise
@@ -82,6 +86,7 @@
                     raise
                 resumes += 1
                 is_resumed = True
+                broken = error
                 self.metrics.count_retry("stream_resumed")
 
     def consume_stream(
--- a/tests/programs/test_dispatcher.py
+++ b/tests/programs/test_dispatcher.py
@@ -3,6 +3,7 @@
 import pytest
 from fake_world import FakeWorld
 
+from cedarchute.targets.stream_chunk import StreamChunk
 from cedarchute.targets.target_error import TargetError
 from cedarchute.verdict import Verdict
 
@@ -46,6 +47,25 @@
     assert outcome.verdict == "may have run"
 
 
+def test_a_stream_whose_engine_is_gone_when_it_goes_on_may_have_run(world):
+    program = world.open(0)
+    box = world.boxes[0]
+    engines = box.runner.dispatcher.model_caller.engines
+
+    def generate(address, request, seconds):
+        yield StreamChunk("begun", 1)
+        raise TargetError("target_broke_off", "reset", Verdict.MAY_HAVE_RUN)
+
+    def resume(address, request_id, offset, seconds):
+        raise TargetError("target_unreachable", "refused", Verdict.NOT_RUN)
+
+    engines.generate, engines.resume = generate, resume
+    messages = [{"role": "user", "content": "Hi"}]
+    outcome = world.call(box, program, "k", service="agent", messages=messages)
+    assert outcome.verdict == "may have run"
+    assert outcome.code == "target_broke_off"
+
+
 def test_a_cut_off_owner_sends_nothing_once_it_may_have_been_replaced(world):
     program = world.open(0)
     box = world.boxes[0]
