Send a program's call that crashes its targets to no more than three

Older wing: a repeatable call was sent on until no target was left or the retry budget (10) was spent, and a new key began anew. Its home counts crashes by program and content now, in memory: a takeover begins anew (by reading).

--- a/src/cedarchute/daemon/program_parts.py
+++ b/src/cedarchute/daemon/program_parts.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from cedarchute.crashes.program_call_crashes import ProgramCallCrashes
 from cedarchute.membership.heartbeats import Heartbeats
 from cedarchute.ownership.owner_check import OwnerCheck
 from cedarchute.ownership.partition_keeper import PartitionKeeper
@@ -19,6 +20,7 @@
 from cedarchute.programs.program_resumer import ProgramResumer
 from cedarchute.programs.reaper import Reaper
 from cedarchute.programs.target_chooser import TargetChooser
+from cedarchute.relay.target_probe import TargetProbe
 from cedarchute.scheduling.admission import AdmissionController
 from cedarchute.targets.service_client import ServiceClient
 
@@ -155,6 +157,7 @@
             shared.replicator,
             self.home.append,
             scheduling.allowance,
+            ProgramCallCrashes(TargetProbe(), metrics),
             clock,
             metrics,
         )
--- a/src/cedarchute/programs/dispatcher.py
+++ b/src/cedarchute/programs/dispatcher.py
@@ -5,6 +5,7 @@
 import logging
 from typing import TYPE_CHECKING, Final
 
+from cedarchute.crashes.program_call_crashes import BLOCKED
 from cedarchute.operators.site_file import ServiceKind
 from cedarchute.problem import Problem
 from cedarchute.programs.records import CallFinished, CallRetargeted
@@ -16,6 +17,7 @@
 
     from cedarchute.clock import Clock
     from cedarchute.copies.replicator import Replicator
+    from cedarchute.crashes.program_call_crashes import ProgramCallCrashes
     from cedarchute.limits.retry_budget import RetryBudget
     from cedarchute.metrics import Metrics
     from cedarchute.programs.cache_migrator import CacheMigrator
@@ -36,6 +38,7 @@
     "copies_unavailable": 503,
     "target_busy": 503,
     "target_unreachable": 503,
+    BLOCKED: 503,
 }
 
 
@@ -52,6 +55,7 @@
         replicator: Replicator,
         append_records: Callable[[Program, Sequence[ProgramRecord]], None],
         retry_budget: RetryBudget,
+        crashes: ProgramCallCrashes,
         clock: Clock,
         metrics: Metrics,
     ) -> None:
@@ -63,6 +67,7 @@
         self.replicator = replicator
         self.append_records = append_records
         self.retry_budget = retry_budget
+        self.crashes = crashes
         self.clock = clock
         self.metrics = metrics
 
@@ -130,7 +135,7 @@
             call.intent.max_tokens,
             excluded,
         )
-        if target is None:
+        if target is None or self.crashes.find(call).is_blocking:
             return None
         if not self.retry_budget.take():
             self.metrics.count_refusal("retry_allowance")
@@ -158,9 +163,11 @@
         if seconds <= 0 and not is_resumed:
             raise TargetError("deadline", "no time left", Verdict.NOT_RUN)
         if not is_resumed:
+            self.crashes.check(call)
             if call.intent.service_kind is ServiceKind.MODEL:
                 self.cache_migrator.migrate_if_worthwhile(call.program, target)
             self.confirm_owned(call)
+        known_crashes = self.crashes.find(call)
         priority = self.chooser.priority_of(call.program)
         self.directory.on_request_sent(target, call.intent.input_tokens, priority)
         try:
@@ -172,11 +179,14 @@
                 outcome = self.attempt_plain(call, target, seconds)
         except TargetError as error:
             self.directory.on_request_failed(target, error.reason, priority)
+            address = target.section.address
+            self.crashes.record_failure(call, address, known_crashes, error)
             raise
         except BaseException:
             self.directory.on_request_succeeded(target, priority)
             raise
         self.directory.on_request_succeeded(target, priority)
+        self.crashes.record_answer(call)
         return outcome
 
     def confirm_owned(self, call: DispatchedCall) -> None:
--- a/src/cedarchute/targets/target_error.py
+++ b/src/cedarchute/targets/target_error.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 import urllib3
 
@@ -13,6 +13,10 @@
     from urllib3.response import BaseHTTPResponse
 
 
+# Reason of a failure in the middle of a request.
+BROKE_OFF: Final = "target_broke_off"
+
+
 class TargetError(Exception):
     """A request to a target failed; the verdict says whether it may have run."""
 
@@ -45,7 +49,7 @@
         return TargetError("target_unreachable", str(error), Verdict.NOT_RUN)
     if isinstance(error, urllib3.exceptions.ReadTimeoutError):
         return TargetError("target_timeout", str(error), Verdict.MAY_HAVE_RUN)
-    return TargetError("target_broke_off", str(error), Verdict.MAY_HAVE_RUN)
+    return TargetError(BROKE_OFF, str(error), Verdict.MAY_HAVE_RUN)
 
 
 def make_status_error(response: BaseHTTPResponse) -> TargetError:
--- a/tests/stateful/fake_box.py
+++ b/tests/stateful/fake_box.py
@@ -8,6 +8,7 @@
 from cedarchute.copies.holder import Holder
 from cedarchute.copies.record_storage import MemoryStorage
 from cedarchute.copies.replicator import Replicator
+from cedarchute.crashes.program_call_crashes import ProgramCallCrashes
 from cedarchute.limits.limit_lender import LimitLender
 from cedarchute.limits.retry_budget import RetryBudget
 from cedarchute.limits.workspace_limits import WorkspaceLimits
@@ -150,6 +151,7 @@
             self.replicator,
             self.home.append,
             RetryBudget(1.0),
+            ProgramCallCrashes(world.probe, metrics),
             clock,
             metrics,
         )
--- a/tests/stateful/fake_targets.py
+++ b/tests/stateful/fake_targets.py
@@ -23,6 +23,16 @@
         return FakeServiceClient(self, box)
 
 
+class FakeProbe:
+    """Finds the targets that a test names ended."""
+
+    def __init__(self):
+        self.is_gone = False
+
+    def has_ended(self, address):
+        return self.is_gone
+
+
 class FakeServiceClient:
     def __init__(self, service, box):
         self.service = service
--- a/tests/stateful/fake_world.py
+++ b/tests/stateful/fake_world.py
@@ -7,7 +7,7 @@
 from fake_clock import FakeClock
 from fake_network import FakeNetwork
 from fake_store import FakeStore
-from fake_targets import FakeEngines, FakeService
+from fake_targets import FakeEngines, FakeProbe, FakeService
 
 from cedarchute.copies.owned_partition import PartitionMovedError
 from cedarchute.membership.partition_record import PartitionRecord
@@ -28,6 +28,7 @@
         self.store = FakeStore()
         self.service = FakeService(self.network)
         self.engines = FakeEngines(self.network)
+        self.probe = FakeProbe()
         self.boxes = {}
         self.incarnations = {}
         self.old_boxes = []
