--- a/src/cedarchute/calls/attempts.py
+++ b/src/cedarchute/calls/attempts.py
@@ -258,10 +258,7 @@
         while True:
             if time.monotonic() >= self.deadline:
                 raise self.make_final_error("no time left")
-            load_balancer = self.target_client.load_balancer
-            target = load_balancer.select_target(
-                self.service, self.tried, self.preferred_target
-            )
+            target = self.select_target()
             if target is not None:
                 return target
             if self.call_order is None and time.monotonic() >= self.full_wait_deadline:
@@ -269,6 +266,15 @@
             self.wait_for_capacity()
             self.tried = set(self.broken)
 
+    def select_target(self) -> TargetEntry | None:
+        """Return the target that suits the call best now, or None if there is none."""
+        load_balancer = self.target_client.load_balancer
+        if self.crash_watch.is_suspect:
+            return load_balancer.select_any(self.service, self.tried)
+        return load_balancer.select_target(
+            self.service, self.tried, self.preferred_target
+        )
+
     def wait_for_capacity(self) -> None:
         """Wait until targets are looked at again; raise if the box stops."""
         try:
--- a/src/cedarchute/crashes/call_watch.py
+++ b/src/cedarchute/crashes/call_watch.py
@@ -12,6 +12,10 @@
 class CallWatch(Protocol):
     """Is told how the runs of one attempt of a caller end."""
 
+    @property
+    def is_suspect(self) -> bool:
+        """Whether a target crashed under the request and none has answered it since."""
+
     def find_block(self) -> float | None:
         """Return for how many seconds the call must not be sent; None if it may."""
 
--- a/src/cedarchute/crashes/crash_watch.py
+++ b/src/cedarchute/crashes/crash_watch.py
@@ -59,6 +59,12 @@
         """The digest that all attempts of the request share."""
         return compute_request_digest(self.request, self.call)
 
+    @property
+    def is_suspect(self) -> bool:
+        """Whether a target crashed under the request and none has answered it since."""
+        table = self.exchange.table
+        return bool(table) and table.find(self.digest).crashes > 0
+
     def find_block(self) -> float | None:
         """Return for how many seconds the call must not be sent; None if it may."""
         self.exchange.learn_at_start()
--- a/src/cedarchute/crashes/unwatched_call.py
+++ b/src/cedarchute/crashes/unwatched_call.py
@@ -12,6 +12,8 @@
 class UnwatchedCall:
     """Is never blocked, and makes nothing of how runs end; implements `CallWatch`."""
 
+    is_suspect = False
+
     def find_block(self) -> float | None:
         """Return None."""
         return None
--- a/src/cedarchute/routing/load_balancer.py
+++ b/src/cedarchute/routing/load_balancer.py
@@ -108,6 +108,22 @@
             key=lambda entry: self.estimate_wait(entry, default_seconds, max_slots),
         )
 
+    def select_any(self, service: str, tried: set[str]) -> TargetEntry | None:
+        """Return a random target that was not tried yet, one with capacity if any.
+
+        For calls under which a target crashed: the calls that it took along come back
+        at the same moment, and would meet again at the best target.
+        """
+        ready = [e for e in self.registry.list_ready(service) if e.id not in tried]
+        available = [
+            entry
+            for entry in ready
+            if not self.loads[entry.incarnation].is_backing_off
+            and self.has_capacity(entry)
+        ]
+        candidates = available or ready
+        return self.random_source.choice(candidates) if candidates else None
+
     def find_mean_latency(self, entries: list[TargetEntry]) -> float:
         """Return the mean response time of targets, 0 if none is known.
 
--- a/tests/calls/test_attempts.py
+++ b/tests/calls/test_attempts.py
@@ -65,6 +65,10 @@
     def find_block(self):
         return None if self.failures_left else 20.0
 
+    @property
+    def is_suspect(self):
+        return False
+
     def begin_run(self):
         pass
 
@@ -122,3 +126,15 @@
     assert caught.value.status == 502
     assert caught.value.retry_after_seconds is None
     assert targets.sends == 1
+
+
+def test_a_request_under_which_a_target_crashed_goes_to_any_other():
+    class SuspectWatch(Watch):
+        is_suspect = True
+
+    targets = Targets(Quota(0), [])
+    chosen = SimpleNamespace(id="any", incarnation="i")
+    targets.load_balancer.select_any = lambda service, tried: chosen
+    attempts = make_attempts(targets, crash_watch=SuspectWatch(1))
+    assert attempts.open() == "opened"
+    assert attempts.tried == {"any"}
--- a/tests/routing/test_load_balancer.py
+++ b/tests/routing/test_load_balancer.py
@@ -111,3 +111,14 @@
     balancer.loads["busy"].active = 0
     balancer.prune_loads()
     assert set(balancer.loads) == {"there"}
+
+
+def test_any_target_with_room_is_chosen_for_a_suspect_call():
+    entries = [make_entry(f"t-{number}", slots=2) for number in range(5)]
+    balancer = make_balancer(*entries)
+    balancer.loads["t-0"].active = 2
+    balancer.loads["t-1"].record_failure()
+    chosen = {balancer.select_any("s", {"t-2"}).id for _ in range(50)}
+    assert chosen == {"t-3", "t-4"}
+    assert balancer.select_any("s", {"t-2", "t-3", "t-4"}).id in ("t-0", "t-1")
+    assert balancer.select_any("other", set()) is None
