Tell draining and lapsed boxes of crashes, past readers that can't

A reader says now that it can't; boxes are told until a minute after their entries went. Sending is split from who is told. The check allows one more send for each entry that was killed or stood still meanwhile, as it may be the one that counted.

--- a/src/cedarchute/crashes/crash_table.py
+++ b/src/cedarchute/crashes/crash_table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import time
 from collections import OrderedDict
 from typing import TYPE_CHECKING, Final
@@ -13,6 +14,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
+log = logging.getLogger("cedarchute.crashes")
+
 # Longer than callers go on sending a request again. A request that was blocked by
 # mistake is served again after this time.
 LAPSE_SECONDS: Final = 60.0
@@ -70,17 +73,20 @@
             self.known.popitem(last=False)
         return True
 
-    def merge_reports(self, reports: Iterable[CrashReport]) -> list[CrashReport]:
-        """Take in the reports of another box; return those that are news here."""
-        return [
-            report
-            for report in reports
-            if self.merge(
-                report.request,
-                CrashCount(report.clearances, report.crashes),
-                report.age_ms / 1000,
-            )
-        ]
+    def merge_reports(self, reports: Iterable[CrashReport]) -> None:
+        """Take in the reports of another box and log what is news here."""
+        for report in reports:
+            count = CrashCount(report.clearances, report.crashes)
+            if self.merge(report.request, count, report.age_ms / 1000):
+                log.info(
+                    "Told of crashes under a request.",
+                    extra={
+                        "request": report.request,
+                        "crashes": report.crashes,
+                        "clearances": report.clearances,
+                        "age_ms": report.age_ms,
+                    },
+                )
 
     def list_reports(self, digests: Iterable[str]) -> tuple[CrashReport, ...]:
         """Return what is known of requests, to be told to other boxes."""
--- a/src/cedarchute/daemon/entry_box.py
+++ b/src/cedarchute/daemon/entry_box.py
@@ -19,9 +19,8 @@
 from cedarchute.calls.shutdown_deadline import ShutdownDeadline
 from cedarchute.calls.stream_call_handler import StreamCallHandler
 from cedarchute.calls.target_client import TargetClient
-from cedarchute.crashes.crash_exchange import CrashExchange
-from cedarchute.crashes.crash_table import CrashTable
 from cedarchute.crashes.crash_watcher import CrashWatcher
+from cedarchute.daemon.crash_parts import make_crash_exchange
 from cedarchute.daemon.entry_stop import EntryStop
 from cedarchute.daemon.lean_start import let_modules_in
 from cedarchute.daemon.listeners import (
@@ -141,9 +140,7 @@
             whole_programs=bool(settings.fair_share.whole_programs),
         )
         held = make_held_bytes(settings.pressure, metrics)
-        crashes = CrashExchange(
-            CrashTable(), self.directory, me, HolderConnections(), metrics
-        )
+        crashes = make_crash_exchange(self.directory, me, metrics)
         exchange = TargetClient(
             self.pool,
             self.choice,
--- a/src/cedarchute/fleet/box_directory.py
+++ b/src/cedarchute/fleet/box_directory.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import logging
+import time
 from typing import TYPE_CHECKING, Final
 
 from cedarchute.fleet.box_entry import BoxEntry, Role
 from cedarchute.fleet.lapsing_entries import LapsingEntries
+from cedarchute.record import Record
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection
@@ -19,6 +21,16 @@
 # the whole region, so that the loss of one box leaves it another.
 MIN_OWN_DOMAIN_BOXES: Final = 2
 MAX_ADDRESSES: Final = 64
+# Callers keep an address that they were given for several times as long as it is valid,
+# so a box may have some after its entry lapsed.
+RECENT_SECONDS: Final = 60.0
+
+
+class DroppedBox(Record):
+    """A box whose entry is gone, and when it was dropped (monotonic seconds)."""
+
+    entry: BoxEntry
+    dropped_at: float
 
 
 class BoxDirectory:
@@ -34,10 +46,12 @@
     def __init__(self) -> None:
         self.known: LapsingEntries[BoxEntry] = LapsingEntries(self.log_removal)
         self.addresses: frozenset[str] = frozenset()
+        self.dropped: dict[str, DroppedBox] = {}
         self.list_isolated: Callable[[], Collection[str]] = tuple
 
     def put(self, entry: BoxEntry) -> None:
         """Add or update a box."""
+        self.dropped.pop(entry.name, None)
         before = self.known.put(entry.name, entry)
         self.update_addresses()
         if before != entry:
@@ -50,6 +64,7 @@
 
     def log_removal(self, entry: BoxEntry) -> None:
         """Update the addresses and log that a box was dropped."""
+        self.dropped[entry.name] = DroppedBox(entry, time.monotonic())
         self.update_addresses()
         log.info("Box was dropped.", extra={"box": entry.name})
 
@@ -69,6 +84,20 @@
         entries = self.known.entries.values()
         return [box for box in entries if box.role is role and not box.leaving]
 
+    def list_recent(self, role: Role) -> list[BoxEntry]:
+        """Return the boxes of a role that may still serve: draining or lapsed ones too.
+
+        A box that is cut off from the store loses its entry, and goes on serving.
+        """
+        oldest = time.monotonic() - RECENT_SECONDS
+        for name in [n for n, box in self.dropped.items() if box.dropped_at < oldest]:
+            del self.dropped[name]
+        boxes = [
+            *self.known.entries.values(),
+            *(d.entry for d in self.dropped.values()),
+        ]
+        return [box for box in boxes if box.role is role]
+
     def list_caller_addresses(
         self, failure_domain: str, region: str, is_behind: bool = False
     ) -> list[str]:
--- a/src/cedarchute/fleet/peer_server.py
+++ b/src/cedarchute/fleet/peer_server.py
@@ -121,6 +121,8 @@
             log.info("Crash reports refused.", extra={"why": str(error)})
             return self.reply(start_response, "400 Bad Request", b"{}")
         known = self.crashes.receive(told)
+        if known is None:
+            return self.reply(start_response, "503 Service Unavailable", b"{}")
         return self.reply(start_response, "200 OK", msgspec.json.encode(known))
 
     def reply(
--- a/src/experiments/crash_soak/crash_site.py
+++ b/src/experiments/crash_soak/crash_site.py
@@ -105,6 +105,8 @@
         self.targets[service].remove(target)
         with self.lock:
             self.ends.update(request.body for request in target.under_way)
+            unread = (data.rpartition(b"\r\n\r\n")[2] for data in target.unread)
+            self.ends.update(body for body in unread if body)
         time.sleep(REPLACE_SECONDS)
         if self.is_stopped:
             return
--- a/src/standins/mortal_target.py
+++ b/src/standins/mortal_target.py
@@ -7,7 +7,7 @@
 import threading
 from typing import TYPE_CHECKING
 
-from standins.raw_target import RawTarget, reset
+from standins.raw_target import READ_BYTES, RawTarget, reset
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -22,6 +22,8 @@
     ----------
     under_way : list of RawRequest
         Requests that it runs, or ran when it ended.
+    unread : list of bytes
+        What had come in on its connections and was not read when it ended.
     """
 
     def __init__(
@@ -34,6 +36,7 @@
         self.ended = threading.Event()
         self.lock = threading.Lock()
         self.under_way: list[RawRequest] = []
+        self.unread: list[bytes] = []
         super().__init__(self.run_or_end)
         self.run = script
 
@@ -60,6 +63,8 @@
         with self.lock:
             if self.ended.is_set():
                 return
+            for connection in self.connections:
+                self.unread.append(peek(connection))
             self.ended.set()
         # A thread that waits in accept keeps a closed listener open.
         self.listener.shutdown(socket.SHUT_RDWR)
@@ -68,6 +73,15 @@
             end_connection(connection)
 
 
+def peek(connection: socket.socket) -> bytes:
+    """Return what has come in on a connection and was not read."""
+    try:
+        return connection.recv(READ_BYTES, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except OSError:
+        # There is nothing, or the connection was closed before.
+        return b""
+
+
 def end_connection(connection: socket.socket) -> None:
     """Reset a connection at once, also one that a thread reads from."""
     # It may have been closed before.
--- a/tests/fleet/test_box_directory.py
+++ b/tests/fleet/test_box_directory.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+from cedarchute.fleet import box_directory
 from cedarchute.fleet.box_directory import BoxDirectory
 from cedarchute.fleet.box_entry import BoxEntry, Role
 
@@ -48,3 +49,20 @@
     directory = make_directory(isolated=range(5), leaving={1})
     assert list_names(directory, "b") == ["entry-2", "entry-3"]
     assert "entry-1" not in list_names(directory, "a")
+
+
+def test_boxes_that_drain_or_were_dropped_lately_may_still_serve(monkeypatch):
+    directory = make_directory(leaving=(1,))
+    directory.remove("entry-2")
+    everyone = {f"entry-{number}" for number in range(5)}
+
+    def list_recent():
+        return {box.name for box in directory.list_recent(Role.ENTRY)}
+
+    assert list_recent() == everyone
+    assert not directory.list_recent(Role.HOLDER)
+    monkeypatch.setattr(box_directory, "RECENT_SECONDS", 0.0)
+    assert list_recent() == everyone - {"entry-2"}
+    monkeypatch.undo()
+    directory.put(directory.known.entries["entry-0"])
+    assert list_recent() == everyone - {"entry-2"}
