Bound what messages about crashes cost, and the wait of a box that starts

Answers hold the counts that were asked about instead of the newest 256, batches that follow each other closely are 20 ms apart, dropped boxes are forgotten also if nobody asks for them, and the first calls of a box wait 50 ms at most for what others know. Counts that can't be are refused.

--- a/src/cedarchute/crashes/batch_sender.py
+++ b/src/cedarchute/crashes/batch_sender.py
@@ -12,6 +12,8 @@
 
 # Digests in one message.
 MAX_DIGESTS: Final = 256
+# Between messages while more and more is to be told.
+PAUSE_SECONDS: Final = 0.02
 
 
 class BatchSender:
@@ -52,5 +54,6 @@
                         self.send(batch[start : start + MAX_DIGESTS])
                 finally:
                     sent.send(None)
+                eventlet.sleep(PAUSE_SECONDS if self.pending else 0)
         finally:
             self.is_running = False
--- a/src/cedarchute/crashes/crash_exchange.py
+++ b/src/cedarchute/crashes/crash_exchange.py
@@ -23,6 +23,8 @@
 MAX_WAIT_SECONDS: Final = 0.25
 # Other boxes asked at the start; one of them may be starting too.
 BOXES_ASKED: Final = 2
+# How long the first calls wait for them; after the loss of all boxes nobody answers.
+LEARN_SECONDS: Final = 0.05
 
 
 class CrashExchange:
@@ -71,7 +73,8 @@
     def receive(self, announcement: CrashAnnouncement) -> CrashAnnouncement | None:
         """Take in what another box tells, tell others in turn; return what is known.
 
-        None if this box does not know yet whom to tell, so that another one has to.
+        A box that starts tells nothing and gets the newest counts. None if this box
+        does not know yet whom to tell, so that another one has to.
         """
         self.table.merge_reports(announcement.reports)
         digests = [report.request for report in announcement.reports]
@@ -79,7 +82,9 @@
             if not self.boxes.is_complete:
                 return None
             self.batches[announcement.audience].add(digests).wait()
-        return CrashAnnouncement(self.table.list_newest(MAX_DIGESTS))
+        if not digests:
+            return CrashAnnouncement(self.table.list_newest(MAX_DIGESTS))
+        return CrashAnnouncement(self.table.list_reports(digests))
 
     def learn_at_start(self) -> None:
         """Ask other boxes once what they know; calls that come meanwhile wait."""
@@ -87,8 +92,11 @@
             self.learnt.wait()
             return
         self.learnt = Event()
+        nearest = self.boxes.list_nearest(BOXES_ASKED)
+        asking = eventlet.spawn(self.sender.post_to_all, nearest, ())
         try:
-            self.sender.post_to_all(self.boxes.list_nearest(BOXES_ASKED), ())
+            with eventlet.Timeout(LEARN_SECONDS, False):
+                asking.wait()
         finally:
             self.learnt.send(None)
 
--- a/src/cedarchute/crashes/crash_report.py
+++ b/src/cedarchute/crashes/crash_report.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from enum import StrEnum
-from typing import Final
+from typing import Annotated, Final
 
 import msgspec
+from msgspec import Meta
 
 # HTTP path of the message.
 CRASHES_PATH: Final = "/fleet/crashes"
@@ -32,10 +33,10 @@
         How long ago the count was reached, in milliseconds.
     """
 
-    request: str
-    clearances: int
-    crashes: int
-    age_ms: int = 0
+    request: Annotated[str, Meta(max_length=64)]
+    clearances: Annotated[int, Meta(ge=0)]
+    crashes: Annotated[int, Meta(ge=0)]
+    age_ms: Annotated[int, Meta(ge=0)] = 0
 
 
 class CrashAnnouncement(msgspec.Struct, frozen=True):
--- a/src/cedarchute/fleet/box_directory.py
+++ b/src/cedarchute/fleet/box_directory.py
@@ -38,6 +38,8 @@
 
     Attributes
     ----------
+    dropped : dict of str to DroppedBox
+        Boxes that were dropped lately, by name.
     list_isolated : Callable
         Returns the boxes without a quorum of holders that have said so to other boxes;
         they may not reach the store to publish it.
@@ -64,6 +66,7 @@
 
     def log_removal(self, entry: BoxEntry) -> None:
         """Update the addresses and log that a box was dropped."""
+        self.forget_dropped()
         self.dropped[entry.name] = DroppedBox(entry, time.monotonic())
         self.update_addresses()
         log.info("Box was dropped.", extra={"box": entry.name})
@@ -89,15 +92,19 @@
 
         A box that is cut off from the store loses its entry, and goes on serving.
         """
-        oldest = time.monotonic() - RECENT_SECONDS
-        for name in [n for n, box in self.dropped.items() if box.dropped_at < oldest]:
-            del self.dropped[name]
+        self.forget_dropped()
         boxes = [
             *self.known.entries.values(),
             *(d.entry for d in self.dropped.values()),
         ]
         return [box for box in boxes if box.role is role]
 
+    def forget_dropped(self) -> None:
+        """Forget the boxes that were dropped long ago."""
+        oldest = time.monotonic() - RECENT_SECONDS
+        for name in [n for n, box in self.dropped.items() if box.dropped_at < oldest]:
+            del self.dropped[name]
+
     def list_caller_addresses(
         self, failure_domain: str, region: str, is_behind: bool = False
     ) -> list[str]:
--- a/tests/crashes/test_crash_exchange.py
+++ b/tests/crashes/test_crash_exchange.py
@@ -27,6 +27,7 @@
 def patience(monkeypatch):
     """Leave no outcome to how busy the machine is."""
     monkeypatch.setattr(crash_exchange, "MAX_WAIT_SECONDS", 30)
+    monkeypatch.setattr(crash_exchange, "LEARN_SECONDS", 30)
     monkeypatch.setattr(crash_sender, "SILENCE_SECONDS", 600)
 
 
@@ -208,6 +209,16 @@
     assert not fleet.list_uninformed()
 
 
+def test_a_box_that_starts_when_all_others_are_away_serves_soon(monkeypatch):
+    monkeypatch.setattr(crash_exchange, "LEARN_SECONDS", 0.01)
+    fleet = Fleet(1, 3)
+    fleet.lost = {"box-0-001", "box-0-002"}
+    starting = fleet.exchanges["box-0-000"]
+    starting.sender.transport.answer_seconds = 600.0
+    with eventlet.Timeout(20):
+        starting.learn_at_start()
+
+
 def test_calls_that_come_while_a_box_learns_wait_for_it():
     fleet = Fleet(1, 2)
     block(fleet, "box-0-000")
