Prove the count of crashes by taking out one part of it at a time

The copy of the project lacked deploy/, so tests with entry boxes failed untouched there. Two tests passed without telling, as a box asks others at its first call: each entry takes a call before them now.

--- a/src/experiments/mutations.py
+++ b/src/experiments/mutations.py
@@ -17,6 +17,7 @@
 CONFIGURATION: Final = "tests/failures/test_configuration.py::"
 LINKS: Final = "tests/failures/test_links.py::"
 MOVES: Final = "tests/failures/test_cache_moves.py::"
+FATAL: Final = "tests/platform_site/test_fatal_requests.py::"
 SHARED: Final = "tests/test_shared_beginnings.py"
 
 
@@ -306,4 +307,32 @@
         "bucket.take()",
         "tests/limits/test_workspace_limits.py",
     ),
+    Mutation(
+        "a request under which three targets crashed is sent to no other one",
+        "decisions/crash_count.py",
+        "return self.crashes >= MAX_CRASHES",
+        "return False",
+        f"{FATAL}test_a_request_that_ended_three_targets_is_sent_to_no_other",
+    ),
+    Mutation(
+        "other boxes are told of a crash before its call is answered",
+        "crashes/crash_watch.py",
+        "self.exchange.tell_and_wait(self.digest)",
+        "pass",
+        f"{FATAL}test_a_request_that_ended_three_targets_is_sent_to_no_other",
+    ),
+    Mutation(
+        "a box that starts learns of crashes",
+        "crashes/crash_exchange.py",
+        "asking.wait()",
+        "asking.kill()",
+        f"{FATAL}test_a_request_is_counted_across_a_restart_of_the_box_that_comes_next",
+    ),
+    Mutation(
+        "an answer clears a request, crashes side by side count once",
+        "decisions/crash_count.py",
+        "return CrashCount(self.clearances + 1, 0)",
+        "return self",
+        f"{FATAL}test_requests_on_targets_that_crash_by_themselves_are_all_served",
+    ),
 )
--- a/src/experiments/prove_tests.py
+++ b/src/experiments/prove_tests.py
@@ -52,6 +52,7 @@
         shutil.copytree(ROOT / "src", folder / "src")
         shutil.copytree(ROOT / "tests", folder / "tests")
         shutil.copytree(ROOT / "examples", folder / "examples")
+        shutil.copytree(ROOT / "deploy", folder / "deploy")
         shutil.copy(ROOT / "pyproject.toml", folder)
         if not change(folder):
             return "not found"
--- a/tests/platform_site/test_fatal_requests.py
+++ b/tests/platform_site/test_fatal_requests.py
@@ -47,9 +47,16 @@
             site.start_entry(f"entry-{number}", "ab"[number % 2])
         site.configure(ROUTES)
         site.wait_ready()
+        end_starts(site)
         yield site
 
 
+def end_starts(site):
+    """Have each entry take a call: boxes ask others what they know at their first."""
+    for name, address in site.callers.items():
+        assert call(address, b"/again/x", f"first-{name}".encode())[0] == 503
+
+
 def add_targets(site, count, service="plain", script=respond):
     targets = [MortalTarget(script, is_fatal) for _ in range(count)]
     for number, target in enumerate(targets):
@@ -89,6 +96,7 @@
 
 
 def test_a_turn_that_ended_three_targets_is_sent_to_no_other(own_nodes):
+    end_starts(own_nodes)
     targets = add_targets(own_nodes, 8, "model")
     entries = itertools.cycle(own_nodes.callers.values())
     for number in range(6):
