--- a/src/cedarchute/crashes/call_watch.py
+++ b/src/cedarchute/crashes/call_watch.py
@@ -14,7 +14,7 @@
 
     @property
     def is_suspect(self) -> bool:
-        """Whether a target crashed under the request and none has answered it since."""
+        """Whether targets crashed one after the other under the request."""
 
     def find_block(self) -> float | None:
         """Return for how many seconds the call must not be sent; None if it may."""
--- a/src/cedarchute/crashes/crash_watch.py
+++ b/src/cedarchute/crashes/crash_watch.py
@@ -61,9 +61,9 @@
 
     @property
     def is_suspect(self) -> bool:
-        """Whether a target crashed under the request and none has answered it since."""
+        """Whether targets crashed one after the other under the request."""
         table = self.exchange.table
-        return bool(table) and table.find(self.digest).crashes > 0
+        return bool(table) and table.find(self.digest).is_suspect
 
     def find_block(self) -> float | None:
         """Return for how many seconds the call must not be sent; None if it may."""
--- a/src/cedarchute/decisions/crash_count.py
+++ b/src/cedarchute/decisions/crash_count.py
@@ -8,6 +8,8 @@
 
 # Targets that may crash under one request before it is sent to no further one.
 MAX_CRASHES: Final = 3
+# From this on a request is likely to be the cause, or to come back beside the cause.
+SUSPECT_CRASHES: Final = 2
 
 
 class CrashCount(Record, order=True):
@@ -33,6 +35,11 @@
     clearances: int = 0
     crashes: int = 0
 
+    @property
+    def is_suspect(self) -> bool:
+        """Whether targets crashed one after the other under the request."""
+        return self.crashes >= SUSPECT_CRASHES
+
     @property
     def is_blocking(self) -> bool:
         """Whether the request must not be sent to another target."""
--- a/src/cedarchute/routing/load_balancer.py
+++ b/src/cedarchute/routing/load_balancer.py
@@ -111,8 +111,9 @@
     def select_any(self, service: str, tried: set[str]) -> TargetEntry | None:
         """Return a random target that was not tried yet, one with capacity if any.
 
-        For calls under which a target crashed: the calls that it took along come back
-        at the same moment, and would meet again at the best target.
+        For calls under which targets crashed one after the other: the calls that a
+        crash took along come back at the same moment, and would meet again at the best
+        target.
         """
         ready = [e for e in self.registry.list_ready(service) if e.id not in tried]
         available = [
--- a/tests/crashes/test_crash_watch.py
+++ b/tests/crashes/test_crash_watch.py
@@ -106,6 +106,16 @@
     assert watcher.exchange.table.find(watches[0].digest) == CrashCount(0, 1)
 
 
+def test_a_call_is_suspect_once_a_second_target_crashed(watcher):
+    watch = watcher.watch(REQUEST, CALL)
+    suspicions = []
+    for _ in range(MAX_CRASHES - 1):
+        suspicions.append(watch.is_suspect)
+        crash(watch)
+    assert suspicions == [False, False]
+    assert watch.is_suspect
+
+
 def test_an_answer_clears_a_request(watcher):
     watch = watcher.watch(REQUEST, CALL)
     for _ in range(MAX_CRASHES - 1):
--- a/tests/decisions/test_crash_count.py
+++ b/tests/decisions/test_crash_count.py
@@ -21,6 +21,13 @@
     assert count_series(NO_CRASHES, MAX_CRASHES).is_blocking
 
 
+def test_a_request_is_suspect_once_a_second_target_crashed():
+    first = NO_CRASHES.add_crash()
+    assert not first.is_suspect
+    assert first.add_crash().is_suspect
+    assert not first.add_crash().clear().is_suspect
+
+
 def test_crashes_side_by_side_count_once():
     known = NO_CRASHES.add_crash()
     assert max(known.add_crash() for _ in range(9)) == count_series(NO_CRASHES, 2)
