Empty the table of crashes once its counts have lapsed

Lapsed counts were dropped only when the next crash was counted, so each call went on making a digest after the first crash of a target, for as long as the box ran. The new test was red before.

--- a/src/cedarchute/crashes/crash_table.py
+++ b/src/cedarchute/crashes/crash_table.py
@@ -41,6 +41,7 @@
         self.known: OrderedDict[str, KnownCount] = OrderedDict()
 
     def __len__(self) -> int:
+        self.expire()
         return len(self.known)
 
     def find(self, digest: str) -> CrashCount:
--- a/tests/crashes/test_crash_table.py
+++ b/tests/crashes/test_crash_table.py
@@ -74,6 +74,14 @@
     assert [report.request for report in table.list_newest(2)] == ["c", "d"]
 
 
+def test_a_table_is_empty_again_once_its_counts_have_lapsed(table, clock):
+    table.merge("r", BLOCKING)
+    clock.now += LAPSE_SECONDS - 1
+    assert table
+    clock.now += 1
+    assert not table
+
+
 def test_lapsed_counts_are_dropped(table, clock):
     table.merge("a", BLOCKING)
     clock.now += LAPSE_SECONDS
