--- a/src/standins/raw_target.py
+++ b/src/standins/raw_target.py
@@ -15,6 +15,7 @@
 READ_BYTES: Final = 65_536
 LOOK_SECONDS: Final = 0.02
 LAST_CHUNK: Final = b"0\r\n\r\n"
+HEALTH_LINE: Final = b"GET /healthz "
 
 
 @dataclass
@@ -24,6 +25,7 @@
     head: bytes
     body: bytes
     closed: threading.Event = field(default_factory=threading.Event)
+    read_at: float = field(default_factory=time.monotonic)
 
     @property
     def line(self) -> bytes:
@@ -64,6 +66,14 @@
     return answer(request, b"", b"503 Service Unavailable", b"Not-Executed: 1\r\n")
 
 
+def health_answer(instance: str) -> bytes:
+    """Return the answer of a target that is well."""
+    return (
+        b"HTTP/1.1 200 OK\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n"
+        % instance.encode()
+    )
+
+
 def stream_head(request: RawRequest) -> bytes:
     """Return the head of a stream of events."""
     return (
@@ -95,12 +105,21 @@
 
 
 class RawTarget:
-    """Calls `script(request, connection)` for each request; it writes what it likes."""
+    """Calls `script(request, connection)` for each request; it writes what it likes.
+
+    Attributes
+    ----------
+    requests : list of RawRequest
+        What came in, without health checks.
+    health_checks : int
+        How many of those came in.
+    """
 
     def __init__(self, script: Callable[[RawRequest, socket.socket], None]) -> None:
         self.script = script
         self.id = ""
         self.requests: list[RawRequest] = []
+        self.health_checks = 0
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
         threading.Thread(target=self.accept_forever, daemon=True).start()
@@ -137,6 +156,10 @@
                         return
                     data += received
                 request.body, data = data[:length], data[length:]
+                if request.line.startswith(HEALTH_LINE):
+                    self.health_checks += 1
+                    self.answer_health(connection)
+                    continue
                 self.requests.append(request)
                 threading.Thread(
                     target=self.watch_close, args=(connection, request), daemon=True
@@ -147,6 +170,10 @@
         finally:
             connection.close()
 
+    def answer_health(self, connection: socket.socket) -> None:
+        """Answer a health check."""
+        connection.sendall(health_answer(self.id))
+
     def watch_close(self, connection: socket.socket, request: RawRequest) -> None:
         """Notice that the other side closes while its request is worked on."""
         # A blocked read would keep the socket open beyond the script's own close.
--- a/tests/platform_site/test_fatal_requests.py
+++ b/tests/platform_site/test_fatal_requests.py
@@ -3,80 +3,31 @@
 from __future__ import annotations
 
 import itertools
-import threading
 import time
-from concurrent.futures import ThreadPoolExecutor
 
 import pytest
-from conftest_nodes import ROUTES, wait_known
+from fatal_site import (
+    ENDS_ALLOWED,
+    ENTRIES,
+    FATAL,
+    add_targets,
+    ask_beside,
+    count_sends,
+    end_starts,
+    read_logs,
+    respond_later,
+    send_attempts,
+    start_entries,
+)
 from turn_callers import take_turn
 
-from experiments.node_site import NodeSite
-from experiments.raw_caller import call
-from standins.mortal_target import MortalTarget
-from standins.raw_target import answer
-
-FATAL = b"fatal"
-# After as many targets have ended under a request, it is sent to no other one.
-ENDS_ALLOWED = 3
-ENTRIES = 4
-# Attempts that a caller makes for one request.
-ATTEMPTS = 3
-RUN_SECONDS = 0.02
-
-
-def respond(request, connection):
-    connection.sendall(answer(request))
-
-
-def respond_later(request, connection):
-    time.sleep(RUN_SECONDS)
-    connection.sendall(answer(request))
-
-
-def is_fatal(request):
-    return FATAL in request.body
-
 
 @pytest.fixture
 def site(tmp_path):
-    """Entries in two failure domains, without holders."""
-    with NodeSite(tmp_path / "nodes") as site:
-        site.start_store()
-        for number in range(ENTRIES):
-            site.start_entry(f"entry-{number}", "ab"[number % 2])
-        site.configure(ROUTES)
-        site.wait_ready()
-        end_starts(site)
+    with start_entries(tmp_path / "nodes") as site:
         yield site
 
 
-def end_starts(site):
-    """Have each entry take a call: boxes ask others what they know at their first."""
-    for name, address in site.callers.items():
-        assert call(address, b"/again/x", f"first-{name}".encode())[0] == 503
-
-
-def add_targets(site, count, service="plain", script=respond):
-    targets = [MortalTarget(script, is_fatal) for _ in range(count)]
-    for number, target in enumerate(targets):
-        target.id = f"m-{number}"
-        site.add_target(target.id, service, target.address)
-    wait_known(site, targets)
-    return targets
-
-
-def send_attempts(site, body, count, path=b"/again/x"):
-    """Send a request as its caller may: each attempt anew, at the next entry."""
-    entries = itertools.cycle(site.callers.values())
-    attempts = [(next(entries), f"{body.decode()}-{n}".encode()) for n in range(count)]
-    return [call(entry, path, call_id, body)[0] for entry, call_id in attempts]
-
-
-def count_sends(targets):
-    return sum(is_fatal(request) for target in targets for request in target.requests)
-
-
 def test_a_request_that_ended_three_targets_is_sent_to_no_other(site):
     targets = add_targets(site, 10)
     statuses = send_attempts(site, FATAL, 4)
@@ -105,39 +56,6 @@
     assert count_sends(targets) == ENDS_ALLOWED
 
 
-def ask_until_answered(site, name, body, is_over):
-    """Send the same request until `is_over`; return the statuses that ended each."""
-    entries = itertools.cycle(site.callers.values())
-    results = []
-    while not is_over.is_set():
-        for attempt in range(ATTEMPTS):
-            call_id = f"{name}-{len(results)}-{attempt}".encode()
-            status = call(next(entries), b"/again/x", call_id, body)[0]
-            if status == 200:
-                break
-        results.append(status)
-    return results
-
-
-def ask_beside(site, bodies, what):
-    """Send each body over and over from a caller of its own while `what` happens."""
-    is_over = threading.Event()
-    with ThreadPoolExecutor(len(bodies)) as pool:
-        tasks = [
-            pool.submit(ask_until_answered, site, f"c{number}", body, is_over)
-            for number, body in enumerate(bodies)
-        ]
-        try:
-            what()
-        finally:
-            is_over.set()
-        return [status for task in tasks for status in task.result()]
-
-
-def read_logs(site):
-    return "".join(site.processes[name].read_log() for name in site.callers)
-
-
 @pytest.mark.parametrize(
     "bodies", [[b"same"] * 4, [b"a", b"b", b"c", b"d"]], ids=["one", "several"]
 )
--- a/tests/platform_site/turn_callers.py
+++ b/tests/platform_site/turn_callers.py
@@ -27,6 +27,8 @@
     return "".join(line + "\r\n" for line in lines).encode()
 
 
-def take_turn(address, turn, body, program, **terms):
+def take_turn(address, turn, body, program, patience=8000, **terms):
     headers = turn_headers(program, **terms)
-    return call(address, b"/turn/x", turn.encode(), body, headers=headers)
+    return call(
+        address, b"/turn/x", turn.encode(), body, headers=headers, patience=patience
+    )
