Say what a probe of a target found, and which target a caller left

Whether an end went unseen or a target was alive could not be told apart: the probe's finding (refused, open, closed at once, no connection) is on a line of its own now, and the line of a caller that left names its target. What is sent does not change.

--- a/src/cedarchute/calls/attempts.py
+++ b/src/cedarchute/calls/attempts.py
@@ -145,6 +145,7 @@
             self.crash_watch.begin_run()
             self.tried.add(target.id)
             self.call.progress.sends += 1
+            self.call.progress.last_target = target.incarnation
             log.info(
                 "Call sent.",
                 extra={
--- a/src/cedarchute/calls/call_dispatcher.py
+++ b/src/cedarchute/calls/call_dispatcher.py
@@ -191,6 +191,7 @@
             extra={
                 "why": reason,
                 "sends": progress.sends,
+                "target": progress.last_target,
                 "path": request.path.decode("latin-1"),
                 "program": read_program(request),
                 "ms": round(seconds * 1000, 1),
--- a/src/cedarchute/calls/call_progress.py
+++ b/src/cedarchute/calls/call_progress.py
@@ -12,6 +12,9 @@
     ----------
     sends : int
         How many times the call was sent to a target.
+    last_target : str
+        Incarnation of the target that it was sent to last; empty if it was not sent.
     """
 
     sends: int = 0
+    last_target: str = ""
--- a/src/cedarchute/relay/target_probe.py
+++ b/src/cedarchute/relay/target_probe.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import logging
+from enum import StrEnum
 from typing import TYPE_CHECKING, Final
 
 import eventlet
@@ -13,6 +15,8 @@
 if TYPE_CHECKING:
     from cedarchute.address import Address
 
+log = logging.getLogger("cedarchute.relay")
+
 # Within a region connections come about within milliseconds.
 CONNECT_SECONDS: Final = 0.1
 # How long a new connection has to stay open for its target to count as alive: a process
@@ -22,6 +26,15 @@
 SILENT: Final = "silent"
 
 
+class ProbeFinding(StrEnum):
+    """What new connections to an address showed."""
+
+    REFUSED = "refused"
+    OPEN = "open"
+    CLOSED_AT_ONCE = "closed_at_once"
+    NO_CONNECTION = "no_connection"
+
+
 class TargetProbe:
     """Connects to targets that broke off requests.
 
@@ -45,27 +58,31 @@
         running = self.running[address] = Event()
         has_ended = False
         try:
-            has_ended = probe(address)
+            finding = probe(address)
+            log.info(
+                "Target probed.", extra={"address": str(address), "finding": finding}
+            )
+            has_ended = finding is ProbeFinding.REFUSED
         finally:
             del self.running[address]
             running.send(has_ended)
         return has_ended
 
 
-def probe(address: Address) -> bool:
-    """Return whether connections to `address` are refused."""
+def probe(address: Address) -> ProbeFinding:
+    """Return what new connections to `address` show."""
     for _ in range(MAX_CONNECTS):
         try:
             with eventlet.Timeout(CONNECT_SECONDS, TimeoutError(SILENT)):
                 sock = socket.create_connection((address.host, address.port))
         except ConnectionRefusedError:
-            return True
+            return ProbeFinding.REFUSED
         except OSError:
-            return False
+            return ProbeFinding.NO_CONNECTION
         if stays_open(sock):
-            return False
+            return ProbeFinding.OPEN
         eventlet.sleep(STABLE_SECONDS)
-    return False
+    return ProbeFinding.CLOSED_AT_ONCE
 
 
 def stays_open(sock: socket.socket) -> bool:
