Count a run against its request until its target is shown alive

Cause: an end was proven by a refused connection alone; whatever else could not be told counted as harmless. Now a failed run counts until its target is shown alive as the same process: by the identity in its health check, or by its answer to a call sent later. Ended and undecided targets count each, not as links of a chain, and all boxes know them. Before a call is refused, open runs are decided by another check. A request that was answered within the last minute is held to the chain of proven ends, so that a popular one survives a domain that goes dark.

The test that a silent target is not looked at stated the fault; it is replaced by tests of what a silent target counts for until it was looked at.

crashes/ no longer imports calls/.

--- a/src/cedarchute/calls/attempts.py
+++ b/src/cedarchute/calls/attempts.py
@@ -142,7 +142,8 @@
             target = self.choose_target()
             # It may have waited for a target.
             self.check_crashes()
-            self.crash_watch.begin_run()
+            if not self.crash_watch.begin_run(target):
+                continue
             self.tried.add(target.id)
             self.call.progress.sends += 1
             self.call.progress.last_target = target.incarnation
@@ -166,6 +167,7 @@
                 self.handle_attempt_failure(target, error)
                 continue
             except CallRefusedError as error:
+                self.crash_watch.record_not_run()
                 raise self.resolve_refusal(error) from None
             self.possible_runs += 1
             if self.call_order is not None:
@@ -302,6 +304,7 @@
     ) -> None:
         """Count a failed attempt; raise if the call must not be retried."""
         if error.verdict is Verdict.NOT_RUN:
+            self.crash_watch.record_not_run()
             self.metrics.count_retry("not_run")
             return
         self.possible_runs += 1
--- a/src/cedarchute/calls/plain_call_handler.py
+++ b/src/cedarchute/calls/plain_call_handler.py
@@ -5,8 +5,8 @@
 from typing import TYPE_CHECKING
 
 from cedarchute.calls.attempts import Attempts
-from cedarchute.calls.target_client import MIN_SERVER_ERROR
 from cedarchute.pressure.held_bytes import HeldCause
+from cedarchute.relay.target_answer import MIN_SERVER_ERROR
 from cedarchute.relay.target_failure import TargetFailureError
 from cedarchute.routing.route import Repeatability
 
@@ -48,10 +48,13 @@
             crash_watch=self.target_client.watch_crashes(request, call),
         )
         is_answered = False
-        while not is_answered:
-            opened = attempts.open()
-            with self.target_client.hold(HeldCause.ANSWER) as amount:
-                is_answered = self.relay(writer, attempts, opened, amount)
+        try:
+            while not is_answered:
+                opened = attempts.open()
+                with self.target_client.hold(HeldCause.ANSWER) as amount:
+                    is_answered = self.relay(writer, attempts, opened, amount)
+        finally:
+            attempts.crash_watch.close()
 
     def relay(
         self,
--- a/src/cedarchute/calls/target_client.py
+++ b/src/cedarchute/calls/target_client.py
@@ -12,6 +12,7 @@
 from cedarchute.crashes.unwatched_call import UNWATCHED
 from cedarchute.platform.call_headers import (
     ANSWER_ID,
+    MISDIRECTED_REQUEST,
     says_not_run,
     write_target_headers,
 )
@@ -21,6 +22,7 @@
 from cedarchute.record import MutableRecord
 from cedarchute.relay.connection_share_error import ConnectionShareError
 from cedarchute.relay.shutdown_error import ShutdownError
+from cedarchute.relay.target_answer import MIN_SERVER_ERROR
 from cedarchute.relay.target_failure import TargetFailureError
 from cedarchute.verdict import Verdict
 
@@ -44,11 +46,7 @@
 log = logging.getLogger("cedarchute.calls")
 
 METHODS_WITHOUT_BODY = frozenset((b"GET", b"HEAD", b"DELETE", b"OPTIONS", b"TRACE"))
-# Lowest status that reports a failure of the target.
-MIN_SERVER_ERROR = 500
 GATEWAY_TIMEOUT = 504
-# Another target listens at the address: it was reassigned, or the entry is wrong.
-MISDIRECTED_REQUEST = 421
 # How long a target that rejected a call for lack of capacity gets no calls; it has
 # capacity again once one of its requests ends.
 FULL_TARGET_PAUSE_SECONDS = 0.05
@@ -266,6 +264,9 @@
         seconds = time.monotonic() - opened.sent_at
         load = self.load_balancer.loads[opened.target.incarnation]
         load.active -= 1
+        load.alive_at = max(load.alive_at, opened.sent_at)
+        if self.crash_watcher is not None:
+            self.crash_watcher.record_alive(opened.target, opened.sent_at)
         if is_target_error(opened.answer.status):
             self.metrics.count("targets.errors")
             load.record_failure()
--- a/src/cedarchute/calls/turn_relay.py
+++ b/src/cedarchute/calls/turn_relay.py
@@ -86,6 +86,13 @@
 
     def run(self) -> None:
         """Relay the response until it is complete."""
+        try:
+            self.relay_until_complete()
+        finally:
+            self.attempts.crash_watch.close()
+
+    def relay_until_complete(self) -> None:
+        """Relay the response, from other targets where a stream may go on."""
         opened = self.attempts.open()
         error = self.relay_response(opened)
         while error is not None:
--- a/src/cedarchute/crashes/call_watch.py
+++ b/src/cedarchute/crashes/call_watch.py
@@ -17,13 +17,22 @@
         """Whether targets crashed one after the other under the request."""
 
     def find_block(self) -> float | None:
-        """Return for how many seconds the call must not be sent; None if it may."""
+        """Return for how many seconds the call must not be sent; None if it may.
 
-    def begin_run(self) -> None:
-        """Take in that the call is sent to a target now."""
+        May wait for a moment for what decides it.
+        """
+
+    def begin_run(self, target: TargetEntry) -> bool:
+        """Take in that the call is sent to a target now; return whether it may be."""
+
+    def record_not_run(self) -> None:
+        """Take in that the target did not run the call."""
 
     def record_failure(self, target: TargetEntry, error: TargetFailureError) -> None:
         """Take in that a target that may have run the call did not answer it."""
 
     def record_answer(self, status: int) -> None:
         """Take in that a target answered the call in full, with `status`."""
+
+    def close(self) -> None:
+        """Take in that the call is over; its caller left a run without an end."""
--- a/src/cedarchute/crashes/crash_exchange.py
+++ b/src/cedarchute/crashes/crash_exchange.py
@@ -15,6 +15,7 @@
     from cedarchute.crashes.crash_report import CrashReport
     from cedarchute.crashes.crash_sender import CrashSender
     from cedarchute.crashes.crash_table import CrashTable
+    from cedarchute.crashes.crash_watch import CrashWatch
     from cedarchute.crashes.told_boxes import ToldBoxes
     from cedarchute.metrics import Metrics
 
@@ -38,6 +39,8 @@
     ----------
     learnt : Event or None
         Triggered once other boxes were asked after the start; None before that.
+    active : set of CrashWatch
+        Watches of calls that a target runs, or ran when its caller left.
     """
 
     def __init__(
@@ -52,6 +55,7 @@
         self.sender = sender
         self.metrics = metrics
         self.learnt: Event | None = None
+        self.active: set[CrashWatch] = set()
         self.batches = {
             Audience.NOBODY: BatchSender(self.tell_reader),
             Audience.DOMAIN: BatchSender(self.tell_domain),
@@ -60,6 +64,7 @@
 
     def tell(self, digest: str) -> Event:
         """Tell all boxes the count of a request; return what is triggered then."""
+        self.note_running([digest])
         return self.batches[Audience.NOBODY].add([digest])
 
     def tell_and_wait(self, digest: str) -> None:
@@ -78,6 +83,7 @@
         """
         self.table.merge_reports(announcement.reports)
         digests = [report.request for report in announcement.reports]
+        self.note_running(digests)
         if digests and announcement.audience is not Audience.NOBODY:
             if not self.boxes.is_complete:
                 return None
@@ -86,6 +92,15 @@
             return CrashAnnouncement(self.table.list_newest(MAX_DIGESTS))
         return CrashAnnouncement(self.table.list_reports(digests))
 
+    def note_running(self, digests: list[str]) -> None:
+        """Have runs of this box count that are under way, if their requests do."""
+        counting = {each for each in digests if self.table.list_suspects(each)}
+        if not counting:
+            return
+        for watch in list(self.active):
+            if watch.digest in counting:
+                watch.note_running()
+
     def learn_at_start(self) -> None:
         """Ask other boxes once what they know; calls that come meanwhile wait."""
         if self.learnt is not None:
--- a/src/cedarchute/crashes/crash_report.py
+++ b/src/cedarchute/crashes/crash_report.py
@@ -20,6 +20,14 @@
     FLEET = "fleet"
 
 
+class RunReport(msgspec.Struct, frozen=True):
+    """A run of a request at a target; see `TargetRun`."""
+
+    target: Annotated[str, Meta(max_length=256)]
+    generation: Annotated[int, Meta(ge=0)]
+    state: Annotated[int, Meta(ge=0, le=3)]
+
+
 class CrashReport(msgspec.Struct, frozen=True):
     """The count of one request.
 
@@ -30,13 +38,16 @@
     clearances, crashes : int
         See `CrashCount`.
     age_ms : int
-        How long ago the count was reached, in milliseconds.
+        How long ago the last change was seen, in milliseconds.
+    runs : tuple of RunReport
+        Its runs since the last answer.
     """
 
     request: Annotated[str, Meta(max_length=64)]
     clearances: Annotated[int, Meta(ge=0)]
     crashes: Annotated[int, Meta(ge=0)]
     age_ms: Annotated[int, Meta(ge=0)] = 0
+    runs: tuple[RunReport, ...] = ()
 
 
 class CrashAnnouncement(msgspec.Struct, frozen=True):
--- a/src/cedarchute/crashes/unwatched_call.py
+++ b/src/cedarchute/crashes/unwatched_call.py
@@ -18,7 +18,11 @@
         """Return None."""
         return None
 
-    def begin_run(self) -> None:
+    def begin_run(self, target: TargetEntry) -> bool:
+        """Return True."""
+        return True
+
+    def record_not_run(self) -> None:
         """Do nothing."""
 
     def record_failure(self, target: TargetEntry, error: TargetFailureError) -> None:
@@ -27,5 +31,8 @@
     def record_answer(self, status: int) -> None:
         """Do nothing."""
 
+    def close(self) -> None:
+        """Do nothing."""
+
 
 UNWATCHED: Final = UnwatchedCall()
--- a/src/cedarchute/daemon/entry_box.py
+++ b/src/cedarchute/daemon/entry_box.py
@@ -20,6 +20,7 @@
 from cedarchute.calls.stream_call_handler import StreamCallHandler
 from cedarchute.calls.target_client import TargetClient
 from cedarchute.crashes.crash_watcher import CrashWatcher
+from cedarchute.crashes.life_check import LifeCheck
 from cedarchute.daemon.crash_parts import make_crash_exchange
 from cedarchute.daemon.entry_stop import EntryStop
 from cedarchute.daemon.lean_start import let_modules_in
@@ -49,7 +50,6 @@
 from cedarchute.relay.caller_server import CallerServer
 from cedarchute.relay.input_limits import InputLimits
 from cedarchute.relay.target_pool import TargetPool
-from cedarchute.relay.target_probe import TargetProbe
 from cedarchute.routing.active_route_table import ActiveRouteTable
 from cedarchute.routing.load_balancer import LoadBalancer
 from cedarchute.routing.target_placement import TargetPlacement
@@ -149,7 +149,13 @@
             metrics,
             held,
             self.make_call_order(),
-            CrashWatcher(crashes, TargetProbe(), metrics),
+            CrashWatcher(
+                crashes,
+                LifeCheck(self.routes.find_health_path, metrics),
+                metrics,
+                self.registry.find_incarnation,
+                self.choice.find_alive_at,
+            ),
         )
         self.gate = ProgramAdmissionController(quorum, self.routes, metrics)
         turns = StreamCallHandler(
--- a/src/cedarchute/platform/call_headers.py
+++ b/src/cedarchute/platform/call_headers.py
@@ -21,6 +21,8 @@
 log = logging.getLogger("cedarchute.platform")
 
 ANSWER_ID = names.CALL_ID
+# Another target listens at the address: it was reassigned, or the entry is wrong.
+MISDIRECTED_REQUEST: Final = 421
 KEY_SCHEME: Final = b"token"
 # What stays the same in all attempts of a request and tells it from other ones.
 IDENTITY: Final = (
@@ -155,6 +157,18 @@
     return kept.extend((b"Tenant", caller_identity.workspace.name.encode()))
 
 
+def write_health_check(path: str, target: TargetEntry) -> bytes:
+    """Return a request that asks whether `target` is well."""
+    host = f"{target.address.host}:{target.address.port}"
+    lines = (f"GET {path} HTTP/1.1", f"Host: {host}", f"Expect-Instance: {target.id}")
+    return "".join(f"{line}\r\n" for line in (*lines, "")).encode("latin-1")
+
+
+def read_instance(answer: TargetAnswer) -> str:
+    """Return the id of the target that answered a health check; empty if none."""
+    return answer.headers.get_text(names.INSTANCE)
+
+
 def continue_after(request: CallerRequest, last_event_id: bytes) -> CallerRequest:
     """Return a request that asks for the events after `last_event_id` only."""
     # What the caller's Connection header names must not take the new field along.
@@ -173,4 +187,6 @@
 
 def says_not_run(answer: TargetAnswer) -> bool:
     """Return whether a response says that the target did not run the request."""
-    return answer.status == 421 or answer.headers.get(names.NOT_RUN) is not None
+    if answer.status == MISDIRECTED_REQUEST:
+        return True
+    return answer.headers.get(names.NOT_RUN) is not None
--- a/src/cedarchute/platform/headers.py
+++ b/src/cedarchute/platform/headers.py
@@ -10,6 +10,8 @@
 CALLER_TIMEOUT_MS: Final = b"deadline-ms"
 # The target incarnation that may run the request; any other must reject it.
 EXPECTED_TARGET: Final = b"expect-instance"
+# Id of the target incarnation that answered a health check.
+INSTANCE: Final = b"instance-id"
 # Set by a target that rejected a request without running it.
 NOT_RUN: Final = b"not-executed"
 RETRY_AFTER: Final = b"retry-after"
--- a/src/cedarchute/platform/routing_document.py
+++ b/src/cedarchute/platform/routing_document.py
@@ -66,6 +66,7 @@
 class _Service(_Wire):
     name: str
     max_conns: int = 100
+    health_path: str | None = None
     engine: _Engine | None = None
 
 
@@ -188,7 +189,10 @@
             cache_tokens=service.engine.kv_capacity,
             event_tokens=service.engine.chunk_tokens,
         )
-    return Service(service.name, service.max_conns, engine)
+    path = service.health_path or ""
+    if not path.startswith("/") or not all("!" <= letter <= "~" for letter in path):
+        path = ""
+    return Service(service.name, service.max_conns, engine, path)
 
 
 def read_target(target_id: str, text: str) -> TargetEntry:
--- a/src/cedarchute/relay/target_answer.py
+++ b/src/cedarchute/relay/target_answer.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 from collections import deque
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from cedarchute.relay.headers import Headers
 
 if TYPE_CHECKING:
     from cedarchute.relay.headers import Headers as HeadersType
 
+# Lowest status that reports a failure of the target.
+MIN_SERVER_ERROR: Final = 500
+
 
 class TargetAnswer:
     """A response whose body can be read while it is received.
--- a/src/cedarchute/routing/active_route_table.py
+++ b/src/cedarchute/routing/active_route_table.py
@@ -28,6 +28,11 @@
         """The version in force; 0 until the first is loaded."""
         return self.table.version if self.table else 0
 
+    def find_health_path(self, service: str) -> str:
+        """Return where targets of a service answer health checks; empty if nowhere."""
+        found = self.table.services.get(service) if self.table else None
+        return found.health_path if found else ""
+
     def wait(self, seconds: float) -> RouteTable | None:
         """Return the table in force; wait up to `seconds` for the first one."""
         if self.table is None:
--- a/src/cedarchute/routing/load_balancer.py
+++ b/src/cedarchute/routing/load_balancer.py
@@ -164,6 +164,11 @@
             for incarnation, load in used[:MAX_REPORTS]
         )
 
+    def find_alive_at(self, incarnation: str) -> float:
+        """Return when a target was last sent a call that it answered."""
+        load = self.loads.get(incarnation)
+        return load.alive_at if load else float("-inf")
+
     def has_capacity(self, entry: TargetEntry) -> bool:
         """Return whether a target has free slots, counting this box's calls only."""
         return self.loads[entry.incarnation].active < entry.slots
--- a/src/cedarchute/routing/service.py
+++ b/src/cedarchute/routing/service.py
@@ -24,8 +24,15 @@
 
 
 class Service(Record):
-    """A set of equivalent targets; `engine` is None for plain services."""
+    """A set of equivalent targets; `engine` is None for plain services.
+
+    Attributes
+    ----------
+    health_path : str
+        Path at which its targets answer whether they are well; empty if they do not.
+    """
 
     name: str
     max_connections: int
     engine: EngineTraits | None = None
+    health_path: str = ""
--- a/src/cedarchute/routing/target_load.py
+++ b/src/cedarchute/routing/target_load.py
@@ -29,6 +29,8 @@
         may fail some calls while its health checks pass.
     last_seconds : float
         Duration of the last response.
+    alive_at : float
+        Latest time at which a call was sent there that it answered.
     used_at, answered_at, failed_at : float
         When a call there ended last, was answered last and failed last; monotonic
         seconds.
@@ -41,6 +43,7 @@
         self.failure_share = 0.0
         self.backoff_until = 0.0
         self.last_seconds = 0.0
+        self.alive_at = float("-inf")
         self.used_at = float("-inf")
         self.answered_at = float("-inf")
         self.failed_at = float("-inf")
--- a/src/cedarchute/routing/target_registry.py
+++ b/src/cedarchute/routing/target_registry.py
@@ -53,6 +53,14 @@
         ready = [e for e in entries if e.service == service and e.ready]
         return [entry for entry in ready if not self.is_box_address(entry.address)]
 
+    def find_incarnation(self, incarnation: str) -> TargetEntry | None:
+        """Return the entry of an incarnation, None if it is gone."""
+        for target in (incarnation, incarnation.rpartition("@")[0]):
+            entry = self.known.entries.get(target)
+            if entry is not None and entry.incarnation == incarnation:
+                return entry
+        return None
+
     def put(self, entry: TargetEntry) -> None:
         """Apply an entry; defer one of an earlier incarnation.
 
--- a/src/experiments/mutations.py
+++ b/src/experiments/mutations.py
@@ -18,6 +18,8 @@
 LINKS: Final = "tests/failures/test_links.py::"
 MOVES: Final = "tests/failures/test_cache_moves.py::"
 FATAL: Final = "tests/platform_site/test_fatal_requests.py::"
+UNSEEN: Final = "tests/platform_site/test_unseen_ends.py::"
+WATCH: Final = "tests/crashes/test_crash_watch.py::"
 SHARED: Final = "tests/test_shared_beginnings.py"
 
 
@@ -312,14 +314,22 @@
         "decisions/crash_count.py",
         "return self.crashes >= MAX_CRASHES",
         "return False",
-        f"{FATAL}test_a_request_that_ended_three_targets_is_sent_to_no_other",
+        "tests/decisions/test_crash_count.py::"
+        "test_crashes_one_after_the_other_block_a_request",
+    ),
+    Mutation(
+        "a target that nobody can tell of counts as ended",
+        "crashes/crash_watch.py",
+        "            self.count_open_run(target)\n",
+        "            self.clear_run(target)\n",
+        f"{UNSEEN}test_a_request_is_sent_to_no_fourth_target_however_three_ended",
     ),
     Mutation(
         "other boxes are told of a crash before its call is answered",
         "crashes/crash_watch.py",
-        "self.exchange.tell_and_wait(self.digest)",
-        "pass",
-        f"{FATAL}test_a_request_that_ended_three_targets_is_sent_to_no_other",
+        "self.count_open_run(target)\n        self.exchange.tell_and_wait(self.digest)",
+        "self.count_open_run(target)",
+        f"{WATCH}test_crashes_under_all_attempts_of_a_request_block_it",
     ),
     Mutation(
         "a box that starts learns of crashes",
--- a/tests/calls/test_attempts.py
+++ b/tests/calls/test_attempts.py
@@ -69,7 +69,10 @@
     def is_suspect(self):
         return False
 
-    def begin_run(self):
+    def begin_run(self, target):
+        return True
+
+    def record_not_run(self):
         pass
 
     def record_failure(self, target, error):
--- a/tests/crashes/test_crash_table.py
+++ b/tests/crashes/test_crash_table.py
@@ -10,6 +10,7 @@
 from cedarchute.crashes.crash_report import CrashReport
 from cedarchute.crashes.crash_table import LAPSE_SECONDS, CrashTable
 from cedarchute.decisions.crash_count import MAX_CRASHES, NO_CRASHES, CrashCount
+from cedarchute.decisions.target_run import RunState
 
 BLOCKING = CrashCount(0, MAX_CRASHES)
 
@@ -87,3 +88,47 @@
     clock.now += LAPSE_SECONDS
     table.merge("b", BLOCKING)
     assert list(table.known) == ["b"]
+
+
+def test_runs_are_told_with_their_request(table, clock):
+    other = CrashTable(lambda: clock.now)
+    table.note_run("r", "t1", RunState.OPEN)
+    table.note_run("r", "t2", RunState.ENDED)
+    other.merge_reports(table.list_newest(9))
+    assert other.list_suspects("r") == table.list_suspects("r")
+    assert other.open_at == {"t1": {"r"}}
+
+
+def test_an_answer_outweighs_the_runs_before_it(table):
+    table.note_run("r", "t1", RunState.OPEN)
+    reports = table.list_newest(9)
+    table.merge("r", CrashCount(1, 0))
+    assert not table.list_suspects("r")
+    table.merge_reports(reports)
+    assert not table.list_suspects("r")
+    assert not table.open_at
+
+
+def test_an_answer_to_a_call_sent_after_a_run_clears_it(table, clock):
+    table.note_run("r", "t1", RunState.OPEN)
+    table.note_run("s", "t1", RunState.ENDED)
+    assert not table.clear_target("t1", clock.now)
+    assert table.clear_target("t1", clock.now + 1) == ["r"]
+    assert not table.list_suspects("r")
+    assert table.list_suspects("s")
+
+
+def test_one_request_keeps_few_targets(table):
+    for number in range(99):
+        table.note_run("r", f"t{number}", RunState.OPEN)
+    assert len(table.list_suspects("r")) == crash_table.MAX_TARGETS
+    table.note_run("r", "t0", RunState.CLEARED)
+    assert table.note_run("r", "later", RunState.ENDED)
+
+
+def test_runs_lapse_with_their_request(table, clock):
+    table.note_run("r", "t1", RunState.OPEN)
+    clock.now += LAPSE_SECONDS
+    assert not table.list_suspects("r")
+    assert not table
+    assert not table.open_at
--- a/tests/crashes/test_crash_watch.py
+++ b/tests/crashes/test_crash_watch.py
@@ -12,7 +12,9 @@
 from cedarchute.crashes import crash_watch
 from cedarchute.crashes.crash_table import CrashTable
 from cedarchute.crashes.crash_watcher import CrashWatcher
+from cedarchute.crashes.target_life import TargetLife
 from cedarchute.decisions.crash_count import MAX_CRASHES, NO_CRASHES, CrashCount
+from cedarchute.decisions.target_run import RunState
 from cedarchute.metrics import Metrics
 from cedarchute.relay.caller_request import CallerRequest
 from cedarchute.relay.headers import Headers
@@ -23,7 +25,9 @@
 REQUEST = CallerRequest(b"GET", b"/x", Headers(), b"", True, time.monotonic())
 CALL = Call("a1", None, ProgramContext("", None, "", 0))
 TARGET = SimpleNamespace(incarnation="t", address="address")
+TARGETS = [SimpleNamespace(incarnation=f"t{n}", address="address") for n in range(9)]
 RESET = TargetFailureError("reset", Verdict.MAY_HAVE_RUN)
+SILENCE = TargetFailureError(SILENT, Verdict.MAY_HAVE_RUN)
 
 
 class Exchange:
@@ -32,6 +36,7 @@
     def __init__(self):
         self.table = CrashTable()
         self.told = []
+        self.active = set()
 
     def learn_at_start(self):
         pass
@@ -42,28 +47,35 @@
     tell_and_wait = tell
 
 
-class Probe:
-    """Finds every target ended, or none."""
+class Check:
+    """Finds every target ended, alive, or neither."""
 
     def __init__(self):
-        self.ended = True
+        self.life = TargetLife.ENDED
         self.seconds = 0.0
         self.asked = 0
 
-    def has_ended(self, address):
+    def check(self, target, answer_seconds=0.0):
         self.asked += 1
         eventlet.sleep(self.seconds)
-        return self.ended
+        return self.life
+
+
+def find_target(incarnation):
+    known = [*TARGETS, TARGET]
+    return next((each for each in known if each.incarnation == incarnation), None)
 
 
 @pytest.fixture
 def watcher():
-    return CrashWatcher(Exchange(), Probe(), Metrics())
+    return CrashWatcher(
+        Exchange(), Check(), Metrics(), find_target, lambda incarnation: float("-inf")
+    )
 
 
-def crash(watch):
-    watch.begin_run()
-    watch.record_failure(TARGET, RESET)
+def crash(watch, target=TARGET):
+    assert watch.begin_run(target)
+    watch.record_failure(target, RESET)
 
 
 def test_crashes_under_all_attempts_of_a_request_block_it(watcher):
@@ -72,34 +84,93 @@
         assert watch.find_block() is None
         crash(watch)
     assert watcher.watch(REQUEST, CALL).find_block() > 0
-    assert [count.crashes for _, count in watcher.exchange.told] == [1, 2, 3]
+    counts = [count.crashes for _, count in watcher.exchange.told]
+    assert sorted(set(counts)) == [1, 2, 3]
 
 
 def test_a_target_that_is_still_there_has_not_crashed(watcher):
-    watcher.probe.ended = False
+    watcher.life_check.life = TargetLife.ALIVE
     crash(watcher.watch(REQUEST, CALL))
     assert not watcher.exchange.table
     assert not watcher.exchange.told
 
 
-@pytest.mark.parametrize(
-    "error",
-    [
-        TargetFailureError("connect: refused", Verdict.NOT_RUN),
-        TargetFailureError(SILENT, Verdict.MAY_HAVE_RUN),
-    ],
-)
-def test_a_target_that_ran_nothing_or_is_slow_is_not_looked_at(watcher, error):
+def test_a_target_that_ran_nothing_is_not_looked_at(watcher):
+    watch = watcher.watch(REQUEST, CALL)
+    watch.begin_run(TARGET)
+    watch.record_failure(
+        TARGET, TargetFailureError("connect: refused", Verdict.NOT_RUN)
+    )
+    assert not watcher.life_check.asked
+    assert not watcher.exchange.table
+
+
+def test_a_slow_target_that_lives_counts_only_until_it_was_looked_at(watcher):
+    watcher.life_check.life = TargetLife.ALIVE
+    watcher.life_check.seconds = 0.01
     watch = watcher.watch(REQUEST, CALL)
-    watch.begin_run()
-    watch.record_failure(TARGET, error)
-    assert not watcher.probe.asked
+    watch.begin_run(TARGET)
+    watch.record_failure(TARGET, SILENCE)
+    assert watcher.exchange.table.list_suspects(watch.digest) == {"t": RunState.OPEN}
+    eventlet.sleep(0.03)
+    assert not watcher.exchange.table.list_suspects(watch.digest)
+
+
+@pytest.mark.parametrize("error", [RESET, SILENCE])
+def test_a_target_that_nobody_can_tell_of_counts_as_ended(watcher, error):
+    watcher.life_check.life = TargetLife.UNKNOWN
+    for target in TARGETS[:MAX_CRASHES]:
+        watch = watcher.watch(REQUEST, CALL)
+        assert watch.find_block() is None
+        assert watch.begin_run(target)
+        watch.record_failure(target, error)
+        eventlet.sleep(0)
+    assert watch.find_block() == crash_watch.UNDECIDED_RETRY_SECONDS
+
+
+def test_open_runs_are_decided_before_a_call_is_refused(watcher):
+    watcher.life_check.life = TargetLife.UNKNOWN
+    watch = watcher.watch(REQUEST, CALL)
+    for target in TARGETS[:MAX_CRASHES]:
+        crash(watch, target)
+    watcher.life_check.life = TargetLife.ALIVE
+    assert watch.find_block() is None
+    assert not watcher.exchange.table.list_suspects(watch.digest)
+
+
+def test_a_target_that_answers_a_later_call_clears_open_runs(watcher):
+    watcher.life_check.life = TargetLife.UNKNOWN
+    watch = watcher.watch(REQUEST, CALL)
+    crash(watch)
+    watcher.record_alive(TARGET, time.monotonic() - 60)
+    assert watcher.exchange.table.list_suspects(watch.digest)
+    watcher.record_alive(TARGET, time.monotonic() + 0.001)
+    assert not watcher.exchange.table.list_suspects(watch.digest)
+
+
+def test_targets_that_end_side_by_side_count_each(watcher):
+    watches = [watcher.watch(REQUEST, CALL) for _ in range(MAX_CRASHES)]
+    for watch, target in zip(watches, TARGETS, strict=False):
+        assert watch.begin_run(target)
+    for watch, target in zip(watches, TARGETS, strict=False):
+        watch.record_failure(target, RESET)
+    assert watcher.watch(REQUEST, CALL).find_block() > 0
+
+
+def test_a_popular_request_survives_a_domain_that_goes_dark(watcher):
+    watcher.watch(REQUEST, CALL).record_answer(200)
+    watches = [watcher.watch(REQUEST, CALL) for _ in TARGETS]
+    for watch, target in zip(watches, TARGETS, strict=True):
+        assert watch.begin_run(target)
+    for watch, target in zip(watches, TARGETS, strict=True):
+        watch.record_failure(target, RESET)
+    assert watcher.watch(REQUEST, CALL).find_block() is None
 
 
 def test_targets_that_crash_side_by_side_block_no_request(watcher):
     watches = [watcher.watch(REQUEST, CALL) for _ in range(9)]
     for watch in watches:
-        watch.begin_run()
+        watch.begin_run(TARGET)
     for watch in watches:
         watch.record_failure(TARGET, RESET)
     assert watches[0].find_block() is None
@@ -142,7 +213,7 @@
 
 
 def test_a_crash_counts_although_the_caller_leaves_meanwhile(watcher):
-    watcher.probe.seconds = 0.02
+    watcher.life_check.seconds = 0.02
     watch = watcher.watch(REQUEST, CALL)
     task = eventlet.spawn(crash, watch)
     eventlet.sleep(0.01)
@@ -155,6 +226,6 @@
     monkeypatch.setattr(crash_watch, "compute_request_digest", None)
     watch = watcher.watch(REQUEST, CALL)
     assert watch.find_block() is None
-    watch.begin_run()
+    watch.begin_run(TARGET)
     watch.record_answer(200)
     assert watch.known == NO_CRASHES
