Make runs of a request that counts already known before they are sent

Callers with three attempts of a request side by side saw 3 sends after the third end with MaxAttempts 2, 2 with 3: runs under way were known to their box only, and ends side by side counted once.

--- a/src/cedarchute/crashes/crash_watch.py
+++ b/src/cedarchute/crashes/crash_watch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import random
 import time
 from functools import cached_property
 from typing import TYPE_CHECKING, Final
@@ -38,6 +39,8 @@
 # A run that can't be decided now may be after this: a target that is cut off comes
 # back, or its entry goes.
 UNDECIDED_RETRY_SECONDS: Final = 1.0
+# Two boxes that keep each other from sending try again after different times.
+MAX_PAUSE_SECONDS: Final = 0.03
 
 
 class CrashWatch:
@@ -153,12 +156,46 @@
             self.exchange.tell(self.digest)
 
     def begin_run(self, target: TargetEntry) -> bool:
-        """Take in that the call is sent to a target; return whether it may be."""
+        """Take in that the call is sent to a target; return whether it may be.
+
+        A run of a request that counts already is made known first, so that no two
+        boxes send it beyond the limit.
+        """
         table = self.exchange.table
         self.known = table.find(self.digest) if table else NO_CRASHES
+        if table and table.list_suspects(self.digest) and not self.announce(target):
+            return False
         self.target = target
+        self.exchange.active.add(self)
         return True
 
+    def announce(self, target: TargetEntry) -> bool:
+        """Make a run known to all boxes; withdraw it if it is one too many."""
+        if self.watcher.answers.has(self.request, self.call):
+            return True
+        table = self.exchange.table
+        incarnation = target.incarnation
+        is_new = table.note_run(self.digest, incarnation, RunState.RUNNING)
+        self.exchange.tell_and_wait(self.digest)
+        if not self.is_at_limit(other_than=incarnation):
+            self.is_announced = is_new
+            return True
+        if is_new:
+            table.note_run(self.digest, incarnation, RunState.CLEARED)
+            self.exchange.tell(self.digest)
+        eventlet.sleep(random.uniform(0, MAX_PAUSE_SECONDS))
+        return False
+
+    def note_running(self) -> None:
+        """Have a run that is under way count, since the request counts elsewhere."""
+        target = self.target
+        if target is None or self.is_announced:
+            return
+        table = self.exchange.table
+        self.is_announced = table.note_run(
+            self.digest, target.incarnation, RunState.RUNNING
+        )
+
     def end_run(self) -> bool:
         """Take in that the run is over; return whether it counted."""
         self.exchange.active.discard(self)
--- a/src/experiments/mutations.py
+++ b/src/experiments/mutations.py
@@ -317,6 +317,13 @@
         "tests/decisions/test_crash_count.py::"
         "test_crashes_one_after_the_other_block_a_request",
     ),
+    Mutation(
+        "targets that end side by side count each",
+        "crashes/crash_watch.py",
+        "if len(suspects) < MAX_CRASHES:",
+        "if suspects:",
+        f"{UNSEEN}test_attempts_side_by_side_send_nothing_after_the_third_end",
+    ),
     Mutation(
         "a target that nobody can tell of counts as ended",
         "crashes/crash_watch.py",
--- a/tests/crashes/test_crash_watch.py
+++ b/tests/crashes/test_crash_watch.py
@@ -167,6 +167,22 @@
     assert watcher.watch(REQUEST, CALL).find_block() is None
 
 
+def test_runs_under_way_count_once_a_target_ended(watcher, monkeypatch):
+    monkeypatch.setattr(crash_watch, "HOLD_SECONDS", 0.05)
+    first, *others = [watcher.watch(REQUEST, CALL) for _ in range(MAX_CRASHES)]
+    for watch, target in zip([first, *others], TARGETS, strict=False):
+        watch.begin_run(target)
+    first.record_failure(TARGETS[0], RESET)
+    for watch in others:
+        watch.note_running()
+    last = watcher.watch(REQUEST, CALL)
+    assert last.find_block() == crash_watch.UNDECIDED_RETRY_SECONDS
+    others[0].record_answer(500)
+    assert last.find_block() is None
+    assert last.begin_run(TARGETS[5])
+    assert not watcher.watch(REQUEST, CALL).begin_run(TARGETS[6])
+
+
 def test_targets_that_crash_side_by_side_block_no_request(watcher):
     watches = [watcher.watch(REQUEST, CALL) for _ in range(9)]
     for watch in watches:
