Look at the target of a run that its caller left

A caller that left 0.1 s before its target ended, and sent again, saw 1 to 3 sends after the third end: nobody watched the target once the run was closed.

--- a/src/cedarchute/crashes/crash_watch.py
+++ b/src/cedarchute/crashes/crash_watch.py
@@ -41,6 +41,10 @@
 UNDECIDED_RETRY_SECONDS: Final = 1.0
 # Two boxes that keep each other from sending try again after different times.
 MAX_PAUSE_SECONDS: Final = 0.03
+# A target that outlives a run by this much, after its caller left, outlives it.
+LEFT_SECONDS: Final = 0.5
+# An answer to a call sent as lately as this shows the same.
+LEFT_PROOF_SECONDS: Final = 0.2
 
 
 class CrashWatch:
@@ -315,5 +319,16 @@
         self.exchange.tell(self.digest)
 
     def close(self) -> None:
-        """Take in that the call is over."""
-        self.end_run()
+        """Take in that the call is over; its caller left a run without an end."""
+        if self.target is not None:
+            eventlet.spawn_n(self.watch_left_run, self.target, current_request_id())
+
+    def watch_left_run(self, target: TargetEntry, request_id: str) -> None:
+        """Find out whether a target outlives a run that its caller left."""
+        eventlet.sleep(LEFT_SECONDS)
+        counted = self.end_run()
+        alive_at = self.watcher.find_alive_at(target.incarnation)
+        if alive_at < time.monotonic() - LEFT_PROOF_SECONDS:
+            self.settle(target, counted, request_id)
+        elif counted:
+            self.clear_run(target)
--- a/src/experiments/mutations.py
+++ b/src/experiments/mutations.py
@@ -331,6 +331,13 @@
         "            self.clear_run(target)\n",
         f"{UNSEEN}test_a_request_is_sent_to_no_fourth_target_however_three_ended",
     ),
+    Mutation(
+        "a target that was left by its caller is looked at",
+        "crashes/crash_watch.py",
+        "            self.settle(target, counted, request_id)\n        elif",
+        "            pass\n        elif",
+        f"{UNSEEN}test_a_request_whose_caller_left_before_each_end_is_not_sent_on",
+    ),
     Mutation(
         "other boxes are told of a crash before its call is answered",
         "crashes/crash_watch.py",
--- a/tests/crashes/test_crash_watch.py
+++ b/tests/crashes/test_crash_watch.py
@@ -183,6 +183,27 @@
     assert not watcher.watch(REQUEST, CALL).begin_run(TARGETS[6])
 
 
+def test_a_run_whose_caller_left_is_looked_at_later(watcher, monkeypatch):
+    monkeypatch.setattr(crash_watch, "LEFT_SECONDS", 0.01)
+    watch = watcher.watch(REQUEST, CALL)
+    watch.begin_run(TARGET)
+    watch.close()
+    assert watch in watcher.exchange.active
+    eventlet.sleep(0.03)
+    assert watcher.exchange.table.find(watch.digest) == CrashCount(0, 1)
+    assert not watcher.exchange.active
+
+
+def test_a_run_that_ended_before_its_caller_left_is_not_looked_at(watcher, monkeypatch):
+    monkeypatch.setattr(crash_watch, "LEFT_SECONDS", 0.0)
+    watch = watcher.watch(REQUEST, CALL)
+    watch.begin_run(TARGET)
+    watch.record_answer(200)
+    watch.close()
+    eventlet.sleep(0.01)
+    assert not watcher.life_check.asked
+
+
 def test_targets_that_crash_side_by_side_block_no_request(watcher):
     watches = [watcher.watch(REQUEST, CALL) for _ in range(9)]
     for watch in watches:
