--- a/src/experiments/node_site.py
+++ b/src/experiments/node_site.py
@@ -191,6 +191,11 @@
                     "HealthPath": "/healthz",
                     "MaxConns": self.max_connections,
                 },
+                {
+                    "Name": "endless",
+                    "HealthPath": "/healthz",
+                    "MaxConns": self.max_connections,
+                },
                 {
                     "Name": "model",
                     "HealthPath": "/healthz",
