Bound what is read of an answer, and read it by turns

Callers waited for good, or their box grew beyond a gigabyte, while targets sent bytes without end in a head, trailers, interim answers, a chunk extension, an event or a body. Cause: what was read had no bound, and a connection that always had bytes never gave up the loop, so neither other tasks nor deadlines had their turn.

The head of an answer with interim answers, trailers and chunk framing, a single event, what is held of a body, what is read to be dropped, and a whole body are bounded ([answers]); beyond a bound the connection is closed, the call goes on as after any garbled answer and the target counts as failing. A body too long to be held is passed on as it comes, without another try. After 64 KB or 64 events others have their turn; a target that sends past the deadline is given up. What is dropped is not collected.

Fakes follow the new calls; the test on large responses near the bound on held bytes states a larger limit, its asserts are the same.

--- a/src/cedarchute/calls/plain_call_handler.py
+++ b/src/cedarchute/calls/plain_call_handler.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from cedarchute.calls.attempts import Attempts
+from cedarchute.calls.body_relay import relay_long_body
 from cedarchute.pressure.held_bytes import HeldCause
 from cedarchute.relay.target_answer import MIN_SERVER_ERROR
 from cedarchute.relay.target_failure import TargetFailureError
@@ -70,7 +71,13 @@
         answer = opened.answer
         if answer.status >= MIN_SERVER_ERROR and self.may_repeat(attempts):
             self.metrics.count_retry("target_error")
+            if not answer.is_complete:
+                attempts.crash_watch.record_answer(answer.status)
+                self.target_client.abandon(opened)
             return False
+        if not answer.is_complete:
+            relay_long_body(self.target_client, writer, attempts, opened, body)
+            return True
         headers = answer.headers.select_end_to_end()
         writer.write_whole(answer.status, headers, body)
         return True
@@ -78,20 +85,24 @@
     def read_body(
         self, attempts: Attempts, opened: OpenResponse, amount: HeldAmount
     ) -> bytes | None:
-        """Return the full body, or None if the call should be retried elsewhere."""
-        finished = False
+        """Return the body, or None if the call should be retried elsewhere.
+
+        Of one too long to be held it is the start, and the response stays open.
+        """
+        is_usable = False
         try:
-            body = self.target_client.read_full_body(opened, amount)
-            self.target_client.finish(opened)
-            finished = True
-            attempts.crash_watch.record_answer(opened.answer.status)
+            body = self.target_client.read_body(opened, amount)
+            if opened.answer.is_complete:
+                self.target_client.finish(opened)
+                attempts.crash_watch.record_answer(opened.answer.status)
+            is_usable = True
         except TargetFailureError as error:
             self.target_client.handle_failure(opened.target, attempts.call, error)
             attempts.crash_watch.record_failure(opened.target, error)
             attempts.ensure_repeatable(error.reason)
             return None
         finally:
-            if not finished:
+            if not is_usable:
                 self.target_client.abandon(opened)
         return body
 
--- a/src/cedarchute/calls/target_client.py
+++ b/src/cedarchute/calls/target_client.py
@@ -20,6 +20,8 @@
 from cedarchute.pressure.held_amount import HeldAmount
 from cedarchute.pressure.unbounded_bytes import UNBOUNDED
 from cedarchute.record import MutableRecord
+from cedarchute.relay.answer_limits import DEFAULT_LIMITS, AnswerLimits
+from cedarchute.relay.answer_too_long import AnswerPart, AnswerTooLongError
 from cedarchute.relay.connection_share_error import ConnectionShareError
 from cedarchute.relay.shutdown_error import ShutdownError
 from cedarchute.relay.target_answer import MIN_SERVER_ERROR
@@ -27,6 +29,8 @@
 from cedarchute.verdict import Verdict
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from cedarchute.calls.call import Call
     from cedarchute.calls.caller_identity import CallerIdentity
     from cedarchute.calls.key_authenticator import KeyAuthenticator
@@ -96,11 +100,13 @@
         held: HeldBytes = UNBOUNDED,
         call_order: CallOrder | None = None,
         crash_watcher: CrashWatcher | None = None,
+        limits: AnswerLimits = DEFAULT_LIMITS,
     ) -> None:
         self.call_order = call_order
         self.held = held
         self.growth_order = GrowthOrder(held)
         self.pool = pool
+        self.limits = limits
         self.quota_check = quota_check
         self.key_authenticator = key_authenticator
         self.load_balancer = load_balancer
@@ -196,8 +202,7 @@
     ) -> None:
         """Read the rest of a rejection so that its connection can be reused."""
         try:
-            while not answer.is_complete:
-                connection.receive(deadline - time.monotonic())
+            connection.drop_rest(answer, deadline)
             connection.finish(answer)
             self.pool.give_back(connection)
         except TargetFailureError:
@@ -211,6 +216,8 @@
     ) -> None:
         """Count a failure; pause the target unless it rejected the call."""
         self.metrics.count("targets.failures")
+        if isinstance(error, AnswerTooLongError):
+            self.metrics.count(f"targets.answer_too_long.{error.part}")
         if not error.reason.startswith("refused"):
             self.load_balancer.loads[target.incarnation].record_failure()
         log.info(
@@ -226,13 +233,18 @@
         """Return an amount of held bytes to accumulate."""
         return HeldAmount(self.held, cause)
 
-    def read_full_body(self, opened: OpenResponse, amount: HeldAmount) -> bytes:
-        """Return the full body of a response, which `amount` counts."""
+    def read_body(self, opened: OpenResponse, amount: HeldAmount) -> bytes:
+        """Return the body of a response, or the start of one too long to be held.
+
+        `amount` counts it; the answer is complete if all of it was read.
+        """
         answer = opened.answer
         parts = [answer.take_parts()]
         amount.grow(len(parts[0]))
         try:
             while not answer.is_complete:
+                if amount.count > self.limits.held_bytes:
+                    break
                 rest = find_rest(answer, amount.count)
                 self.wait_for_room(amount, rest, opened.read_deadline)
                 opened.connection.receive(opened.read_deadline - time.monotonic())
@@ -242,6 +254,30 @@
             self.growth_order.finish(amount, answer.is_complete)
         return b"".join(parts)
 
+    def read_rest(
+        self, opened: OpenResponse, count: int, deadline: float
+    ) -> Iterator[bytes]:
+        """Yield the rest of a body as it comes, after `count` bytes of it.
+
+        Parameters
+        ----------
+        deadline : float
+            Monotonic time at which the call ends.
+
+        Raises
+        ------
+        AnswerTooLongError
+            When the body goes on for too long.
+        """
+        answer = opened.answer
+        while not answer.is_complete:
+            opened.connection.receive(deadline - time.monotonic())
+            part = answer.take_parts()
+            count += len(part)
+            if count > self.limits.body_bytes:
+                raise AnswerTooLongError(AnswerPart.BODY, self.limits.body_bytes)
+            yield part
+
     def wait_for_room(
         self, amount: HeldAmount, rest: int | None, deadline: float
     ) -> None:
--- a/src/cedarchute/calls/turn_relay.py
+++ b/src/cedarchute/calls/turn_relay.py
@@ -6,7 +6,10 @@
 import time
 from typing import TYPE_CHECKING, Final
 
+import eventlet
+
 from cedarchute.calls.attempts import Attempts
+from cedarchute.calls.body_relay import relay_long_body
 from cedarchute.calls.call_errors import CallRefusedError
 from cedarchute.calls.stream_position import StreamPosition
 from cedarchute.calls.stream_resumption import BrokenStream, may_resume
@@ -29,6 +32,8 @@
 log = logging.getLogger("cedarchute.calls")
 
 OK: Final = 200
+# After as many events that came together, other calls have their turn.
+EVENTS_PER_TURN: Final = 64
 
 
 class TurnRelay:
@@ -113,8 +118,9 @@
             elif self.attempts.is_resumed:
                 reason = f"resumed with {opened.answer.status}"
                 raise TargetFailureError(reason, Verdict.MAY_HAVE_RUN)
-            else:
-                self.relay_error_response(opened)
+            elif not self.relay_error_response(opened):
+                finished = True
+                return None
             self.handler.target_client.finish(opened)
             finished = True
             self.attempts.crash_watch.record_answer(opened.answer.status)
@@ -127,17 +133,24 @@
                 self.handler.target_client.abandon(opened)
         return None
 
-    def relay_error_response(self, opened: OpenResponse) -> None:
-        """Relay a response of the target whose status is not 200."""
+    def relay_error_response(self, opened: OpenResponse) -> bool:
+        """Relay a response of the target whose status is not 200.
+
+        Return whether the response is still to be finished.
+        """
         client = self.handler.target_client
         with client.hold(HeldCause.ANSWER) as amount:
-            body = client.read_full_body(opened, amount)
+            body = client.read_body(opened, amount)
+            if not opened.answer.is_complete:
+                relay_long_body(client, self.writer, self.attempts, opened, body)
+                return False
             headers = opened.answer.headers.select_end_to_end()
             self.writer.write_whole(opened.answer.status, headers, body)
+        return True
 
     def relay_events(self, opened: OpenResponse) -> None:
         """Forward events as they arrive until the target's response is complete."""
-        splitter = EventSplitter()
+        splitter = EventSplitter(self.handler.target_client.limits.event_bytes)
         answer = opened.answer
         event_tokens = self.handler.find_event_tokens(self.service)
         last_event_at = None
@@ -145,8 +158,10 @@
             events = splitter.feed(answer.take_parts())
             if events:
                 last_event_at = self.record_latency(opened, last_event_at, len(events))
-            for event in events:
+            for number, event in enumerate(events, 1):
                 self.forward_event(opened, event, event_tokens)
+                if number % EVENTS_PER_TURN == 0:
+                    eventlet.sleep(0)
             if answer.is_complete:
                 break
             opened.connection.receive(self.attempts.deadline - time.monotonic())
--- a/src/cedarchute/daemon/entry_box.py
+++ b/src/cedarchute/daemon/entry_box.py
@@ -47,6 +47,7 @@
 from cedarchute.platform.keys import CONFIGURATION, TARGETS
 from cedarchute.pressure.connection_share_finder import ConnectionShareFinder
 from cedarchute.pressure.held_bytes_factory import make_held_bytes
+from cedarchute.relay.answer_limits import AnswerLimits
 from cedarchute.relay.caller_server import CallerServer
 from cedarchute.relay.input_limits import InputLimits
 from cedarchute.relay.target_pool import TargetPool
@@ -67,6 +68,7 @@
     from cedarchute.metrics import Metrics
     from cedarchute.placement.target_report import TargetReport
     from cedarchute.routing.target_entry import TargetEntry
+    from cedarchute.settings.load_sections import AnswersSection
     from cedarchute.settings.node_settings import NodeSettings
 
 log = logging.getLogger("cedarchute.daemon")
@@ -76,6 +78,17 @@
 # Pages are served once there is a configuration, or after this long: what they tell is
 # of little use before, and callers under way are served first.
 PAGES_WAIT_SECONDS = 0.3
+KILOBYTE = 1024
+
+
+def make_answer_limits(section: AnswersSection) -> AnswerLimits:
+    """Return the limits on answers that settings state."""
+    return AnswerLimits(
+        section.max_head_kb * KILOBYTE,
+        section.max_event_kb * KILOBYTE,
+        section.max_held_kb * KILOBYTE,
+        section.max_body_mb * KILOBYTE**2,
+    )
 
 
 class EntryBox:
@@ -94,8 +107,11 @@
         turned_away = TurnedAway(metrics)
         self.registry = TargetRegistry(self.drop_target, self.directory.is_box)
         shares = ConnectionShareFinder(self.routes, self.registry, self.directory)
+        limits = make_answer_limits(settings.answers)
         self.pool = TargetPool(
-            metrics, shares.find if settings.pressure.share_connections else None
+            metrics,
+            shares.find if settings.pressure.share_connections else None,
+            limits,
         )
         me = BoxEntry(
             box.name,
@@ -156,6 +172,7 @@
                 self.registry.find_incarnation,
                 self.choice.find_alive_at,
             ),
+            limits,
         )
         self.gate = ProgramAdmissionController(quorum, self.routes, metrics)
         turns = StreamCallHandler(
--- /dev/null
+++ b/src/cedarchute/relay/answer_limits.py
@@ -0,0 +1,31 @@
+"""Limits on what targets send."""
+
+from __future__ import annotations
+
+from cedarchute.record import Record
+
+
+class AnswerLimits(Record):
+    """Limits on one answer; the defaults apply without settings.
+
+    Attributes
+    ----------
+    head_bytes : int
+        The head: status line, headers and all interim answers before it; then what
+        frames a body without being a part of it, as trailers do.
+    event_bytes : int
+        One event of a stream.
+    held_bytes : int
+        A body that is held as a whole, so that another target can be tried; a longer
+        one is passed on as it comes. Also what is read to be dropped.
+    body_bytes : int
+        A whole body; streams of events have no such limit.
+    """
+
+    head_bytes: int = 65_536
+    event_bytes: int = 1_048_576
+    held_bytes: int = 1_048_576
+    body_bytes: int = 67_108_864
+
+
+DEFAULT_LIMITS = AnswerLimits()
--- a/src/cedarchute/relay/answer_reader.py
+++ b/src/cedarchute/relay/answer_reader.py
@@ -7,6 +7,8 @@
 
 import httptools
 
+from cedarchute.relay.answer_limits import DEFAULT_LIMITS, AnswerLimits
+from cedarchute.relay.answer_too_long import AnswerPart, AnswerTooLongError
 from cedarchute.relay.headers import Headers
 from cedarchute.relay.target_answer import TargetAnswer
 
@@ -23,17 +25,38 @@
     ----------
     expects_body : bool
         Whether the next response may have a body; a response to HEAD has none.
+    unframed_bytes : int
+        Bytes since the last part of a body or the end of a head.
+    has_advanced : bool
+        Whether the bytes that were fed last had either in them.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, limits: AnswerLimits = DEFAULT_LIMITS) -> None:
+        self.limits = limits
+        self.unframed_bytes = 0
         self.parser = httptools.HttpResponseParser(self)
         self.expects_body = True
+        self.has_advanced = False
         self.answers: deque[TargetAnswer] = deque()
         self.current: TargetAnswer | None = None
 
     def feed(self, data: bytes) -> None:
-        """Parse bytes; raise ``httptools.HttpParserError`` if they are malformed."""
+        """Parse bytes.
+
+        Raises
+        ------
+        httptools.HttpParserError
+            When they are malformed.
+        AnswerTooLongError
+            When a head goes on for too long.
+        """
+        self.unframed_bytes += len(data)
+        self.has_advanced = False
         self.parser.feed_data(data)
+        if self.has_advanced:
+            self.unframed_bytes = 0
+        elif self.unframed_bytes > self.limits.head_bytes:
+            raise AnswerTooLongError(AnswerPart.HEAD, self.limits.head_bytes)
 
     def feed_eof(self) -> bool:
         """Handle an orderly close; return whether no response was cut short."""
@@ -67,6 +90,7 @@
         has_body = answer.status not in BODILESS_STATUSES and not answer.is_interim
         answer.is_close_delimited = has_body and not has_length and not is_chunked
         answer.headers_complete = True
+        self.has_advanced |= not answer.is_interim
         if not self.expects_body and not answer.is_interim:
             # The parser goes on to read a body, so it parses no further response.
             answer.keep_alive = False
@@ -74,6 +98,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Store bytes of the body."""
+        self.has_advanced = True
         if self.current is not None:
             self.current.parts.append(body)
 
--- a/src/cedarchute/relay/event_splitter.py
+++ b/src/cedarchute/relay/event_splitter.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+import re
 from typing import Final
 
+from cedarchute.relay.answer_limits import DEFAULT_LIMITS
+from cedarchute.relay.answer_too_long import AnswerPart, AnswerTooLongError
+
 DATA_FIELD: Final = b"data"
 ID_FIELD: Final = b"id"
-BLANK_LINES: Final = (b"\r\n\r\n", b"\n\n", b"\r\r")
+BLANK_LINE: Final = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+BLANK_LINE_BYTES: Final = 4
 
 
 class EventSplitter:
@@ -20,27 +25,31 @@
         The start of an event that is not complete yet.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, max_event_bytes: int = DEFAULT_LIMITS.event_bytes) -> None:
+        self.max_event_bytes = max_event_bytes
         self.rest = b""
 
     def feed(self, data: bytes) -> list[bytes]:
-        """Add bytes to the buffer; return the events that are now complete."""
-        self.rest += data
+        """Add bytes to the buffer; return the events that are now complete.
+
+        Raises
+        ------
+        AnswerTooLongError
+            When an event goes on for too long.
+        """
+        # A blank line may have begun in what was searched before.
+        search_from = max(0, len(self.rest) - BLANK_LINE_BYTES + 1)
+        buffer = self.rest + data
         events = []
-        while (end := self.find_event_end()) > 0:
-            events.append(self.rest[:end])
-            self.rest = self.rest[end:]
+        start = 0
+        while found := BLANK_LINE.search(buffer, search_from):
+            events.append(buffer[start : found.end()])
+            start = search_from = found.end()
+        self.rest = buffer[start:] if start else buffer
+        if len(self.rest) > self.max_event_bytes:
+            raise AnswerTooLongError(AnswerPart.EVENT, self.max_event_bytes)
         return events
 
-    def find_event_end(self) -> int:
-        """Return the end offset of the first event, 0 if it is incomplete."""
-        ends = [
-            position + len(blank_line)
-            for blank_line in BLANK_LINES
-            if (position := self.rest.find(blank_line)) >= 0
-        ]
-        return min(ends, default=0)
-
 
 def read_data(event: bytes) -> bytes | None:
     """Return the data lines of an event, joined; None if it has none."""
--- a/src/cedarchute/relay/target_connection.py
+++ b/src/cedarchute/relay/target_connection.py
@@ -10,7 +10,9 @@
 import eventlet
 import httptools
 
+from cedarchute.relay.answer_limits import DEFAULT_LIMITS, AnswerLimits
 from cedarchute.relay.answer_reader import AnswerReader
+from cedarchute.relay.answer_too_long import AnswerPart, AnswerTooLongError
 from cedarchute.relay.socket_io import receive_within
 from cedarchute.relay.target_failure import TargetFailureError
 from cedarchute.verdict import Verdict
@@ -29,6 +31,12 @@
 DEFAULT_KEEP_ALIVE_SECONDS: Final = 4.0
 # Reason of a failure by which a connection can still be used: nothing has come yet.
 SILENT: Final = "silent"
+# After as many bytes in a row another task has its turn. Bytes that are there already
+# are read without waiting, and so without a turn for anybody else.
+TURN_BYTES: Final = 65_536
+# What is read after a deadline: bytes that came before it, while the process stood
+# still.
+MAX_OVERDUE_BYTES: Final = 1_048_576
 
 
 class TargetConnection:
@@ -40,10 +48,18 @@
         Whether this side has closed it.
     """
 
-    def __init__(self, address: Address, sock: socket.socket) -> None:
+    def __init__(
+        self,
+        address: Address,
+        sock: socket.socket,
+        limits: AnswerLimits = DEFAULT_LIMITS,
+    ) -> None:
         self.address = address
         self.sock = sock
-        self.reader = AnswerReader()
+        self.limits = limits
+        self.reader = AnswerReader(limits)
+        self.bytes_in_turn = 0
+        self.overdue_bytes = 0
         self.idle_since = time.monotonic()
         self.keep_alive_seconds = DEFAULT_KEEP_ALIVE_SECONDS
         self.reusable = True
@@ -52,7 +68,12 @@
         self.send_failed = False
 
     @classmethod
-    def open(cls, address: Address, seconds: float) -> TargetConnection:
+    def open(
+        cls,
+        address: Address,
+        seconds: float,
+        limits: AnswerLimits = DEFAULT_LIMITS,
+    ) -> TargetConnection:
         """Connect to `address` within `seconds`."""
         try:
             with eventlet.Timeout(seconds, TimeoutError("no connection in time")):
@@ -60,7 +81,7 @@
         except OSError as error:
             raise TargetFailureError(f"connect: {error}", Verdict.NOT_RUN) from None
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        return cls(address, sock)
+        return cls(address, sock, limits)
 
     @property
     def is_available(self) -> bool:
@@ -122,7 +143,8 @@
         Raises
         ------
         TargetFailureError
-            On a timeout, a reset, a premature close or a malformed response.
+            On a timeout, a reset, a premature close, a malformed response or one that
+            exceeds a limit.
         """
         try:
             data = receive_within(self.sock, max(0.0, seconds), SILENT)
@@ -134,8 +156,12 @@
             if not self.send_failed and self.reader.feed_eof() and self.reader.answers:
                 return
             raise TargetFailureError("closed early", Verdict.MAY_HAVE_RUN)
+        self.pass_turn(len(data), seconds)
         try:
             self.reader.feed(data)
+        except AnswerTooLongError:
+            self.reusable = False
+            raise
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self.reusable = False
             if self.reader.answers and self.reader.answers[0].is_complete:
@@ -143,6 +169,35 @@
             reason = f"garbled: {error}"
             raise TargetFailureError(reason, Verdict.MAY_HAVE_RUN) from None
 
+    def pass_turn(self, count: int, seconds: float) -> None:
+        """Give other tasks a turn after many bytes; raise well after the deadline."""
+        if seconds <= 0:
+            self.overdue_bytes += count
+            if self.overdue_bytes > MAX_OVERDUE_BYTES:
+                self.reusable = False
+                reason = "still sending after its time"
+                raise TargetFailureError(reason, Verdict.MAY_HAVE_RUN)
+        self.bytes_in_turn += count
+        if self.bytes_in_turn >= TURN_BYTES:
+            self.bytes_in_turn = 0
+            eventlet.sleep(0)
+
+    def drop_rest(self, answer: TargetAnswer, deadline: float) -> None:
+        """Read a response to its end, and keep nothing of its body.
+
+        Raises
+        ------
+        AnswerTooLongError
+            When its body goes on for too long.
+        """
+        dropped = len(answer.take_parts())
+        while not answer.is_complete:
+            if dropped > self.limits.held_bytes:
+                self.reusable = False
+                raise AnswerTooLongError(AnswerPart.DROPPED, self.limits.held_bytes)
+            self.receive(deadline - time.monotonic())
+            dropped += len(answer.take_parts())
+
     def read_answer(
         self,
         request_id: bytes,
@@ -172,8 +227,7 @@
                 return answer
             if not answer.is_interim:
                 self.reusable = False
-            while not answer.is_complete:
-                self.receive(deadline - time.monotonic())
+            self.drop_rest(answer, deadline)
             self.reader.answers.popleft()
 
     def wait_for_headers(self, deadline: float) -> TargetAnswer:
--- a/src/cedarchute/relay/target_pool.py
+++ b/src/cedarchute/relay/target_pool.py
@@ -7,6 +7,7 @@
 from weakref import WeakSet
 
 from cedarchute.pressure.connection_shares import compute_idle_share
+from cedarchute.relay.answer_limits import DEFAULT_LIMITS, AnswerLimits
 from cedarchute.relay.connection_share_error import ConnectionShareError
 from cedarchute.relay.target_connection import TargetConnection
 
@@ -42,7 +43,9 @@
         self,
         metrics: Metrics,
         find_share: Callable[[Address], int | None] | None = None,
+        limits: AnswerLimits = DEFAULT_LIMITS,
     ) -> None:
+        self.limits = limits
         self.metrics = metrics
         self.has_shares = find_share is not None
         self.find_share = find_share or (lambda address: None)
@@ -83,7 +86,7 @@
         """Open a connection, which counts from now on."""
         self.opening[address] += 1
         try:
-            connection = TargetConnection.open(address, seconds)
+            connection = TargetConnection.open(address, seconds, self.limits)
             if self.has_shares:
                 self.opened[address].add(connection)
         finally:
--- a/src/cedarchute/settings/load_sections.py
+++ b/src/cedarchute/settings/load_sections.py
@@ -62,6 +62,28 @@
     resume: bool | None = None
 
 
+class AnswersSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """``[answers]``: limits on what targets send.
+
+    Attributes
+    ----------
+    max_head_kb : int
+        Kilobytes of a head, with interim answers, and of trailers.
+    max_event_kb : int
+        Kilobytes of one event of a stream.
+    max_held_kb : int
+        Kilobytes of a body that is held as a whole; a longer one is passed on as it
+        comes, and no other target is tried for it.
+    max_body_mb : int
+        Megabytes of a body; streams of events have no such limit.
+    """
+
+    max_head_kb: int = 64
+    max_event_kb: int = 1024
+    max_held_kb: int = 1024
+    max_body_mb: int = 64
+
+
 class PressureSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """``[pressure]``: bounds on what this box holds.
 
--- a/src/cedarchute/settings/node_settings.py
+++ b/src/cedarchute/settings/node_settings.py
@@ -14,6 +14,7 @@
 from cedarchute.ini import IniError, parse_sections
 from cedarchute.platform.contracts import calls_for_bounded_load
 from cedarchute.settings.load_sections import (
+    AnswersSection,
     FairShareSection,
     PlacementSection,
     PressureSection,
@@ -132,6 +133,7 @@
     waiting: WaitingSection = WaitingSection()
     streams: StreamsSection = StreamsSection()
     pressure: PressureSection = PressureSection()
+    answers: AnswersSection = AnswersSection()
     contracts: dict[str, bool] = {}
 
     @property
@@ -235,6 +237,11 @@
         faults.append("[quotas] overrun, slack: must not be negative")
     if settings.waiting.max_calls < 1:
         faults.append("[waiting] max_calls: must be at least 1")
+    answers = settings.answers
+    if min(answers.max_head_kb, answers.max_event_kb, answers.max_held_kb) < 1:
+        faults.append("[answers] max_head_kb, max_event_kb, max_held_kb: at least 1")
+    if answers.max_body_mb < 1:
+        faults.append("[answers] max_body_mb: must be at least 1")
     if not 0 <= settings.pressure.max_held_mb < float("inf"):
         faults.append("[pressure] max_held_mb: must be a number that is not negative")
     return faults
--- a/tests/calls/test_shutdown.py
+++ b/tests/calls/test_shutdown.py
@@ -102,7 +102,7 @@
         answer.status = 421
         return answer
 
-    def receive(self, seconds):
+    def drop_rest(self, answer, deadline):
         self.check()
 
     def close(self):
--- a/tests/calls/test_target_client.py
+++ b/tests/calls/test_target_client.py
@@ -14,6 +14,7 @@
 from cedarchute.pressure.growth_order import GrowthOrder
 from cedarchute.pressure.held_byte_account import HeldByteAccount
 from cedarchute.pressure.held_bytes import HeldCause
+from cedarchute.relay.answer_limits import AnswerLimits
 from cedarchute.relay.caller_request import CallerRequest
 from cedarchute.relay.connection_share_error import ConnectionShareError
 from cedarchute.relay.headers import Headers
@@ -120,7 +121,7 @@
         pytest.raises(TargetFailureError) as caught,
         client.hold(HeldCause.ANSWER) as amount,
     ):
-        client.read_full_body(opened, amount)
+        client.read_body(opened, amount)
     assert caught.value.verdict is Verdict.MAY_HAVE_RUN
     assert caught.value.reason.startswith("refused")
     assert client.held.total == 6_000_000
@@ -148,12 +149,13 @@
     now = time.monotonic()
     connection = SizedConnection(answer, size)
     opened = OpenResponse(target, connection, answer, now, now + 0.5)
-    return client.read_full_body(opened, amount)
+    return client.read_body(opened, amount)
 
 
 def test_fast_callers_get_responses_that_fit_while_slow_ones_read_large_ones(client):
     client.held = HeldByteAccount(8_000_000, Metrics())
     client.growth_order = GrowthOrder(client.held)
+    client.limits = AnswerLimits(held_bytes=2_000_000)
     slow = [client.hold(HeldCause.ANSWER) for _ in range(4)]
     for amount in slow:
         read_sized(client, 1_700_000, amount)
--- a/tests/relay/test_target_pool.py
+++ b/tests/relay/test_target_pool.py
@@ -70,7 +70,7 @@
 def test_connections_that_are_being_opened_count(address, monkeypatch):
     begun = []
 
-    def open_slowly(address, seconds):
+    def open_slowly(address, seconds, limits):
         begun.append(address)
         eventlet.sleep(HANG_SECONDS)
 
