Hold no request to what targets did before it came to them

A target that failed another call earlier and was not shown alive since says nothing of a later one. Such runs no longer count, and a request with a run that counts avoids those targets. A check that finds a target alive clears all its open runs.

--- a/src/cedarchute/calls/attempts.py
+++ b/src/cedarchute/calls/attempts.py
@@ -271,11 +271,20 @@
 
     def select_target(self) -> TargetEntry | None:
         """Return the target that suits the call best now, or None if there is none."""
+        doubted = self.crash_watch.list_doubted() - self.tried
+        if doubted:
+            target = self.select_beside(self.tried | doubted)
+            if target is not None:
+                return target
+        return self.select_beside(self.tried)
+
+    def select_beside(self, excluded: set[str]) -> TargetEntry | None:
+        """Return the best target that is not excluded, or None if there is none."""
         load_balancer = self.target_client.load_balancer
         if self.crash_watch.is_suspect:
-            return load_balancer.select_any(self.service, self.tried)
+            return load_balancer.select_any(self.service, excluded)
         return load_balancer.select_target(
-            self.service, self.tried, self.preferred_target
+            self.service, excluded, self.preferred_target
         )
 
     def wait_for_capacity(self) -> None:
--- a/src/cedarchute/crashes/call_watch.py
+++ b/src/cedarchute/crashes/call_watch.py
@@ -16,6 +16,9 @@
     def is_suspect(self) -> bool:
         """Whether targets crashed one after the other under the request."""
 
+    def list_doubted(self) -> set[str]:
+        """Return the ids of targets that the call should rather not be sent to."""
+
     def find_block(self) -> float | None:
         """Return for how many seconds the call must not be sent; None if it may.
 
--- a/src/cedarchute/crashes/crash_table.py
+++ b/src/cedarchute/crashes/crash_table.py
@@ -26,6 +26,7 @@
 MAX_REQUESTS: Final = 4096
 # Targets that are kept for one request; a few of them decide.
 MAX_TARGETS: Final = 16
+DOUBTFUL: Final = frozenset((RunState.OPEN, RunState.ENDED))
 
 
 class KnownRequest(MutableRecord):
@@ -56,12 +57,16 @@
     ----------
     open_at : dict of str to set of str
         Digests of the requests with an open run, by incarnation of the target.
+    doubted_since : dict of str to float
+        When targets first ended under a request, or may have, by incarnation; until
+        one is shown alive.
     """
 
     def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
         self.clock = clock
         self.known: OrderedDict[str, KnownRequest] = OrderedDict()
         self.open_at: defaultdict[str, set[str]] = defaultdict(set)
+        self.doubted_since: dict[str, float] = {}
 
     def __len__(self) -> int:
         self.expire()
@@ -137,6 +142,10 @@
             return False
         known = self.touch(digest, age_seconds)
         known.runs[target] = run
+        if run.state in DOUBTFUL:
+            self.doubted_since.setdefault(target, self.clock())
+        elif before is not None and before.state is RunState.OPEN:
+            self.doubted_since.pop(target, None)
         if run.state is RunState.OPEN:
             known.open_since[target] = self.clock()
             self.open_at[target].add(digest)
@@ -157,6 +166,11 @@
             self.drop(next(iter(self.known)))
         return known
 
+    def is_doubted(self, target: str) -> bool:
+        """Return whether a target had failed and was not shown alive since."""
+        self.expire()
+        return target in self.doubted_since
+
     def clear_target(self, target: str, sent_at: float) -> list[str]:
         """Take in that a target answered a call that was sent at a time.
 
@@ -219,6 +233,11 @@
 
     def expire(self) -> None:
         """Drop what is no longer valid."""
+        while self.doubted_since:
+            target, since = next(iter(self.doubted_since.items()))
+            if self.clock() < since + LAPSE_SECONDS:
+                break
+            del self.doubted_since[target]
         while self.known:
             digest, oldest = next(iter(self.known.items()))
             if self.find_seconds_left(oldest) > 0:
--- a/src/cedarchute/crashes/crash_watch.py
+++ b/src/cedarchute/crashes/crash_watch.py
@@ -56,6 +56,9 @@
         The target that runs the call now.
     is_announced : bool
         Whether other boxes count that run.
+    was_doubted : bool
+        Whether that target had failed before: what becomes of it says nothing of this
+        call.
     known : CrashCount
         The count of the request when the last run was sent.
     """
@@ -70,6 +73,7 @@
         self.metrics = watcher.metrics
         self.target: TargetEntry | None = None
         self.is_announced = False
+        self.was_doubted = False
         self.known = NO_CRASHES
 
     @cached_property
@@ -87,6 +91,18 @@
             return True
         return len(table.list_suspects(self.digest)) >= SUSPECT_CRASHES
 
+    def list_doubted(self) -> set[str]:
+        """Return the ids of targets that have failed, if a run of the request counts.
+
+        Such a request is likely to be innocent or to do harm: neither should meet a
+        target that may have ended before.
+        """
+        table = self.exchange.table
+        if not table or not table.list_suspects(self.digest):
+            return set()
+        targets = map(self.watcher.find_target, list(table.doubted_since))
+        return {target.id for target in targets if target is not None}
+
     def find_block(self) -> float | None:
         """Return for how many seconds the call must not be sent; None if it may.
 
@@ -167,6 +183,7 @@
         """
         table = self.exchange.table
         self.known = table.find(self.digest) if table else NO_CRASHES
+        self.was_doubted = table.is_doubted(target.incarnation)
         if table and table.list_suspects(self.digest) and not self.announce(target):
             return False
         self.target = target
@@ -179,6 +196,8 @@
             return True
         table = self.exchange.table
         incarnation = target.incarnation
+        if self.was_doubted:
+            return True
         is_new = table.note_run(self.digest, incarnation, RunState.RUNNING)
         self.exchange.tell_and_wait(self.digest)
         if not self.is_at_limit(other_than=incarnation):
@@ -193,7 +212,7 @@
     def note_running(self) -> None:
         """Have a run that is under way count, since the request counts elsewhere."""
         target = self.target
-        if target is None or self.is_announced:
+        if target is None or self.is_announced or self.was_doubted:
             return
         table = self.exchange.table
         self.is_announced = table.note_run(
@@ -231,8 +250,10 @@
         counted = self.end_run()
         # Goes on if the caller leaves meanwhile.
         if error.reason == SILENT:
-            table = self.exchange.table
-            counted |= table.note_run(self.digest, target.incarnation, RunState.OPEN)
+            if not self.was_doubted:
+                table = self.exchange.table
+                state = RunState.OPEN
+                counted |= table.note_run(self.digest, target.incarnation, state)
             eventlet.spawn_n(self.settle, target, counted, current_request_id())
             return
         task = eventlet.spawn(self.settle, target, counted, current_request_id())
@@ -247,10 +268,18 @@
             Whether the run counts already.
         """
         set_request_id(request_id)
+        started = time.monotonic()
         life = self.watcher.life_check.check(target)
         if life is TargetLife.ALIVE:
             if counted:
                 self.clear_run(target)
+            self.watcher.record_alive(target, started)
+            return
+        if self.was_doubted:
+            log.info(
+                "Target had failed before the call.",
+                extra={"target": target.incarnation, "life": life},
+            )
             return
         if life is TargetLife.ENDED:
             self.count_crash(target)
--- a/src/cedarchute/crashes/unwatched_call.py
+++ b/src/cedarchute/crashes/unwatched_call.py
@@ -14,6 +14,10 @@
 
     is_suspect = False
 
+    def list_doubted(self) -> set[str]:
+        """Return none."""
+        return set()
+
     def find_block(self) -> float | None:
         """Return None."""
         return None
--- a/src/experiments/crash_soak/crash_run.py
+++ b/src/experiments/crash_soak/crash_run.py
@@ -20,6 +20,8 @@
 
 # Targets that may end under a request.
 ENDS_ALLOWED: Final = 3
+# What an entry may use: the smallest boxes have 150 MB.
+MAX_ENTRY_MB: Final = 120
 SOUND_CALLERS: Final = 6
 FATAL_CALLERS: Final = 3
 # Faults a second, several of which overlap.
@@ -41,6 +43,8 @@
         unless `broken` says otherwise.
     sound, unanswered : int
         Requests that do not, and how many of them no attempt got answered.
+    entry_mb : float
+        The most memory that an entry used since its last start.
     """
 
     seed: int
@@ -50,6 +54,7 @@
     beyond: int = 0
     sound: int = 0
     unanswered: int = 0
+    entry_mb: float = 0.0
     broken: list[str] = field(default_factory=list)
 
 
@@ -146,7 +151,7 @@
 
 def play_seed(seed: int, seconds: float, entries: int, folder: Path) -> CrashSoakResult:
     """Play a seed for `seconds` on as many entries, and check what targets saw."""
-    site = CrashSite(folder, entries)
+    site = CrashSite(folder, entries, seed)
     result = CrashSoakResult(seed)
     callers = [
         SoakCaller(
@@ -165,6 +170,7 @@
             caller.going = False
         for caller in callers:
             caller.thread.join()
+        result.entry_mb = max(map(site.read_peak_mb, site.entries))
     finally:
         site.stop()
     result.faults = player.count
@@ -189,6 +195,8 @@
             ends = site.ends[body]
             if ends < ENDS_ALLOWED:
                 result.broken.append(f"INNOCENT {refused} after {ends} ends")
+    if result.entry_mb > MAX_ENTRY_MB:
+        result.broken.append(f"MEMORY an entry used {result.entry_mb:.0f} MB")
     result.sends = sum(map(len, site.sent_at.values()))
     for body, times in site.sent_at.items():
         # A box that was killed or stood still meanwhile may be the one that counted.
--- a/src/experiments/crash_soak/main.py
+++ b/src/experiments/crash_soak/main.py
@@ -25,7 +25,8 @@
     return (
         f"seed {result.seed}: {ending}; {result.faults} faults, {result.fatal} fatal "
         f"requests sent {result.sends} times ({result.beyond} beyond), "
-        f"{result.sound} sound ones, {result.unanswered} of them unanswered"
+        f"{result.sound} sound ones, {result.unanswered} of them unanswered, "
+        f"entries to {result.entry_mb:.0f} MB"
     )
 
 
--- a/tests/calls/test_attempts.py
+++ b/tests/calls/test_attempts.py
@@ -69,6 +69,9 @@
     def is_suspect(self):
         return False
 
+    def list_doubted(self):
+        return set()
+
     def begin_run(self, target):
         return True
 
