Send a request that counts only to targets that live, and lose no run on the way

A failed run counts as under way until its target was looked at, and once a run counts, a target is checked before the request is sent to it. The facts of a run (its count, its target, whether that was doubted) belong to the run now: the check of a silent one read those of the next.

Each has a unit test that fails without it.

--- a/src/cedarchute/crashes/crash_exchange.py
+++ b/src/cedarchute/crashes/crash_exchange.py
@@ -10,13 +10,14 @@
 
 from cedarchute.crashes.batch_sender import MAX_DIGESTS, BatchSender
 from cedarchute.crashes.crash_report import Audience, CrashAnnouncement
+from cedarchute.decisions.target_run import RunState
 
 if TYPE_CHECKING:
     from cedarchute.crashes.crash_report import CrashReport
     from cedarchute.crashes.crash_sender import CrashSender
     from cedarchute.crashes.crash_table import CrashTable
-    from cedarchute.crashes.crash_watch import CrashWatch
     from cedarchute.crashes.told_boxes import ToldBoxes
+    from cedarchute.crashes.watched_run import WatchedRun
     from cedarchute.metrics import Metrics
 
 # How long a call waits until other boxes know of a crash before it is sent again or
@@ -39,8 +40,8 @@
     ----------
     learnt : Event or None
         Triggered once other boxes were asked after the start; None before that.
-    active : set of CrashWatch
-        Watches of calls that a target runs, or ran when its caller left.
+    active : set of WatchedRun
+        Runs under way, left by their callers, or failed and not settled.
     """
 
     def __init__(
@@ -55,7 +56,7 @@
         self.sender = sender
         self.metrics = metrics
         self.learnt: Event | None = None
-        self.active: set[CrashWatch] = set()
+        self.active: set[WatchedRun] = set()
         self.batches = {
             Audience.NOBODY: BatchSender(self.tell_reader),
             Audience.DOMAIN: BatchSender(self.tell_domain),
@@ -97,9 +98,9 @@
         counting = {each for each in digests if self.table.list_suspects(each)}
         if not counting:
             return
-        for watch in list(self.active):
-            if watch.digest in counting:
-                watch.note_running()
+        for run in list(self.active):
+            if run.digest in counting:
+                run.count(RunState.RUNNING)
 
     def learn_at_start(self) -> None:
         """Ask other boxes once what they know; calls that come meanwhile wait."""
--- a/src/cedarchute/crashes/crash_table.py
+++ b/src/cedarchute/crashes/crash_table.py
@@ -143,7 +143,7 @@
         known = self.touch(digest, age_seconds)
         known.runs[target] = run
         if run.state in DOUBTFUL:
-            self.doubted_since.setdefault(target, self.clock())
+            self.doubt(target)
         elif before is not None and before.state is RunState.OPEN:
             self.doubted_since.pop(target, None)
         if run.state is RunState.OPEN:
@@ -171,12 +171,18 @@
         self.expire()
         return target in self.doubted_since
 
+    def doubt(self, target: str) -> None:
+        """Take in that a target does not live, or may not."""
+        self.doubted_since.setdefault(target, self.clock())
+
     def clear_target(self, target: str, sent_at: float) -> list[str]:
         """Take in that a target answered a call that was sent at a time.
 
         Return the requests of which a run was cleared by that.
         """
         cleared = []
+        if self.doubted_since.get(target, sent_at) < sent_at:
+            del self.doubted_since[target]
         for digest in list(self.open_at.get(target, ())):
             known = self.known[digest]
             if known.open_since[target] < sent_at:
--- a/src/cedarchute/crashes/crash_watch.py
+++ b/src/cedarchute/crashes/crash_watch.py
@@ -10,16 +10,14 @@
 
 import eventlet
 
-from cedarchute.crashes.request_digest import (
-    compute_content_digest,
-    compute_request_digest,
-)
+from cedarchute.crashes.request_digest import compute_request_digest
 from cedarchute.crashes.target_life import TargetLife
+from cedarchute.crashes.watched_run import WatchedRun
 from cedarchute.decisions.crash_count import MAX_CRASHES, NO_CRASHES, SUSPECT_CRASHES
 from cedarchute.decisions.target_run import RunState, are_decided
 from cedarchute.relay.target_answer import MIN_SERVER_ERROR
 from cedarchute.relay.target_connection import SILENT
-from cedarchute.request_ids import current_request_id, set_request_id
+from cedarchute.request_ids import current_request_id
 from cedarchute.verdict import Verdict
 
 if TYPE_CHECKING:
@@ -41,10 +39,6 @@
 UNDECIDED_RETRY_SECONDS: Final = 1.0
 # Two boxes that keep each other from sending try again after different times.
 MAX_PAUSE_SECONDS: Final = 0.03
-# A target that outlives a run by this much, after its caller left, outlives it.
-LEFT_SECONDS: Final = 0.5
-# An answer to a call sent as lately as this shows the same.
-LEFT_PROOF_SECONDS: Final = 0.2
 
 
 class CrashWatch:
@@ -52,15 +46,10 @@
 
     Attributes
     ----------
-    target : TargetEntry or None
-        The target that runs the call now.
-    is_announced : bool
-        Whether other boxes count that run.
-    was_doubted : bool
-        Whether that target had failed before: what becomes of it says nothing of this
-        call.
-    known : CrashCount
-        The count of the request when the last run was sent.
+    run : WatchedRun or None
+        The run that is under way.
+    checked : set of str
+        Incarnations that were found not to live before the call was sent to them.
     """
 
     def __init__(
@@ -71,10 +60,8 @@
         self.watcher = watcher
         self.exchange = watcher.exchange
         self.metrics = watcher.metrics
-        self.target: TargetEntry | None = None
-        self.is_announced = False
-        self.was_doubted = False
-        self.known = NO_CRASHES
+        self.run: WatchedRun | None = None
+        self.checked: set[str] = set()
 
     @cached_property
     def digest(self) -> str:
@@ -94,8 +81,7 @@
     def list_doubted(self) -> set[str]:
         """Return the ids of targets that have failed, if a run of the request counts.
 
-        Such a request is likely to be innocent or to do harm: neither should meet a
-        target that may have ended before.
+        What becomes of them would say nothing of the request.
         """
         table = self.exchange.table
         if not table or not table.list_suspects(self.digest):
@@ -175,6 +161,25 @@
         if self.exchange.table.note_run(self.digest, target.incarnation, state):
             self.exchange.tell(self.digest)
 
+    def is_fit(self, target: TargetEntry) -> bool:
+        """Return whether a target lives, if a run of the request counts already.
+
+        Targets that end together would all count against a request that comes to them
+        afterwards. Each is checked once; without others it is used nevertheless.
+        """
+        table = self.exchange.table
+        if not table or not table.list_suspects(self.digest):
+            return True
+        if target.incarnation in self.checked:
+            return True
+        started = time.monotonic()
+        if self.watcher.life_check.check(target) is TargetLife.ALIVE:
+            self.watcher.record_alive(target, started)
+            return True
+        self.checked.add(target.incarnation)
+        table.doubt(target.incarnation)
+        return False
+
     def begin_run(self, target: TargetEntry) -> bool:
         """Take in that the call is sent to a target; return whether it may be.
 
@@ -182,61 +187,43 @@
         boxes send it beyond the limit.
         """
         table = self.exchange.table
-        self.known = table.find(self.digest) if table else NO_CRASHES
-        self.was_doubted = table.is_doubted(target.incarnation)
-        if table and table.list_suspects(self.digest) and not self.announce(target):
+        known = table.find(self.digest) if table else NO_CRASHES
+        was_doubted = table.is_doubted(target.incarnation)
+        run = WatchedRun(self, target, known, was_doubted, is_counted=False)
+        if table and table.list_suspects(self.digest) and not self.announce(run):
             return False
-        self.target = target
-        self.exchange.active.add(self)
+        self.run = run
+        self.exchange.active.add(run)
         return True
 
-    def announce(self, target: TargetEntry) -> bool:
+    def announce(self, run: WatchedRun) -> bool:
         """Make a run known to all boxes; withdraw it if it is one too many."""
-        if self.watcher.answers.has(self.request, self.call):
-            return True
-        table = self.exchange.table
-        incarnation = target.incarnation
-        if self.was_doubted:
+        if run.was_doubted or self.watcher.answers.has(self.request, self.call):
             return True
-        is_new = table.note_run(self.digest, incarnation, RunState.RUNNING)
-        self.exchange.tell_and_wait(self.digest)
-        if not self.is_at_limit(other_than=incarnation):
-            self.is_announced = is_new
+        run.count(RunState.RUNNING)
+        try:
+            self.exchange.tell_and_wait(self.digest)
+        except BaseException:
+            # The caller left before the call was sent.
+            run.clear()
+            raise
+        if not self.is_at_limit(other_than=run.target.incarnation):
             return True
-        if is_new:
-            table.note_run(self.digest, incarnation, RunState.CLEARED)
-            self.exchange.tell(self.digest)
+        run.clear()
         eventlet.sleep(random.uniform(0, MAX_PAUSE_SECONDS))
         return False
 
-    def note_running(self) -> None:
-        """Have a run that is under way count, since the request counts elsewhere."""
-        target = self.target
-        if target is None or self.is_announced or self.was_doubted:
-            return
-        table = self.exchange.table
-        self.is_announced = table.note_run(
-            self.digest, target.incarnation, RunState.RUNNING
-        )
-
-    def end_run(self) -> bool:
-        """Take in that the run is over; return whether it counted."""
-        self.exchange.active.discard(self)
-        was_announced, self.is_announced = self.is_announced, False
-        self.target = None
-        return was_announced
+    def take_run(self) -> WatchedRun | None:
+        """Return the run that is under way, which is over for the call."""
+        run, self.run = self.run, None
+        return run
 
     def record_not_run(self) -> None:
         """Take in that the target did not run the call."""
-        target = self.target
-        if target is not None and self.end_run():
-            self.clear_run(target)
-
-    def clear_run(self, target: TargetEntry) -> None:
-        """Have a run count no more."""
-        table = self.exchange.table
-        if table.note_run(self.digest, target.incarnation, RunState.CLEARED):
-            self.exchange.tell(self.digest)
+        run = self.take_run()
+        if run is not None:
+            run.end()
+            run.clear()
 
     def record_failure(self, target: TargetEntry, error: TargetFailureError) -> None:
         """Find out whether a target that may have run the call has crashed.
@@ -247,90 +234,24 @@
         if error.verdict is Verdict.NOT_RUN:
             self.record_not_run()
             return
-        counted = self.end_run()
-        # Goes on if the caller leaves meanwhile.
-        if error.reason == SILENT:
-            if not self.was_doubted:
-                table = self.exchange.table
-                state = RunState.OPEN
-                counted |= table.note_run(self.digest, target.incarnation, state)
-            eventlet.spawn_n(self.settle, target, counted, current_request_id())
-            return
-        task = eventlet.spawn(self.settle, target, counted, current_request_id())
-        task.wait()
-
-    def settle(self, target: TargetEntry, counted: bool, request_id: str) -> None:
-        """Find out whether the target of a failed run lives; tell other boxes.
-
-        Parameters
-        ----------
-        counted : bool
-            Whether the run counts already.
-        """
-        set_request_id(request_id)
-        started = time.monotonic()
-        life = self.watcher.life_check.check(target)
-        if life is TargetLife.ALIVE:
-            if counted:
-                self.clear_run(target)
-            self.watcher.record_alive(target, started)
+        run = self.take_run()
+        if run is None:
             return
-        if self.was_doubted:
-            log.info(
-                "Target had failed before the call.",
-                extra={"target": target.incarnation, "life": life},
-            )
+        if error.reason == SILENT:
+            run.count(RunState.OPEN)
+            eventlet.spawn_n(run.settle, current_request_id())
             return
-        if life is TargetLife.ENDED:
-            self.count_crash(target)
-        else:
-            self.count_open_run(target)
-        self.exchange.tell_and_wait(self.digest)
-
-    def count_open_run(self, target: TargetEntry) -> None:
-        """Count a target that may have ended under the call."""
-        self.exchange.table.note_run(self.digest, target.incarnation, RunState.OPEN)
-        self.metrics.count("targets.unknown_after_call")
-        log.info(
-            "Target may have crashed under a call.", extra=self.describe_run(target)
-        )
-
-    def count_crash(self, target: TargetEntry) -> None:
-        """Count a target that ended under the call."""
-        table = self.exchange.table
-        count = self.known.add_crash()
-        is_new = table.merge(self.digest, count)
-        table.note_run(self.digest, target.incarnation, RunState.ENDED)
-        self.metrics.count("targets.crashed_under_call")
-        log.info(
-            "Target crashed under a call.",
-            extra={
-                **self.describe_run(target),
-                "crashes": count.crashes,
-                "clearances": count.clearances,
-                "is_new": is_new,
-            },
-        )
-
-    def describe_run(self, target: TargetEntry) -> dict[str, object]:
-        """Return what the log says of a run."""
-        return {
-            "target": target.incarnation,
-            "request": self.digest,
-            "content": compute_content_digest(self.request),
-            "program": self.call.program.program,
-            "path": self.request.path.decode("latin-1"),
-            "runs": self.exchange.table.list_suspects(self.digest),
-            "sends": self.call.progress.sends,
-        }
+        # Goes on if the caller leaves meanwhile.
+        eventlet.spawn(run.settle, current_request_id()).wait()
 
     def record_answer(self, status: int) -> None:
         """Clear the request if a target answered it in full and without an error."""
-        target = self.target
-        counted = self.end_run()
+        run = self.take_run()
+        if run is not None:
+            run.end()
         if status >= MIN_SERVER_ERROR:
-            if counted and target is not None:
-                self.clear_run(target)
+            if run is not None:
+                run.clear()
             return
         self.watcher.answers.add(self.request, self.call)
         table = self.exchange.table
@@ -349,15 +270,6 @@
 
     def close(self) -> None:
         """Take in that the call is over; its caller left a run without an end."""
-        if self.target is not None:
-            eventlet.spawn_n(self.watch_left_run, self.target, current_request_id())
-
-    def watch_left_run(self, target: TargetEntry, request_id: str) -> None:
-        """Find out whether a target outlives a run that its caller left."""
-        eventlet.sleep(LEFT_SECONDS)
-        counted = self.end_run()
-        alive_at = self.watcher.find_alive_at(target.incarnation)
-        if alive_at < time.monotonic() - LEFT_PROOF_SECONDS:
-            self.settle(target, counted, request_id)
-        elif counted:
-            self.clear_run(target)
+        run = self.take_run()
+        if run is not None:
+            eventlet.spawn_n(run.watch_left, current_request_id())
--- a/src/cedarchute/crashes/crash_watcher.py
+++ b/src/cedarchute/crashes/crash_watcher.py
@@ -55,7 +55,7 @@
     def record_alive(self, target: TargetEntry, sent_at: float) -> None:
         """Take in that a target answered a call that was sent at a time."""
         table = self.exchange.table
-        if target.incarnation not in table.open_at:
+        if target.incarnation not in table.doubted_since:
             return
         for digest in table.clear_target(target.incarnation, sent_at):
             log.info(
--- a/tests/calls/test_attempts.py
+++ b/tests/calls/test_attempts.py
@@ -72,6 +72,9 @@
     def list_doubted(self):
         return set()
 
+    def is_fit(self, target):
+        return True
+
     def begin_run(self, target):
         return True
 
--- a/tests/crashes/test_crash_watch.py
+++ b/tests/crashes/test_crash_watch.py
@@ -10,7 +10,7 @@
 import pytest
 
 from cedarchute.calls.call import Call, ProgramContext
-from cedarchute.crashes import crash_watch
+from cedarchute.crashes import crash_watch, watched_run
 from cedarchute.crashes.crash_table import CrashTable
 from cedarchute.crashes.crash_watcher import CrashWatcher
 from cedarchute.crashes.target_life import TargetLife
@@ -178,7 +178,7 @@
         watch.begin_run(target)
     first.record_failure(TARGETS[0], RESET)
     for watch in others:
-        watch.note_running()
+        watch.run.count(RunState.RUNNING)
     last = watcher.watch(REQUEST, CALL)
     assert last.find_block() == crash_watch.UNDECIDED_RETRY_SECONDS
     others[0].record_answer(500)
@@ -208,6 +208,47 @@
     assert not watcher.exchange.table.list_suspects(watch.digest)
 
 
+def test_a_request_that_counts_is_sent_to_targets_that_live(watcher):
+    watch = watcher.watch(REQUEST, CALL)
+    assert watch.is_fit(TARGETS[1])
+    assert not watcher.life_check.asked
+    crash(watch, TARGETS[0])
+    assert not watch.is_fit(TARGETS[1])
+    watcher.life_check.life = TargetLife.ALIVE
+    assert watch.is_fit(TARGETS[2])
+    # Without any other target it is used, and does not count.
+    assert watch.is_fit(TARGETS[1])
+    watcher.life_check.life = TargetLife.ENDED
+    crash(watch, TARGETS[1])
+    assert watcher.exchange.table.list_suspects(watch.digest) == {"t0": RunState.ENDED}
+
+
+def test_a_run_whose_caller_left_before_it_was_sent_does_not_count(watcher):
+    watch = watcher.watch(REQUEST, CALL)
+    crash(watch, TARGETS[0])
+    watcher.exchange.tell_and_wait = lambda digest: eventlet.sleep(60)
+    task = eventlet.spawn(watch.begin_run, TARGETS[1])
+    eventlet.sleep(0)
+    assert TARGETS[1].incarnation in watcher.exchange.table.list_suspects(watch.digest)
+    task.kill()
+    assert watcher.exchange.table.list_suspects(watch.digest) == {"t0": RunState.ENDED}
+
+
+def test_a_failed_run_is_under_way_until_its_target_was_looked_at(watcher):
+    watcher.life_check.seconds = 0.02
+    watch = watcher.watch(REQUEST, CALL)
+    assert watch.begin_run(TARGET)
+    task = eventlet.spawn(watch.record_failure, TARGET, RESET)
+    eventlet.sleep(0.005)
+    # The caller leaves and comes to another box, which asks.
+    task.kill()
+    watch.close()
+    assert watcher.exchange.active
+    eventlet.sleep(0.03)
+    assert not watcher.exchange.active
+    assert watcher.exchange.table.list_suspects(watch.digest) == {"t": RunState.ENDED}
+
+
 def test_a_target_that_is_alive_again_counts_again(watcher):
     watcher.life_check.life = TargetLife.UNKNOWN
     other = msgspec.structs.replace(REQUEST, body=b"other")
@@ -228,18 +269,18 @@
 
 
 def test_a_run_whose_caller_left_is_looked_at_later(watcher, monkeypatch):
-    monkeypatch.setattr(crash_watch, "LEFT_SECONDS", 0.01)
+    monkeypatch.setattr(watched_run, "LEFT_SECONDS", 0.01)
     watch = watcher.watch(REQUEST, CALL)
     watch.begin_run(TARGET)
     watch.close()
-    assert watch in watcher.exchange.active
+    assert watcher.exchange.active
     eventlet.sleep(0.03)
     assert watcher.exchange.table.find(watch.digest) == CrashCount(0, 1)
     assert not watcher.exchange.active
 
 
 def test_a_run_that_ended_before_its_caller_left_is_not_looked_at(watcher, monkeypatch):
-    monkeypatch.setattr(crash_watch, "LEFT_SECONDS", 0.0)
+    monkeypatch.setattr(watched_run, "LEFT_SECONDS", 0.0)
     watch = watcher.watch(REQUEST, CALL)
     watch.begin_run(TARGET)
     watch.record_answer(200)
@@ -308,5 +349,5 @@
     watch = watcher.watch(REQUEST, CALL)
     assert watch.find_block() is None
     watch.begin_run(TARGET)
+    assert watch.run.known == NO_CRASHES
     watch.record_answer(200)
-    assert watch.known == NO_CRASHES
