Check a target after its run was announced, right before the request is sent

A target was found alive, and ended within the 0.24 s in which its run was announced beside an entry that stood still. The check follows the announcement.

--- a/src/cedarchute/calls/attempts.py
+++ b/src/cedarchute/calls/attempts.py
@@ -140,9 +140,6 @@
             self.check_crashes()
             self.check_quota()
             target = self.choose_target()
-            if not self.crash_watch.is_fit(target):
-                self.tried.add(target.id)
-                continue
             # It may have waited for a target.
             self.check_crashes()
             if not self.crash_watch.begin_run(target):
--- a/src/cedarchute/crashes/call_watch.py
+++ b/src/cedarchute/crashes/call_watch.py
@@ -25,9 +25,6 @@
         May wait for a moment for what decides it.
         """
 
-    def is_fit(self, target: TargetEntry) -> bool:
-        """Return whether the call should be sent to a target; may check it first."""
-
     def begin_run(self, target: TargetEntry) -> bool:
         """Take in that the call is sent to a target now; return whether it may be."""
 
--- a/src/cedarchute/crashes/crash_watch.py
+++ b/src/cedarchute/crashes/crash_watch.py
@@ -162,14 +162,11 @@
             self.exchange.tell(self.digest)
 
     def is_fit(self, target: TargetEntry) -> bool:
-        """Return whether a target lives, if a run of the request counts already.
+        """Return whether a target lives that a request which counts is to be sent to.
 
         Targets that end together would all count against a request that comes to them
         afterwards. Each is checked once; without others it is used nevertheless.
         """
-        table = self.exchange.table
-        if not table or not table.list_suspects(self.digest):
-            return True
         if target.incarnation in self.checked:
             return True
         started = time.monotonic()
@@ -177,21 +174,25 @@
             self.watcher.record_alive(target, started)
             return True
         self.checked.add(target.incarnation)
-        table.doubt(target.incarnation)
+        self.exchange.table.doubt(target.incarnation)
         return False
 
     def begin_run(self, target: TargetEntry) -> bool:
         """Take in that the call is sent to a target; return whether it may be.
 
         A run of a request that counts already is made known first, so that no two
-        boxes send it beyond the limit.
+        boxes send it beyond the limit; then its target is checked, as late as can be.
         """
         table = self.exchange.table
         known = table.find(self.digest) if table else NO_CRASHES
         was_doubted = table.is_doubted(target.incarnation)
         run = WatchedRun(self, target, known, was_doubted, is_counted=False)
-        if table and table.list_suspects(self.digest) and not self.announce(run):
-            return False
+        if table and table.list_suspects(self.digest):
+            if not self.announce(run):
+                return False
+            if not self.is_fit(target):
+                run.clear()
+                return False
         self.run = run
         self.exchange.active.add(run)
         return True
--- a/src/cedarchute/crashes/unwatched_call.py
+++ b/src/cedarchute/crashes/unwatched_call.py
@@ -22,10 +22,6 @@
         """Return None."""
         return None
 
-    def is_fit(self, target: TargetEntry) -> bool:
-        """Return True."""
-        return True
-
     def begin_run(self, target: TargetEntry) -> bool:
         """Return True."""
         return True
--- a/src/cedarchute/crashes/watched_run.py
+++ b/src/cedarchute/crashes/watched_run.py
@@ -21,9 +21,9 @@
 log = logging.getLogger("cedarchute.crashes")
 
 # How long a target is expected to outlive a run whose caller left, if it does at all.
-LEFT_SECONDS: Final = 0.25
+LEFT_SECONDS: Final = 0.5
 # A target that answered a call sent as lately as this needs no check.
-LEFT_PROOF_SECONDS: Final = 0.1
+LEFT_PROOF_SECONDS: Final = 0.2
 
 
 class WatchedRun:
--- a/tests/waiting/test_attempts_in_line.py
+++ b/tests/waiting/test_attempts_in_line.py
@@ -67,6 +67,9 @@
         answer.status = 200
         return answer
 
+    def drop_rest(self, answer, deadline):
+        pass
+
     def finish(self, answer):
         if answer.status == 200:
             self.places.free += 1
