Hold answers whole in the tests of the bound on held bytes

Not a fault of the bound: the load of the tests rests on answers that are held whole. Their sites say so now (max_held_kb = 8192), load, bounds and checks unchanged. The refusal at the bound is checked as well with answers that are passed on, four slow callers at 3 MB.

--- a/tests/platform_site/test_pressure.py
+++ b/tests/platform_site/test_pressure.py
@@ -21,6 +21,8 @@
 MAX_HELD_MB = 32
 LARGE = b"x" * 6_000_000
 SLOW_CALLERS = 12
+# Answers are held whole, instead of being passed on as they come.
+HELD_WHOLE = ("[answers]", "max_held_kb = 8192")
 # Below the wait for a caller that reads nothing of a box that is not near its bound.
 SLOW_ENDED_SECONDS = 9.0
 
@@ -67,7 +69,7 @@
 
 @pytest.fixture
 def site(tmp_path):
-    with start_site(tmp_path, f"max_held_mb = {MAX_HELD_MB}") as site:
+    with start_site(tmp_path, f"max_held_mb = {MAX_HELD_MB}", *HELD_WHOLE) as site:
         yield site
 
 
@@ -127,14 +129,17 @@
     )
 
 
-def test_at_the_bound_a_call_is_refused_and_its_connection_stays_open(tmp_path):
-    # Below one answer: the only one under way reaches the bound.
+@pytest.mark.parametrize(("answer_settings", "slow"), [(HELD_WHOLE, 1), ((), 4)])
+def test_at_the_bound_a_call_is_refused_and_its_connection_stays_open(
+    tmp_path, answer_settings, slow
+):
+    # Below one whole answer, or the starts of four that are passed on.
     with (
-        start_site(tmp_path, "max_held_mb = 3") as site,
+        start_site(tmp_path, "max_held_mb = 3", *answer_settings) as site,
         contextlib.ExitStack() as stack,
     ):
         entry = site.callers["entry-1"]
-        send_slow_calls(stack, site, 1)
+        send_slow_calls(stack, site, slow)
         wait_until(
             lambda: site.count("entry-1", "held.reached.at_bound"), "at the bound"
         )
