Show that many answers without end fill a box, listed red

The bounds are for one answer each, and what is kept of a stream to be stored had none at all, also where the route stores nothing.

--- a/src/standins/endless_answers.py
+++ b/src/standins/endless_answers.py
@@ -106,6 +106,11 @@
     send_without_end(connection, stream_head(request), chunk(b": nothing\n\n" * 99))
 
 
+def send_data(request: RawRequest, connection: socket.socket) -> None:
+    """Send events of a stream without end."""
+    send_without_end(connection, stream_head(request), chunk(b"data: %s\n\n" % BLOCK))
+
+
 PLAIN_SHAPES: Final[dict[str, Callable[[RawRequest, socket.socket], None]]] = {
     "header_value": send_header_value,
     "headers": send_headers,
@@ -123,4 +128,5 @@
     **{k: v for k, v in PLAIN_SHAPES.items() if k not in ("to_close", "after_answer")},
     "event": send_event,
     "comments": send_comments,
+    "data": send_data,
 }
--- a/tests/platform_site/test_endless_answers.py
+++ b/tests/platform_site/test_endless_answers.py
@@ -21,6 +21,7 @@
 # What a box may use: the smallest one has 150 MB.
 MAX_BOX_MB = 120
 ENDLESS_CALLERS = 4
+MANY_ENDLESS_CALLERS = 64
 OTHER_CALLS = 60
 PATIENCE_MS = 2500
 
@@ -84,10 +85,10 @@
             self.whole.append(head)
 
 
-def ask_others_beside(site, path):
+def ask_others_beside(site, path, count):
     """Have callers ask for what has no end; return how other calls ended meanwhile."""
     entry = site.callers["entry-1"]
-    callers = [EndlessCaller(entry, path, f"e{n}") for n in range(ENDLESS_CALLERS)]
+    callers = [EndlessCaller(entry, path, f"e{n}") for n in range(count)]
     for caller in callers:
         caller.start()
     try:
@@ -101,9 +102,9 @@
     return statuses, [head for caller in callers for head in caller.whole]
 
 
-def check(site, path):
+def check(site, path, count=ENDLESS_CALLERS):
     add_targets(site, "plain", [lambda r, c: c.sendall(answer(r))] * 2)
-    statuses, whole = ask_others_beside(site, path)
+    statuses, whole = ask_others_beside(site, path, count)
     assert statuses == [200] * OTHER_CALLS
     assert not whole
     assert read_peak_mb(site, "entry-1") < MAX_BOX_MB
@@ -121,6 +122,20 @@
     check(site, b"/stream/x")
 
 
+@pytest.mark.parametrize("shape", ["chunks", "to_close", "refusal"])
+def test_many_answers_without_end_stop_no_box(site, shape):
+    site.max_connections = 100
+    add_targets(site, "endless", [PLAIN_SHAPES[shape]] * 3)
+    check(site, b"/endless/x", MANY_ENDLESS_CALLERS)
+
+
+@pytest.mark.parametrize("shape", ["chunks", "event", "data"])
+def test_many_streams_without_end_stop_no_box(site, shape):
+    site.max_connections = 100
+    add_targets(site, "model", [STREAM_SHAPES[shape]] * 3)
+    check(site, b"/stream/x", MANY_ENDLESS_CALLERS)
+
+
 @pytest.mark.parametrize("framing", ["length", "chunks", "to_close"])
 def test_a_long_proper_answer_arrives_whole(site, framing):
     body = bytes(range(256)) * 4096 * 20
