Bound what a box holds of all answers together

Cause: each bound was for one answer, so the sum grew with the calls; what is kept of a stream to be stored had no bound, and was kept where nothing is stored; the start of a body that is passed on stayed in memory until its end.

Now all answers share [answers] max_total_mb. One may hold as much as is free (dynamic threshold), so a few long ones may hold much, many little, and room remains for others; 64 KB in any case. A body beyond that is passed on, another answer is broken off. Parts that were sent are freed. Turns are kept in one buffer, and only where they are stored.

--- a/src/cedarchute/calls/body_relay.py
+++ b/src/cedarchute/calls/body_relay.py
@@ -10,6 +10,7 @@
 if TYPE_CHECKING:
     from cedarchute.calls.attempts import Attempts
     from cedarchute.calls.target_client import OpenResponse, TargetClient
+    from cedarchute.pressure.held_amount import HeldAmount
     from cedarchute.relay.reply_writer import ReplyWriter
 
 
@@ -18,9 +19,9 @@
     writer: ReplyWriter,
     attempts: Attempts,
     opened: OpenResponse,
-    start: bytes,
+    amount: HeldAmount,
 ) -> None:
-    """Write a response whose body is read up to `start`, the rest as it comes.
+    """Write a response as its body comes; `amount` counts what is held of it.
 
     Raises
     ------
@@ -31,8 +32,7 @@
     is_finished = False
     try:
         writer.start_stream(answer.status, answer.headers.select_end_to_end())
-        writer.write_part(start)
-        for part in client.read_rest(opened, len(start), attempts.deadline):
+        for part in client.read_long_body(opened, amount, attempts.deadline):
             writer.write_part(part)
         client.finish(opened)
         is_finished = True
--- a/src/cedarchute/calls/plain_call_handler.py
+++ b/src/cedarchute/calls/plain_call_handler.py
@@ -76,7 +76,7 @@
                 self.target_client.abandon(opened)
             return False
         if not answer.is_complete:
-            relay_long_body(self.target_client, writer, attempts, opened, body)
+            relay_long_body(self.target_client, writer, attempts, opened, amount)
             return True
         headers = answer.headers.select_end_to_end()
         writer.write_whole(answer.status, headers, body)
@@ -87,7 +87,7 @@
     ) -> bytes | None:
         """Return the body, or None if the call should be retried elsewhere.
 
-        Of one too long to be held it is the start, and the response stays open.
+        The response of one that is too long to be held stays open.
         """
         is_usable = False
         try:
--- a/src/cedarchute/calls/target_client.py
+++ b/src/cedarchute/calls/target_client.py
@@ -16,6 +16,7 @@
     says_not_run,
     write_target_headers,
 )
+from cedarchute.pressure.answer_memory import AnswerMemory
 from cedarchute.pressure.growth_order import GrowthOrder
 from cedarchute.pressure.held_amount import HeldAmount
 from cedarchute.pressure.unbounded_bytes import UNBOUNDED
@@ -86,6 +87,8 @@
     ----------
     call_order : CallOrder or None
         The order in which calls wait; None if they wait in no order.
+    memory : AnswerMemory
+        Counts what is held of answers.
     crash_watcher : CrashWatcher or None
         Counts crashes of targets by request; None if nobody does.
     """
@@ -103,7 +106,7 @@
         limits: AnswerLimits = DEFAULT_LIMITS,
     ) -> None:
         self.call_order = call_order
-        self.held = held
+        self.memory = AnswerMemory(limits.total_bytes, held)
         self.growth_order = GrowthOrder(held)
         self.pool = pool
         self.limits = limits
@@ -231,20 +234,22 @@
 
     def hold(self, cause: HeldCause) -> HeldAmount:
         """Return an amount of held bytes to accumulate."""
-        return HeldAmount(self.held, cause)
+        return HeldAmount(self.memory, cause)
 
     def read_body(self, opened: OpenResponse, amount: HeldAmount) -> bytes:
-        """Return the body of a response, or the start of one too long to be held.
+        """Return the body of a response; `amount` counts it.
 
-        `amount` counts it; the answer is complete if all of it was read.
+        One that is too long to be held is not read to its end, and nothing of it is
+        taken from the response.
         """
         answer = opened.answer
         parts = [answer.take_parts()]
         amount.grow(len(parts[0]))
         try:
             while not answer.is_complete:
-                if amount.count > self.limits.held_bytes:
-                    break
+                if self.is_too_long(amount):
+                    answer.parts.extend(parts)
+                    return b""
                 rest = find_rest(answer, amount.count)
                 self.wait_for_room(amount, rest, opened.read_deadline)
                 opened.connection.receive(opened.read_deadline - time.monotonic())
@@ -254,13 +259,21 @@
             self.growth_order.finish(amount, answer.is_complete)
         return b"".join(parts)
 
-    def read_rest(
-        self, opened: OpenResponse, count: int, deadline: float
+    def is_too_long(self, amount: HeldAmount) -> bool:
+        """Return whether no more of a body may be held."""
+        if amount.count > self.limits.held_bytes:
+            return True
+        return not self.memory.allows(amount.count)
+
+    def read_long_body(
+        self, opened: OpenResponse, amount: HeldAmount, deadline: float
     ) -> Iterator[bytes]:
-        """Yield the rest of a body as it comes, after `count` bytes of it.
+        """Yield a body that is too long to be held, as it comes.
 
         Parameters
         ----------
+        amount : HeldAmount
+            Counts what of it is held.
         deadline : float
             Monotonic time at which the call ends.
 
@@ -270,9 +283,12 @@
             When the body goes on for too long.
         """
         answer = opened.answer
-        while not answer.is_complete:
-            opened.connection.receive(deadline - time.monotonic())
-            part = answer.take_parts()
+        count = 0
+        while answer.parts or not answer.is_complete:
+            if not answer.parts:
+                opened.connection.receive(deadline - time.monotonic())
+            part = answer.parts.popleft() if amount.count else answer.take_parts()
+            amount.shrink(len(part))
             count += len(part)
             if count > self.limits.body_bytes:
                 raise AnswerTooLongError(AnswerPart.BODY, self.limits.body_bytes)
--- a/src/cedarchute/calls/turn_relay.py
+++ b/src/cedarchute/calls/turn_relay.py
@@ -14,6 +14,7 @@
 from cedarchute.calls.stream_position import StreamPosition
 from cedarchute.calls.stream_resumption import BrokenStream, may_resume
 from cedarchute.pressure.held_bytes import HeldCause
+from cedarchute.relay.answer_too_long import AnswerPart, AnswerTooLongError
 from cedarchute.relay.event_splitter import EventSplitter, read_data
 from cedarchute.relay.target_failure import TargetFailureError
 from cedarchute.turns.holder_fanout import NoQuorumError
@@ -24,6 +25,7 @@
     from cedarchute.calls.call import Call
     from cedarchute.calls.stream_call_handler import StreamCallHandler
     from cedarchute.calls.target_client import OpenResponse
+    from cedarchute.pressure.held_amount import HeldAmount
     from cedarchute.relay.caller_request import CallerRequest
     from cedarchute.relay.reply_writer import ReplyWriter
     from cedarchute.routing.route import Route
@@ -68,8 +70,9 @@
         self.slowdown_meter = handler.admission_controller.slowdown_meters[service]
         self.tokens = 0
         self.is_stored = False
-        self.output: list[bytes] = []
+        self.output = bytearray()
         self.kept = handler.target_client.hold(HeldCause.KEPT_EVENTS)
+        self.event_start = handler.target_client.hold(HeldCause.ANSWER)
         self.position = (
             StreamPosition() if handler.resumes_streams and route.is_resumable else None
         )
@@ -94,6 +97,7 @@
         try:
             self.relay_until_complete()
         finally:
+            self.event_start.release()
             self.attempts.crash_watch.close()
 
     def relay_until_complete(self) -> None:
@@ -142,7 +146,7 @@
         with client.hold(HeldCause.ANSWER) as amount:
             body = client.read_body(opened, amount)
             if not opened.answer.is_complete:
-                relay_long_body(client, self.writer, self.attempts, opened, body)
+                relay_long_body(client, self.writer, self.attempts, opened, amount)
                 return False
             headers = opened.answer.headers.select_end_to_end()
             self.writer.write_whole(opened.answer.status, headers, body)
@@ -156,6 +160,8 @@
         last_event_at = None
         while True:
             events = splitter.feed(answer.take_parts())
+            self.event_start.resize(len(splitter.rest))
+            self.check_memory(self.event_start, AnswerPart.EVENT)
             if events:
                 last_event_at = self.record_latency(opened, last_event_at, len(events))
             for number, event in enumerate(events, 1):
@@ -196,12 +202,31 @@
         data = read_data(event)
         if data is not None:
             self.tokens += event_tokens
-            self.output.append(data + b"\n")
-            self.kept.grow(len(data) + 1)
+            self.keep_output(data)
         self.writer.write_part(event)
         if self.position is not None:
             self.position.advance(event)
 
+    def keep_output(self, data: bytes) -> None:
+        """Keep the data of an event until the turn is stored.
+
+        Raises
+        ------
+        AnswerTooLongError
+            When the turn goes on for too long.
+        """
+        if not self.route.retains_turns:
+            return
+        self.output += data + b"\n"
+        self.kept.grow(len(data) + 1)
+        self.check_memory(self.kept, AnswerPart.TURN)
+
+    def check_memory(self, amount: HeldAmount, part: AnswerPart) -> None:
+        """Raise `AnswerTooLongError` when more is held than one answer may hold."""
+        memory = self.handler.target_client.memory
+        if not memory.allows(amount.count):
+            raise AnswerTooLongError(part, memory.max_bytes)
+
     def check_resumed_event(self, event: bytes) -> None:
         """Raise if an event of a resumed stream must not reach the caller.
 
@@ -301,7 +326,7 @@
             turn=self.call.id,
             previous=context.previous_turn,
             input=self.request.body,
-            output=b"".join(self.output),
+            output=bytes(self.output),
             tokens=self.tokens,
             target=opened.target.incarnation,
             keep_seconds=self.route.retention_seconds,
--- a/src/cedarchute/daemon/entry_box.py
+++ b/src/cedarchute/daemon/entry_box.py
@@ -88,6 +88,7 @@
         section.max_event_kb * KILOBYTE,
         section.max_held_kb * KILOBYTE,
         section.max_body_mb * KILOBYTE**2,
+        section.max_total_mb * KILOBYTE**2,
     )
 
 
--- a/src/cedarchute/relay/answer_limits.py
+++ b/src/cedarchute/relay/answer_limits.py
@@ -20,12 +20,16 @@
         one is passed on as it comes. Also what is read to be dropped.
     body_bytes : int
         A whole body; streams of events have no such limit.
+    total_bytes : int
+        All that a box holds of answers at once: bodies, events that are not complete,
+        and turns until they are stored.
     """
 
     head_bytes: int = 65_536
     event_bytes: int = 1_048_576
     held_bytes: int = 1_048_576
     body_bytes: int = 67_108_864
+    total_bytes: int = 33_554_432
 
 
 DEFAULT_LIMITS = AnswerLimits()
--- a/src/cedarchute/relay/answer_too_long.py
+++ b/src/cedarchute/relay/answer_too_long.py
@@ -15,10 +15,17 @@
     EVENT = "event"
     BODY = "body"
     DROPPED = "dropped"
+    TURN = "turn"
 
 
 class AnswerTooLongError(TargetFailureError):
-    """A part of an answer is longer than allowed; the request may have run."""
+    """A part of an answer is longer than allowed; the request may have run.
+
+    Parameters
+    ----------
+    max_bytes : int
+        What one answer may have of that part, or all answers together for a turn.
+    """
 
     code = "answer_too_long"
 
--- a/src/cedarchute/settings/load_sections.py
+++ b/src/cedarchute/settings/load_sections.py
@@ -76,12 +76,15 @@
         comes, and no other target is tried for it.
     max_body_mb : int
         Megabytes of a body; streams of events have no such limit.
+    max_total_mb : int
+        Megabytes of all answers that a box holds at once.
     """
 
     max_head_kb: int = 64
     max_event_kb: int = 1024
     max_held_kb: int = 1024
     max_body_mb: int = 64
+    max_total_mb: int = 32
 
 
 class PressureSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/src/cedarchute/settings/node_settings.py
+++ b/src/cedarchute/settings/node_settings.py
@@ -240,8 +240,8 @@
     answers = settings.answers
     if min(answers.max_head_kb, answers.max_event_kb, answers.max_held_kb) < 1:
         faults.append("[answers] max_head_kb, max_event_kb, max_held_kb: at least 1")
-    if answers.max_body_mb < 1:
-        faults.append("[answers] max_body_mb: must be at least 1")
+    if min(answers.max_body_mb, answers.max_total_mb) < 1:
+        faults.append("[answers] max_body_mb, max_total_mb: must be at least 1")
     if not 0 <= settings.pressure.max_held_mb < float("inf"):
         faults.append("[pressure] max_held_mb: must be a number that is not negative")
     return faults
