Bound the answers of other processes in bytes and in time

Their answers are read by urllib3, whole, without a bound; a connection that always has bytes never gave up the loop, and a trickle never timed out, since a timeout was for one read.

Every socket of HostPools is read through one reader now: up to a number of bytes, four timeouts for a whole answer, a turn for others after 64 KB. Of a stream the head and each read are bounded, not its length. An event of an engine has 1 MB at most, and a refusal is no longer read to its end.

--- a/src/cedarchute/border/forwarder.py
+++ b/src/cedarchute/border/forwarder.py
@@ -7,6 +7,7 @@
 import urllib3
 from werkzeug.wrappers import Response
 
+from cedarchute.answer_bound import AnswerBound
 from cedarchute.border.reroute_error import RerouteError
 from cedarchute.host_pools import HostPools
 from cedarchute.peers.peer_client import is_refused
@@ -25,6 +26,7 @@
 REROUTE_HEADER: Final = "Cedarchute-Reroute"
 MAX_CONNECTIONS_PER_HOST: Final = 128
 MAX_HOSTS: Final = 128
+STREAM_BOUND: Final = AnswerBound(64_000_000, is_stream=True)
 CONNECT_SECONDS: Final = 1.0
 FORWARDED_HEADERS: Final = (
     "Content-Type",
@@ -41,7 +43,7 @@
         self.view = view
         self.watch = watch
         self.metrics = metrics
-        self.pools = HostPools(MAX_CONNECTIONS_PER_HOST, MAX_HOSTS)
+        self.pools = HostPools(MAX_CONNECTIONS_PER_HOST, MAX_HOSTS, STREAM_BOUND)
 
     def open(self, request: ForwardedRequest) -> BaseHTTPResponse:
         """Send a request to another box; return the response with its body unread.
--- /dev/null
+++ b/src/cedarchute/bounded_reader.py
@@ -0,0 +1,86 @@
+"""Reads what another process sends, up to a number of bytes and a time."""
+
+from __future__ import annotations
+
+import io
+import time
+from typing import TYPE_CHECKING, Final
+
+if TYPE_CHECKING:
+    from collections.abc import Buffer
+
+# After as many bytes in a row another task has its turn. Bytes that are there already
+# are read without waiting, and so without a turn for anybody else.
+TURN_BYTES: Final = 65_536
+
+
+class AnswerBoundError(OSError):
+    """An answer has more bytes than it may have."""
+
+    code = "answer_bound"
+
+
+class BoundedReader(io.RawIOBase):
+    """Reads one answer from a socket.
+
+    Parameters
+    ----------
+    max_bytes : int
+        What may be read.
+    max_seconds : float
+        How long reading may take; the socket bounds each single read.
+
+    Attributes
+    ----------
+    bytes_in_turn : int
+        Bytes since other tasks had their turn.
+    """
+
+    def __init__(self, raw: io.RawIOBase, max_bytes: int, max_seconds: float) -> None:
+        self.raw = raw
+        self.max_bytes = max_bytes
+        self.max_seconds = max_seconds
+        self.bytes_in_turn = 0
+        self.restart()
+
+    def restart(self) -> None:
+        """Begin to count anew."""
+        self.started_at = time.monotonic()
+        self.bytes_read = 0
+
+    def readable(self) -> bool:
+        """Return True."""
+        return True
+
+    def readinto(self, buffer: Buffer) -> int | None:
+        """Read into a buffer; return how many bytes.
+
+        Raises
+        ------
+        AnswerBoundError
+            When there are too many.
+        TimeoutError
+            When reading has taken too long, or the socket has.
+        """
+        count = self.raw.readinto(buffer)
+        if not count:
+            return count
+        self.bytes_read += count
+        self.check_bounds()
+        self.bytes_in_turn += count
+        if self.bytes_in_turn >= TURN_BYTES:
+            self.bytes_in_turn = 0
+            time.sleep(0)
+        return count
+
+    def check_bounds(self) -> None:
+        """Raise if the answer is too long or takes too long."""
+        if self.bytes_read > self.max_bytes:
+            raise AnswerBoundError(f"answer longer than {self.max_bytes} bytes")
+        if time.monotonic() - self.started_at > self.max_seconds:
+            raise TimeoutError("answer takes too long")
+
+    def close(self) -> None:
+        """Close the socket's file."""
+        self.raw.close()
+        super().close()
--- a/src/cedarchute/host_pools.py
+++ b/src/cedarchute/host_pools.py
@@ -4,10 +4,13 @@
 
 import logging
 from collections import OrderedDict
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 import urllib3
 
+from cedarchute.answer_bound import AnswerBound
+from cedarchute.bounded_connection import BoundedPool
+
 if TYPE_CHECKING:
     from urllib3.response import BaseHTTPResponse
 
@@ -16,6 +19,8 @@
 
 log = logging.getLogger("cedarchute.connections")
 
+DEFAULT_BOUND: Final = AnswerBound(16_777_216)
+
 
 class HostPools:
     """Sends requests without urllib3's general look-up of a pool.
@@ -30,10 +35,15 @@
     hosts : int
         Addresses kept; those used longest ago are closed, so that heartbeats to
         boxes chosen by chance do not end in a connection to every box.
+    bound : AnswerBound
+        What may be read of an answer.
     """
 
-    def __init__(self, size: int, hosts: int) -> None:
+    def __init__(
+        self, size: int, hosts: int, bound: AnswerBound = DEFAULT_BOUND
+    ) -> None:
         self.size = size
+        self.bound = bound
         self.hosts = hosts
         self.pools: OrderedDict[Address, urllib3.HTTPConnectionPool] = OrderedDict()
 
@@ -82,8 +92,12 @@
         if pool is not None:
             self.pools.move_to_end(address)
             return pool
-        pool = urllib3.HTTPConnectionPool(
-            address.host, address.port, maxsize=self.size, retries=False
+        pool = BoundedPool(
+            address.host,
+            address.port,
+            maxsize=self.size,
+            retries=False,
+            bound=self.bound,
         )
         self.pools[address] = pool
         if len(self.pools) > self.hosts:
--- a/src/cedarchute/peers/peer_client.py
+++ b/src/cedarchute/peers/peer_client.py
@@ -7,6 +7,7 @@
 import urllib3
 from pydantic import ValidationError
 
+from cedarchute.answer_bound import AnswerBound
 from cedarchute.host_pools import HostPools
 from cedarchute.message import Message
 
@@ -20,6 +21,8 @@
 DATA_PATHS: Final = frozenset({"append", "read", "seal"})
 MAX_CONNECTIONS_PER_HOST: Final = 16
 MAX_HOSTS: Final = 16
+# A reply may carry the records of a partition.
+REPLY_BOUND: Final = AnswerBound(64_000_000)
 JSON_HEADERS: Final = {"content-type": "application/json"}
 CLOSING_HEADERS: Final = {**JSON_HEADERS, "connection": "close"}
 
@@ -57,7 +60,7 @@
     def __init__(self, metrics: Metrics, timeout: float = 2.0) -> None:
         self.metrics = metrics
         self.timeout = timeout
-        self.pools = HostPools(MAX_CONNECTIONS_PER_HOST, MAX_HOSTS)
+        self.pools = HostPools(MAX_CONNECTIONS_PER_HOST, MAX_HOSTS, REPLY_BOUND)
 
     def send(
         self,
--- a/src/cedarchute/targets/engine_client.py
+++ b/src/cedarchute/targets/engine_client.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import json
+import logging
 from typing import TYPE_CHECKING, Any, Final
 
 import urllib3
 from pydantic import ValidationError
 from pydantic_core import from_json
 
+from cedarchute.answer_bound import AnswerBound
 from cedarchute.host_pools import HostPools
 from cedarchute.targets.load_report import LoadReport
 from cedarchute.targets.stream_chunk import StreamChunk, StreamEnd
@@ -28,6 +30,8 @@
     from cedarchute.metrics import Metrics
     from cedarchute.targets.generate_request import GenerateRequest
 
+log = logging.getLogger("cedarchute.targets")
+
 CONNECT_TIMEOUT_SECONDS: Final = 2.0
 CONTROL_TIMEOUT_SECONDS: Final = 3.0
 # Short because a call waits for the transfer and can do without it.
@@ -35,6 +39,9 @@
 MAX_CONNECTIONS: Final = 64
 MAX_CONTROL_CONNECTIONS: Final = 4
 MAX_HOSTS: Final = 256
+MAX_EVENT_BYTES: Final = 1_048_576
+STREAM_BOUND: Final = AnswerBound(2 * MAX_EVENT_BYTES, is_stream=True)
+MAX_DROPPED_BYTES: Final = 65_536
 JSON_HEADERS: Final = {"content-type": "application/json"}
 TRANSPORT_ERRORS: Final = (urllib3.exceptions.HTTPError, OSError)
 
@@ -44,7 +51,7 @@
 
     def __init__(self, metrics: Metrics) -> None:
         self.metrics = metrics
-        self.pools = HostPools(MAX_CONNECTIONS, MAX_HOSTS)
+        self.pools = HostPools(MAX_CONNECTIONS, MAX_HOSTS, STREAM_BOUND)
         self.control_pools = HostPools(MAX_CONTROL_CONNECTIONS, MAX_HOSTS)
 
     def generate(
@@ -146,12 +153,23 @@
             raise make_transport_error(error) from error
         if response.status == 200:
             return response
-        response.drain_conn()
-        response.release_conn()
+        self._drop_body(response)
         if response.status == 404 and method == "GET":
             raise TargetError("stream_unknown", path, Verdict.MAY_HAVE_RUN)
         raise make_status_error(response)
 
+    def _drop_body(self, response: BaseHTTPResponse) -> None:
+        """Read the body of a refusal so that its connection can be reused."""
+        try:
+            is_short = len(response.read(MAX_DROPPED_BYTES)) < MAX_DROPPED_BYTES
+        except TRANSPORT_ERRORS as error:
+            log.info("Refusal not read.", extra={"why": str(error)})
+            is_short = False
+        if is_short:
+            response.release_conn()
+        else:
+            response.close()
+
     def _read_events(
         self, response: BaseHTTPResponse
     ) -> Iterator[StreamChunk | StreamEnd]:
@@ -161,6 +179,8 @@
             while chunk := response.read1(65_536):
                 buffer += chunk
                 complete, separator, remainder = buffer.rpartition(b"\n\n")
+                if len(remainder) > MAX_EVENT_BYTES:
+                    raise ValueError(f"event longer than {MAX_EVENT_BYTES} bytes")
                 if not separator:
                     continue
                 buffer = remainder
--- a/src/cedarchute/turns/pooled_transport.py
+++ b/src/cedarchute/turns/pooled_transport.py
@@ -6,6 +6,7 @@
 
 import urllib3
 
+from cedarchute.answer_bound import AnswerBound
 from cedarchute.host_pools import HostPools
 from cedarchute.turns.holder_transport import HolderAnswer, NoAnswerError
 
@@ -17,6 +18,8 @@
 
 MAX_CONNECTIONS_PER_HOLDER: Final = 16
 MAX_HOLDERS: Final = 16
+# As many bytes as a holder takes in one request.
+RECORDS_BOUND: Final = AnswerBound(64_000_000)
 JSON_HEADERS: Final = {"Content-Type": "application/json"}
 
 
@@ -24,7 +27,7 @@
     """Uses what holders hold in memory for the store anyway."""
 
     def __init__(self) -> None:
-        self.pools = HostPools(MAX_CONNECTIONS_PER_HOLDER, MAX_HOLDERS)
+        self.pools = HostPools(MAX_CONNECTIONS_PER_HOLDER, MAX_HOLDERS, RECORDS_BOUND)
 
     def post(
         self,
