--- a/src/cedarchute/answer_bound.py
+++ b/src/cedarchute/answer_bound.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+from typing import Final
+
 from cedarchute.record import Record
 
+# An answer may take as many times as long as its next bytes may.
+MAX_READ_TIMES: Final = 10
+
 
 class AnswerBound(Record):
     """What may be read of an answer.
--- a/src/cedarchute/bounded_response.py
+++ b/src/cedarchute/bounded_response.py
@@ -4,8 +4,9 @@
 
 import io
 from http.client import HTTPResponse
-from typing import TYPE_CHECKING, Any, Final
+from typing import TYPE_CHECKING, Any
 
+from cedarchute.answer_bound import MAX_READ_TIMES
 from cedarchute.bounded_reader import BoundedReader
 
 if TYPE_CHECKING:
@@ -13,9 +14,6 @@
 
     from cedarchute.answer_bound import AnswerBound
 
-# An answer may take as many times as long as one read of it.
-READS_PER_ANSWER: Final = 4
-
 
 class BoundedResponse(HTTPResponse):
     """An answer that is read through a `BoundedReader`.
@@ -37,7 +35,7 @@
         self.reader = BoundedReader(
             self.sock.makefile(mode, buffering=0),
             self.bound.max_bytes,
-            float("inf") if seconds is None else READS_PER_ANSWER * seconds,
+            float("inf") if seconds is None else MAX_READ_TIMES * seconds,
         )
         return io.BufferedReader(self.reader)
 
--- a/src/cedarchute/turns/answer_timeout.py
+++ b/src/cedarchute/turns/answer_timeout.py
@@ -13,7 +13,7 @@
     connect_seconds : float
         For a new connection.
     read_seconds : float
-        For the next bytes of the answer; a long one may take several times this.
+        For the next bytes of the answer; a whole one may take `MAX_READ_TIMES` as long.
     """
 
     connect_seconds: float
--- a/src/cedarchute/turns/holder_connections.py
+++ b/src/cedarchute/turns/holder_connections.py
@@ -7,11 +7,19 @@
 from collections import OrderedDict
 from typing import TYPE_CHECKING, Final
 
+from cedarchute.answer_bound import MAX_READ_TIMES
+from cedarchute.relay.answer_too_long import AnswerPart, AnswerTooLongError
 from cedarchute.relay.target_connection import SILENT, TargetConnection
 from cedarchute.relay.target_failure import TargetFailureError
-from cedarchute.turns.holder_transport import HolderAnswer, NoAnswerError
+from cedarchute.turns.holder_transport import (
+    RECORDS_BOUND,
+    HolderAnswer,
+    NoAnswerError,
+)
+from cedarchute.verdict import Verdict
 
 if TYPE_CHECKING:
+    from collections import deque
     from collections.abc import Callable
 
     from cedarchute.address import Address
@@ -80,9 +88,11 @@
         asked_at = time.monotonic()
         try:
             connection.send(request, SEND_SECONDS)
+            deadline = time.monotonic() + MAX_READ_TIMES * timeout.read_seconds
             if must_give_up is not None:
                 wait_for_bytes(connection, timeout.read_seconds, must_give_up)
             while not answers or not answers[0].is_complete:
+                check_bounds(answers, deadline)
                 asked_at = time.monotonic()
                 connection.receive(timeout.read_seconds)
         except BaseException:
@@ -130,6 +140,14 @@
             connection.close()
 
 
+def check_bounds(answers: deque[TargetAnswer], deadline: float) -> None:
+    """Raise `TargetFailureError` if an answer is too long or takes too long."""
+    if answers and sum(map(len, answers[0].parts)) > RECORDS_BOUND.max_bytes:
+        raise AnswerTooLongError(AnswerPart.BODY, RECORDS_BOUND.max_bytes)
+    if time.monotonic() > deadline:
+        raise TargetFailureError("answer takes too long", Verdict.MAY_HAVE_RUN)
+
+
 def build_request(address: Address, path: str, body: bytes) -> bytes:
     """Return a request with a JSON body."""
     head = (
--- a/src/cedarchute/turns/holder_transport.py
+++ b/src/cedarchute/turns/holder_transport.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING, Final, Protocol
 
+from cedarchute.answer_bound import AnswerBound
 from cedarchute.record import Record
 
 if TYPE_CHECKING:
@@ -13,6 +14,10 @@
     from cedarchute.turns.answer_timeout import AnswerTimeout
 
 
+# As many bytes as a holder takes in one request.
+RECORDS_BOUND: Final = AnswerBound(64_000_000)
+
+
 class NoAnswerError(Exception):
     """There is no connection, or no valid answer in time."""
 
--- a/src/cedarchute/turns/pooled_transport.py
+++ b/src/cedarchute/turns/pooled_transport.py
@@ -6,9 +6,12 @@
 
 import urllib3
 
-from cedarchute.answer_bound import AnswerBound
 from cedarchute.host_pools import HostPools
-from cedarchute.turns.holder_transport import HolderAnswer, NoAnswerError
+from cedarchute.turns.holder_transport import (
+    RECORDS_BOUND,
+    HolderAnswer,
+    NoAnswerError,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -18,8 +21,6 @@
 
 MAX_CONNECTIONS_PER_HOLDER: Final = 16
 MAX_HOLDERS: Final = 16
-# As many bytes as a holder takes in one request.
-RECORDS_BOUND: Final = AnswerBound(64_000_000)
 JSON_HEADERS: Final = {"Content-Type": "application/json"}
 
 
--- a/tests/turns/test_holder_transport.py
+++ b/tests/turns/test_holder_transport.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import queue
 import socket
 import threading
 import time
@@ -17,11 +18,14 @@
 from cedarchute.turns.holder_connections import HolderConnections
 from cedarchute.turns.holder_transport import NoAnswerError
 from cedarchute.turns.pooled_transport import PooledTransport
+from standins.endless_answers import send_chunks, send_trailers
+from standins.raw_target import RawTarget
 
 # Reached only if an answer never comes.
 HANG_SECONDS = 30.0
 PAUSE_SECONDS = 0.6
 TIMEOUT = AnswerTimeout(connect_seconds=2.0, read_seconds=1.0)
+SHORT_TIMEOUT = AnswerTimeout(connect_seconds=2.0, read_seconds=0.2)
 BYTES = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
 ANSWER = [BYTES]
 
@@ -138,6 +142,33 @@
         post(transport(), listener)
 
 
+def send_slowly(request, connection):
+    connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n")
+    for _ in range(1000):
+        connection.sendall(b"x")
+        time.sleep(SHORT_TIMEOUT.read_seconds / 2)
+
+
+@both
+@pytest.mark.parametrize("script", [send_slowly, send_chunks, send_trailers])
+def test_an_answer_without_end_is_given_up(transport, script):
+    ends = queue.SimpleQueue()
+
+    def respond(request, connection):
+        try:
+            script(request, connection)
+        except OSError:
+            ends.put("closed by the caller")
+        else:
+            ends.put("read to the last byte")
+
+    with contextlib.closing(RawTarget(respond)) as target:
+        address = Address.parse(target.address)
+        with pytest.raises(NoAnswerError):
+            transport().post(address, "/turns/begin", b"{}", SHORT_TIMEOUT)
+    assert ends.get(timeout=HANG_SECONDS) == "closed by the caller"
+
+
 @both
 def test_nothing_listens(transport):
     listener = Listener()
