--- a/tests/test_bounded_answers.py
+++ b/tests/test_bounded_answers.py
@@ -15,6 +15,7 @@
 from cedarchute.host_pools import HostPools
 from standins.endless_answers import PLAIN_SHAPES, send_without_end
 from standins.raw_target import RawTarget, answer
+from standins.watched_script import ScriptEnd, WatchedScript
 
 TIMEOUT_SECONDS = 0.3
 GIVEN_UP_SECONDS = 8.0
@@ -76,18 +77,9 @@
 
 @pytest.mark.parametrize("shape", sorted(SHAPES))
 def test_an_answer_without_end_is_given_up(shape):
-    ends = queue.SimpleQueue()
-
-    def respond(request, connection):
-        try:
-            SHAPES[shape](request, connection)
-        except OSError:
-            ends.put("closed by the caller")
-        else:
-            ends.put("read to the last byte")
-
-    assert isinstance(ask(respond), urllib3.exceptions.HTTPError)
-    assert ends.get(timeout=GIVEN_UP_SECONDS) == "closed by the caller"
+    script = WatchedScript(SHAPES[shape])
+    assert isinstance(ask(script), urllib3.exceptions.HTTPError)
+    assert script.wait_end(GIVEN_UP_SECONDS) is ScriptEnd.CLOSED
 
 
 def test_a_long_answer_comes_whole():
--- a/tests/turns/test_holder_transport.py
+++ b/tests/turns/test_holder_transport.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import contextlib
-import queue
 import socket
 import threading
 import time
@@ -20,6 +19,7 @@
 from cedarchute.turns.pooled_transport import PooledTransport
 from standins.endless_answers import send_chunks, send_trailers
 from standins.raw_target import RawTarget
+from standins.watched_script import ScriptEnd, WatchedScript
 
 # Reached only if an answer never comes.
 HANG_SECONDS = 30.0
@@ -152,21 +152,12 @@
 @both
 @pytest.mark.parametrize("script", [send_slowly, send_chunks, send_trailers])
 def test_an_answer_without_end_is_given_up(transport, script):
-    ends = queue.SimpleQueue()
-
-    def respond(request, connection):
-        try:
-            script(request, connection)
-        except OSError:
-            ends.put("closed by the caller")
-        else:
-            ends.put("read to the last byte")
-
-    with contextlib.closing(RawTarget(respond)) as target:
+    script = WatchedScript(script)
+    with contextlib.closing(RawTarget(script)) as target:
         address = Address.parse(target.address)
         with pytest.raises(NoAnswerError):
             transport().post(address, "/turns/begin", b"{}", SHORT_TIMEOUT)
-    assert ends.get(timeout=HANG_SECONDS) == "closed by the caller"
+    assert script.wait_end(HANG_SECONDS) is ScriptEnd.CLOSED
 
 
 @both
