Bound the number of headers and interim answers of a target

Cause: the head is bounded by 64 KB of bytes, but a parsed header costs ten times its bytes, an interim answer of 44 bytes a whole object.

A head has at most 256 headers now, and 32 interim answers may come before a response; what exceeds that is not kept, and the answer is garbled. Unit tests of both numbers.

--- a/src/cedarchute/relay/answer_reader.py
+++ b/src/cedarchute/relay/answer_reader.py
@@ -13,6 +13,9 @@
 from cedarchute.relay.target_answer import TargetAnswer
 
 BODILESS_STATUSES: Final = frozenset((204, 304))
+# Each costs many times its bytes once parsed.
+MAX_HEADERS: Final = 256
+MAX_INTERIM_ANSWERS: Final = 32
 
 
 class AnswerReader:
@@ -29,11 +32,17 @@
         Bytes since the last part of a body or the end of a head.
     has_advanced : bool
         Whether the bytes that were fed last had either in them.
+    interim_answers : int
+        How many came since the last response that is not interim.
+    excess : AnswerTooLongError or None
+        Why headers or interim answers were left out.
     """
 
     def __init__(self, limits: AnswerLimits = DEFAULT_LIMITS) -> None:
         self.limits = limits
         self.unframed_bytes = 0
+        self.interim_answers = 0
+        self.excess: AnswerTooLongError | None = None
         self.parser = httptools.HttpResponseParser(self)
         self.expects_body = True
         self.has_advanced = False
@@ -53,6 +62,8 @@
         self.unframed_bytes += len(data)
         self.has_advanced = False
         self.parser.feed_data(data)
+        if self.excess is not None:
+            raise self.excess
         if self.has_advanced:
             self.unframed_bytes = 0
         elif self.unframed_bytes > self.limits.head_bytes:
@@ -74,8 +85,12 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store one header; trailers are dropped."""
-        if self.current is not None and not self.current.headers_complete:
-            self.current.fields.append((name, value))
+        if self.current is None or self.current.headers_complete:
+            return
+        if len(self.current.fields) >= MAX_HEADERS:
+            self.excess = AnswerTooLongError(AnswerPart.HEAD, MAX_HEADERS, "headers")
+            return
+        self.current.fields.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Set the status, the headers and how the body is delimited."""
@@ -90,12 +105,25 @@
         has_body = answer.status not in BODILESS_STATUSES and not answer.is_interim
         answer.is_close_delimited = has_body and not has_length and not is_chunked
         answer.headers_complete = True
+        self.count_interim(answer)
         self.has_advanced |= not answer.is_interim
         if not self.expects_body and not answer.is_interim:
             # The parser goes on to read a body, so it parses no further response.
             answer.keep_alive = False
             self.on_message_complete()
 
+    def count_interim(self, answer: TargetAnswer) -> None:
+        """Leave an interim answer out if there are too many of them."""
+        if not answer.is_interim:
+            self.interim_answers = 0
+            return
+        self.interim_answers += 1
+        if self.interim_answers > MAX_INTERIM_ANSWERS:
+            self.excess = AnswerTooLongError(
+                AnswerPart.HEAD, MAX_INTERIM_ANSWERS, "interim answers"
+            )
+            self.answers.pop()
+
     def on_body(self, body: bytes) -> None:
         """Store bytes of the body."""
         self.has_advanced = True
--- a/src/cedarchute/relay/answer_too_long.py
+++ b/src/cedarchute/relay/answer_too_long.py
@@ -23,13 +23,15 @@
 
     Parameters
     ----------
-    max_bytes : int
+    limit : int
         What one answer may have of that part, or all answers together for a turn.
+    unit : str
+        What the limit counts.
     """
 
     code = "answer_too_long"
 
-    def __init__(self, part: AnswerPart, max_bytes: int) -> None:
-        reason = f"garbled: its {part} is longer than {max_bytes} bytes"
+    def __init__(self, part: AnswerPart, limit: int, unit: str = "bytes") -> None:
+        reason = f"garbled: its {part} exceeds {limit} {unit}"
         super().__init__(reason, Verdict.MAY_HAVE_RUN)
         self.part = part
--- a/tests/platform_site/test_endless_answers.py
+++ b/tests/platform_site/test_endless_answers.py
@@ -122,14 +122,16 @@
     check(site, b"/stream/x")
 
 
-@pytest.mark.parametrize("shape", ["chunks", "to_close", "refusal"])
+@pytest.mark.parametrize(
+    "shape", ["chunks", "to_close", "refusal", "headers", "interim"]
+)
 def test_many_answers_without_end_stop_no_box(site, shape):
     site.max_connections = 100
     add_targets(site, "endless", [PLAIN_SHAPES[shape]] * 3)
     check(site, b"/endless/x", MANY_ENDLESS_CALLERS)
 
 
-@pytest.mark.parametrize("shape", ["chunks", "event", "data"])
+@pytest.mark.parametrize("shape", ["chunks", "event", "data", "headers", "interim"])
 def test_many_streams_without_end_stop_no_box(site, shape):
     site.max_connections = 100
     add_targets(site, "model", [STREAM_SHAPES[shape]] * 3)
--- a/tests/relay/test_answer_limits.py
+++ b/tests/relay/test_answer_limits.py
@@ -3,13 +3,18 @@
 from __future__ import annotations
 
 import time
+from contextlib import nullcontext
 
 import eventlet
 import pytest
 
 from cedarchute.address import Address
 from cedarchute.relay.answer_limits import AnswerLimits
-from cedarchute.relay.answer_reader import AnswerReader
+from cedarchute.relay.answer_reader import (
+    MAX_HEADERS,
+    MAX_INTERIM_ANSWERS,
+    AnswerReader,
+)
 from cedarchute.relay.answer_too_long import AnswerPart, AnswerTooLongError
 from cedarchute.relay.event_splitter import EventSplitter
 from cedarchute.relay.target_connection import MAX_OVERDUE_BYTES, TargetConnection
@@ -129,3 +134,24 @@
         for _ in range(MAX_OVERDUE_BYTES):
             flood.receive(-1)
             answer.take_parts()
+
+
+@pytest.mark.parametrize(("count", "is_proper"), [(MAX_HEADERS, True), (1000, False)])
+def test_headers_beyond_a_number_are_too_many_and_not_kept(count, is_proper):
+    reader = AnswerReader()
+    data = b"HTTP/1.1 200 OK\r\n" + b"X-More: 1\r\n" * count
+    with nullcontext() if is_proper else pytest.raises(AnswerTooLongError):
+        reader.feed(data)
+        reader.feed(b"\r\n")
+    assert len(reader.answers[0].fields) == min(count, MAX_HEADERS)
+
+
+@pytest.mark.parametrize(
+    ("count", "is_proper"), [(MAX_INTERIM_ANSWERS, True), (1000, False)]
+)
+def test_interim_answers_beyond_a_number_are_too_many_and_not_kept(count, is_proper):
+    reader = AnswerReader()
+    data = b"HTTP/1.1 103 Early Hints\r\n\r\n" * count
+    with nullcontext() if is_proper else pytest.raises(AnswerTooLongError):
+        reader.feed(data)
+    assert len(reader.answers) == min(count, MAX_INTERIM_ANSWERS)
