Say at each send how old what led to it is, and what a target that leaves still has

Before this no line told when a box knew that a target leaves beside when it last sent there. `Call sent.` is now written once the bytes are, with the time since the choice and the age of the box's view of the store; `Target is leaving.` and `Target is gone.` with that age, the last send and the calls that are unanswered. Boxes pass the age of their entries on beside that of the configuration. No decision uses any of it yet.

--- a/src/cedarchute/calls/attempts.py
+++ b/src/cedarchute/calls/attempts.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 import time
 from typing import TYPE_CHECKING, Final
 
@@ -30,8 +29,6 @@
     from cedarchute.waiting.call_order import CallOrder
     from cedarchute.waiting.waiting_call import WaitingCall
 
-log = logging.getLogger("cedarchute.calls")
-
 # Interval between checks for capacity while all targets are full; one of them has
 # capacity again within about this time.
 FULL_POLL_SECONDS: Final = 0.03
@@ -140,6 +137,7 @@
             self.check_crashes()
             self.check_quota()
             target = self.choose_target()
+            self.call.progress.chosen_at = time.monotonic()
             # It may have waited for a target.
             self.check_crashes()
             if not self.crash_watch.begin_run(target):
@@ -147,17 +145,8 @@
             self.tried.add(target.id)
             self.call.progress.sends += 1
             self.call.progress.last_target = target.incarnation
-            log.info(
-                "Call sent.",
-                extra={
-                    "target": target.id,
-                    "service": self.service,
-                    "active": self.target_client.load_balancer.loads[
-                        target.incarnation
-                    ].active,
-                    "preferred": target.incarnation == self.preferred_target,
-                    "ms_left": round((self.deadline - time.monotonic()) * 1000),
-                },
+            self.call.progress.is_preferred = (
+                target.incarnation == self.preferred_target
             )
             try:
                 opened = self.send(target)
--- a/src/cedarchute/calls/target_client.py
+++ b/src/cedarchute/calls/target_client.py
@@ -9,7 +9,9 @@
 import eventlet
 
 from cedarchute.calls.shutdown_deadline import make_shutdown_refusal
+from cedarchute.calls.store_view import CURRENT_VIEW
 from cedarchute.crashes.unwatched_call import UNWATCHED
+from cedarchute.decisions.key_trust import cap_age
 from cedarchute.platform.call_headers import (
     ANSWER_ID,
     MISDIRECTED_REQUEST,
@@ -36,6 +38,7 @@
     from cedarchute.calls.caller_identity import CallerIdentity
     from cedarchute.calls.key_authenticator import KeyAuthenticator
     from cedarchute.calls.quota_check import QuotaCheck
+    from cedarchute.calls.store_view import StoreView
     from cedarchute.crashes.call_watch import CallWatch
     from cedarchute.crashes.crash_watcher import CrashWatcher
     from cedarchute.metrics import Metrics
@@ -71,6 +74,8 @@
         Monotonic time at which the attempt began.
     read_deadline : float
         Monotonic time until which the target may stay silent.
+    call_id : str
+        Id of the call that it answers.
     """
 
     target: TargetEntry
@@ -78,6 +83,7 @@
     answer: TargetAnswer
     sent_at: float
     read_deadline: float
+    call_id: str = ""
 
 
 class TargetClient:
@@ -91,6 +97,8 @@
         Counts what is held of answers.
     crash_watcher : CrashWatcher or None
         Counts crashes of targets by request; None if nobody does.
+    view : StoreView
+        How current the known entries of targets are.
     """
 
     def __init__(
@@ -104,7 +112,9 @@
         call_order: CallOrder | None = None,
         crash_watcher: CrashWatcher | None = None,
         limits: AnswerLimits = DEFAULT_LIMITS,
+        view: StoreView = CURRENT_VIEW,
     ) -> None:
+        self.view = view
         self.call_order = call_order
         self.memory = AnswerMemory(limits.total_bytes, held)
         self.growth_order = GrowthOrder(held)
@@ -165,6 +175,7 @@
             )
             self.key_authenticator.revalidate(call)
             connection.send(head + body, deadline - time.monotonic())
+            self.record_send(target, call, deadline)
             call_id = call.id.encode("latin-1")
             answer = connection.read_answer(
                 call_id, ANSWER_ID, read_deadline, request.method != b"HEAD"
@@ -180,6 +191,7 @@
                 raise TargetFailureError(reason, Verdict.NOT_RUN)
         except BaseException as error:
             load.active -= 1
+            load.record_end(call.id)
             if connection is not None:
                 connection.close()
             if isinstance(error, TargetFailureError):
@@ -187,7 +199,39 @@
             elif time.monotonic() - sent_at > SILENT_TARGET_SECONDS:
                 load.record_failure()
             raise
-        return OpenResponse(target, connection, answer, sent_at, read_deadline)
+        return OpenResponse(target, connection, answer, sent_at, read_deadline, call.id)
+
+    def record_send(self, target: TargetEntry, call: Call, deadline: float) -> None:
+        """Log a call that was just sent, with the age of what led to it."""
+        now = time.monotonic()
+        load = self.load_balancer.loads[target.incarnation]
+        load.record_send(call.id)
+        chosen_seconds = now - call.progress.chosen_at
+        view_age = self.view.complete_age_seconds
+        self.metrics.time("calls.choice_to_send", chosen_seconds)
+        self.metrics.time("calls.view_age", cap_age(view_age))
+        facts = {}
+        known = self.load_balancer.registry.find_incarnation(target.incarnation)
+        if known is not None and known.ready:
+            load.leaving_known_at = float("-inf")
+        else:
+            leaving_seconds = now - load.leaving_known_at
+            self.metrics.count("targets.sent_after_leaving")
+            self.metrics.time("targets.sent_after_leaving", cap_age(leaving_seconds))
+            facts["leaving_known_ms"] = round(1000 * cap_age(leaving_seconds))
+        log.info(
+            "Call sent.",
+            extra={
+                "target": target.id,
+                "service": target.service,
+                "active": load.active,
+                "preferred": call.progress.is_preferred,
+                "ms_left": round((deadline - now) * 1000),
+                "chosen_ms": round(1000 * chosen_seconds, 1),
+                "view_age_ms": round(1000 * cap_age(view_age)),
+                **facts,
+            },
+        )
 
     def connect(self, target: TargetEntry, seconds: float) -> TargetConnection:
         """Return a connection to `target`; nothing is sent on it yet."""
@@ -316,6 +360,7 @@
         seconds = time.monotonic() - opened.sent_at
         load = self.load_balancer.loads[opened.target.incarnation]
         load.active -= 1
+        load.record_end(opened.call_id)
         load.alive_at = max(load.alive_at, opened.sent_at)
         if self.crash_watcher is not None:
             self.crash_watcher.record_alive(opened.target, opened.sent_at)
@@ -331,7 +376,9 @@
 
     def abandon(self, opened: OpenResponse) -> None:
         """Close the connection of a response that is not read to its end."""
-        self.load_balancer.loads[opened.target.incarnation].active -= 1
+        load = self.load_balancer.loads[opened.target.incarnation]
+        load.active -= 1
+        load.record_end(opened.call_id)
         opened.connection.close()
         self.report_end(opened.target)
 
--- a/src/cedarchute/daemon/entry_box.py
+++ b/src/cedarchute/daemon/entry_box.py
@@ -52,6 +52,7 @@
 from cedarchute.relay.input_limits import InputLimits
 from cedarchute.relay.target_pool import TargetPool
 from cedarchute.routing.active_route_table import ActiveRouteTable
+from cedarchute.routing.departure_report import DepartureReport
 from cedarchute.routing.load_balancer import LoadBalancer
 from cedarchute.routing.target_placement import TargetPlacement
 from cedarchute.routing.target_registry import TargetRegistry
@@ -174,7 +175,11 @@
                 self.choice.find_alive_at,
             ),
             limits,
+            self.parts.prover,
         )
+        self.registry.describe_calls = DepartureReport(
+            self.choice.loads, self.parts.prover, metrics
+        ).describe
         self.gate = ProgramAdmissionController(quorum, self.routes, metrics)
         turns = StreamCallHandler(
             exchange,
--- a/src/cedarchute/fleet/configuration_prover.py
+++ b/src/cedarchute/fleet/configuration_prover.py
@@ -72,6 +72,11 @@
         """Seconds since the configuration was last proven to be the newest."""
         return self.mirror.proof.age_seconds
 
+    @property
+    def complete_age_seconds(self) -> float:
+        """Seconds since the known entries were confirmed to be all in the store."""
+        return self.mirror.completeness.age_seconds
+
     @property
     def unproven_seconds(self) -> float:
         """Age of the last proof; before the first one, the time since the start."""
@@ -221,9 +226,11 @@
     def fetch_changes(self, revision: int, asked_at: float) -> None:
         """Apply the changes up to `revision`, unless a full listing is due."""
         after = self.mirror.revision
+        if after >= revision:
+            self.mirror.note_complete(revision, asked_at)
         if self.reader.needs_listing or after >= revision:
             return
         changes, new_revision = self.store.wait_changes(ALL_KEYS, after, 0.0)
         self.metrics.count("proofs.caught_up")
-        self.mirror.apply_changes(changes, new_revision)
+        self.mirror.apply_changes(changes, new_revision, asked_at)
         self.reader.restart_silent_watch(asked_at)
--- a/src/cedarchute/fleet/configuration_proof.py
+++ b/src/cedarchute/fleet/freshness_proof.py
@@ -1,12 +1,12 @@
-"""Freshness proof of the configuration of this box."""
+"""When something that this box knows was last confirmed by the store."""
 
 from __future__ import annotations
 
 import time
 
 
-class ConfigurationProof:
-    """Time of the latest store query that found no newer configuration.
+class FreshnessProof:
+    """Time of the latest store query that found nothing newer.
 
     Counts from when the query was sent, since it does not cover changes made while the
     response was under way. An idle watch is no proof.
--- a/src/cedarchute/fleet/state_messages.py
+++ b/src/cedarchute/fleet/state_messages.py
@@ -76,6 +76,9 @@
         negative for a newer proof, None without one.
     proof_revision : int
         Revision of that configuration.
+    complete_age_seconds : float or None
+        How long before the arrival of the request all entries up to `revision` were
+        known to be all that the store held; None if unknown.
     """
 
     revision: int
@@ -86,6 +89,7 @@
     keys: tuple[str, ...] | None = None
     proof_age_seconds: float | None = None
     proof_revision: int = 0
+    complete_age_seconds: float | None = None
 
 
 class StateAndNews(State, frozen=True):
--- a/src/cedarchute/fleet/store_mirror.py
+++ b/src/cedarchute/fleet/store_mirror.py
@@ -11,7 +11,7 @@
 from eventlet.event import Event
 from msgspec.structs import replace
 
-from cedarchute.fleet.configuration_proof import ConfigurationProof
+from cedarchute.fleet.freshness_proof import FreshnessProof
 from cedarchute.fleet.state_messages import MirroredEntry, Removal, State
 
 if TYPE_CHECKING:
@@ -40,8 +40,10 @@
     ----------
     configuration_key : str
         Key of the operators' configuration in the store.
-    proof : ConfigurationProof
+    proof : FreshnessProof
         When the configuration was last known to be the newest.
+    completeness : FreshnessProof
+        When the entries were last known to be all that the store holds.
     told_revision : int
         Revision up to which other boxes alone have sent every entry; 0 if they have
         not, so that the entries are complete by listings of the store only.
@@ -52,7 +54,8 @@
     ) -> None:
         self.followers = followers
         self.configuration_key = configuration_key
-        self.proof = ConfigurationProof()
+        self.proof = FreshnessProof()
+        self.completeness = FreshnessProof()
         self.entries: dict[str, MirroredEntry] = {}
         self.removals: deque[Removal] = deque(maxlen=MAX_KEPT_REMOVALS)
         self.revision = 0
@@ -80,18 +83,37 @@
             else time.monotonic() - self.unavailable_since
         )
 
-    def apply_listing(self, listing: StoreListing) -> bool:
+    def apply_listing(
+        self, listing: StoreListing, asked_at: float | None = None
+    ) -> bool:
         """Apply a full listing; return False if it is older than the known state.
 
         An older listing may hold entries that another box has reported as removed, and
         no later change would remove them again.
+
+        Parameters
+        ----------
+        asked_at : float or None
+            When the listing was requested; None if it may be stale.
         """
         if listing.revision < self.revision:
             return False
         entries = [MirroredEntry(e.key, e.value, e.version) for e in listing.entries]
         self.replace_all(entries, listing.revision)
+        self.note_complete(listing.revision, asked_at)
         return True
 
+    def note_complete(self, revision: int, asked_at: float | None) -> None:
+        """Record that the store was at `revision` at `asked_at`, or later.
+
+        Parameters
+        ----------
+        asked_at : float or None
+            Seconds, on the monotonic clock of this box; None if unknown.
+        """
+        if asked_at is not None and revision <= self.revision:
+            self.completeness.record(asked_at)
+
     def replace_all(self, entries: list[MirroredEntry], revision: int) -> None:
         """Replace the contents with `entries`; remove every other key."""
         for entry in entries:
@@ -107,8 +129,19 @@
         for key in [known for known in self.entries if known not in keys]:
             self.apply_removal(Removal(key, revision))
 
-    def apply_changes(self, changes: list[StoreChange], revision: int) -> None:
-        """Apply changes that the store reported."""
+    def apply_changes(
+        self,
+        changes: list[StoreChange],
+        revision: int,
+        asked_at: float | None = None,
+    ) -> None:
+        """Apply the changes up to `revision` that the store reported.
+
+        Parameters
+        ----------
+        asked_at : float or None
+            When they were requested.
+        """
         for change in changes:
             if change.entry is None:
                 self.apply_removal(Removal(change.key, change.revision))
@@ -116,6 +149,7 @@
                 entry = change.entry
                 self.take_entry(MirroredEntry(entry.key, entry.value, entry.version))
         self.revision = max(self.revision, revision)
+        self.note_complete(revision, asked_at)
         self.notify_waiters()
 
     @property
@@ -152,6 +186,8 @@
         """
         self.peer_state_at = time.monotonic()
         is_newer = self.apply_entries(state)
+        if asked_at is not None and state.complete_age_seconds is not None:
+            self.note_complete(state.revision, asked_at - state.complete_age_seconds)
         if asked_at is not None and state.proof_age_seconds is not None:
             for entry in state.entries:
                 if entry.key == self.configuration_key:
@@ -229,13 +265,13 @@
         """
         if asked_at is None:
             asked_at = time.monotonic()
-        age = asked_at - self.proof.proven_at
         state = State(
             self.revision,
             is_whole=False,
             steady_seconds=self.steady_seconds,
-            proof_age_seconds=None if age == float("inf") else age,
+            proof_age_seconds=find_age(self.proof, asked_at),
             proof_revision=self.configuration_revision,
+            complete_age_seconds=find_age(self.completeness, asked_at),
         )
         is_complete = after is not None and after >= self.complete_after
         if after is None or not (is_complete or takes_keys):
@@ -295,3 +331,9 @@
         """Tell the followers that entries may have lapsed in the outage."""
         for follower in self.followers.values():
             follower.note_store_back()
+
+
+def find_age(proof: FreshnessProof, asked_at: float) -> float | None:
+    """Return the age of a proof at `asked_at`; None without one."""
+    age = asked_at - proof.proven_at
+    return None if age == float("inf") else age
--- a/src/cedarchute/fleet/store_reader.py
+++ b/src/cedarchute/fleet/store_reader.py
@@ -167,13 +167,15 @@
         state meanwhile.
         """
         self.is_listing = True
+        may_be_old = self.mirror.revision == 0
+        asked_at = None if may_be_old else time.monotonic()
         try:
-            listing = self.store.list(ALL_KEYS, may_be_old=self.mirror.revision == 0)
+            listing = self.store.list(ALL_KEYS, may_be_old=may_be_old)
         finally:
             self.is_listing = False
         self.record_success()
         self.needs_listing = False
-        if self.mirror.apply_listing(listing):
+        if self.mirror.apply_listing(listing, asked_at):
             return
         self.needs_listing = self.mirror.told_revision < listing.revision
         self.metrics.count("store.listings_overtaken")
@@ -246,12 +248,12 @@
     def watch_once(self, seconds: float) -> None:
         """Wait once for changes in the store."""
         after = self.mirror.revision
-        self.watch_started_at = time.monotonic()
+        asked_at = self.watch_started_at = time.monotonic()
         try:
             changes, revision = self.store.wait_changes(ALL_KEYS, after, seconds)
         finally:
             self.watch_started_at = None
         self.record_success()
-        self.mirror.apply_changes(changes, revision)
+        self.mirror.apply_changes(changes, revision, asked_at)
         if changes:
             eventlet.sleep(CHANGE_BATCH_SECONDS)
--- a/src/cedarchute/routing/target_load.py
+++ b/src/cedarchute/routing/target_load.py
@@ -31,6 +31,12 @@
         Duration of the last response.
     alive_at : float
         Latest time at which a call was sent there that it answered.
+    last_sent_at : float
+        When a call was sent there last.
+    unanswered : dict of str to float
+        Ids of the calls sent there that have not ended, and when each was sent.
+    leaving_known_at : float
+        When this box learned that the target leaves.
     used_at, answered_at, failed_at : float
         When a call there ended last, was answered last and failed last; monotonic
         seconds.
@@ -44,6 +50,9 @@
         self.backoff_until = 0.0
         self.last_seconds = 0.0
         self.alive_at = float("-inf")
+        self.last_sent_at = float("-inf")
+        self.leaving_known_at = float("-inf")
+        self.unanswered: dict[str, float] = {}
         self.used_at = float("-inf")
         self.answered_at = float("-inf")
         self.failed_at = float("-inf")
@@ -53,6 +62,14 @@
         """Whether the target is in backoff after a failure or an overload."""
         return time.monotonic() < self.backoff_until
 
+    def record_send(self, call_id: str) -> None:
+        """Record that a call was sent; it is unanswered until `record_end`."""
+        self.last_sent_at = self.unanswered[call_id] = time.monotonic()
+
+    def record_end(self, call_id: str) -> None:
+        """Record that a call there has ended, answered or not."""
+        self.unanswered.pop(call_id, None)
+
     def record_answer(self, seconds: float) -> None:
         """Record a response and the time that it took."""
         self.failures = 0
--- a/src/cedarchute/routing/target_registry.py
+++ b/src/cedarchute/routing/target_registry.py
@@ -5,7 +5,7 @@
 import logging
 import time
 from collections import OrderedDict
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Any, Final
 
 from msgspec.structs import replace
 
@@ -34,6 +34,11 @@
     ----------
     is_box_address : callable
         Whether an address is that of one of our boxes; a call sent there would loop.
+
+    Attributes
+    ----------
+    describe_calls : callable
+        Returns the log fields of the calls at a target that leaves.
     """
 
     def __init__(
@@ -43,6 +48,7 @@
     ) -> None:
         self.on_gone = on_gone
         self.is_box_address = is_box_address
+        self.describe_calls: Callable[[TargetEntry], dict[str, Any]] = lambda entry: {}
         self.known: LapsingEntries[TargetEntry] = LapsingEntries(self.handle_gone)
         self.newest_start_ms: OrderedDict[str, int] = OrderedDict()
         self.deferred: dict[str, tuple[TargetEntry, float]] = {}
@@ -97,12 +103,14 @@
             self.on_gone(before)
         elif before is not None and before.ready == entry.ready:
             return
+        described = {"target": entry.id, "service": entry.service}
+        if entry.ready:
+            log.info("Target is ready.", extra=described)
+            return
         log.info(
-            "Target is ready." if entry.ready else "Target is leaving.",
-            extra={"target": entry.id, "service": entry.service},
+            "Target is leaving.", extra={**described, **self.describe_calls(entry)}
         )
-        if not entry.ready:
-            self.on_gone(entry)
+        self.on_gone(entry)
 
     def record_start(self, entry: TargetEntry) -> None:
         """Record the start time of a target, which is kept after its entry is gone."""
@@ -135,5 +143,8 @@
 
     def handle_gone(self, entry: TargetEntry) -> None:
         """Log that a target is gone and call `on_gone`."""
-        log.info("Target is gone.", extra={"target": entry.id})
+        log.info(
+            "Target is gone.",
+            extra={"target": entry.id, **self.describe_calls(entry)},
+        )
         self.on_gone(entry)
--- a/tests/stateful/test_proof_machine.py
+++ b/tests/stateful/test_proof_machine.py
@@ -15,7 +15,7 @@
 )
 
 from cedarchute.decisions.key_trust import MARGIN_SECONDS, ProofAgeLimit
-from cedarchute.fleet import configuration_proof, store_mirror
+from cedarchute.fleet import freshness_proof, store_mirror
 from cedarchute.fleet.state_messages import MirroredEntry
 from cedarchute.fleet.store_mirror import StoreMirror
 
@@ -42,7 +42,7 @@
         self.now = 1000.0
         self.patch = pytest.MonkeyPatch()
         clock = SimpleNamespace(monotonic=lambda: self.now)
-        self.patch.setattr(configuration_proof, "time", clock)
+        self.patch.setattr(freshness_proof, "time", clock)
         self.patch.setattr(store_mirror, "time", clock)
         self.trust = ProofAgeLimit(REVOKE_SECONDS)
         self.boxes = [StoreMirror({}, KEY) for _ in range(BOXES)]
