--- a/tests/routing/test_target_registry.py
+++ b/tests/routing/test_target_registry.py
@@ -126,3 +126,11 @@
         balancer.loads[chosen.incarnation].active += 1
         drawn += chosen.id == "huge"
     assert drawn <= 48
+
+
+def test_an_entry_of_an_earlier_start_that_leaves_is_not_deferred(registry):
+    registry.put(NEW)
+    registry.put(replace(OLD, ready=False))
+    assert ready_starts(registry) == []
+    registry.put(NEW)
+    assert ready_starts(registry) == ["i-1@2000"]
