Send nothing to a target that left while the call was on its way there

Seen: a call chosen for a target went there although it had said, while the call connected or was announced, that it leaves (0.35 s to 1 s later are possible). Life and key were looked at again before the send, readiness was not. Cause: the choice was taken for the decision. Now the client asks the registry in the step in which the bytes go: same start, same address, ready.

The set-up of test_key_authenticator sent to a target that no registry knew; it is registered now, what is checked is the same.

--- a/src/cedarchute/calls/target_client.py
+++ b/src/cedarchute/calls/target_client.py
@@ -10,6 +10,7 @@
 
 from cedarchute.calls.shutdown_deadline import make_shutdown_refusal
 from cedarchute.calls.store_view import CURRENT_VIEW
+from cedarchute.calls.target_leaving_error import TargetLeavingError
 from cedarchute.crashes.unwatched_call import UNWATCHED
 from cedarchute.decisions.key_trust import cap_age
 from cedarchute.platform.call_headers import (
@@ -174,6 +175,7 @@
                 call.urgency,
             )
             self.key_authenticator.revalidate(call)
+            self.check_readiness(target)
             connection.send(head + body, deadline - time.monotonic())
             self.record_send(target, call, deadline)
             call_id = call.id.encode("latin-1")
@@ -201,6 +203,13 @@
             raise
         return OpenResponse(target, connection, answer, sent_at, read_deadline, call.id)
 
+    def check_readiness(self, target: TargetEntry) -> None:
+        """Raise `TargetLeavingError` if a target left since it was chosen."""
+        if self.load_balancer.registry.accepts_calls(target):
+            return
+        self.metrics.count("targets.left_before_send")
+        raise TargetLeavingError
+
     def record_send(self, target: TargetEntry, call: Call, deadline: float) -> None:
         """Log a call that was just sent, with the age of what led to it."""
         now = time.monotonic()
--- a/src/cedarchute/routing/target_registry.py
+++ b/src/cedarchute/routing/target_registry.py
@@ -67,6 +67,16 @@
                 return entry
         return None
 
+    def accepts_calls(self, target: TargetEntry) -> bool:
+        """Return whether a target that was chosen earlier still takes new calls."""
+        known = self.known.entries.get(target.id)
+        return (
+            known is not None
+            and known.ready
+            and known.incarnation == target.incarnation
+            and known.address == target.address
+        )
+
     def put(self, entry: TargetEntry) -> None:
         """Apply an entry; defer one of an earlier incarnation.
 
--- a/tests/calls/test_key_authenticator.py
+++ b/tests/calls/test_key_authenticator.py
@@ -189,6 +189,7 @@
     call = authenticate(check)
     registry = TargetRegistry(lambda entry: None)
     target = TargetEntry("t", "s", Address("10.0.0.1", 1), "a", True, 8)
+    registry.put(target)
     load_balancer = LoadBalancer(registry, "a", random.Random(7), lambda address: True)
     pool = WaitingPool(meanwhile)
     client = TargetClient(pool, load_balancer, check, None, Metrics())
