Believe at once that a target leaves, whichever of its starts says so

Seen: a target whose entry of an earlier start said draining got new calls for 3 s. Cause: any entry of an earlier start was deferred, since a late write must not bring an ended process back. Saying that it leaves brings nothing back: the target gets no new calls at once, and the entry itself is still applied after the deferral unless a newer one comes.

--- a/src/cedarchute/routing/target_registry.py
+++ b/src/cedarchute/routing/target_registry.py
@@ -20,8 +20,7 @@
 log = logging.getLogger("cedarchute.routing")
 
 # A write of an earlier incarnation may take effect seconds after a restart. An entry
-# that is still there after this time is valid: the target's clock was set back. Shorter
-# than the time for which a draining target keeps serving, so that it gets no new calls.
+# that is still there after this time is valid: the target's clock was set back.
 DEFERRAL_SECONDS: Final = 3.0
 # Targets whose last start time is remembered after their entries are gone.
 MAX_REMEMBERED: Final = 4096
@@ -81,13 +80,15 @@
         """Apply an entry; defer one of an earlier incarnation.
 
         A late write of an earlier incarnation would route calls to a process that is
-        gone.
+        gone. That the target is leaving is not deferred, whichever incarnation says so.
         """
         self.deferred.pop(entry.id, None)
         newest = self.newest_start_ms.get(entry.id, 0)
         if entry.started_at_ms >= newest:
             self.apply(entry)
             return
+        if not entry.ready:
+            self.mark_not_ready(entry.id)
         until = time.monotonic() + DEFERRAL_SECONDS
         self.deferred[entry.id] = (entry, until)
         log.info(
@@ -130,7 +131,7 @@
             self.newest_start_ms.popitem(last=False)
 
     def mark_not_ready(self, target: str) -> None:
-        """Mark a target as not ready, since its entry can't be parsed."""
+        """Mark a target as not ready; its entry does not say what else changed."""
         self.deferred.pop(target, None)
         known = self.known.entries.get(target)
         if known is not None and known.ready:
