Keep entries after an outage only if it was long enough for them to lapse

Seen: a target whose entry went right after the store had been away for a moment got calls for up to 2.4 s more (26 to 49 of them). Cause: any call to the store that got no answer made an outage, and after each of those an entry that goes is kept for 2.2 s. Entries lapse only after several reports were missed, so an outage counts from the moment at which this box last knew all entries, and only if it was longer than the bound within which every change has to be known.

--- a/src/cedarchute/daemon/node_parts.py
+++ b/src/cedarchute/daemon/node_parts.py
@@ -56,7 +56,9 @@
             BOXES_PREFIX: BoxFollower(self.directory, turned_away),
             SEATS_KEY: SeatFollower(self.seats, turned_away),
         }
-        self.mirror = StoreMirror({**own, **followers}, CONFIGURATION)
+        self.mirror = StoreMirror(
+            {**own, **followers}, CONFIGURATION, settings.known_seconds
+        )
         self.readers = ReaderChoice(self.directory, me)
         self.supervisor = supervisor
         self.reader = StoreReader(
--- a/src/cedarchute/fleet/lapsing_entries.py
+++ b/src/cedarchute/fleet/lapsing_entries.py
@@ -11,7 +11,8 @@
 EntryT = TypeVar("EntryT")
 
 # How long an entry that lapsed in an outage is kept: owners that are alive register
-# again within two seconds of the recovery, and the change has to be propagated.
+# again within two seconds of the recovery, and the change has to be propagated. Longer
+# than a leaving target may get calls, so only outages in which entries lapse count.
 LAPSE_GRACE_SECONDS: Final = 2.2
 # Removals caused by an outage are reported right after the recovery. A removal later
 # than this was made by the owner.
--- a/src/cedarchute/fleet/store_mirror.py
+++ b/src/cedarchute/fleet/store_mirror.py
@@ -36,6 +36,11 @@
     While the store is unavailable all entries are kept: an outage of the store says
     nothing about the boxes and targets registered there.
 
+    Parameters
+    ----------
+    min_outage_seconds : float
+        Length of an outage in which entries may lapse although their owners are alive.
+
     Attributes
     ----------
     configuration_key : str
@@ -50,9 +55,13 @@
     """
 
     def __init__(
-        self, followers: dict[str, StoreFollower], configuration_key: str = ""
+        self,
+        followers: dict[str, StoreFollower],
+        configuration_key: str = "",
+        min_outage_seconds: float = 0.0,
     ) -> None:
         self.followers = followers
+        self.min_outage_seconds = min_outage_seconds
         self.configuration_key = configuration_key
         self.proof = FreshnessProof()
         self.completeness = FreshnessProof()
@@ -210,7 +219,7 @@
             self.peers_steady_at = time.monotonic()
         if state.revision <= self.revision:
             return False
-        if self.unavailable_since is not None and self.is_fleet_wide_outage:
+        if self.unavailable_since is not None and self.may_have_lapsed:
             self.start_lapse_grace()
         if state.is_whole or self.told_revision == self.revision:
             self.told_revision = state.revision
@@ -316,9 +325,13 @@
         self.available_since = now
         log.info(
             "Store available again.",
-            extra={"after_seconds": seconds, "was_away": self.is_fleet_wide_outage},
+            extra={
+                "after_seconds": seconds,
+                "was_away": self.is_fleet_wide_outage,
+                "may_have_lapsed": self.may_have_lapsed,
+            },
         )
-        if self.is_fleet_wide_outage:
+        if self.may_have_lapsed:
             self.start_lapse_grace()
         self.notify_waiters()
 
@@ -327,6 +340,17 @@
         """Whether no other box has recently reported a stable store."""
         return time.monotonic() - self.peers_steady_at > PEER_STATE_VALID_SECONDS
 
+    @property
+    def may_have_lapsed(self) -> bool:
+        """Whether entries may have lapsed since this box last knew all of them.
+
+        The store answered at that moment, so no outage was longer. A call that got no
+        answer while others did is no outage at all.
+        """
+        if self.completeness.age_seconds < self.min_outage_seconds:
+            return False
+        return self.is_fleet_wide_outage
+
     def start_lapse_grace(self) -> None:
         """Tell the followers that entries may have lapsed in the outage."""
         for follower in self.followers.values():
--- a/tests/fleet/test_store_mirror.py
+++ b/tests/fleet/test_store_mirror.py
@@ -142,6 +142,18 @@
     assert follower.back == backs
 
 
+@pytest.mark.parametrize(("seconds", "backs"), [(1.0, 1), (2.5, 2)])
+def test_no_entry_lapses_in_an_outage_shorter_than_a_lease(clock, seconds, backs):
+    follower = RecordingFollower()
+    mirror = StoreMirror({"a/": follower}, min_outage_seconds=2.0)
+    mirror.record_recovery()
+    mirror.apply_listing(StoreListing((), 4), asked_at=clock.now)
+    mirror.record_outage("no answer")
+    clock.now += seconds
+    mirror.record_recovery()
+    assert follower.back == backs
+
+
 def test_a_box_that_is_back_a_moment_earlier_proves_nothing(clock):
     other, _ = make_mirror()
     mine, follower = make_mirror()
