Send no call by a view of the store older than the bound within which targets leave

Seen: a failure domain that had stood still sent 20 of 40 waiting calls to a target that had left 2.2 s before. Cause: the age of what a box knows was bounded for the configuration alone, looked at only for calls with keys, and its proof was passed on and recorded even where the changes of targets could not be fetched. Class: a decision used later than the knowledge it was made by may be trusted.

Boxes now keep, renew and pass on when their entries were last known to be all there are. Right before the bytes go, a call whose view is older than 0.9 of the bound waits up to 0.25 s for the store, then its target is looked at again. While the store gives no answers nothing waits. Boxes of an earlier release say no such age; their proof of the configuration stands for it.

--- a/src/cedarchute/calls/store_view.py
+++ b/src/cedarchute/calls/store_view.py
@@ -13,11 +13,24 @@
         """Time since the known entries were last confirmed to be all there are."""
         ...
 
+    @property
+    def is_store_lost(self) -> bool:
+        """Whether the store gave this box no answer lately."""
+        ...
+
+    def refresh(self, seconds: float) -> None:
+        """Have the entries confirmed again; wait `seconds` at most."""
+        ...
+
 
 class CurrentView:
     """A view that is always current; implements `StoreView`."""
 
     complete_age_seconds = 0.0
+    is_store_lost = False
+
+    def refresh(self, seconds: float) -> None:
+        """Do nothing."""
 
 
 CURRENT_VIEW: Final = CurrentView()
--- a/src/cedarchute/calls/target_client.py
+++ b/src/cedarchute/calls/target_client.py
@@ -11,6 +11,7 @@
 from cedarchute.calls.shutdown_deadline import make_shutdown_refusal
 from cedarchute.calls.store_view import CURRENT_VIEW
 from cedarchute.calls.target_leaving_error import TargetLeavingError
+from cedarchute.calls.view_guard import ViewGuard
 from cedarchute.crashes.unwatched_call import UNWATCHED
 from cedarchute.decisions.key_trust import cap_age
 from cedarchute.platform.call_headers import (
@@ -114,8 +115,10 @@
         crash_watcher: CrashWatcher | None = None,
         limits: AnswerLimits = DEFAULT_LIMITS,
         view: StoreView = CURRENT_VIEW,
+        max_view_age_seconds: float = float("inf"),
     ) -> None:
         self.view = view
+        self.view_guard = ViewGuard(view, max_view_age_seconds, metrics)
         self.call_order = call_order
         self.memory = AnswerMemory(limits.total_bytes, held)
         self.growth_order = GrowthOrder(held)
@@ -165,6 +168,7 @@
         connection = None
         try:
             connection = self.connect(target, deadline - sent_at)
+            self.wait_for_view()
             seconds_left = deadline - time.monotonic()
             head = build_request(
                 request,
@@ -253,6 +257,13 @@
         except ShutdownError:
             raise make_shutdown_refusal() from None
 
+    def wait_for_view(self) -> None:
+        """Wait until it is known which targets are ready; nothing is sent yet."""
+        try:
+            self.view_guard.wait_until_current()
+        except ShutdownError:
+            raise make_shutdown_refusal() from None
+
     def drain_refusal(
         self, connection: TargetConnection, answer: TargetAnswer, deadline: float
     ) -> None:
--- a/src/cedarchute/daemon/entry_box.py
+++ b/src/cedarchute/daemon/entry_box.py
@@ -176,6 +176,7 @@
             ),
             limits,
             self.parts.prover,
+            self.parts.prover.limits.send_seconds,
         )
         self.registry.describe_calls = DepartureReport(
             self.choice.loads, self.parts.prover, metrics
--- a/src/cedarchute/decisions/knowledge_age.py
+++ b/src/cedarchute/decisions/knowledge_age.py
@@ -22,6 +22,9 @@
 SECOND_READER_FRACTION: Final = 0.5
 BOXES_FRACTION: Final = 0.55
 STORE_FRACTION: Final = 0.75
+# A call that would be sent by an older view waits for the store first. Later than any
+# box queries the store, so that only a box that was held up has calls wait.
+SEND_FRACTION: Final = 0.9
 # Jitter, so that boxes that lost the same reader don't all query at once.
 JITTER_FRACTION: Final = 0.1
 # Timeout of a query to another box; two fit in before the store is queried.
@@ -63,6 +66,7 @@
         self.second_reader_seconds = SECOND_READER_FRACTION * known_seconds
         self.boxes_seconds = (BOXES_FRACTION + jitter) * known_seconds
         self.store_seconds = (STORE_FRACTION + jitter) * known_seconds
+        self.send_seconds = SEND_FRACTION * known_seconds
         self.answer_seconds = TIMEOUT_FRACTION * known_seconds
         self.pause_seconds = POLL_FRACTION * known_seconds
 
--- a/src/cedarchute/fleet/configuration_prover.py
+++ b/src/cedarchute/fleet/configuration_prover.py
@@ -1,4 +1,4 @@
-"""Bounds the staleness of the configuration that this box applies."""
+"""Bounds the staleness of the configuration and the entries that this box applies."""
 
 from __future__ import annotations
 
@@ -36,7 +36,10 @@
 
 
 class ConfigurationProver:
-    """Renews the freshness proof of the configuration before it gets too old.
+    """Renews the proof that what this box knows is the newest before it gets too old.
+
+    The configuration is proven by a query alone, all entries only once the changes up
+    to the revision of that query are applied.
 
     Watches and readers deliver changes at once, but a broken one cannot be told from an
     idle one. The first reader of a failure domain therefore queries the store
@@ -77,10 +80,16 @@
         """Seconds since the known entries were confirmed to be all in the store."""
         return self.mirror.completeness.age_seconds
 
+    @property
+    def is_store_lost(self) -> bool:
+        """Whether the last call to the store got no answer."""
+        return self.mirror.unavailable_since is not None
+
     @property
     def unproven_seconds(self) -> float:
-        """Age of the last proof; before the first one, the time since the start."""
-        return min(self.age_seconds, time.monotonic() - self.started_at)
+        """Age of what is least proven; before the first proof, time since the start."""
+        age = max(self.age_seconds, self.complete_age_seconds)
+        return min(age, time.monotonic() - self.started_at)
 
     def run_forever(self) -> None:
         """Renew the proof whenever it is due, until the process ends."""
--- a/src/cedarchute/fleet/state_messages.py
+++ b/src/cedarchute/fleet/state_messages.py
@@ -78,7 +78,8 @@
         Revision of that configuration.
     complete_age_seconds : float or None
         How long before the arrival of the request all entries up to `revision` were
-        known to be all that the store held; None if unknown.
+        known to be all that the store held; None if unknown, unset by boxes of an
+        earlier release.
     """
 
     revision: int
@@ -89,7 +90,7 @@
     keys: tuple[str, ...] | None = None
     proof_age_seconds: float | None = None
     proof_revision: int = 0
-    complete_age_seconds: float | None = None
+    complete_age_seconds: float | None | msgspec.UnsetType = msgspec.UNSET
 
 
 class StateAndNews(State, frozen=True):
--- a/src/cedarchute/fleet/store_mirror.py
+++ b/src/cedarchute/fleet/store_mirror.py
@@ -9,6 +9,7 @@
 
 import eventlet
 from eventlet.event import Event
+from msgspec import UNSET
 from msgspec.structs import replace
 
 from cedarchute.fleet.freshness_proof import FreshnessProof
@@ -195,8 +196,11 @@
         """
         self.peer_state_at = time.monotonic()
         is_newer = self.apply_entries(state)
-        if asked_at is not None and state.complete_age_seconds is not None:
-            self.note_complete(state.revision, asked_at - state.complete_age_seconds)
+        complete_age = state.complete_age_seconds
+        if complete_age is UNSET:
+            complete_age = state.proof_age_seconds
+        if asked_at is not None and complete_age is not None:
+            self.note_complete(state.revision, asked_at - complete_age)
         if asked_at is not None and state.proof_age_seconds is not None:
             for entry in state.entries:
                 if entry.key == self.configuration_key:
--- a/tests/calls/test_leaving_targets.py
+++ b/tests/calls/test_leaving_targets.py
@@ -67,10 +67,10 @@
     return registry
 
 
-def make_client(registry, pool):
+def make_client(registry, pool, **options):
     balancer = LoadBalancer(registry, "a", random.Random(7), lambda address: True)
     keys = SimpleNamespace(revalidate=lambda call: None)
-    return TargetClient(pool, balancer, keys, None, Metrics())
+    return TargetClient(pool, balancer, keys, None, Metrics(), **options)
 
 
 def open_call(client):
@@ -112,3 +112,49 @@
     known = registry.find_incarnation(opened.target.incarnation)
     assert known is not None
     assert len(pool.sent) == 1
+
+
+class OldView:
+    """A view that was complete some seconds ago; `refresh` may make it current."""
+
+    def __init__(self, on_refresh=None, is_store_lost=False):
+        self.complete_age_seconds = 1.9
+        self.on_refresh = on_refresh
+        self.is_store_lost = is_store_lost
+        self.refreshes = 0
+
+    def refresh(self, seconds):
+        self.refreshes += 1
+        if self.on_refresh is not None:
+            self.on_refresh()
+            self.complete_age_seconds = 0.0
+
+
+def open_by_view(registry, view):
+    pool = SlowPool(lambda address: None)
+    client = make_client(registry, pool, view=view, max_view_age_seconds=1.8)
+    return client, open_call(client)
+
+
+def test_a_call_is_not_sent_by_an_old_view_where_the_store_can_tell_more(registry):
+    def find_both_but_one_gone():
+        registry.put(replace(ENTRY, ready=False))
+
+    view = OldView(find_both_but_one_gone)
+    client, opened = open_by_view(registry, view)
+    assert opened.target.id == OTHER.id
+    assert view.refreshes == 1
+    assert client.metrics.totals["calls.sent_by_old_view"] == 0
+
+
+def test_a_call_goes_out_by_an_old_view_if_the_store_says_nothing(registry):
+    view = OldView()
+    client, _ = open_by_view(registry, view)
+    assert view.refreshes == 1
+    assert client.metrics.totals["calls.sent_by_old_view"] == 1
+
+
+def test_no_call_waits_for_a_store_that_is_lost(registry):
+    view = OldView(is_store_lost=True)
+    open_by_view(registry, view)
+    assert view.refreshes == 0
--- a/tests/fleet/test_store_mirror.py
+++ b/tests/fleet/test_store_mirror.py
@@ -225,3 +225,27 @@
     behind.take_state(ahead.tell(behind.revision), time.monotonic())
     assert follower.entries == {"config": "y"}
     assert behind.proof.age_seconds < 1.0
+
+
+def test_entries_are_complete_up_to_what_was_applied_not_by_the_proof(clock):
+    ahead, _ = make_mirror()
+    ahead.apply_listing(StoreListing((entry("a/1", "x", 3),), 4), clock.now)
+    clock.now += 1.5
+    # A proof of the configuration whose changes could not be fetched.
+    ahead.note_proof(0, clock.now)
+    behind, _ = make_mirror()
+    behind.apply_listing(StoreListing((entry("a/1", "x", 3),), 4))
+    assert behind.completeness.age_seconds == float("inf")
+    behind.take_state(ahead.tell(4), clock.now)
+    assert behind.proof.age_seconds == 0.0
+    assert behind.completeness.age_seconds == 1.5
+
+
+def test_a_state_of_a_box_that_is_behind_completes_nothing_newer(clock):
+    behind, _ = make_mirror()
+    ahead, _ = make_mirror()
+    behind.apply_listing(StoreListing((entry("a/1", "x", 3),), 4), clock.now)
+    clock.now += 1.0
+    ahead.apply_listing(StoreListing((entry("a/1", "x", 3),), 9), clock.now)
+    ahead.take_state(behind.tell(9), clock.now)
+    assert ahead.completeness.age_seconds == 0.0
