--- /dev/null
+++ b/src/experiments/leave_soak/__init__.py
@@ -0,0 +1,1 @@
+"""A soak of targets that leave while they, boxes and the store are disturbed."""
