Send no further calls to a target that is silent while others answer

Seen: calls that are not repeated went on to a target that stood still for 3 s; whatever waits unread there is read when it goes on, also seconds after it said that it leaves, and can't be taken back. Cause: silence was known to the one call that waited, at the end of its own time. Now what came last from a target is known to all calls of a box: one at which a call waits for four times its mean latency, and for 0.5 s, with nothing heard from it, is chosen only where no other is left. Any bytes from it end that.

--- a/src/cedarchute/calls/target_client.py
+++ b/src/cedarchute/calls/target_client.py
@@ -186,6 +186,7 @@
             answer = connection.read_answer(
                 call_id, ANSWER_ID, read_deadline, request.method != b"HEAD"
             )
+            load.heard_at = time.monotonic()
             if says_not_run(answer):
                 refused, connection = connection, None
                 self.drain_refusal(refused, answer, deadline)
@@ -316,13 +317,19 @@
                     return b""
                 rest = find_rest(answer, amount.count)
                 self.wait_for_room(amount, rest, opened.read_deadline)
-                opened.connection.receive(opened.read_deadline - time.monotonic())
+                self.receive(opened, opened.read_deadline)
                 parts.append(answer.take_parts())
                 amount.grow(len(parts[-1]))
         finally:
             self.growth_order.finish(amount, answer.is_complete)
         return b"".join(parts)
 
+    def receive(self, opened: OpenResponse, deadline: float) -> None:
+        """Read the next bytes of a response; its target is not silent."""
+        opened.connection.receive(deadline - time.monotonic())
+        load = self.load_balancer.loads[opened.target.incarnation]
+        load.heard_at = time.monotonic()
+
     def is_too_long(self, amount: HeldAmount) -> bool:
         """Return whether no more of a body may be held."""
         if amount.count > self.limits.held_bytes:
@@ -350,7 +357,7 @@
         count = 0
         while answer.parts or not answer.is_complete:
             if not answer.parts:
-                opened.connection.receive(deadline - time.monotonic())
+                self.receive(opened, deadline)
             part = answer.parts.popleft() if amount.count else answer.take_parts()
             amount.shrink(len(part))
             count += len(part)
--- a/src/cedarchute/calls/turn_relay.py
+++ b/src/cedarchute/calls/turn_relay.py
@@ -170,7 +170,7 @@
                     eventlet.sleep(0)
             if answer.is_complete:
                 break
-            opened.connection.receive(self.attempts.deadline - time.monotonic())
+            self.handler.target_client.receive(opened, self.attempts.deadline)
         if splitter.rest.strip():
             raise TargetFailureError("ended within an event", Verdict.MAY_HAVE_RUN)
 
--- a/src/cedarchute/routing/load_balancer.py
+++ b/src/cedarchute/routing/load_balancer.py
@@ -86,7 +86,7 @@
             Incarnation of the target that caches the prompt of the call, if any.
         """
         ready = [e for e in self.registry.list_ready(service) if e.id not in tried]
-        available = [e for e in ready if not self.loads[e.incarnation].is_backing_off]
+        available = [e for e in ready if self.loads[e.incarnation].is_responsive]
         if self.placement is not None and self.placement.applies_to(service) and ready:
             return self.placement.select(
                 available or ready,
@@ -119,8 +119,7 @@
         available = [
             entry
             for entry in ready
-            if not self.loads[entry.incarnation].is_backing_off
-            and self.has_capacity(entry)
+            if self.loads[entry.incarnation].is_responsive and self.has_capacity(entry)
         ]
         candidates = available or ready
         return self.random_source.choice(candidates) if candidates else None
--- a/src/cedarchute/routing/target_load.py
+++ b/src/cedarchute/routing/target_load.py
@@ -14,6 +14,10 @@
 # to show in the registry, short after a lost packet.
 INITIAL_BACKOFF_SECONDS: Final = 0.5
 MAX_BACKOFF_SECONDS: Final = 4.0
+# A target is silent once a call waits there and nothing came from it for this many
+# times its mean latency, and for this time at least.
+SILENT_LATENCIES: Final = 4.0
+MIN_SILENT_SECONDS: Final = 0.5
 # How long other boxes are told of a failure; a target that restarts is back after about
 # as long.
 RECENT_FAILURE_SECONDS: Final = 1.0
@@ -35,6 +39,8 @@
         When a call was sent there last.
     unanswered : dict of str to float
         Ids of the calls sent there that have not ended, and when each was sent.
+    heard_at : float
+        When bytes of an answer came from there last.
     leaving_known_at : float
         When this box learned that the target leaves.
     used_at, answered_at, failed_at : float
@@ -51,6 +57,7 @@
         self.last_seconds = 0.0
         self.alive_at = float("-inf")
         self.last_sent_at = float("-inf")
+        self.heard_at = float("-inf")
         self.leaving_known_at = float("-inf")
         self.unanswered: dict[str, float] = {}
         self.used_at = float("-inf")
@@ -62,6 +69,25 @@
         """Whether the target is in backoff after a failure or an overload."""
         return time.monotonic() < self.backoff_until
 
+    @property
+    def is_responsive(self) -> bool:
+        """Whether the target is neither in backoff nor silent."""
+        return not self.is_backing_off and not self.is_silent
+
+    @property
+    def is_silent(self) -> bool:
+        """Whether calls wait there for much longer than its answers take.
+
+        A process that stands still reads what it was sent once it goes on, however
+        late that is, and nothing can be taken back.
+        """
+        oldest = next(iter(self.unanswered.values()), None)
+        if oldest is None:
+            return False
+        usual_seconds = self.mean_latency_seconds or MIN_SILENT_SECONDS
+        max_seconds = max(MIN_SILENT_SECONDS, SILENT_LATENCIES * usual_seconds)
+        return time.monotonic() - max(oldest, self.heard_at) > max_seconds
+
     def record_send(self, call_id: str) -> None:
         """Record that a call was sent; it is unanswered until `record_end`."""
         self.last_sent_at = self.unanswered[call_id] = time.monotonic()
@@ -74,6 +100,7 @@
         """Record a response and the time that it took."""
         self.failures = 0
         self.backoff_until = 0.0
+        self.heard_at = time.monotonic()
         self.last_seconds = seconds
         self.used_at = self.answered_at = time.monotonic()
         self.failure_share -= EWMA_WEIGHT * self.failure_share
--- a/tests/platform_site/test_leaving_targets.py
+++ b/tests/platform_site/test_leaving_targets.py
@@ -15,6 +15,9 @@
 
 # The users' bound: DrainMs.
 LEAVE_SECONDS = 2.0
+# A call that may be repeated leaves a silent target after half a second; twice that
+# shows it to the whole box.
+SILENCE_SECONDS = 1.0
 # How long a call to a store under load takes.
 STORE_SECONDS = 0.1
 LISTENER = "entry-9"
@@ -174,3 +177,19 @@
     ids = [read.call_id for target in targets for read in target.list_reads()]
     assert len(ids) == len(set(ids))
     assert set(callers.statuses) == {200}
+
+
+def test_a_target_that_fell_silent_gets_no_further_calls_while_others_answer(
+    site, targets
+):
+    """What waits at it unread could be read at any later time."""
+    silent = targets[0]
+    with Callers(site, b"/once/x", per_box=8):
+        time.sleep(1.0)
+        silent.process.pause()
+        stopped_at = time.time()
+        time.sleep(3.0)
+        silent.process.resume()
+        resumed_at = time.time()
+    sends = silent.list_sends(ENTRIES, stopped_at + SILENCE_SECONDS)
+    assert [send for send in sends if send.at < resumed_at] == []
--- a/tests/routing/test_load_balancer.py
+++ b/tests/routing/test_load_balancer.py
@@ -1,8 +1,10 @@
 from __future__ import annotations
 
 import random
+from types import SimpleNamespace
 
 from cedarchute.address import Address
+from cedarchute.routing import target_load
 from cedarchute.routing.load_balancer import LoadBalancer
 from cedarchute.routing.route import Repeatability, Route, ServiceShare
 from cedarchute.routing.target_entry import TargetEntry
@@ -122,3 +124,23 @@
     assert chosen == {"t-3", "t-4"}
     assert balancer.select_any("s", {"t-2", "t-3", "t-4"}).id in ("t-0", "t-1")
     assert balancer.select_any("other", set()) is None
+
+
+def test_a_target_that_is_silent_to_a_call_gets_no_other_while_one_answers(monkeypatch):
+    clock = SimpleNamespace(now=100.0)
+    monkeypatch.setattr(target_load.time, "monotonic", lambda: clock.now)
+    choice = make_balancer(make_entry("t-1"), make_entry("t-2"))
+    for target in ("t-1", "t-2"):
+        choice.loads[target].record_answer(0.2)
+    choice.loads["t-2"].active = 5
+    choice.loads["t-1"].record_send("call")
+    clock.now += 0.7
+    assert choice.select_target("s", set()).id == "t-1"
+    clock.now += 0.2
+    assert choice.select_target("s", set()).id == "t-2"
+    assert choice.select_target("s", {"t-2"}).id == "t-1"
+    choice.loads["t-1"].heard_at = clock.now
+    assert choice.select_target("s", set()).id == "t-1"
+    clock.now += 0.9
+    choice.loads["t-1"].record_end("call")
+    assert choice.select_target("s", set()).id == "t-1"
