Take no success without an id for the answer to a request

Cause: an answer without an id was taken as that of whoever waits. Each answer of a target carries the id; only what stands before a target may refuse without one. A refusal without an id is still taken as ours: part of the class remains.

--- a/src/cedarchute/relay/target_connection.py
+++ b/src/cedarchute/relay/target_connection.py
@@ -29,6 +29,8 @@
 KEEP_ALIVE_MARGIN_SECONDS: Final = 0.5
 # Keep-alive timeout of a target that sends none.
 DEFAULT_KEEP_ALIVE_SECONDS: Final = 4.0
+# Lowest status that reports a failure.
+MIN_FAILURE: Final = 400
 # Reason of a failure by which a connection can still be used: nothing has come yet.
 SILENT: Final = "silent"
 # After as many bytes in a row another task has its turn. Bytes that are there already
@@ -207,8 +209,9 @@
     ) -> TargetAnswer:
         """Return the response to `request_id` once its headers are complete.
 
-        A response with another id is a late one to an earlier request: it is read to
-        its end and discarded, and the connection is not reused.
+        A response with another id is a late one to an earlier request, and a success
+        without an id belongs to none: both are read to their end and discarded, and the
+        connection is not reused.
 
         Parameters
         ----------
@@ -223,7 +226,7 @@
         while True:
             answer = self.wait_for_headers(deadline)
             echoed = answer.headers.get(header_name)
-            if not answer.is_interim and echoed in (None, request_id):
+            if belongs_to(answer, echoed, request_id):
                 return answer
             if not answer.is_interim:
                 self.reusable = False
@@ -255,6 +258,19 @@
         self.sock.close()
 
 
+def belongs_to(answer: TargetAnswer, echoed: bytes | None, request_id: bytes) -> bool:
+    """Return whether a response answers the request with an id.
+
+    What stands before a target may refuse a request without its id. An empty id
+    stands for a request that has none.
+    """
+    if answer.is_interim:
+        return False
+    if echoed is None:
+        return not request_id or answer.status >= MIN_FAILURE
+    return echoed == request_id
+
+
 def _parse_keep_alive_timeout(text: str) -> float | None:
     """Return the timeout in seconds of a ``Keep-Alive`` header, if any."""
     for parameter in text.split(","):
--- a/tests/relay/test_target_connection.py
+++ b/tests/relay/test_target_connection.py
@@ -119,3 +119,33 @@
 def test_a_connection_that_tcp_gave_up_does_not_seem_to_be_closed_in_order():
     with pytest.raises(TimeoutError, match="timed out"):
         receive_within(LostSocket(), HANG_SECONDS, "silent")
+
+
+ANONYMOUS = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+def test_bytes_behind_a_whole_answer_are_not_taken_for_the_next_one():
+    def script(request, sock):
+        if request.header("Attempt-Id") == "a2":
+            sock.sendall(ANONYMOUS)
+        sock.sendall(answer(request))
+
+    with connect(script) as connection:
+        for call_id in (b"a1", b"a2"):
+            connection.send(build_request(b"/x", call_id), HANG_SECONDS)
+            deadline = time.monotonic() + HANG_SECONDS
+            read = connection.read_answer(call_id, b"attempt-id", deadline)
+            assert read.headers.get(b"attempt-id") == call_id
+            connection.drop_rest(read, deadline)
+            connection.finish(read)
+        assert not connection.is_available
+
+
+def test_a_refusal_without_an_id_is_the_answer():
+    def script(request, sock):
+        sock.sendall(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+
+    with connect(script) as connection:
+        connection.send(build_request(b"/x", b"a1"), HANG_SECONDS)
+        deadline = time.monotonic() + HANG_SECONDS
+        assert connection.read_answer(b"a1", b"attempt-id", deadline).status == 503
