--- a/src/cedarchute/calls/target_client.py
+++ b/src/cedarchute/calls/target_client.py
@@ -167,7 +167,7 @@
         sent_at = time.monotonic()
         connection = None
         try:
-            connection = self.connect(target, deadline - sent_at)
+            connection = self.connect(target, call, deadline - sent_at)
             self.wait_for_view()
             seconds_left = deadline - time.monotonic()
             head = build_request(
@@ -189,7 +189,7 @@
             load.heard_at = time.monotonic()
             if says_not_run(answer):
                 refused, connection = connection, None
-                self.drain_refusal(refused, answer, deadline)
+                self.drain_refusal(refused, answer, call, deadline)
                 if answer.status == MISDIRECTED_REQUEST:
                     reason = "another target answers at its address"
                     raise TargetFailureError(reason, Verdict.NOT_RUN)
@@ -247,10 +247,12 @@
             },
         )
 
-    def connect(self, target: TargetEntry, seconds: float) -> TargetConnection:
+    def connect(
+        self, target: TargetEntry, call: Call, seconds: float
+    ) -> TargetConnection:
         """Return a connection to `target`; nothing is sent on it yet."""
         try:
-            return self.pool.take(target.address, seconds)
+            return self.pool.take(target.address, seconds, call.id)
         except ConnectionShareError:
             load = self.load_balancer.loads[target.incarnation]
             load.record_overload(FULL_TARGET_PAUSE_SECONDS)
@@ -266,12 +268,17 @@
             raise make_shutdown_refusal() from None
 
     def drain_refusal(
-        self, connection: TargetConnection, answer: TargetAnswer, deadline: float
+        self,
+        connection: TargetConnection,
+        answer: TargetAnswer,
+        call: Call,
+        deadline: float,
     ) -> None:
         """Read the rest of a rejection so that its connection can be reused."""
         try:
             connection.drop_rest(answer, deadline)
             connection.finish(answer)
+            connection.note_refused(call.id)
             self.pool.give_back(connection)
         except TargetFailureError:
             connection.close()
--- a/src/cedarchute/relay/target_connection.py
+++ b/src/cedarchute/relay/target_connection.py
@@ -29,6 +29,9 @@
 KEEP_ALIVE_MARGIN_SECONDS: Final = 0.5
 # Keep-alive timeout of a target that sends none.
 DEFAULT_KEEP_ALIVE_SECONDS: Final = 4.0
+# A connection on which as many calls were refused is closed, which bounds what is
+# remembered of them.
+MAX_REFUSED_IDS: Final = 256
 # Lowest status that reports a failure.
 MIN_FAILURE: Final = 400
 # Reason of a failure by which a connection can still be used: nothing has come yet.
@@ -48,6 +51,9 @@
     ----------
     is_closed : bool
         Whether this side has closed it.
+    refused_ids : set of str
+        Ids of calls that were refused on it. A surplus refusal may follow, which can't
+        be told from the answer to a second send of the same call.
     """
 
     def __init__(
@@ -66,6 +72,7 @@
         self.keep_alive_seconds = DEFAULT_KEEP_ALIVE_SECONDS
         self.reusable = True
         self.is_closed = False
+        self.refused_ids: set[str] = set()
         self.sender: eventlet.greenthread.GreenThread | None = None
         self.send_failed = False
 
@@ -239,6 +246,12 @@
             self.receive(deadline - time.monotonic())
         return self.reader.answers[0]
 
+    def note_refused(self, call_id: str) -> None:
+        """Record that a call was refused, which does not use this connection again."""
+        self.refused_ids.add(call_id)
+        if len(self.refused_ids) >= MAX_REFUSED_IDS:
+            self.reusable = False
+
     def finish(self, answer: TargetAnswer) -> None:
         """Remove a response that was read completely; the connection is now idle."""
         self.reader.answers.popleft()
--- a/src/cedarchute/relay/target_pool.py
+++ b/src/cedarchute/relay/target_pool.py
@@ -55,26 +55,50 @@
         )
         self.opening: Counter[Address] = Counter()
 
-    def take(self, address: Address, seconds: float) -> TargetConnection:
+    def take(
+        self, address: Address, seconds: float, call_id: str = ""
+    ) -> TargetConnection:
         """Return an idle connection, or open one within `seconds`.
 
+        Parameters
+        ----------
+        call_id : str
+            Id of the call to send; no connection carries one that was refused on it.
+
         Raises
         ------
         ConnectionShareError
             When this box has as many connections to `address` as it may open.
         """
-        connections = self.idle.get(address, [])
-        while connections:
-            connection = connections.pop()
-            if connection.is_available:
-                return connection
-            connection.close()
+        connection = self.take_idle(address, call_id)
+        if connection is not None:
+            return connection
         share = self.find_share(address)
         if share is not None:
             self.check_share(address, share)
         self.metrics.count("targets.connections")
         return self.open(address, min(CONNECT_TIMEOUT_SECONDS, seconds))
 
+    def take_idle(self, address: Address, call_id: str) -> TargetConnection | None:
+        """Return an idle connection that may carry a call; None without one."""
+        connections = self.idle.get(address, [])
+        passed_over = []
+        found = None
+        while connections and found is None:
+            connection = connections.pop()
+            if not connection.is_available:
+                connection.close()
+            elif call_id in connection.refused_ids:
+                passed_over.append(connection)
+            else:
+                found = connection
+        share = self.find_share(address)
+        if found is None and passed_over and share is not None:
+            # The share leaves room for a new one.
+            passed_over.pop().close()
+        connections.extend(reversed(passed_over))
+        return found
+
     def check_share(self, address: Address, share: int) -> None:
         """Raise `ConnectionShareError` if no connection may be opened."""
         if self.count_open(address) < share:
--- a/tests/calls/test_key_authenticator.py
+++ b/tests/calls/test_key_authenticator.py
@@ -172,7 +172,7 @@
         self.meanwhile = meanwhile
         self.sent = []
 
-    def take(self, address, seconds):
+    def take(self, address, seconds, call_id=""):
         self.meanwhile()
         return self
 
--- a/tests/calls/test_leaving_targets.py
+++ b/tests/calls/test_leaving_targets.py
@@ -53,7 +53,7 @@
         self.happen = happen
         self.sent = []
 
-    def take(self, address, seconds):
+    def take(self, address, seconds, call_id=""):
         happen, self.happen = self.happen, lambda address: None
         happen(address)
         return Connection(address, self.sent)
--- a/tests/calls/test_resumed_streams.py
+++ b/tests/calls/test_resumed_streams.py
@@ -60,7 +60,7 @@
 class Pool:
     """Opens a connection for each request."""
 
-    def take(self, address, seconds):
+    def take(self, address, seconds, call_id=""):
         sock = socket.create_connection((address.host, address.port))
         return TargetConnection(address, sock)
 
--- a/tests/calls/test_shutdown.py
+++ b/tests/calls/test_shutdown.py
@@ -87,7 +87,7 @@
 class WaitingPool(Waiting):
     """A pool whose targets take no connection."""
 
-    def take(self, address, seconds):
+    def take(self, address, seconds, call_id=""):
         self.check()
 
 
@@ -115,7 +115,7 @@
     def __init__(self, connection):
         self.connection = connection
 
-    def take(self, address, seconds):
+    def take(self, address, seconds, call_id=""):
         return self.connection
 
 
--- a/tests/calls/test_stream_call_handler.py
+++ b/tests/calls/test_stream_call_handler.py
@@ -62,7 +62,7 @@
     def __init__(self, body):
         self.body = body
 
-    def take(self, address, seconds):
+    def take(self, address, seconds, call_id=""):
         return Connection(self.body)
 
     def give_back(self, connection):
--- a/tests/calls/test_target_client.py
+++ b/tests/calls/test_target_client.py
@@ -77,7 +77,7 @@
 class ExhaustedPool(Pool):
     """A pool of which this box's share is in use."""
 
-    def take(self, address, seconds):
+    def take(self, address, seconds, call_id=""):
         raise ConnectionShareError(2)
 
 
--- a/tests/relay/test_target_pool.py
+++ b/tests/relay/test_target_pool.py
@@ -154,3 +154,36 @@
             connection.close()
     # The last one is dropped with the next target.
     assert len(pool.opened) <= (0 if find_share is None else 1)
+
+
+def test_a_call_that_was_refused_is_sent_again_on_another_connection(address):
+    pool = TargetPool(Metrics())
+    first = pool.take(address, SECONDS, "a1")
+    first.note_refused("a1")
+    pool.give_back(first)
+    second = pool.take(address, SECONDS, "a1")
+    assert second is not first
+    assert pool.take(address, SECONDS, "a2") is first
+    first.close()
+    second.close()
+
+
+def test_a_call_that_was_refused_finds_room_at_the_share(address):
+    pool = make_pool(1)
+    first = pool.take(address, SECONDS, "a1")
+    first.note_refused("a1")
+    pool.give_back(first)
+    second = pool.take(address, SECONDS, "a1")
+    assert second is not first
+    assert first.is_closed
+    second.close()
+
+
+def test_a_connection_remembers_no_more_refusals_than_its_bound(address):
+    pool = TargetPool(Metrics())
+    connection = pool.take(address, SECONDS)
+    for number in range(target_connection.MAX_REFUSED_IDS):
+        assert connection.is_available
+        connection.note_refused(f"a{number}")
+    pool.give_back(connection)
+    assert connection.is_closed
--- a/tests/waiting/test_attempts_in_line.py
+++ b/tests/waiting/test_attempts_in_line.py
@@ -38,7 +38,7 @@
         self.heads = []
         self.ran = []
 
-    def take(self, address, seconds):
+    def take(self, address, seconds, call_id=""):
         return Connection(self)
 
     def give_back(self, connection):
@@ -70,6 +70,9 @@
     def drop_rest(self, answer, deadline):
         pass
 
+    def note_refused(self, call_id):
+        pass
+
     def finish(self, answer):
         if answer.status == 200:
             self.places.free += 1
