--- a/src/cedarchute/calls/target_client.py
+++ b/src/cedarchute/calls/target_client.py
@@ -186,7 +186,7 @@
             answer = connection.read_answer(
                 call_id, ANSWER_ID, read_deadline, request.method != b"HEAD"
             )
-            load.heard_at = time.monotonic()
+            load.received_at = time.monotonic()
             if says_not_run(answer):
                 refused, connection = connection, None
                 self.drain_refusal(refused, answer, call, deadline)
@@ -335,7 +335,7 @@
         """Read the next bytes of a response; its target is not silent."""
         opened.connection.receive(deadline - time.monotonic())
         load = self.load_balancer.loads[opened.target.incarnation]
-        load.heard_at = time.monotonic()
+        load.received_at = time.monotonic()
 
     def is_too_long(self, amount: HeldAmount) -> bool:
         """Return whether no more of a body may be held."""
--- a/src/cedarchute/copies/holder.py
+++ b/src/cedarchute/copies/holder.py
@@ -63,7 +63,7 @@
         self.partitions = storage.load()
         for copy in self.partitions.values():
             # The time of the last append is not stored; assume a recent one.
-            copy.heard_at = clock.monotonic()
+            copy.received_at = clock.monotonic()
 
     def on_append(self, request: AppendRequest) -> AppendReply:
         """Apply a batch and return when it is durable."""
@@ -80,7 +80,7 @@
             self.metrics.count("copies.append_refused_epoch")
             return PartitionAppended(partition=append.partition, sealed=copy.epoch)
         self.advance_epoch(append.partition, copy, append.epoch)
-        copy.heard_at = self.clock.monotonic()
+        copy.received_at = self.clock.monotonic()
         lengths = {}
         for entry in append.entries:
             if entry.forget:
@@ -128,7 +128,7 @@
         copy = self.partitions.setdefault(request.partition, PartitionCopy())
         if request.epoch < copy.epoch:
             return SealReply(refused="higher epoch")
-        silent_seconds = self.clock.monotonic() - copy.heard_at
+        silent_seconds = self.clock.monotonic() - copy.received_at
         is_same_epoch = request.epoch == copy.epoch
         if (
             not is_same_epoch
--- a/src/cedarchute/copies/partition_copy.py
+++ b/src/cedarchute/copies/partition_copy.py
@@ -21,10 +21,10 @@
     ----------
     epoch : int
         Appends of lower epochs are rejected.
-    heard_at : float
+    received_at : float
         Monotonic time of the last append from the owner.
     """
 
     epoch: int = 0
-    heard_at: float = float("-inf")
+    received_at: float = float("-inf")
     programs: dict[str, list[StoredRecord]] = field(default_factory=dict)
--- a/src/cedarchute/ownership/owner_check.py
+++ b/src/cedarchute/ownership/owner_check.py
@@ -73,8 +73,8 @@
         now = self.clock.monotonic()
         since = self.missing_since.setdefault(owner, now)
         copy = self.holder.partitions.get(record.partition)
-        heard_at = copy.heard_at if copy else float("-inf")
-        if now - max(since, heard_at) < self.takeover_seconds:
+        received_at = copy.received_at if copy else float("-inf")
+        if now - max(since, received_at) < self.takeover_seconds:
             return False
         known = self.view.find_box(owner)
         return known is None or not self.answers(known)
--- a/src/cedarchute/ownership/partition_keeper.py
+++ b/src/cedarchute/ownership/partition_keeper.py
@@ -140,7 +140,7 @@
         for name, copy in list(local.partitions.items()):
             record = self.view.partitions.get(name)
             is_held = record is not None and local.name in record.holders
-            if not is_held and now - copy.heard_at > STALE_COPY_SECONDS:
+            if not is_held and now - copy.received_at > STALE_COPY_SECONDS:
                 local.drop(name)
 
     def open_own_partition(self) -> None:
--- a/src/cedarchute/routing/target_load.py
+++ b/src/cedarchute/routing/target_load.py
@@ -39,7 +39,7 @@
         When a call was sent there last.
     unanswered : dict of str to float
         Ids of the calls sent there that have not ended, and when each was sent.
-    heard_at : float
+    received_at : float
         When bytes of an answer came from there last.
     leaving_known_at : float
         When this box learned that the target leaves.
@@ -57,7 +57,7 @@
         self.last_seconds = 0.0
         self.alive_at = float("-inf")
         self.last_sent_at = float("-inf")
-        self.heard_at = float("-inf")
+        self.received_at = float("-inf")
         self.leaving_known_at = float("-inf")
         self.unanswered: dict[str, float] = {}
         self.used_at = float("-inf")
@@ -86,7 +86,7 @@
             return False
         usual_seconds = self.mean_latency_seconds or MIN_SILENT_SECONDS
         max_seconds = max(MIN_SILENT_SECONDS, SILENT_LATENCIES * usual_seconds)
-        return time.monotonic() - max(oldest, self.heard_at) > max_seconds
+        return time.monotonic() - max(oldest, self.received_at) > max_seconds
 
     def record_send(self, call_id: str) -> None:
         """Record that a call was sent; it is unanswered until `record_end`."""
@@ -100,7 +100,7 @@
         """Record a response and the time that it took."""
         self.failures = 0
         self.backoff_until = 0.0
-        self.heard_at = time.monotonic()
+        self.received_at = time.monotonic()
         self.last_seconds = seconds
         self.used_at = self.answered_at = time.monotonic()
         self.failure_share -= EWMA_WEIGHT * self.failure_share
--- a/tests/routing/test_load_balancer.py
+++ b/tests/routing/test_load_balancer.py
@@ -139,7 +139,7 @@
     clock.now += 0.2
     assert choice.select_target("s", set()).id == "t-2"
     assert choice.select_target("s", {"t-2"}).id == "t-1"
-    choice.loads["t-1"].heard_at = clock.now
+    choice.loads["t-1"].received_at = clock.now
     assert choice.select_target("s", set()).id == "t-1"
     clock.now += 0.9
     choice.loads["t-1"].record_end("call")
