Have the store away for as long as an entry takes to lapse in the test of lapsed entries

The test took the entry of a target away in an outage of some milliseconds and expected the target to be used on. No entry of a target that lives lapses in that; what goes then has left, and has to be believed. The outage lasts 2.4 s now, two reports of a target; all that was checked is checked, and it would fail as before if lapsed entries were dropped at once.

--- a/tests/platform_site/test_fleet.py
+++ b/tests/platform_site/test_fleet.py
@@ -6,6 +6,7 @@
 import os
 import signal
 import threading
+import time
 
 from conftest_nodes import ROUTES, make_route, wait_known
 
@@ -16,6 +17,9 @@
 from experiments.waiting import wait_until
 from standins.raw_target import LAST_CHUNK, RawTarget, answer, chunk, event, stream_head
 
+# Targets report each 1.2 s; their entries lapse after three reports that were missed.
+LAPSE_SECONDS = 2.4
+
 
 def respond(request, connection):
     connection.sendall(answer(request))
@@ -134,6 +138,8 @@
     site.switch_store(down=True)
     log = site.processes["entry-1"]
     wait_until(lambda: "Store lost." in log.read_log(), "the store is lost")
+    # No entry of a target that lives lapses sooner.
+    time.sleep(LAPSE_SECONDS)
     site.remove("servers/t-1")
     site.switch_store(down=False)
     wait_until(lambda: "entry lapsed" in log.read_log(), "the entry lapsed")
