Excuse a late read in the soak by a store that was away, as a late send is

Traced by its logs: the store was away for 3.4 s across the leaving, the entry lapsed in that (`Target's entry lapsed.`, `may_have_lapsed` true), and calls sent a moment later were excused by it already. The store confirms a leaving only while it is stable, so the users' rules allow both. Late sends are judged as before.

--- a/src/experiments/leave_soak/leave_run.py
+++ b/src/experiments/leave_soak/leave_run.py
@@ -126,8 +126,10 @@
     in_time = {send.call_id for send in sends if send.at <= until}
     for read in target.list_reads(until):
         result.read_late += 1
-        stood_still = disturbances.has(target.id, since, read.at)
-        if read.call_id in in_time and not stood_still:
+        is_excused = disturbances.has(target.id, since, read.at) or disturbances.has(
+            STORE, since, read.at
+        )
+        if read.call_id in in_time and not is_excused:
             late = read.at - target.left_at
             result.broken.append(f"READ {read} {late:.2f} s after {target.id} left")
     check_cut(result, target, disturbances.has, statuses)
