Use a target whose entry lapsed only where no other is left

Traced: its target had left while the store was away, its entry had lapsed, and for up to 2.4 s it was used as any other until it ended under the call. Cause: a lapsed entry says that its target may have left, and was trusted like one that says it has not. It is kept as before and used where nothing else is, as after an outage in which all entries lapse. The test with real processes failed before.

--- a/src/cedarchute/fleet/lapsing_entries.py
+++ b/src/cedarchute/fleet/lapsing_entries.py
@@ -51,6 +51,10 @@
         self.drop(name)
         return True
 
+    def is_lapsed(self, name: str) -> bool:
+        """Return whether an entry is kept although it is gone from the store."""
+        return name in self.lapsed
+
     def note_store_back(self) -> None:
         """Record that the store recovered from an outage."""
         self.store_recovered_at = time.monotonic()
--- a/src/cedarchute/routing/target_registry.py
+++ b/src/cedarchute/routing/target_registry.py
@@ -53,10 +53,14 @@
         self.deferred: dict[str, tuple[TargetEntry, float]] = {}
 
     def list_ready(self, service: str) -> list[TargetEntry]:
-        """Return the targets of `service` that accept new calls."""
+        """Return the targets of `service` that accept new calls.
+
+        Those whose entries lapsed may have left, so they are used only without others.
+        """
         entries = self.known.entries.values()
         ready = [e for e in entries if e.service == service and e.ready]
-        return [entry for entry in ready if not self.is_box_address(entry.address)]
+        ready = [entry for entry in ready if not self.is_box_address(entry.address)]
+        return [e for e in ready if not self.known.is_lapsed(e.id)] or ready
 
     def find_incarnation(self, incarnation: str) -> TargetEntry | None:
         """Return the entry of an incarnation, None if it is gone."""
--- a/tests/platform_site/test_leaving_targets.py
+++ b/tests/platform_site/test_leaving_targets.py
@@ -141,6 +141,25 @@
     assert set(callers.statuses) == {200}
 
 
+def test_a_target_that_leaves_in_a_long_outage_gets_nothing_while_another_is_there(
+    site, targets
+):
+    leaving = targets[0]
+    with Callers(site, b"/once/x") as callers:
+        site.switch_store(down=True)
+        time.sleep(LEAVE_SECONDS + 1.0)
+        leaving.leave(says_so=False)
+        site.switch_store(down=False)
+        for name in ENTRIES:
+            log = site.processes[name]
+            wait_until(lambda g=log: "entry lapsed" in g.read_log(), "it lapsed")
+        known_at = time.time()
+        time.sleep(LEAVE_SECONDS)
+    assert leaving.list_sends(ENTRIES, known_at) == []
+    assert leaving.list_reads(known_at) == []
+    assert set(callers.statuses) == {200}
+
+
 def test_an_entry_of_an_earlier_start_that_leaves_gets_nothing_new(site, targets):
     other, leaving = targets
     started_ms = round(time.time() * 1000)
--- a/tests/routing/test_target_registry.py
+++ b/tests/routing/test_target_registry.py
@@ -134,3 +134,18 @@
     assert ready_starts(registry) == []
     registry.put(NEW)
     assert ready_starts(registry) == ["i-1@2000"]
+
+
+def test_a_target_whose_entry_lapsed_gets_no_calls_while_another_has_its_entry(
+    registry,
+):
+    other = replace(OLD, id="i-2")
+    registry.put(OLD)
+    registry.put(other)
+    registry.known.note_store_back()
+    registry.remove(OLD.id)
+    assert ready_starts(registry) == ["i-2@1000"]
+    registry.remove(other.id)
+    assert ready_starts(registry) == ["i-1@1000", "i-2@1000"]
+    registry.put(OLD)
+    assert ready_starts(registry) == ["i-1@1000"]
