Leave lapsed entries out only while most targets of a service have theirs

The change before gave all calls to the first target that registered again after an outage in which most entries lapsed (by reading; no run). A few that lapse have most likely left, most of them together were taken by the outage.

--- a/src/cedarchute/routing/target_registry.py
+++ b/src/cedarchute/routing/target_registry.py
@@ -55,12 +55,14 @@
     def list_ready(self, service: str) -> list[TargetEntry]:
         """Return the targets of `service` that accept new calls.
 
-        Those whose entries lapsed may have left, so they are used only without others.
+        Where the entries of a few lapsed, these have most likely left and are left out.
+        Where most did, the outage took them and their targets are there.
         """
         entries = self.known.entries.values()
         ready = [e for e in entries if e.service == service and e.ready]
         ready = [entry for entry in ready if not self.is_box_address(entry.address)]
-        return [e for e in ready if not self.known.is_lapsed(e.id)] or ready
+        registered = [e for e in ready if not self.known.is_lapsed(e.id)]
+        return registered if 2 * len(registered) >= len(ready) else ready
 
     def find_incarnation(self, incarnation: str) -> TargetEntry | None:
         """Return the entry of an incarnation, None if it is gone."""
