Show on real processes that surplus answers run no call twice and reach no other caller

These tests start an entry, and targets that repeat their refusals (503, 429, 408, 421, one whose body comes in parts) or send bytes behind whole answers.

--- /dev/null
+++ b/tests/platform_site/test_surplus_answers.py
@@ -0,0 +1,146 @@
+"""Answers that targets send twice, through a real entry box."""
+
+from __future__ import annotations
+
+import threading
+import time
+
+import pytest
+
+from experiments.raw_caller import RawCaller, build_request, call
+from standins.raw_target import answer, read_id, refusal
+
+WORK_SECONDS = 0.1
+PAUSE_SECONDS = 0.02
+REFUSED = b"Not-Executed: 1\r\n"
+
+
+class DoublingTarget:
+    """Serves calls, and sends surplus answers in the place of the next one.
+
+    Attributes
+    ----------
+    surplus : dict of socket to bytes
+        What is sent on a connection when its next request has come.
+    runs : list of bytes
+        The ids of the calls that were run.
+    sent : int
+        How many surplus answers were sent.
+    """
+
+    def __init__(self, work):
+        self.work = work
+        self.lock = threading.Lock()
+        self.surplus = {}
+        self.runs = []
+        self.sent = 0
+
+    def __call__(self, request, connection):
+        surplus = self.surplus.pop(connection, b"")
+        if surplus:
+            self.sent += 1
+            connection.sendall(surplus)
+        self.work(self, request, connection)
+
+    def run(self, request, connection, body=b""):
+        with self.lock:
+            self.runs.append(read_id(request))
+        time.sleep(WORK_SECONDS)
+        connection.sendall(answer(request, body or b"own-" + read_id(request)))
+
+
+def refuse_first(refusal_parts):
+    """Return work of a target that refuses each call once, and says so twice."""
+    refused = set()
+
+    def work(target, request, connection):
+        if read_id(request) in refused:
+            target.run(request, connection)
+            return
+        refused.add(read_id(request))
+        parts = refusal_parts(request)
+        for part in parts:
+            connection.sendall(part)
+            time.sleep(PAUSE_SECONDS)
+        target.surplus[connection] = b"".join(parts)
+
+    return work
+
+
+def split_refusal(request):
+    """Return a refusal whose body comes after its head."""
+    whole = answer(request, b"busy", b"503 Busy", REFUSED)
+    return [whole[:-4], whole[-4:-2], whole[-2:]]
+
+
+# TWICE: a surplus refusal was taken for the answer to the next send of the same call,
+# which was then sent a third time while its second send ran.
+@pytest.mark.parametrize(
+    "refusal_parts",
+    [
+        lambda request: [refusal(request)],
+        lambda request: [answer(request, b"", b"429 Too Many", REFUSED)],
+        lambda request: [answer(request, b"", b"408 Timeout", REFUSED)],
+        lambda request: [answer(request, b"", b"421 Misdirected Request")],
+        split_refusal,
+    ],
+    ids=["503", "429", "408", "421", "body in parts"],
+)
+def test_a_surplus_refusal_runs_no_call_twice(serve, entry, refusal_parts):
+    doubling = DoublingTarget(refuse_first(refusal_parts))
+    serve("plain", doubling)
+    for number in range(4):
+        call_id = b"ta%d" % number
+        status, fields, body = call(entry, b"/once/x", call_id)
+        assert (status, body) == (200, b"own-" + call_id)
+        assert fields["server-seal"] == f"seal-{call_id.decode()}"
+    assert sorted(doubling.runs) == [b"ta%d" % number for number in range(4)]
+
+
+def precede_by(surplus):
+    """Return work of a target that has bytes wait behind each of its answers."""
+
+    def work(target, request, connection):
+        target.run(request, connection)
+        target.surplus[connection] = surplus
+
+    return work
+
+
+# MIXED: bytes without an id behind a whole answer reached the caller of the next
+# request as its answer.
+@pytest.mark.parametrize("path", [b"/once/x", b"/again/x"])
+def test_bytes_behind_an_answer_reach_no_later_caller(serve, entry, path):
+    surplus = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nok\n"
+    doubling = DoublingTarget(precede_by(surplus))
+    serve("plain", doubling)
+    with RawCaller(entry) as caller:
+        for number in range(4):
+            call_id = b"tg%d" % number
+            caller.send(build_request(path, call_id))
+            status, fields, body = caller.read_answer()
+            assert (status, body) == (200, b"own-" + call_id)
+            assert fields["server-seal"] == f"seal-{call_id.decode()}"
+    assert doubling.sent >= 1
+
+
+# REFUSED: a caller that was turned away and asks again under its id was told that the
+# call had not run by the surplus copy of the first refusal, and it ran.
+def test_a_caller_that_comes_back_under_its_id_is_told_the_truth(serve, entry):
+    is_full = threading.Event()
+    is_full.set()
+
+    def work(target, request, connection):
+        if not is_full.is_set():
+            target.run(request, connection)
+            return
+        connection.sendall(refusal(request))
+        target.surplus[connection] = refusal(request)
+
+    doubling = DoublingTarget(work)
+    serve("plain", doubling)
+    assert call(entry, b"/once/x", b"tf")[0] == 503
+    is_full.clear()
+    status, _, body = call(entry, b"/once/x", b"tf")
+    assert (status, body) == (200, b"own-tf")
+    assert doubling.runs == [b"tf"]
