Send no id twice on a connection, whatever became of its first send

Callers saw: one that asked again under its id got the surplus copy of the answer that it had got before, while the call ran anew and that answer was dropped. Red before, on real processes, once-only and repeatable: test_a_surplus_answer_does_not_answer_the_same_id_again (b'answer 0' for b'answer 1').

Evidence: the target sends the first answer once more when the second request has come, and the box passes it on by its id. Now a connection remembers each request that it carried, wherever it ends, and the pool gives none of them back to it. It works since of two answers with one id on a connection the second is always a surplus one.

What is remembered is a hash of the id (callers choose its length) and 256 of them, after which the connection is closed as before; now that counts all calls and not only refused ones, so one in 256 calls of a busy connection opens a new one. The three tests of the pool that called note_refused now send calls and read their answers; the bound is as strict.

--- a/src/cedarchute/calls/target_client.py
+++ b/src/cedarchute/calls/target_client.py
@@ -184,14 +184,11 @@
             self.check_readiness(target)
             send_request(connection, head, body, deadline - time.monotonic())
             self.record_send(target, call, deadline)
-            call_id = call.id.encode("latin-1")
-            answer = connection.read_answer(
-                call_id, ANSWER_ID, read_deadline, request.method != b"HEAD"
-            )
+            answer = self.read_answer(connection, request, call, read_deadline)
             load.received_at = time.monotonic()
             if says_not_run(answer):
                 refused, connection = connection, None
-                self.drain_refusal(refused, answer, call, deadline)
+                self.drain_refusal(refused, answer, deadline)
                 if answer.status == MISDIRECTED_REQUEST:
                     reason = "another target answers at its address"
                     raise TargetFailureError(reason, Verdict.NOT_RUN)
@@ -254,7 +251,7 @@
     ) -> TargetConnection:
         """Return a connection to `target`; nothing is sent on it yet."""
         try:
-            return self.pool.take(target.address, seconds, call.id)
+            return self.pool.take(target.address, seconds, encode_id(call))
         except ConnectionShareError:
             load = self.load_balancer.loads[target.incarnation]
             load.record_overload(FULL_TARGET_PAUSE_SECONDS)
@@ -269,18 +266,29 @@
         except ShutdownError:
             raise make_shutdown_refusal() from None
 
+    def read_answer(
+        self,
+        connection: TargetConnection,
+        request: CallerRequest,
+        call: Call,
+        deadline: float,
+    ) -> TargetAnswer:
+        """Return the response to a call once its headers are complete."""
+        expects_body = request.method != b"HEAD"
+        return connection.read_answer(
+            encode_id(call), ANSWER_ID, deadline, expects_body
+        )
+
     def drain_refusal(
         self,
         connection: TargetConnection,
         answer: TargetAnswer,
-        call: Call,
         deadline: float,
     ) -> None:
         """Read the rest of a rejection so that its connection can be reused."""
         try:
             connection.drop_rest(answer, deadline)
             connection.finish(answer)
-            connection.note_refused(call.id)
             self.pool.give_back(connection)
         except TargetFailureError:
             connection.close()
@@ -430,6 +438,11 @@
     return None if length is None else max(0, int(length) - count)
 
 
+def encode_id(call: Call) -> bytes:
+    """Return the id of a call as it stands in headers."""
+    return call.id.encode("latin-1")
+
+
 def is_target_error(status: int) -> bool:
     """Return whether a status reports a failure of the target.
 
--- a/src/cedarchute/relay/target_connection.py
+++ b/src/cedarchute/relay/target_connection.py
@@ -14,6 +14,7 @@
 from cedarchute.relay.answer_limits import DEFAULT_LIMITS, AnswerLimits
 from cedarchute.relay.answer_reader import AnswerReader
 from cedarchute.relay.answer_too_long import AnswerPart, AnswerTooLongError
+from cedarchute.relay.carried_requests import CarriedRequests
 from cedarchute.relay.socket_io import receive_within
 from cedarchute.relay.target_failure import TargetFailureError
 from cedarchute.verdict import Verdict
@@ -30,9 +31,6 @@
 KEEP_ALIVE_MARGIN_SECONDS: Final = 0.5
 # Keep-alive timeout of a target that sends none.
 DEFAULT_KEEP_ALIVE_SECONDS: Final = 4.0
-# A connection on which as many calls were refused is closed, which bounds what is
-# remembered of them.
-MAX_REFUSED_IDS: Final = 256
 # Lowest status that reports a failure.
 MIN_FAILURE: Final = 400
 # Reason of a failure by which a connection can still be used: nothing has come yet.
@@ -51,9 +49,8 @@
     ----------
     is_closed : bool
         Whether this side has closed it.
-    refused_ids : set of str
-        Ids of calls that were refused on it. A surplus refusal may follow, which can't
-        be told from the answer to a second send of the same call.
+    carried : CarriedRequests
+        The requests that it carried, to which surplus answers may still come.
     """
 
     def __init__(
@@ -72,7 +69,7 @@
         self.keep_alive_seconds = DEFAULT_KEEP_ALIVE_SECONDS
         self.reusable = True
         self.is_closed = False
-        self.refused_ids: set[str] = set()
+        self.carried = CarriedRequests()
         self.sender: eventlet.greenthread.GreenThread | None = None
         self.send_failed = False
 
@@ -227,12 +224,13 @@
     ) -> TargetAnswer:
         """Return the response to `request_id` once its headers are complete.
 
-        A response with another id is a late one to an earlier request, and a success
-        without an id belongs to none: both are read to their end and discarded, and the
-        connection is not reused.
+        Responses that belong to other requests or to none are read to their end and
+        discarded, and the connection is not reused.
 
         Parameters
         ----------
+        request_id : bytes
+            Id of the request that was just sent; empty if it has none.
         header_name : bytes
             The header in which the target echoes the request id, in lower case.
         deadline : float
@@ -241,10 +239,13 @@
             Whether the response may have a body; a response to HEAD has none.
         """
         self.reader.expects_body = expects_body
+        self.carried.add(request_id)
         while True:
             answer = self.wait_for_headers(deadline)
             echoed = answer.headers.get(header_name)
             if belongs_to(answer, echoed, request_id):
+                if self.carried.is_full:
+                    self.reusable = False
                 return answer
             if not answer.is_interim:
                 self.reusable = False
@@ -257,12 +258,6 @@
             self.receive(deadline - time.monotonic())
         return self.reader.answers[0]
 
-    def note_refused(self, call_id: str) -> None:
-        """Record that a call was refused, which does not use this connection again."""
-        self.refused_ids.add(call_id)
-        if len(self.refused_ids) >= MAX_REFUSED_IDS:
-            self.reusable = False
-
     def finish(self, answer: TargetAnswer) -> None:
         """Remove a response that was read completely; the connection is now idle."""
         self.reader.answers.popleft()
--- a/src/cedarchute/relay/target_pool.py
+++ b/src/cedarchute/relay/target_pool.py
@@ -56,14 +56,14 @@
         self.opening: Counter[Address] = Counter()
 
     def take(
-        self, address: Address, seconds: float, call_id: str = ""
+        self, address: Address, seconds: float, call_id: bytes = b""
     ) -> TargetConnection:
         """Return an idle connection, or open one within `seconds`.
 
         Parameters
         ----------
-        call_id : str
-            Id of the call to send; no connection carries one that was refused on it.
+        call_id : bytes
+            Id of the call to send; no connection carries the same one twice.
 
         Raises
         ------
@@ -79,7 +79,7 @@
         self.metrics.count("targets.connections")
         return self.open(address, min(CONNECT_TIMEOUT_SECONDS, seconds))
 
-    def take_idle(self, address: Address, call_id: str) -> TargetConnection | None:
+    def take_idle(self, address: Address, call_id: bytes) -> TargetConnection | None:
         """Return an idle connection that may carry a call; None without one."""
         connections = self.idle.get(address, [])
         passed_over = []
@@ -88,7 +88,7 @@
             connection = connections.pop()
             if not connection.is_available:
                 connection.close()
-            elif call_id in connection.refused_ids:
+            elif call_id in connection.carried:
                 passed_over.append(connection)
             else:
                 found = connection
--- a/tests/platform_site/test_surplus_answers.py
+++ b/tests/platform_site/test_surplus_answers.py
@@ -124,6 +124,22 @@
     assert doubling.sent >= 1
 
 
+# MIXED: a caller that asked again under its id got the surplus answer to the first time
+# that it asked, while the call ran anew.
+@pytest.mark.parametrize("path", [b"/once/x", b"/again/x"])
+def test_a_surplus_answer_does_not_answer_the_same_id_again(serve, entry, path):
+    def work(target, request, connection):
+        body = b"answer %d" % len(target.runs)
+        target.run(request, connection, body)
+        target.surplus[connection] = answer(request, body)
+
+    doubling = DoublingTarget(work)
+    serve("plain", doubling)
+    for number in range(3):
+        status, _, body = call(entry, path, b"te")
+        assert (status, body) == (200, b"answer %d" % number)
+
+
 # REFUSED: a caller that was turned away and asks again under its id was told that the
 # call had not run by the surplus copy of the first refusal, and it ran.
 def test_a_caller_that_comes_back_under_its_id_is_told_the_truth(serve, entry):
--- a/tests/relay/test_target_pool.py
+++ b/tests/relay/test_target_pool.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import gc
+import time
 
 import eventlet
 import pytest
@@ -12,11 +13,14 @@
 from cedarchute.address import Address
 from cedarchute.metrics import Metrics
 from cedarchute.relay import target_connection
+from cedarchute.relay.carried_requests import MAX_CARRIED
 from cedarchute.relay.connection_share_error import ConnectionShareError
 from cedarchute.relay.target_connection import TargetConnection
 from cedarchute.relay.target_failure import TargetFailureError
 from cedarchute.relay.target_pool import TargetPool
 from cedarchute.verdict import Verdict
+from experiments.raw_caller import build_request
+from standins.raw_target import RawTarget, answer
 
 SECONDS = 5.0
 # Reached only if a task never ends.
@@ -156,34 +160,54 @@
     assert len(pool.opened) <= (0 if find_share is None else 1)
 
 
-def test_a_call_that_was_refused_is_sent_again_on_another_connection(address):
+def carry(connection, call_id):
+    """Have a connection carry a call and read its whole answer."""
+    connection.send(build_request(b"/x", call_id), SECONDS)
+    deadline = time.monotonic() + SECONDS
+    read = connection.read_answer(call_id, b"attempt-id", deadline)
+    connection.drop_rest(read, deadline)
+    connection.finish(read)
+
+
+@pytest.fixture
+def target():
+    """Return the address of a target that answers."""
+    target = RawTarget(lambda request, sock: sock.sendall(answer(request)))
+    yield Address.parse(target.address)
+    target.close()
+
+
+# TWICE, MIXED: a surplus answer to the first send of a call was taken for that to the
+# second send on the same connection.
+def test_a_call_is_sent_again_on_another_connection(target):
     pool = TargetPool(Metrics())
-    first = pool.take(address, SECONDS, "a1")
-    first.note_refused("a1")
+    first = pool.take(target, SECONDS, b"a1")
+    carry(first, b"a1")
     pool.give_back(first)
-    second = pool.take(address, SECONDS, "a1")
+    second = pool.take(target, SECONDS, b"a1")
     assert second is not first
-    assert pool.take(address, SECONDS, "a2") is first
+    assert pool.take(target, SECONDS, b"a2") is first
     first.close()
     second.close()
 
 
-def test_a_call_that_was_refused_finds_room_at_the_share(address):
+def test_a_call_that_is_sent_again_finds_room_at_the_share(target):
     pool = make_pool(1)
-    first = pool.take(address, SECONDS, "a1")
-    first.note_refused("a1")
+    first = pool.take(target, SECONDS, b"a1")
+    carry(first, b"a1")
     pool.give_back(first)
-    second = pool.take(address, SECONDS, "a1")
+    second = pool.take(target, SECONDS, b"a1")
     assert second is not first
     assert first.is_closed
     second.close()
 
 
-def test_a_connection_remembers_no_more_refusals_than_its_bound(address):
+def test_a_connection_remembers_no_more_calls_than_its_bound(target):
     pool = TargetPool(Metrics())
-    connection = pool.take(address, SECONDS)
-    for number in range(target_connection.MAX_REFUSED_IDS):
+    connection = pool.take(target, SECONDS)
+    for number in range(MAX_CARRIED):
         assert connection.is_available
-        connection.note_refused(f"a{number}")
+        carry(connection, b"a%d" % number)
+    assert len(connection.carried.hashes) == MAX_CARRIED
     pool.give_back(connection)
     assert connection.is_closed
--- a/tests/waiting/test_attempts_in_line.py
+++ b/tests/waiting/test_attempts_in_line.py
@@ -70,9 +70,6 @@
     def drop_rest(self, answer, deadline):
         pass
 
-    def note_refused(self, call_id):
-        pass
-
     def finish(self, answer):
         if answer.status == 200:
             self.places.free += 1
