Take no failure without an id for the answer to a later request of a connection

Callers saw: a once-only call ran twice, or was answered by 503 or 500 and ran, when a target had sent a failure without an id behind an earlier answer of the same connection; streams likewise.

Evidence: the target ran the call and the box sent it again, or passed the failure on. Now such a failure counts only on a connection that has carried nothing else; elsewhere it is dropped like a success without an id, and the answer with the id is waited for. It works since only an earlier request can cause a surplus answer. A connection is not reused after an answer without an id.

The other way, to fail the call at once ("may have run"), costs each once-only call a 502 that the surplus bytes precede; waiting costs the caller of a front that refuses without ids, on a connection that was used before, its time.

--- a/src/cedarchute/relay/target_connection.py
+++ b/src/cedarchute/relay/target_connection.py
@@ -243,8 +243,8 @@
         while True:
             answer = self.wait_for_headers(deadline)
             echoed = answer.headers.get(header_name)
-            if belongs_to(answer, echoed, request_id):
-                if self.carried.is_full:
+            if belongs_to(answer, echoed, request_id, self.carried.count):
+                if echoed is None or self.carried.is_full:
                     self.reusable = False
                 return answer
             if not answer.is_interim:
@@ -277,17 +277,30 @@
         self.sock.close()
 
 
-def belongs_to(answer: TargetAnswer, echoed: bytes | None, request_id: bytes) -> bool:
-    """Return whether a response answers the request with an id.
+def belongs_to(
+    answer: TargetAnswer, echoed: bytes | None, request_id: bytes, requests: int
+) -> bool:
+    """Return whether a response answers the last request of a connection.
 
-    What stands before a target may refuse a request without its id. An empty id
-    stands for a request that has none.
+    What stands before a target may refuse a request without its id. That can be told
+    from a surplus answer only where no earlier request could have caused one.
+
+    Parameters
+    ----------
+    echoed : bytes or None
+        The id in the response.
+    request_id : bytes
+        Id of the request; empty if it has none.
+    requests : int
+        How many requests the connection has carried.
     """
     if answer.is_interim:
         return False
-    if echoed is None:
-        return not request_id or answer.status >= MIN_FAILURE
-    return echoed == request_id
+    if echoed is not None:
+        return echoed == request_id
+    if requests > 1:
+        return False
+    return not request_id or answer.status >= MIN_FAILURE
 
 
 def _parse_keep_alive_timeout(text: str) -> float | None:
--- a/tests/platform_site/test_surplus_answers.py
+++ b/tests/platform_site/test_surplus_answers.py
@@ -8,7 +8,7 @@
 import pytest
 
 from experiments.raw_caller import RawCaller, build_request, call
-from standins.raw_target import answer, read_id, refusal
+from standins.raw_target import answer, chunk, event, read_id, refusal, stream_head
 
 WORK_SECONDS = 0.1
 PAUSE_SECONDS = 0.02
@@ -48,6 +48,13 @@
         time.sleep(WORK_SECONDS)
         connection.sendall(answer(request, body or b"own-" + read_id(request)))
 
+    def run_stream(self, request, connection):
+        with self.lock:
+            self.runs.append(read_id(request))
+        connection.sendall(stream_head(request) + chunk(event(1, b"a")))
+        time.sleep(WORK_SECONDS)
+        connection.sendall(chunk(event(2, b"b")) + b"0\r\n\r\n")
+
 
 def refuse_first(refusal_parts):
     """Return work of a target that refuses each call once, and says so twice."""
@@ -97,11 +104,19 @@
     assert sorted(doubling.runs) == [b"ta%d" % number for number in range(4)]
 
 
+def build_anonymous(status, fields=b""):
+    """Return a whole answer without an id."""
+    return b"HTTP/1.1 %s\r\n%sContent-Length: 0\r\n\r\n" % (status, fields)
+
+
 def precede_by(surplus):
     """Return work of a target that has bytes wait behind each of its answers."""
 
     def work(target, request, connection):
-        target.run(request, connection)
+        if request.line.startswith(b"POST /stream/"):
+            target.run_stream(request, connection)
+        else:
+            target.run(request, connection)
         target.surplus[connection] = surplus
 
     return work
@@ -124,6 +139,62 @@
     assert doubling.sent >= 1
 
 
+# TWICE: a failure without an id, behind the answer to another call, was taken for the
+# answer to the call that waited, which was sent again while it ran.
+@pytest.mark.parametrize(
+    "surplus",
+    [
+        build_anonymous(b"503 Service Unavailable", REFUSED),
+        build_anonymous(b"429 Too Many Requests", REFUSED),
+        build_anonymous(b"408 Request Timeout", REFUSED),
+        build_anonymous(b"421 Misdirected Request"),
+        build_anonymous(b"400 Bad Request", REFUSED),
+        build_anonymous(b"500 Internal Server Error"),
+    ],
+    ids=["503", "429", "408", "421", "400", "500"],
+)
+@pytest.mark.parametrize("path", [b"/once/x", b"/again/x"])
+def test_a_failure_without_an_id_answers_no_later_call(serve, entry, path, surplus):
+    doubling = DoublingTarget(precede_by(surplus))
+    serve("plain", doubling)
+    with RawCaller(entry) as caller:
+        for number in range(4):
+            call_id = b"tb%d" % number
+            caller.send(build_request(path, call_id))
+            status, _, body = caller.read_answer()
+            assert (status, body) == (200, b"own-" + call_id)
+    assert doubling.runs == [b"tb%d" % number for number in range(4)]
+    assert doubling.sent >= 1
+
+
+# TWICE: the same before a stream, which then ran at two places.
+def test_a_failure_without_an_id_ends_no_later_stream(serve, entry):
+    surplus = build_anonymous(b"503 Service Unavailable", REFUSED)
+    doubling = DoublingTarget(precede_by(surplus))
+    serve("model", doubling)
+    for number in range(4):
+        call_id = b"tc%d" % number
+        status, _, body = call(entry, b"/stream/x", call_id, b"a")
+        assert (status, body.count(b"data:")) == (200, 2)
+    assert doubling.runs == [b"tc%d" % number for number in range(4)]
+    assert doubling.sent >= 1
+
+
+# REFUSED: what stands before a target may turn a call away without its id. Nothing else
+# can be outstanding on a new connection, so the refusal counts there.
+def test_a_refusal_without_an_id_counts_on_a_new_connection(serve, entry):
+    front = build_anonymous(b"503 Service Unavailable", REFUSED)
+    turned_away, free = serve(
+        "plain",
+        lambda request, connection: connection.sendall(front),
+        lambda request, connection: connection.sendall(answer(request)),
+    )
+    for number in range(6):
+        assert call(entry, b"/once/x", b"td%d" % number)[0] == 200
+    assert len(free.requests) == 6
+    assert turned_away.requests
+
+
 # MIXED: a caller that asked again under its id got the surplus answer to the first time
 # that it asked, while the call ran anew.
 @pytest.mark.parametrize("path", [b"/once/x", b"/again/x"])
