Say which answers of targets are dropped, and for which request

Whether a call was answered by its own answer or by a surplus one could not be told from the logs: a line now gives the id in the dropped answer, the awaited one and how many requests the connection carried, and targets.answers_discarded counts them.

--- a/src/cedarchute/calls/target_client.py
+++ b/src/cedarchute/calls/target_client.py
@@ -275,9 +275,13 @@
     ) -> TargetAnswer:
         """Return the response to a call once its headers are complete."""
         expects_body = request.method != b"HEAD"
-        return connection.read_answer(
-            encode_id(call), ANSWER_ID, deadline, expects_body
-        )
+        try:
+            return connection.read_answer(
+                encode_id(call), ANSWER_ID, deadline, expects_body
+            )
+        finally:
+            if connection.discarded:
+                self.metrics.count("targets.answers_discarded", connection.discarded)
 
     def drain_refusal(
         self,
--- a/src/cedarchute/relay/target_connection.py
+++ b/src/cedarchute/relay/target_connection.py
@@ -51,6 +51,8 @@
         Whether this side has closed it.
     carried : CarriedRequests
         The requests that it carried, to which surplus answers may still come.
+    discarded : int
+        How many answers to other requests, or to none, were read and dropped.
     """
 
     def __init__(
@@ -70,6 +72,7 @@
         self.reusable = True
         self.is_closed = False
         self.carried = CarriedRequests()
+        self.discarded = 0
         self.sender: eventlet.greenthread.GreenThread | None = None
         self.send_failed = False
 
@@ -248,10 +251,27 @@
                     self.reusable = False
                 return answer
             if not answer.is_interim:
-                self.reusable = False
+                self.note_discarded(answer, echoed, request_id)
             self.drop_rest(answer, deadline)
             self.reader.answers.popleft()
 
+    def note_discarded(
+        self, answer: TargetAnswer, echoed: bytes | None, request_id: bytes
+    ) -> None:
+        """Count an answer that does not belong to the request, and log its id."""
+        self.reusable = False
+        self.discarded += 1
+        log.info(
+            "Answer discarded.",
+            extra={
+                "address": str(self.address),
+                "status": answer.status,
+                "answers": None if echoed is None else echoed.decode("latin-1"),
+                "awaited": request_id.decode("latin-1"),
+                "requests": self.carried.count,
+            },
+        )
+
     def wait_for_headers(self, deadline: float) -> TargetAnswer:
         """Return the first unread response once its headers are complete."""
         while not self.reader.answers or not self.reader.answers[0].headers_complete:
--- a/tests/calls/test_leaving_targets.py
+++ b/tests/calls/test_leaving_targets.py
@@ -30,6 +30,8 @@
 class Connection:
     """Keeps what is sent on it, and answers."""
 
+    discarded = 0
+
     def __init__(self, address, sent):
         self.address = address
         self.sent = sent
--- a/tests/calls/test_shutdown.py
+++ b/tests/calls/test_shutdown.py
@@ -94,6 +94,8 @@
 class WaitingRefusal(Waiting):
     """A connection on which a refusal begins, and goes on for ever."""
 
+    discarded = 0
+
     def send(self, data, seconds):
         pass
 
--- a/tests/calls/test_stream_call_handler.py
+++ b/tests/calls/test_stream_call_handler.py
@@ -38,6 +38,8 @@
 class Connection:
     """A connection to a target that answers with one body at once."""
 
+    discarded = 0
+
     def __init__(self, body):
         self.body = body
 
--- a/tests/waiting/test_attempts_in_line.py
+++ b/tests/waiting/test_attempts_in_line.py
@@ -48,6 +48,8 @@
 class Connection:
     """A connection to that target."""
 
+    discarded = 0
+
     def __init__(self, places):
         self.places = places
 
