Send each call and order of the older interface on a connection of its own

Callers saw: the surplus answer to one call of a service as the answer to the next, a stream of an engine that began with the surplus stream of another call, and an order to free memory that was confirmed by the answer to the one before.

Answers of these services and engines carry no id, and a kept connection gives the next call whatever comes first; a surplus 503 there would say "not run" of a call that runs. Evidence: with the answer of before sent once more when the next request has come, the clients return it. On a connection that carries one request nothing else can be its answer. Load reports, read often and harmless when a moment old, keep theirs.

--- a/src/cedarchute/targets/engine_client.py
+++ b/src/cedarchute/targets/engine_client.py
@@ -11,6 +11,7 @@
 from pydantic_core import from_json
 
 from cedarchute.answer_bound import AnswerBound
+from cedarchute.fresh_connections import FreshConnections
 from cedarchute.host_pools import HostPools
 from cedarchute.targets.load_report import LoadReport
 from cedarchute.targets.stream_chunk import StreamChunk, StreamEnd
@@ -36,8 +37,8 @@
 CONTROL_TIMEOUT_SECONDS: Final = 3.0
 # Short because a call waits for the transfer and can do without it.
 CACHE_TRANSFER_TIMEOUT_SECONDS: Final = 1.0
-MAX_CONNECTIONS: Final = 64
-MAX_CONTROL_CONNECTIONS: Final = 4
+# Load reports are read one at a time.
+MAX_LOAD_CONNECTIONS: Final = 1
 MAX_HOSTS: Final = 256
 MAX_EVENT_BYTES: Final = 1_048_576
 STREAM_BOUND: Final = AnswerBound(2 * MAX_EVENT_BYTES, is_stream=True)
@@ -47,12 +48,20 @@
 
 
 class EngineClient:
-    """Sends generation and control requests to engines."""
+    """Sends generation and control requests to engines.
+
+    Attributes
+    ----------
+    load_pools : HostPools
+        Connections kept for load reports, which are read often; a surplus one is a
+        report of a moment before.
+    """
 
     def __init__(self, metrics: Metrics) -> None:
         self.metrics = metrics
-        self.pools = HostPools(MAX_CONNECTIONS, MAX_HOSTS, STREAM_BOUND)
-        self.control_pools = HostPools(MAX_CONTROL_CONNECTIONS, MAX_HOSTS)
+        self.streams = FreshConnections(STREAM_BOUND)
+        self.commands = FreshConnections()
+        self.load_pools = HostPools(MAX_LOAD_CONNECTIONS, MAX_HOSTS)
 
     def generate(
         self, address: Address, request: GenerateRequest, timeout_seconds: float
@@ -114,7 +123,9 @@
 
     def read_load(self, address: Address) -> LoadReport:
         """Return the engine's load report."""
-        document = self._send_control_request("GET", address, "/load")
+        document = self._send_control_request(
+            "GET", address, "/load", connections=self.load_pools
+        )
         try:
             return LoadReport.model_validate(document)
         except ValidationError as error:
@@ -140,7 +151,7 @@
     ) -> BaseHTTPResponse:
         timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_SECONDS, read=timeout_seconds)
         try:
-            response = self.pools.request(
+            response = self.streams.request(
                 method,
                 address,
                 path,
@@ -205,10 +216,11 @@
         path: str,
         body: dict[str, object] | None = None,
         timeout_seconds: float = CONTROL_TIMEOUT_SECONDS,
+        connections: FreshConnections | HostPools | None = None,
     ) -> dict[str, Any]:
         data = None if body is None else json.dumps(body).encode()
         try:
-            response = self.control_pools.request(
+            response = (connections or self.commands).request(
                 method,
                 address,
                 path,
--- a/src/cedarchute/targets/service_client.py
+++ b/src/cedarchute/targets/service_client.py
@@ -6,14 +6,12 @@
 
 import urllib3
 
-from cedarchute.host_pools import HostPools
+from cedarchute.fresh_connections import FreshConnections
 from cedarchute.targets.target_error import make_status_error, make_transport_error
 
 if TYPE_CHECKING:
     from cedarchute.address import Address
 
-MAX_CONNECTIONS: Final = 64
-MAX_HOSTS: Final = 256
 CONNECT_TIMEOUT_SECONDS: Final = 2.0
 
 
@@ -21,7 +19,7 @@
     """Posts a JSON body and returns the text of the response."""
 
     def __init__(self) -> None:
-        self.pools = HostPools(MAX_CONNECTIONS, MAX_HOSTS)
+        self.connections = FreshConnections()
 
     def call(
         self,
@@ -44,7 +42,7 @@
             "cedarchute-program": program,
         }
         try:
-            response = self.pools.request(
+            response = self.connections.request(
                 "POST",
                 address,
                 "/call",
