Use no seat table whose numbers are out of range

Seen by a test on real processes, three cases red before: a seat table left by another writer with a version of 40 digits or of 2**62 was taken, and kept every later one out; one with 10**40 losses was taken as well. Cause: only lower bounds were checked. Now a table out of range is turned away like any other invalid one, and the next change of a holder repairs the store.

--- a/src/cedarchute/fleet/followers.py
+++ b/src/cedarchute/fleet/followers.py
@@ -16,6 +16,11 @@
     from cedarchute.turns.active_seat_table import ActiveSeatTable
 
 SEATS_KEY: Final = "cedarchute/seats"
+# Beyond any number that boxes count up to. A table with a higher version, which only
+# another writer can have left, would keep every later one out.
+MAX_SEATS_VERSION: Final = 1_000_000_000
+# More than there are boxes with a disk.
+MAX_LOSSES: Final = 1_000
 
 
 def read_box(name: str, text: str) -> BoxEntry:
@@ -32,8 +37,10 @@
 def read_seats(text: str) -> SeatTable:
     """Parse a seat table; raise ValueError or MsgspecError if it is invalid."""
     table = msgspec.json.decode(text, type=SeatTable)
-    if table.version < 1 or table.losses < 0:
-        raise ValueError(f"version {table.version}, losses {table.losses}")
+    if not 1 <= table.version <= MAX_SEATS_VERSION:
+        raise ValueError("its version is out of range")
+    if not 0 <= table.losses <= MAX_LOSSES:
+        raise ValueError("its number of losses is out of range")
     for seat in table.seats:
         if not seat.is_vacant:
             Address.parse(seat.address)
