Repeat refusals at other moments, and before streams

The new cases send it in one segment with the first, or 10, 30 and 50 ms behind it, at about the time of the next send, and once before a stream.

--- a/tests/platform_site/test_surplus_answers.py
+++ b/tests/platform_site/test_surplus_answers.py
@@ -104,6 +104,53 @@
     assert sorted(doubling.runs) == [b"ta%d" % number for number in range(4)]
 
 
+# TWICE: the same, whether the surplus refusal comes with the first one or on the idle
+# connection, at about the time of the next send.
+@pytest.mark.parametrize("seconds", [0.0, 0.01, 0.03, 0.05])
+def test_a_surplus_refusal_at_any_time_runs_no_call_twice(serve, entry, seconds):
+    refused = set()
+
+    def work(target, request, connection):
+        if read_id(request) in refused:
+            target.run(request, connection)
+            return
+        refused.add(read_id(request))
+        if not seconds:
+            connection.sendall(2 * refusal(request))
+            return
+        connection.sendall(refusal(request))
+        time.sleep(seconds)
+        connection.sendall(refusal(request))
+
+    doubling = DoublingTarget(work)
+    serve("plain", doubling)
+    for number in range(6):
+        call_id = b"th%d" % number
+        status, _, body = call(entry, b"/once/x", call_id)
+        assert (status, body) == (200, b"own-" + call_id)
+    assert sorted(doubling.runs) == [b"th%d" % number for number in range(6)]
+
+
+# TWICE: the same for a stream.
+def test_a_surplus_refusal_runs_no_stream_twice(serve, entry):
+    refused = set()
+
+    def work(target, request, connection):
+        if read_id(request) in refused:
+            target.run_stream(request, connection)
+            return
+        refused.add(read_id(request))
+        connection.sendall(refusal(request))
+        target.surplus[connection] = refusal(request)
+
+    doubling = DoublingTarget(work)
+    serve("model", doubling)
+    for number in range(4):
+        status, _, body = call(entry, b"/stream/x", b"ti%d" % number, b"a")
+        assert (status, body.count(b"data:")) == (200, 2)
+    assert sorted(doubling.runs) == [b"ti%d" % number for number in range(4)]
+
+
 def build_anonymous(status, fields=b""):
     """Return a whole answer without an id."""
     return b"HTTP/1.1 %s\r\n%sContent-Length: 0\r\n\r\n" % (status, fields)
