--- a/tests/platform_site/test_surplus_answers.py
+++ b/tests/platform_site/test_surplus_answers.py
@@ -230,16 +230,20 @@
 # REFUSED: what stands before a target may turn a call away without its id. Nothing else
 # can be outstanding on a new connection, so the refusal counts there.
 def test_a_refusal_without_an_id_counts_on_a_new_connection(serve, entry):
-    front = build_anonymous(b"503 Service Unavailable", REFUSED)
-    turned_away, free = serve(
-        "plain",
-        lambda request, connection: connection.sendall(front),
-        lambda request, connection: connection.sendall(answer(request)),
-    )
+    turned_away = set()
+
+    def work(request, connection):
+        if read_id(request) in turned_away:
+            connection.sendall(answer(request, extra=b"Connection: close\r\n"))
+            return
+        turned_away.add(read_id(request))
+        front = build_anonymous(b"503 Service Unavailable", REFUSED)
+        connection.sendall(front)
+
+    target = serve("plain", work)
     for number in range(6):
         assert call(entry, b"/once/x", b"td%d" % number)[0] == 200
-    assert len(free.requests) == 6
-    assert turned_away.requests
+    assert len(target.requests) == 12
 
 
 # MIXED: a caller that asked again under its id got the surplus answer to the first time
