--- a/review/common2/harness.py
+++ b/review/common2/harness.py
@@ -22,6 +22,7 @@
 import threading
 import time
 import tomllib
+import traceback
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
 from urllib.parse import parse_qs, urlsplit
@@ -765,5 +766,8 @@
     except CannotRun as error:
         print(f"could not run: {error}")
         sys.exit(2)
+    except Exception:  # a fault of the case itself says nothing of the rule
+        traceback.print_exc()
+        sys.exit(2)
     print("the rule was BROKEN" if broken else "the rule held")
     sys.exit(1 if broken else 0)
