Keep turns of several programs that have one id

Cause: holders kept one program for each id of a turn, though callers choose the ids. A copy asked for turns by id and got the turn of another program, which the seat need not keep: KeyError, at each try. Expiry of one program also forgot the turn of the other (404), and the id of another workspace's turn hid one's own, or led a chain into that workspace.

The fix works since each turn is found by its program and its id: TurnIndex keeps all programs of an id, copies name both, and a chain goes on in the program that continues it, else in its workspace, and never in another.

--- a/src/cedarchute/turns/chain_reader.py
+++ b/src/cedarchute/turns/chain_reader.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from cedarchute.turns.holder import (
     is_other_workspace,
@@ -21,6 +21,9 @@
 
 log = logging.getLogger("cedarchute.turns")
 
+# Above the length of any chain.
+OWN_RANK: Final = 1_000_000_000
+
 
 class NoSuchTurnError(Exception):
     """No holder has the turn, and enough of them answered to be sure."""
@@ -58,16 +61,15 @@
         target = ""
         missing = previous
         while missing:
-            chain = self.read(missing)
-            if is_other_workspace(chain.turns[-1], program):
-                raise NoSuchTurnError(f"turn {missing} is another workspace's")
+            chain = self.read(missing, program)
             target = target or chain.turns[-1].target
             text = join_chain(list(chain.turns)) + text
             programs.update(list_programs(list(chain.turns)))
             missing = chain.missing
+            program = chain.turns[0].program
         return TurnAdmission(text, target, programs=tuple(sorted(programs)))
 
-    def read(self, turn: str) -> Chain:
+    def read(self, turn: str, program: str | None = None) -> Chain:
         """Return the longest part of the chain ending at `turn` that a holder has.
 
         All holders are asked, since the turn may belong to another program, stored in
@@ -77,10 +79,12 @@
 
         def build(table: SeatTable, number: int) -> ReadChain:
             disk = table.seats[number].disk
-            return ReadChain(table_version=table.version, disk=disk, turn=turn)
+            return ReadChain(
+                table_version=table.version, disk=disk, turn=turn, program=program
+            )
 
         def is_enough(table: SeatTable, answers: dict[int, Chain]) -> bool:
-            if any(chain.turns for chain in answers.values()):
+            if any(rank_chain(chain, program) for chain in answers.values()):
                 return True
             return len(answers) >= table.count_for_absence()
 
@@ -94,8 +98,8 @@
             seconds=ANSWER_SECONDS,
         )
         answers = self.fanout.ask(request)
-        longest = max(answers.values(), key=lambda chain: len(chain.turns))
-        if not longest.turns:
+        longest = max(answers.values(), key=lambda chain: rank_chain(chain, program))
+        if not rank_chain(longest, program):
             self.log_absence(turn, set(answers))
             raise NoSuchTurnError(f"no turn {turn}")
         return longest
@@ -117,3 +121,20 @@
                 "seats_version": table.version,
             },
         )
+
+
+def rank_chain(chain: Chain, program: str | None) -> int:
+    """Return how well a part of a chain suits the program that continues it.
+
+    Holders may each know another turn with the same id. One of the program itself is
+    better than any other of its workspace, and a longer part than a shorter one; 0
+    means that none of its workspace is among them.
+    """
+    if not chain.turns:
+        return 0
+    newest = chain.turns[-1]
+    if program is None:
+        return len(chain.turns)
+    if is_other_workspace(newest, program):
+        return 0
+    return len(chain.turns) + (OWN_RANK if newest.program == program else 0)
--- a/src/cedarchute/turns/copy_messages.py
+++ b/src/cedarchute/turns/copy_messages.py
@@ -69,11 +69,18 @@
 
 
 class ReadTurns(msgspec.Struct, frozen=True):
-    """Request completed turns by name."""
+    """Request completed turns by name.
+
+    Attributes
+    ----------
+    programs : tuple of str
+        The program of each turn; empty in earlier versions.
+    """
 
     box: str
     disk: str
     turns: tuple[str, ...]
+    programs: tuple[str, ...] = ()
 
 
 class TurnsRead(msgspec.Struct, frozen=True):
--- a/src/cedarchute/turns/holder.py
+++ b/src/cedarchute/turns/holder.py
@@ -153,9 +153,7 @@
         age = state.age_seconds
         if not message.previous:
             return TurnBegun(state.spent, budget=state.budget, age_seconds=age)
-        chain, missing = self.storage.collect_chain(message.previous)
-        if chain and is_other_workspace(chain[-1], message.program):
-            chain, missing = [], message.previous
+        chain, missing = self.storage.collect_chain(message.previous, message.program)
         target = chain[-1].target if chain else ""
         size = sum(map(count_text, chain))
         limit = message.max_text_bytes
@@ -201,7 +199,7 @@
     def read_chain(self, message: ReadChain) -> Chain:
         """Return the chain of turns that ends at the requested one."""
         self.check_addressee(message)
-        chain, missing = self.storage.collect_chain(message.turn)
+        chain, missing = self.storage.collect_chain(message.turn, message.program)
         return Chain(tuple(chain), missing)
 
     def read_idle_times(self, message: ReadIdleTimes) -> IdleTimes:
--- a/src/cedarchute/turns/messages.py
+++ b/src/cedarchute/turns/messages.py
@@ -201,9 +201,16 @@
 
 
 class ReadChain(Addressed, frozen=True, kw_only=True):
-    """Request the chain of turns that ends at `turn`."""
+    """Request the chain of turns that ends at `turn`.
+
+    Attributes
+    ----------
+    program : str or None
+        The program that continues the chain; None in earlier versions.
+    """
 
     turn: str
+    program: str | None = None
 
 
 class Chain(msgspec.Struct, frozen=True):
--- a/src/cedarchute/turns/record_puller.py
+++ b/src/cedarchute/turns/record_puller.py
@@ -76,12 +76,12 @@
         programs = self.storage.programs
         idle_seconds = {index.program: index.idle_seconds for index in page.programs}
         turns = [
-            turn
+            (index.program, turn)
             for index in page.programs
             for turn in list_missing_turns(index, programs.get(index.program))
         ]
         for start in range(0, len(turns), TURNS_PER_REQUEST):
-            names = tuple(turns[start : start + TURNS_PER_REQUEST])
+            names = turns[start : start + TURNS_PER_REQUEST]
             self.copy_turns(source, names, idle_seconds)
         others = [
             record
@@ -93,14 +93,23 @@
     def copy_turns(
         self,
         source: DiskLocation,
-        names: tuple[str, ...],
+        names: list[tuple[str, str]],
         idle_seconds: dict[str, float],
     ) -> None:
-        """Copy completed turns by name."""
+        """Copy completed turns by program and name.
+
+        A turn of another program with the same id is left out; an earlier version may
+        hand it out instead.
+        """
         while names:
-            message = ReadTurns(source.box, source.disk, names)
+            programs, turns = zip(*names, strict=True)
+            message = ReadTurns(source.box, source.disk, turns, programs)
             answer = self.client.ask(source.address, "/turns/read", message, TurnsRead)
-            self.store(list(answer.turns), idle_seconds)
+            asked = set(names)
+            self.store(
+                [turn for turn in answer.turns if (turn.program, turn.turn) in asked],
+                idle_seconds,
+            )
             self.copied_bytes += sum(
                 len(turn.input) + len(turn.output) for turn in answer.turns
             )
--- a/src/cedarchute/turns/record_source.py
+++ b/src/cedarchute/turns/record_source.py
@@ -60,7 +60,11 @@
         turns: list[Turn] = []
         size = 0
         for handled, name in enumerate(message.turns, start=1):
-            turn = self.storage.find_turn(name)
+            if message.programs:
+                program = message.programs[handled - 1]
+                turn = self.storage.find_turn_of(program, name)
+            else:
+                turn = self.storage.find_turn(name)
             if turn is not None:
                 turns.append(turn)
                 size += len(turn.input) + len(turn.output)
--- a/src/cedarchute/turns/turn_storage.py
+++ b/src/cedarchute/turns/turn_storage.py
@@ -8,6 +8,7 @@
 from cedarchute.turns.change_log import ChangeLog
 from cedarchute.turns.program_state import ProgramState
 from cedarchute.turns.records import Turn
+from cedarchute.turns.turn_index import TurnIndex
 
 if TYPE_CHECKING:
     from cedarchute.turns.group_commit_writer import GroupCommitWriter
@@ -29,14 +30,14 @@
         self.writer = writer
         self.programs: dict[str, ProgramState] = {}
         self.changes = ChangeLog()
-        self.program_by_turn: dict[str, str] = {}
+        self.turn_index = TurnIndex()
         self.continued_by: dict[str, set[str]] = {}
         self.text_bytes = 0
 
     @property
     def held_bytes(self) -> int:
         """What programs and their turns cost in memory."""
-        objects = len(self.programs) + len(self.program_by_turn)
+        objects = len(self.programs) + len(self.turn_index)
         return self.text_bytes + OBJECT_BYTES * objects
 
     def load(self) -> int:
@@ -57,34 +58,49 @@
         if state.apply(record) or state.budget != budget:
             self.changes.note(record.program)
         if isinstance(record, Turn):
-            self.program_by_turn[record.turn] = record.program
+            self.turn_index.add(record.turn, record.program)
             for program in record.continued:
                 self.continued_by.setdefault(program, set()).add(record.program)
 
     def find_turn(self, turn: str) -> Turn | None:
-        """Return a completed turn, or None."""
-        program = self.program_by_turn.get(turn)
+        """Return the first completed turn with an id, or None."""
+        program = self.turn_index.find(turn)
         return None if program is None else self.programs[program].completed[turn]
 
+    def find_turn_of(self, program: str, turn: str) -> Turn | None:
+        """Return a completed turn of one program, or None."""
+        state = self.programs.get(program)
+        return None if state is None else state.completed.get(turn)
+
     def find_last_use(self, program: str) -> float | None:
         """Return when a program, or one that continues it, was last used, if known."""
         names = (program, *self.continued_by.get(program, ()))
         states = [self.programs[name] for name in names if name in self.programs]
         return max((state.last_used_at for state in states), default=None)
 
-    def collect_chain(self, turn: str) -> tuple[list[Turn], str]:
+    def collect_chain(
+        self, turn: str, program: str | None = None
+    ) -> tuple[list[Turn], str]:
         """Return the turns up to `turn`, oldest first, and the first missing one.
 
         The latter is empty if the chain is complete. A chain may span programs; each
         of them counts as used.
+
+        Parameters
+        ----------
+        program : str or None
+            The program that continues the chain. Of turns with the same id its own is
+            meant, or one of its workspace; None for any.
         """
         chain: list[Turn] = []
         seen: set[str] = set()
         while turn and turn not in seen:
             seen.add(turn)
-            if turn not in self.program_by_turn:
+            found = self.turn_index.find(turn, program)
+            if found is None:
                 return chain[::-1], turn
-            state = self.programs[self.program_by_turn[turn]]
+            program = found
+            state = self.programs[program]
             state.last_used_at = time.monotonic()
             chain.append(state.completed[turn])
             turn = chain[-1].previous
@@ -153,7 +169,7 @@
         """Forget a program."""
         self.changes.drop(program)
         for turn in self.programs.pop(program).completed.values():
-            self.program_by_turn.pop(turn.turn, None)
+            self.turn_index.remove(turn.turn, program)
             self.text_bytes -= count_text(turn)
             for continued in turn.continued:
                 self.forget_use(continued, program)
--- a/tests/turns/test_catch_up.py
+++ b/tests/turns/test_catch_up.py
@@ -58,7 +58,7 @@
     active_table.update(table, "test")
     client = ScriptedClient(table, dict(zip(names[1:], states, strict=True)))
     done = make_catch_up(client, storage, active_table).run_once(0)
-    return done, set(storage.program_by_turn)
+    return done, set(storage.turn_index)
 
 
 def test_everything_is_read_from_every_holder(tmp_path):
@@ -143,7 +143,7 @@
     assert not catch_up.run_once(0)
     holders["box-2"].caught_up = True
     assert catch_up.run_once(0)
-    assert set(lost.storage.program_by_turn) == {"of-box-1", "of-box-2"}
+    assert set(lost.storage.turn_index) == {"of-box-1", "of-box-2"}
 
 
 def test_a_disk_that_took_another_seat_still_hands_out_what_it_has(tmp_path):
@@ -164,4 +164,4 @@
     spare = holders["spare"]
     client = DirectClient(holders)
     assert make_catch_up(client, spare.storage, spare.seats).run_once(0)
-    assert set(spare.storage.program_by_turn) == {"kept"}
+    assert set(spare.storage.turn_index) == {"kept"}
--- a/tests/turns/test_expiry.py
+++ b/tests/turns/test_expiry.py
@@ -64,7 +64,7 @@
 def expire(site, name):
     holder = site.holders[name]
     Expiry(site, holder.storage, holder.seats, holder.disk).run_once()
-    return set(holder.storage.program_by_turn)
+    return set(holder.storage.turn_index)
 
 
 def write(site, names, turn, previous=""):
--- a/tests/turns/test_power_loss.py
+++ b/tests/turns/test_power_loss.py
@@ -47,7 +47,7 @@
         self.storage.load()
 
     def read_turns(self):
-        return set(self.storage.program_by_turn)
+        return set(self.storage.turn_index)
 
 
 def start_again(disk, root, chance, keeps_synced_files):
