Refuse turns whose chain leads back into itself

Cause: ChainReader.read_previous reads a chain that lies at several holders part by part until nothing is missing. A chain without an end was read without an end, and its text was counted nowhere.

The fix works since every part is checked for turns that were read before and for the turn that goes on; a holder tells where its own part stops. Such a turn gets 409 before it runs. Parts of a text count as held while they are read.

--- a/src/cedarchute/calls/stream_call_handler.py
+++ b/src/cedarchute/calls/stream_call_handler.py
@@ -12,7 +12,7 @@
 from cedarchute.pressure.held_amount import HeldAmount
 from cedarchute.pressure.held_bytes import FULL_RETRY_SECONDS, HeldCause
 from cedarchute.relay.shutdown_error import ShutdownError
-from cedarchute.turns.chain_reader import NoSuchTurnError
+from cedarchute.turns.chain_reader import ChainLoopError, NoSuchTurnError
 from cedarchute.turns.holder_fanout import NoQuorumError
 from cedarchute.turns.turn_admission import TurnAdmission
 from cedarchute.turns.turn_quorum import BudgetSpentError
@@ -155,6 +155,9 @@
         except NoSuchTurnError as error:
             self.metrics.count_refusal("no_such_turn")
             raise CallRefusedError(404, str(error)) from None
+        except ChainLoopError as error:
+            self.metrics.count_refusal("chain_loop")
+            raise CallRefusedError(409, str(error)) from None
         except BudgetSpentError as error:
             self.metrics.count_refusal("budget_spent")
             raise CallRefusedError(402, str(error)) from None
--- a/src/cedarchute/turns/chain_reader.py
+++ b/src/cedarchute/turns/chain_reader.py
@@ -16,6 +16,8 @@
 from cedarchute.turns.turn_admission import TurnAdmission
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from cedarchute.turns.holder_fanout import HolderFanout
     from cedarchute.turns.messages import TurnBegun
 
@@ -31,6 +33,12 @@
     code = "no_such_turn"
 
 
+class ChainLoopError(Exception):
+    """A chain leads back into itself, since the id of one of its turns was reused."""
+
+    code = "chain_loop"
+
+
 class ChainReader:
     """Assembles the chain of a turn from the holders that have parts of it."""
 
@@ -38,12 +46,26 @@
         self.fanout = fanout
 
     def read_previous(
-        self, program: str, previous: str, begun: dict[int, TurnBegun]
+        self,
+        program: str,
+        previous: str,
+        begun: dict[int, TurnBegun],
+        turn: str = "",
+        count_text: Callable[[int], None] = lambda size: None,
     ) -> TurnAdmission:
         """Return the text and target of the chain that ends at `previous`.
 
+        Parameters
+        ----------
+        turn : str
+            The turn that continues the chain, and so must not be a part of it.
+        count_text : callable
+            Called with the size of the text after each part of it; may raise.
+
         Raises
         ------
+        ChainLoopError
+            If the chain leads back into itself or to `turn`.
         NoSuchTurnError
             If the chain has a missing turn, or one of another workspace.
         NoQuorumError
@@ -56,17 +78,25 @@
                 return TurnAdmission(
                     answer.text, answer.target, programs=answer.programs
                 )
-        text = b""
+        parts: list[bytes] = []
         programs: set[str] = set()
         target = ""
         missing = previous
+        seen = {turn}
         while missing:
             chain = self.read(missing, program)
-            target = target or chain.turns[-1].target
-            text = join_chain(list(chain.turns)) + text
-            programs.update(list_programs(list(chain.turns)))
+            turns = list(chain.turns)
+            names = {part.turn for part in turns}
+            if names & seen:
+                raise ChainLoopError(f"turn {missing} continues from itself")
+            seen |= names
+            parts.append(join_chain(turns))
+            count_text(sum(map(len, parts)))
+            target = target or turns[-1].target
+            programs.update(list_programs(turns))
             missing = chain.missing
-            program = chain.turns[0].program
+            program = turns[0].program
+        text = b"".join(reversed(parts))
         return TurnAdmission(text, target, programs=tuple(sorted(programs)))
 
     def read(self, turn: str, program: str | None = None) -> Chain:
--- a/src/cedarchute/turns/holder.py
+++ b/src/cedarchute/turns/holder.py
@@ -153,7 +153,9 @@
         age = state.age_seconds
         if not message.previous:
             return TurnBegun(state.spent, budget=state.budget, age_seconds=age)
-        chain, missing = self.storage.collect_chain(message.previous, message.program)
+        chain, missing = self.storage.collect_chain(
+            message.previous, message.program, message.turn
+        )
         target = chain[-1].target if chain else ""
         size = sum(map(count_text, chain))
         limit = message.max_text_bytes
--- a/src/cedarchute/turns/messages.py
+++ b/src/cedarchute/turns/messages.py
@@ -50,7 +50,8 @@
     spent : int
         Tokens used or reserved by the program, including those of this turn.
     missing : str
-        The newest turn of the chain that this holder lacks; empty if none.
+        The newest turn of the chain that this holder lacks; empty if none. In a chain
+        that leads back into itself, the turn at which it does.
     text : bytes
         The text of the chain after `missing`, oldest turn first.
     target : str
--- a/src/cedarchute/turns/turn_quorum.py
+++ b/src/cedarchute/turns/turn_quorum.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from functools import partial
 from typing import TYPE_CHECKING, Final, TypeVar
 
 import eventlet
@@ -97,7 +98,7 @@
 
         Raises
         ------
-        NoQuorumError, NoSuchTurnError, BudgetSpentError
+        NoQuorumError, NoSuchTurnError, ChainLoopError, BudgetSpentError
             The reservation is cancelled.
         """
         try:
@@ -116,7 +117,13 @@
                 if size:
                     self.count_history(size, reading)
                     begun = self.reserve(program, turn, tokens, previous, budget, size)
-                admission = self.chains.read_previous(program, previous, begun)
+                admission = self.chains.read_previous(
+                    program,
+                    previous,
+                    begun,
+                    turn,
+                    partial(self.count_parts, reading=reading),
+                )
             age = max_age([answer.age_seconds for answer in begun.values()])
             return replace(admission, age_seconds=age)
         except BaseException:
@@ -179,6 +186,18 @@
             raise NoQuorumError(f"no room for the turns before: {size} bytes")
         reading.grow(count)
 
+    def count_parts(self, size: int, reading: HeldAmount) -> None:
+        """Count a text that is read in parts from several holders, so far.
+
+        Raises
+        ------
+        NoQuorumError
+            When there is no room for it; the turn has not run.
+        """
+        counted = reading.count // READ_COPIES
+        if size > max(SMALL_HISTORY_BYTES, counted):
+            self.count_history(size - counted, reading)
+
     def probe(self) -> None:
         """Check that a quorum answers; raise `NoQuorumError` otherwise."""
         self.read_accounts("", uses_full_timeout=True)
--- a/src/cedarchute/turns/turn_storage.py
+++ b/src/cedarchute/turns/turn_storage.py
@@ -79,12 +79,13 @@
         return max((state.last_used_at for state in states), default=None)
 
     def collect_chain(
-        self, turn: str, program: str | None = None
+        self, turn: str, program: str | None = None, barred: str = ""
     ) -> tuple[list[Turn], str]:
         """Return the turns up to `turn`, oldest first, and the first missing one.
 
         The latter is empty if the chain is complete. A chain may span programs; each
-        of them counts as used.
+        of them counts as used. One that leads back into itself, or to `barred`, ends
+        there as if that turn were missing.
 
         Parameters
         ----------
@@ -93,12 +94,12 @@
             meant, or one of its workspace; None for any.
         """
         chain: list[Turn] = []
-        seen: set[str] = set()
-        while turn and turn not in seen:
-            seen.add(turn)
+        seen = {barred}
+        while turn:
             found = self.turn_index.find(turn, program)
-            if found is None:
+            if found is None or turn in seen:
                 return chain[::-1], turn
+            seen.add(turn)
             program = found
             state = self.programs[program]
             state.last_used_at = time.monotonic()
