Keep programs for as long as a turn of theirs is under way

Cause: the retention of a program counted from the last request that a holder got about it, and a turn sends none between its reservation and its end. Holders dropped the program with its earlier turns and accounts while its turn ran.

Related: programs whose chain a turn of another program continues were kept only once that turn had ended; accounts of a program without a whole turn were kept for 60 s whatever the retention of its route, so its budget could be spent twice.

The fix works since a reservation says by when its turn has ended and how long its program is kept; a program is in use until then or until the turn ends. Journals, compaction and copies carry both.

--- a/src/cedarchute/calls/attempts.py
+++ b/src/cedarchute/calls/attempts.py
@@ -97,10 +97,7 @@
         self.is_resumed = False
         self.possible_runs = 0
         self.granted_runs = 1
-        self.deadline = request.read_at + route.timeout_seconds
-        if call.caller_timeout_seconds is not None:
-            caller_deadline = request.read_at + call.caller_timeout_seconds
-            self.deadline = min(self.deadline, caller_deadline)
+        self.deadline = request.read_at + call.find_timeout(route)
         self.full_wait_deadline = self.compute_full_wait_deadline()
         self.crash_watch = crash_watch
         self.call_order = call_order
--- a/src/cedarchute/calls/call.py
+++ b/src/cedarchute/calls/call.py
@@ -12,6 +12,7 @@
 
 if TYPE_CHECKING:
     from cedarchute.calls.caller_identity import CallerIdentity
+    from cedarchute.routing.route import Route
 
 
 class ProgramContext(Record):
@@ -69,6 +70,12 @@
     kind: str = ""
     urgency: int | None = None
 
+    def find_timeout(self, route: Route) -> float:
+        """Return the timeout of the call in seconds, from the start of its request."""
+        if self.caller_timeout_seconds is None:
+            return route.timeout_seconds
+        return min(route.timeout_seconds, self.caller_timeout_seconds)
+
     @property
     def workspace(self) -> str:
         """The name of the caller's workspace; empty if unknown."""
--- a/src/cedarchute/calls/stream_call_handler.py
+++ b/src/cedarchute/calls/stream_call_handler.py
@@ -15,7 +15,8 @@
 from cedarchute.turns.chain_reader import ChainLoopError, NoSuchTurnError
 from cedarchute.turns.holder_fanout import NoQuorumError
 from cedarchute.turns.turn_admission import TurnAdmission
-from cedarchute.turns.turn_quorum import BudgetSpentError
+from cedarchute.turns.turn_quorum import FINISH_SECONDS, BudgetSpentError
+from cedarchute.turns.turn_terms import TurnTerms
 
 if TYPE_CHECKING:
     from cedarchute.calls.call import Call
@@ -73,7 +74,11 @@
         is_accounted = route.retains_turns or call.program.budget is not None
         try:
             self.admission_controller.check(call, route, service)
-            admission = self.admit(call) if is_accounted else TurnAdmission(b"", "")
+            admission = (
+                self.admit(request, call, route)
+                if is_accounted
+                else TurnAdmission(b"", "")
+            )
         except ShutdownError:
             if is_accounted:
                 self.quorum.cancel_reservation(call.program_key, call.id)
@@ -136,7 +141,7 @@
             relay.route, relay.service, age + elapsed, seconds_left
         )
 
-    def admit(self, call: Call) -> TurnAdmission:
+    def admit(self, request: CallerRequest, call: Call, route: Route) -> TurnAdmission:
         """Reserve the turn's tokens and read the turns that it continues."""
         context = call.program
         if not context.program:
@@ -148,6 +153,7 @@
                 context.max_tokens,
                 context.previous_turn,
                 context.budget,
+                make_terms(request, call, route),
             )
         except NoQuorumError as error:
             self.metrics.count_refusal("no_quorum")
@@ -180,3 +186,10 @@
         table = self.routes.table
         found = table.services.get(service) if table else None
         return found.engine.event_tokens if found and found.engine else 1
+
+
+def make_terms(request: CallerRequest, call: Call, route: Route) -> TurnTerms:
+    """Return what holders are told of a turn."""
+    deadline = request.read_at + call.find_timeout(route)
+    seconds_left = max(0.0, deadline - time.monotonic())
+    return TurnTerms(seconds_left + FINISH_SECONDS, route.retention_seconds)
--- a/src/cedarchute/turns/chain_reader.py
+++ b/src/cedarchute/turns/chain_reader.py
@@ -52,6 +52,7 @@
         begun: dict[int, TurnBegun],
         turn: str = "",
         count_text: Callable[[int], None] = lambda size: None,
+        open_seconds: float = 0.0,
     ) -> TurnAdmission:
         """Return the text and target of the chain that ends at `previous`.
 
@@ -61,6 +62,8 @@
             The turn that continues the chain, and so must not be a part of it.
         count_text : callable
             Called with the size of the text after each part of it; may raise.
+        open_seconds : float
+            Longest time until that turn ends.
 
         Raises
         ------
@@ -84,7 +87,7 @@
         missing = previous
         seen = {turn}
         while missing:
-            chain = self.read(missing, program)
+            chain = self.read(missing, program, open_seconds)
             turns = list(chain.turns)
             names = {part.turn for part in turns}
             if names & seen:
@@ -99,7 +102,9 @@
         text = b"".join(reversed(parts))
         return TurnAdmission(text, target, programs=tuple(sorted(programs)))
 
-    def read(self, turn: str, program: str | None = None) -> Chain:
+    def read(
+        self, turn: str, program: str | None = None, open_seconds: float = 0.0
+    ) -> Chain:
         """Return the longest part of the chain ending at `turn` that a holder has.
 
         All holders are asked, since the turn may belong to another program, stored in
@@ -110,7 +115,11 @@
         def build(table: SeatTable, number: int) -> ReadChain:
             disk = table.seats[number].disk
             return ReadChain(
-                table_version=table.version, disk=disk, turn=turn, program=program
+                table_version=table.version,
+                disk=disk,
+                turn=turn,
+                program=program,
+                open_seconds=open_seconds,
             )
 
         def is_enough(table: SeatTable, answers: dict[int, Chain]) -> bool:
--- a/src/cedarchute/turns/copy_messages.py
+++ b/src/cedarchute/turns/copy_messages.py
@@ -40,6 +40,10 @@
         Time since the last use of the program at the holder that answers.
     open, settled : dict of str to int
         Tokens of turns that did not complete, by turn.
+    open_seconds : float
+        Longest time until the open turns end; 0 in earlier versions.
+    keep_seconds : float
+        Retention time of the program; 0 in earlier versions.
     """
 
     program: str
@@ -48,6 +52,8 @@
     open: dict[str, int]
     settled: dict[str, int]
     completed: tuple[str, ...]
+    open_seconds: float = 0.0
+    keep_seconds: float = 0.0
 
 
 class RecordIndex(msgspec.Struct, frozen=True):
--- a/src/cedarchute/turns/holder.py
+++ b/src/cedarchute/turns/holder.py
@@ -145,7 +145,12 @@
         self.check_addressee(message)
         self.check_memory()
         reserved = Reserved(
-            message.program, message.turn, message.tokens, message.budget
+            message.program,
+            message.turn,
+            message.tokens,
+            message.budget,
+            message.open_seconds,
+            message.keep_seconds,
         )
         state = self.storage.get_or_create(message.program)
         state.mark_asked()
@@ -154,7 +159,7 @@
         if not message.previous:
             return TurnBegun(state.spent, budget=state.budget, age_seconds=age)
         chain, missing = self.storage.collect_chain(
-            message.previous, message.program, message.turn
+            message.previous, message.program, message.turn, message.open_seconds
         )
         target = chain[-1].target if chain else ""
         size = sum(map(count_text, chain))
@@ -201,7 +206,9 @@
     def read_chain(self, message: ReadChain) -> Chain:
         """Return the chain of turns that ends at the requested one."""
         self.check_addressee(message)
-        chain, missing = self.storage.collect_chain(message.turn, message.program)
+        chain, missing = self.storage.collect_chain(
+            message.turn, message.program, open_seconds=message.open_seconds
+        )
         return Chain(tuple(chain), missing)
 
     def read_idle_times(self, message: ReadIdleTimes) -> IdleTimes:
--- a/src/cedarchute/turns/messages.py
+++ b/src/cedarchute/turns/messages.py
@@ -31,6 +31,8 @@
         holder only.
     max_text_bytes : int or None
         A longer text is left out; None, as in earlier versions, sets no limit.
+    open_seconds, keep_seconds : float
+        As in the record of a reservation.
     """
 
     program: str
@@ -40,6 +42,8 @@
     previous: str = ""
     wants_text: bool = False
     max_text_bytes: int | None = None
+    open_seconds: float = 0.0
+    keep_seconds: float = 0.0
 
 
 class TurnBegun(msgspec.Struct, frozen=True):
@@ -208,10 +212,13 @@
     ----------
     program : str or None
         The program that continues the chain; None in earlier versions.
+    open_seconds : float
+        Longest time until the turn ends that continues the chain.
     """
 
     turn: str
     program: str | None = None
+    open_seconds: float = 0.0
 
 
 class Chain(msgspec.Struct, frozen=True):
--- a/src/cedarchute/turns/program_state.py
+++ b/src/cedarchute/turns/program_state.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from cedarchute.turns.records import Record
 
-# Retention of a program without a completed turn; covers its pauses between retries.
+# Least retention of a program with records; covers its pauses between retries.
 DEFAULT_RETENTION_SECONDS: Final = 60.0
 # Retention of a program without records, such as one refused at admission: it is
 # retried within seconds or not at all.
@@ -33,6 +33,11 @@
     first_asked_at : float or None
         Monotonic time of the first request at this holder; None if the records came
         from the disk or from another holder.
+    open_until : float
+        Monotonic time by which every open turn has ended; the program is in use until
+        then.
+    continued_until : float
+        The same for turns of other programs that continue this one.
     """
 
     def __init__(self) -> None:
@@ -43,15 +48,20 @@
         self.first_asked_at: float | None = None
         self.retention_seconds = DEFAULT_RETENTION_SECONDS
         self.last_used_at = time.monotonic()
+        self.open_until = 0.0
+        self.continued_until = 0.0
 
     def apply(self, record: Record) -> bool:
         """Apply a record; return whether it changed anything but the budget."""
         self.last_used_at = time.monotonic()
         if isinstance(record, Reserved):
             self.lower_budget(record.budget)
+            self.retention_seconds = max(self.retention_seconds, record.keep_seconds)
             if record.turn in self.settled or record.turn in self.open:
                 return False
             self.open[record.turn] = record.tokens
+            end = self.last_used_at + record.open_seconds
+            self.open_until = max(self.open_until, end)
             return True
         is_new = record.turn not in self.settled
         if isinstance(record, Turn):
@@ -59,6 +69,8 @@
             self.completed[record.turn] = record
             self.retention_seconds = max(self.retention_seconds, record.keep_seconds)
         self.open.pop(record.turn, None)
+        if not self.open:
+            self.open_until = 0.0
         if isinstance(record, Turn) or record.turn not in self.settled:
             self.settled[record.turn] = record.tokens
         return is_new
@@ -74,6 +86,23 @@
         """Whether there are no records yet."""
         return not (self.open or self.settled)
 
+    def mark_continued(self, open_seconds: float) -> None:
+        """Record that a turn of another program continues this one.
+
+        Parameters
+        ----------
+        open_seconds : float
+            Longest time until that turn ends and says so itself.
+        """
+        self.last_used_at = time.monotonic()
+        end = self.last_used_at + open_seconds
+        self.continued_until = max(self.continued_until, end)
+
+    def find_last_use(self, now: float) -> float:
+        """Return when the program was last used; `now` while a turn is under way."""
+        in_use_until = max(self.open_until, self.continued_until)
+        return max(self.last_used_at, min(now, in_use_until))
+
     def mark_asked(self) -> None:
         """Record the time of the first request about the program."""
         if self.first_asked_at is None and self.is_empty:
@@ -95,20 +124,27 @@
 
     def list_records(self, program: str) -> list[Record]:
         """Return records from which this state can be rebuilt."""
+        open_seconds = max(0.0, self.open_until - time.monotonic())
+        keep_seconds = self.retention_seconds
         records: list[Record] = list(self.completed.values())
         for turn, tokens in self.settled.items():
             if turn not in self.completed:
                 records.append(Settled(program, turn, tokens))
         for turn, tokens in self.open.items():
-            records.append(Reserved(program, turn, tokens, self.budget))
-        if self.budget is not None and self.settled:
-            # A reservation of a settled turn carries only the budget.
+            terms = (self.budget, open_seconds, keep_seconds)
+            records.append(Reserved(program, turn, tokens, *terms))
+        is_kept_longer = keep_seconds > DEFAULT_RETENTION_SECONDS
+        if self.settled and (self.budget is not None or is_kept_longer):
+            # A reservation of a settled turn carries only the budget and the retention.
             settled = next(iter(self.settled))
-            records.append(Reserved(program, settled, 0, self.budget))
+            records.append(
+                Reserved(program, settled, 0, self.budget, 0.0, keep_seconds)
+            )
         return records
 
     def is_expired(self, now: float) -> bool:
         """Whether the retention time has passed since the last use."""
+        idle_seconds = now - self.find_last_use(now)
         if self.is_empty:
-            return now - self.last_used_at > EMPTY_RETENTION_SECONDS
-        return now - self.last_used_at > self.retention_seconds + ANSWER_DELAY_SECONDS
+            return idle_seconds > EMPTY_RETENTION_SECONDS
+        return idle_seconds > self.retention_seconds + ANSWER_DELAY_SECONDS
--- a/src/cedarchute/turns/record_puller.py
+++ b/src/cedarchute/turns/record_puller.py
@@ -10,6 +10,7 @@
     RecordIndex,
     TurnsRead,
 )
+from cedarchute.turns.program_state import DEFAULT_RETENTION_SECONDS
 from cedarchute.turns.records import Reserved, Settled
 
 if TYPE_CHECKING:
@@ -134,8 +135,9 @@
 def list_missing_counts(
     index: ProgramIndex, state: ProgramState | None
 ) -> list[Record]:
-    """Return the token counts and the budget that are not stored here."""
+    """Return the token counts, the budget and the retention not stored here."""
     program, budget = index.program, index.budget
+    terms = (budget, index.open_seconds, index.keep_seconds)
     settled = state.settled if state else {}
     known = settled.keys() | (state.open.keys() if state else set())
     records: list[Record] = [
@@ -144,17 +146,18 @@
         if turn not in settled
     ]
     records += [
-        Reserved(program, turn, tokens, budget)
+        Reserved(program, turn, tokens, *terms)
         for turn, tokens in index.open.items()
         if turn not in known
     ]
     own_budget = state.budget if state else None
     is_lower = budget is not None and (own_budget is None or budget < own_budget)
-    if is_lower:
-        # A reservation of a settled turn carries only the budget.
+    own_retention = state.retention_seconds if state else DEFAULT_RETENTION_SECONDS
+    if is_lower or index.keep_seconds > own_retention:
+        # A reservation of a settled turn carries only the budget and the retention.
         turn = next(iter((*index.settled, *index.completed)), None)
         if turn is not None:
-            records.append(Reserved(program, turn, 0, budget))
+            records.append(Reserved(program, turn, 0, budget, 0.0, index.keep_seconds))
         else:
-            records += [Reserved(program, t, n, budget) for t, n in index.open.items()]
+            records += [Reserved(program, t, n, *terms) for t, n in index.open.items()]
     return records
--- a/src/cedarchute/turns/record_source.py
+++ b/src/cedarchute/turns/record_source.py
@@ -82,4 +82,6 @@
         open=dict(state.open),
         settled={t: n for t, n in state.settled.items() if t not in state.completed},
         completed=tuple(state.completed),
+        open_seconds=max(0.0, state.open_until - time.monotonic()),
+        keep_seconds=state.retention_seconds,
     )
--- a/src/cedarchute/turns/records.py
+++ b/src/cedarchute/turns/records.py
@@ -12,12 +12,18 @@
     ----------
     budget : int or None
         Total tokens that the program may generate, as set by the call.
+    open_seconds : float
+        Longest time until the turn ends; 0 in earlier versions.
+    keep_seconds : float
+        Retention time after the last use of its program; 0 in earlier versions.
     """
 
     program: str
     turn: str
     tokens: int
     budget: int | None = None
+    open_seconds: float = 0.0
+    keep_seconds: float = 0.0
 
 
 class Settled(msgspec.Struct, frozen=True, tag="settled", tag_field="kind"):
--- a/src/cedarchute/turns/turn_quorum.py
+++ b/src/cedarchute/turns/turn_quorum.py
@@ -38,6 +38,7 @@
     TurnAdmission,
     max_age,
 )
+from cedarchute.turns.turn_terms import NO_TERMS, TurnTerms
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -92,7 +93,13 @@
         self.metrics = metrics
 
     def begin(
-        self, program: str, turn: str, tokens: int, previous: str, budget: int | None
+        self,
+        program: str,
+        turn: str,
+        tokens: int,
+        previous: str,
+        budget: int | None,
+        terms: TurnTerms = NO_TERMS,
     ) -> TurnAdmission:
         """Reserve the tokens of a turn and read the chain that it continues.
 
@@ -102,7 +109,7 @@
             The reservation is cancelled.
         """
         try:
-            begun = self.reserve(program, turn, tokens, previous, budget)
+            begun = self.reserve(program, turn, tokens, previous, budget, terms)
         except BaseException:
             # Some holders may have stored it. While a quorum is away each refused turn
             # may cost them one more request, not a series of tries.
@@ -116,13 +123,16 @@
                 size = find_left_out(begun)
                 if size:
                     self.count_history(size, reading)
-                    begun = self.reserve(program, turn, tokens, previous, budget, size)
+                    begun = self.reserve(
+                        program, turn, tokens, previous, budget, terms, size
+                    )
                 admission = self.chains.read_previous(
                     program,
                     previous,
                     begun,
                     turn,
                     partial(self.count_parts, reading=reading),
+                    terms.open_seconds,
                 )
             age = max_age([answer.age_seconds for answer in begun.values()])
             return replace(admission, age_seconds=age)
@@ -137,6 +147,7 @@
         tokens: int,
         previous: str,
         budget: int | None = None,
+        terms: TurnTerms = NO_TERMS,
         max_text_bytes: int = SMALL_HISTORY_BYTES,
     ) -> dict[int, TurnBegun]:
         """Write the reservation at a quorum; return the answers by seat.
@@ -159,6 +170,8 @@
                 previous=previous,
                 wants_text=number == nearest,
                 max_text_bytes=max_text_bytes,
+                open_seconds=terms.open_seconds,
+                keep_seconds=terms.keep_seconds,
             )
 
         path = "/turns/begin"
--- a/src/cedarchute/turns/turn_storage.py
+++ b/src/cedarchute/turns/turn_storage.py
@@ -76,10 +76,15 @@
         """Return when a program, or one that continues it, was last used, if known."""
         names = (program, *self.continued_by.get(program, ()))
         states = [self.programs[name] for name in names if name in self.programs]
-        return max((state.last_used_at for state in states), default=None)
+        now = time.monotonic()
+        return max((state.find_last_use(now) for state in states), default=None)
 
     def collect_chain(
-        self, turn: str, program: str | None = None, barred: str = ""
+        self,
+        turn: str,
+        program: str | None = None,
+        barred: str = "",
+        open_seconds: float = 0.0,
     ) -> tuple[list[Turn], str]:
         """Return the turns up to `turn`, oldest first, and the first missing one.
 
@@ -92,7 +97,11 @@
         program : str or None
             The program that continues the chain. Of turns with the same id its own is
             meant, or one of its workspace; None for any.
+        open_seconds : float
+            Longest time until the turn ends that continues the chain; other programs
+            in it count as used until then.
         """
+        continuing = program
         chain: list[Turn] = []
         seen = {barred}
         while turn:
@@ -102,7 +111,7 @@
             seen.add(turn)
             program = found
             state = self.programs[program]
-            state.last_used_at = time.monotonic()
+            state.mark_continued(0.0 if program == continuing else open_seconds)
             chain.append(state.completed[turn])
             turn = chain[-1].previous
         return chain[::-1], ""
--- /dev/null
+++ b/src/cedarchute/turns/turn_terms.py
@@ -0,0 +1,23 @@
+"""What holders are told of a turn beside its tokens."""
+
+from __future__ import annotations
+
+from cedarchute.record import Record
+
+
+class TurnTerms(Record):
+    """How long a turn and its program matter to holders.
+
+    Attributes
+    ----------
+    open_seconds : float
+        Longest time until the end of the turn is recorded.
+    keep_seconds : float
+        Retention time after the last use of the program.
+    """
+
+    open_seconds: float = 0.0
+    keep_seconds: float = 0.0
+
+
+NO_TERMS = TurnTerms()
--- a/tests/calls/test_stream_call_handler.py
+++ b/tests/calls/test_stream_call_handler.py
@@ -29,6 +29,7 @@
 from cedarchute.routing.target_registry import TargetRegistry
 from cedarchute.turns.holder_fanout import NoQuorumError
 from cedarchute.turns.turn_admission import TurnAdmission
+from cedarchute.turns.turn_quorum import FINISH_SECONDS
 
 TIMEOUT_SECONDS = 20.0
 EVENT = b"data: one\n\n"
@@ -144,6 +145,22 @@
     assert bool(received) == bool(body)
 
 
+class TermsQuorum(SlowQuorum):
+    """Holders that note what they are told of a turn."""
+
+    def begin(self, *arguments):
+        self.terms = arguments[-1]
+        return super().begin()
+
+
+# Holders forgot a program while a turn of it took longer than its retention.
+def test_holders_are_told_how_long_a_turn_may_take():
+    quorum = TermsQuorum(0)
+    relay(quorum, EVENT)
+    longest = TIMEOUT_SECONDS + FINISH_SECONDS
+    assert FINISH_SECONDS < quorum.terms.open_seconds <= longest
+
+
 class CountingQuorum(SlowQuorum):
     """Holders that note how much is held while they store a turn."""
 
