Count names and token counts of programs in what a holder may store

Cause: the bound on stored bytes counted 1 KB for a program or a turn, whatever their names, and nothing for turns without a text. Turns that were refused left records at a full holder, a question about a program left a state, and lists of programs between holders were bounded by their number, not their bytes.

Turns that no longer fit get 503 until the others expire.

The fix works since each state counts its names, texts and token counts as they come and go, and a full holder keeps nothing of what it refuses.

--- a/src/cedarchute/turns/expiry.py
+++ b/src/cedarchute/turns/expiry.py
@@ -5,6 +5,7 @@
 import logging
 import time
 from collections import Counter
+from itertools import accumulate
 from typing import TYPE_CHECKING, Final
 
 from cedarchute.turns.holder_client import HolderUnavailableError
@@ -18,8 +19,9 @@
 
 log = logging.getLogger("cedarchute.turns")
 
-# Bounds the size of a request to another holder.
+# Bound the size of a request to another holder.
 MAX_PROGRAMS_PER_ROUND: Final = 1000
+MAX_NAME_BYTES_PER_ROUND: Final = 1_000_000
 
 
 class Expiry:
@@ -44,7 +46,7 @@
     def run_once(self) -> int:
         """Drop the programs that no quorum has used; return their number."""
         table = self.seats.table
-        expired = self.storage.list_expired()[:MAX_PROGRAMS_PER_ROUND]
+        expired = take_first(self.storage.list_expired())
         confirmed = self.count_confirmations(table, expired)
         dropped = 0
         for program in expired:
@@ -121,3 +123,14 @@
             return False
         self.storage.drop(program)
         return True
+
+
+def take_first(programs: list[str]) -> list[str]:
+    """Return as many of the programs as one round may ask about; one at least."""
+    programs = programs[:MAX_PROGRAMS_PER_ROUND]
+    sizes = accumulate(map(len, programs))
+    return [
+        program
+        for number, (program, size) in enumerate(zip(programs, sizes, strict=True))
+        if not number or size <= MAX_NAME_BYTES_PER_ROUND
+    ]
--- a/src/cedarchute/turns/holder.py
+++ b/src/cedarchute/turns/holder.py
@@ -16,8 +16,8 @@
     TurnBegun,
 )
 from cedarchute.turns.program_key import read_workspace
-from cedarchute.turns.records import Reserved
-from cedarchute.turns.turn_storage import count_text
+from cedarchute.turns.program_state import count_text
+from cedarchute.turns.records import Reserved, Settled
 
 if TYPE_CHECKING:
     from cedarchute.turns.active_seat_table import ActiveSeatTable
@@ -32,7 +32,7 @@
         ReadIdleTimes,
         TakeRecords,
     )
-    from cedarchute.turns.records import Turn
+    from cedarchute.turns.records import Record, Turn
     from cedarchute.turns.seat_table import SeatTable
     from cedarchute.turns.seat_version_file import SeatVersionFile
     from cedarchute.turns.turn_storage import TurnStorage
@@ -123,9 +123,14 @@
 
         Records of turns that have run are always taken.
         """
-        if self.storage.held_bytes >= self.max_stored_bytes:
+        if self.is_full:
             raise HolderError("no memory for further turns", is_full=True)
 
+    @property
+    def is_full(self) -> bool:
+        """Whether as much is stored as may be."""
+        return self.storage.held_bytes >= self.max_stored_bytes
+
     def may_use(self, table: SeatTable) -> bool:
         """Whether no newer table than `table` is known to this disk."""
         return table.version >= self.version_file.version
@@ -178,11 +183,25 @@
         )
 
     def take_records(self, message: TakeRecords) -> RecordsTaken:
-        """Store records durably."""
+        """Store records durably.
+
+        A full holder leaves out the ends of turns that it doesn't know and that used
+        nothing, such as those that it refused: it takes no late reservation either.
+        """
         self.check_addressee(message)
-        self.storage.write(list(message.records))
+        records = list(message.records)
+        if self.is_full:
+            records = [r for r in records if self.is_of_use(r)]
+        self.storage.write(records)
         return RecordsTaken()
 
+    def is_of_use(self, record: Record) -> bool:
+        """Whether a record has tokens or text, or ends a turn that is open here."""
+        if not isinstance(record, Settled) or record.tokens:
+            return True
+        state = self.storage.programs.get(record.program)
+        return state is not None and record.turn in state.open
+
     def read_account(self, message: ReadAccount) -> Account:
         """Return the reserved and settled tokens of a program, by turn."""
         self.check_addressee(message)
@@ -194,6 +213,8 @@
     def read_standing(self, message: AskStanding) -> Standing:
         """Return the tokens and age of a program; record its first request."""
         self.check_addressee(message)
+        if message.program not in self.storage.programs:
+            self.check_memory()
         state = self.storage.get_or_create(message.program)
         state.mark_asked()
         return Standing(state.spent, state.age_seconds)
--- a/src/cedarchute/turns/program_state.py
+++ b/src/cedarchute/turns/program_state.py
@@ -12,6 +12,10 @@
 
 # Least retention of a program with records; covers its pauses between retries.
 DEFAULT_RETENTION_SECONDS: Final = 60.0
+# A turn, or the state of a program, without its text and names, with its tables.
+OBJECT_BYTES: Final = 1024
+# The tokens of a turn, without its name.
+TOKEN_COUNT_BYTES: Final = 200
 # Retention of a program without records, such as one refused at admission: it is
 # retried within seconds or not at all.
 EMPTY_RETENTION_SECONDS: Final = 10.0
@@ -38,9 +42,13 @@
         then.
     continued_until : float
         The same for turns of other programs that continue this one.
+    held_bytes : int
+        What its name and its records cost in memory.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, program: str = "") -> None:
+        self.program = program
+        self.held_bytes = OBJECT_BYTES + len(program)
         self.open: dict[str, int] = {}
         self.settled: dict[str, int] = {}
         self.completed: dict[str, Turn] = {}
@@ -60,18 +68,25 @@
             if record.turn in self.settled or record.turn in self.open:
                 return False
             self.open[record.turn] = record.tokens
+            self.held_bytes += TOKEN_COUNT_BYTES + len(record.turn)
             end = self.last_used_at + record.open_seconds
             self.open_until = max(self.open_until, end)
             return True
         is_new = record.turn not in self.settled
         if isinstance(record, Turn):
             is_new = record.turn not in self.completed
+            self.held_bytes += count_bytes(record)
+            self.held_bytes -= count_bytes(self.completed.get(record.turn))
             self.completed[record.turn] = record
             self.retention_seconds = max(self.retention_seconds, record.keep_seconds)
-        self.open.pop(record.turn, None)
+        if self.open.pop(record.turn, None) is not None:
+            self.held_bytes -= TOKEN_COUNT_BYTES + len(record.turn)
         if not self.open:
             self.open_until = 0.0
-        if isinstance(record, Turn) or record.turn not in self.settled:
+        if record.turn not in self.settled:
+            self.held_bytes += TOKEN_COUNT_BYTES + len(record.turn)
+            self.settled[record.turn] = record.tokens
+        elif isinstance(record, Turn):
             self.settled[record.turn] = record.tokens
         return is_new
 
@@ -148,3 +163,16 @@
         if self.is_empty:
             return idle_seconds > EMPTY_RETENTION_SECONDS
         return idle_seconds > self.retention_seconds + ANSWER_DELAY_SECONDS
+
+
+def count_bytes(turn: Turn | None) -> int:
+    """Return what a completed turn costs in memory; 0 for None."""
+    if turn is None:
+        return 0
+    names = (turn.program, turn.turn, turn.previous, turn.target, *turn.continued)
+    return OBJECT_BYTES + count_text(turn) + sum(map(len, names))
+
+
+def count_text(turn: Turn | None) -> int:
+    """Return the bytes of the text of a turn; 0 for None."""
+    return 0 if turn is None else len(turn.input) + len(turn.output)
--- a/src/cedarchute/turns/record_puller.py
+++ b/src/cedarchute/turns/record_puller.py
@@ -14,6 +14,8 @@
 from cedarchute.turns.records import Reserved, Settled
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from cedarchute.metrics import Metrics
     from cedarchute.turns.copy_messages import ProgramIndex
     from cedarchute.turns.disk_location import DiskLocation
@@ -23,8 +25,10 @@
     from cedarchute.turns.seat_table import SeatTable
     from cedarchute.turns.turn_storage import TurnStorage
 
-# Names in one request; their turns are read in several answers if they are long.
+# Names in one request, and their bytes; the turns are read in several answers if they
+# are long.
 TURNS_PER_REQUEST: Final = 1000
+NAME_BYTES_PER_REQUEST: Final = 1_000_000
 
 
 class RecordPuller:
@@ -81,8 +85,7 @@
             for index in page.programs
             for turn in list_missing_turns(index, programs.get(index.program))
         ]
-        for start in range(0, len(turns), TURNS_PER_REQUEST):
-            names = turns[start : start + TURNS_PER_REQUEST]
+        for names in split_names(turns):
             self.copy_turns(source, names, idle_seconds)
         others = [
             record
@@ -125,6 +128,22 @@
         self.metrics.count("holders.records_copied", len(records))
 
 
+def split_names(turns: list[tuple[str, str]]) -> Iterator[list[tuple[str, str]]]:
+    """Yield turns, by program and name, as many as fit into a request."""
+    names: list[tuple[str, str]] = []
+    size = 0
+    for program, turn in turns:
+        cost = len(program) + len(turn)
+        is_full = len(names) >= TURNS_PER_REQUEST
+        if names and (is_full or size + cost > NAME_BYTES_PER_REQUEST):
+            yield names
+            names, size = [], 0
+        names.append((program, turn))
+        size += cost
+    if names:
+        yield names
+
+
 def list_missing_turns(index: ProgramIndex, state: ProgramState | None) -> list[str]:
     """Return the completed turns that are not stored here."""
     if state is None:
--- a/src/cedarchute/turns/record_source.py
+++ b/src/cedarchute/turns/record_source.py
@@ -15,6 +15,7 @@
     from cedarchute.turns.records import Turn
 
 PAGE_NAMES: Final = 10_000
+PAGE_NAME_BYTES: Final = 1_000_000
 PAGE_BYTES: Final = 1_000_000
 
 
@@ -36,11 +37,11 @@
         after = message.after if message.process == self.process else 0
         now = time.monotonic()
         programs: list[ProgramIndex] = []
-        names = 0
+        names = size = 0
         position = after
         is_last = True
         for changed_at, program in self.storage.changes.list_after(after):
-            if names >= PAGE_NAMES:
+            if names >= PAGE_NAMES or size >= PAGE_NAME_BYTES:
                 is_last = False
                 break
             position = changed_at
@@ -50,6 +51,7 @@
             used_at = self.storage.find_last_use(program) or now
             programs.append(describe(program, state, now - used_at))
             names += 1 + len(state.open) + len(state.settled)
+            size += len(program) + sum(map(len, (*state.open, *state.settled)))
         return RecordIndex(
             tuple(programs), self.process, position, is_last, self.holder.caught_up
         )
--- a/src/cedarchute/turns/turn_quorum.py
+++ b/src/cedarchute/turns/turn_quorum.py
@@ -249,7 +249,9 @@
             return AskStanding(table_version=table.version, disk=disk, program=program)
 
         path = "/turns/standing"
-        answers = self.ask(program, path, Standing, build, ANSWER_SECONDS).values()
+        answers = self.ask(
+            program, path, Standing, build, ANSWER_SECONDS, gives_up_when_full=True
+        ).values()
         spent = max(answer.spent for answer in answers)
         return ProgramUsage(spent, max_age([a.age_seconds for a in answers]))
 
--- a/src/cedarchute/turns/turn_storage.py
+++ b/src/cedarchute/turns/turn_storage.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import time
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING
 
 from cedarchute.turns.change_log import ChangeLog
-from cedarchute.turns.program_state import ProgramState
+from cedarchute.turns.program_state import ProgramState, count_text
 from cedarchute.turns.records import Turn
 from cedarchute.turns.turn_index import TurnIndex
 
@@ -14,17 +14,17 @@
     from cedarchute.turns.group_commit_writer import GroupCommitWriter
     from cedarchute.turns.records import Record
 
-# A program or a turn without its text, with its tables.
-OBJECT_BYTES: Final = 1024
-
-
-def count_text(turn: Turn | None) -> int:
-    """Return the bytes of the text of a turn; 0 for None."""
-    return 0 if turn is None else len(turn.input) + len(turn.output)
-
 
 class TurnStorage:
-    """Applies records in memory and appends them to the journal."""
+    """Applies records in memory and appends them to the journal.
+
+    Attributes
+    ----------
+    held_bytes : int
+        What programs and their records cost in memory.
+    text_bytes : int
+        What of that is the text of turns.
+    """
 
     def __init__(self, writer: GroupCommitWriter) -> None:
         self.writer = writer
@@ -33,12 +33,7 @@
         self.turn_index = TurnIndex()
         self.continued_by: dict[str, set[str]] = {}
         self.text_bytes = 0
-
-    @property
-    def held_bytes(self) -> int:
-        """What programs and their turns cost in memory."""
-        objects = len(self.programs) + len(self.turn_index)
-        return self.text_bytes + OBJECT_BYTES * objects
+        self.held_bytes = 0
 
     def load(self) -> int:
         """Replay the journal; return the number of records."""
@@ -52,15 +47,18 @@
         """Apply a record in memory."""
         state = self.get_or_create(record.program)
         budget = state.budget
+        held = state.held_bytes
         if isinstance(record, Turn):
             self.text_bytes += count_text(record)
             self.text_bytes -= count_text(state.completed.get(record.turn))
+        # The name is that of the state: each record has a copy of its own.
         if state.apply(record) or state.budget != budget:
-            self.changes.note(record.program)
+            self.changes.note(state.program)
+        self.held_bytes += state.held_bytes - held
         if isinstance(record, Turn):
-            self.turn_index.add(record.turn, record.program)
+            self.turn_index.add(record.turn, state.program)
             for program in record.continued:
-                self.continued_by.setdefault(program, set()).add(record.program)
+                self.continued_by.setdefault(program, set()).add(state.program)
 
     def find_turn(self, turn: str) -> Turn | None:
         """Return the first completed turn with an id, or None."""
@@ -120,7 +118,8 @@
         """Return the state of a program, created on first use."""
         found = self.programs.get(program)
         if found is None:
-            found = self.programs[program] = ProgramState()
+            found = self.programs[program] = ProgramState(program)
+            self.held_bytes += found.held_bytes
         return found
 
     def write(self, records: list[Record]) -> None:
@@ -178,7 +177,9 @@
     def drop(self, program: str) -> None:
         """Forget a program."""
         self.changes.drop(program)
-        for turn in self.programs.pop(program).completed.values():
+        state = self.programs.pop(program)
+        self.held_bytes -= state.held_bytes
+        for turn in state.completed.values():
             self.turn_index.remove(turn.turn, program)
             self.text_bytes -= count_text(turn)
             for continued in turn.continued:
