Count the texts of turns under way in what a holder may store

Cause: the bound on stored bytes was looked at when a turn began, against what was stored then. Turns under way counted nothing, and their records are always taken.

The fix works since a reservation says how long its input is, and the holder counts it from then until the turn ends.

--- a/src/cedarchute/calls/stream_call_handler.py
+++ b/src/cedarchute/calls/stream_call_handler.py
@@ -192,4 +192,6 @@
     """Return what holders are told of a turn."""
     deadline = request.read_at + call.find_timeout(route)
     seconds_left = max(0.0, deadline - time.monotonic())
-    return TurnTerms(seconds_left + FINISH_SECONDS, route.retention_seconds)
+    open_seconds = seconds_left + FINISH_SECONDS
+    input_bytes = len(request.body) if route.retains_turns else 0
+    return TurnTerms(open_seconds, route.retention_seconds, input_bytes)
--- a/src/cedarchute/turns/holder.py
+++ b/src/cedarchute/turns/holder.py
@@ -16,7 +16,7 @@
     TurnBegun,
 )
 from cedarchute.turns.program_key import read_workspace
-from cedarchute.turns.program_state import count_text
+from cedarchute.turns.program_state import count_expected, count_text
 from cedarchute.turns.records import Reserved, Settled
 
 if TYPE_CHECKING:
@@ -118,12 +118,16 @@
             raise HolderError("starting")
         raise HolderError("catching up", is_empty=True)
 
-    def check_memory(self) -> None:
-        """Reject further turns before they run once as much is stored as may be.
+    def check_memory(self, message: BeginTurn) -> None:
+        """Reject a turn before it runs if its text has no room beside the others.
 
-        Records of turns that have run are always taken.
+        Texts of turns under way count already. Records of turns that have run are
+        always taken.
         """
-        if self.is_full:
+        state = self.storage.programs.get(message.program)
+        is_counted = state is not None and message.turn in state.open
+        expected = 0 if is_counted else count_expected(message.input_bytes)
+        if self.is_full or self.storage.held_bytes + expected > self.max_stored_bytes:
             raise HolderError("no memory for further turns", is_full=True)
 
     @property
@@ -148,7 +152,7 @@
     def begin_turn(self, message: BeginTurn) -> TurnBegun:
         """Store a reservation; return tokens spent and the previous turns."""
         self.check_addressee(message)
-        self.check_memory()
+        self.check_memory(message)
         reserved = Reserved(
             message.program,
             message.turn,
@@ -156,6 +160,7 @@
             message.budget,
             message.open_seconds,
             message.keep_seconds,
+            message.input_bytes,
         )
         state = self.storage.get_or_create(message.program)
         state.mark_asked()
@@ -213,8 +218,8 @@
     def read_standing(self, message: AskStanding) -> Standing:
         """Return the tokens and age of a program; record its first request."""
         self.check_addressee(message)
-        if message.program not in self.storage.programs:
-            self.check_memory()
+        if self.is_full and message.program not in self.storage.programs:
+            raise HolderError("no memory for further programs", is_full=True)
         state = self.storage.get_or_create(message.program)
         state.mark_asked()
         return Standing(state.spent, state.age_seconds)
--- a/src/cedarchute/turns/messages.py
+++ b/src/cedarchute/turns/messages.py
@@ -31,7 +31,7 @@
         holder only.
     max_text_bytes : int or None
         A longer text is left out; None, as in earlier versions, sets no limit.
-    open_seconds, keep_seconds : float
+    open_seconds, keep_seconds, input_bytes : float, float, int
         As in the record of a reservation.
     """
 
@@ -44,6 +44,7 @@
     max_text_bytes: int | None = None
     open_seconds: float = 0.0
     keep_seconds: float = 0.0
+    input_bytes: int = 0
 
 
 class TurnBegun(msgspec.Struct, frozen=True):
--- a/src/cedarchute/turns/program_state.py
+++ b/src/cedarchute/turns/program_state.py
@@ -16,6 +16,10 @@
 OBJECT_BYTES: Final = 1024
 # The tokens of a turn, without its name.
 TOKEN_COUNT_BYTES: Final = 200
+# A text that arrives is there twice: decoded, and encoded for the journal.
+TRANSFER_COPIES: Final = 2
+# Larger texts are few, and those of a burst arrive together; smaller ones do not.
+SMALL_TEXT_BYTES: Final = 262_144
 # Retention of a program without records, such as one refused at admission: it is
 # retried within seconds or not at all.
 EMPTY_RETENTION_SECONDS: Final = 10.0
@@ -43,12 +47,16 @@
     continued_until : float
         The same for turns of other programs that continue this one.
     held_bytes : int
-        What its name and its records cost in memory.
+        What its name and its records cost in memory, with the texts that open turns
+        are about to bring.
+    expected_bytes : dict of str to int
+        What of that is the text of each open turn.
     """
 
     def __init__(self, program: str = "") -> None:
         self.program = program
         self.held_bytes = OBJECT_BYTES + len(program)
+        self.expected_bytes: dict[str, int] = {}
         self.open: dict[str, int] = {}
         self.settled: dict[str, int] = {}
         self.completed: dict[str, Turn] = {}
@@ -69,6 +77,10 @@
                 return False
             self.open[record.turn] = record.tokens
             self.held_bytes += TOKEN_COUNT_BYTES + len(record.turn)
+            if record.input_bytes:
+                expected = count_expected(record.input_bytes)
+                self.expected_bytes[record.turn] = expected
+                self.held_bytes += expected
             end = self.last_used_at + record.open_seconds
             self.open_until = max(self.open_until, end)
             return True
@@ -81,6 +93,7 @@
             self.retention_seconds = max(self.retention_seconds, record.keep_seconds)
         if self.open.pop(record.turn, None) is not None:
             self.held_bytes -= TOKEN_COUNT_BYTES + len(record.turn)
+            self.held_bytes -= self.expected_bytes.pop(record.turn, 0)
         if not self.open:
             self.open_until = 0.0
         if record.turn not in self.settled:
@@ -176,3 +189,9 @@
 def count_text(turn: Turn | None) -> int:
     """Return the bytes of the text of a turn; 0 for None."""
     return 0 if turn is None else len(turn.input) + len(turn.output)
+
+
+def count_expected(input_bytes: int) -> int:
+    """Return what the text of a turn under way is going to cost in memory."""
+    copies = 1 if input_bytes <= SMALL_TEXT_BYTES else TRANSFER_COPIES
+    return copies * input_bytes
--- a/src/cedarchute/turns/records.py
+++ b/src/cedarchute/turns/records.py
@@ -16,6 +16,8 @@
         Longest time until the turn ends; 0 in earlier versions.
     keep_seconds : float
         Retention time after the last use of its program; 0 in earlier versions.
+    input_bytes : int
+        Size of the input; 0 in earlier versions.
     """
 
     program: str
@@ -24,6 +26,7 @@
     budget: int | None = None
     open_seconds: float = 0.0
     keep_seconds: float = 0.0
+    input_bytes: int = 0
 
 
 class Settled(msgspec.Struct, frozen=True, tag="settled", tag_field="kind"):
--- a/src/cedarchute/turns/turn_quorum.py
+++ b/src/cedarchute/turns/turn_quorum.py
@@ -172,6 +172,7 @@
                 max_text_bytes=max_text_bytes,
                 open_seconds=terms.open_seconds,
                 keep_seconds=terms.keep_seconds,
+                input_bytes=terms.input_bytes,
             )
 
         path = "/turns/begin"
--- a/tests/calls/test_stream_call_handler.py
+++ b/tests/calls/test_stream_call_handler.py
@@ -12,7 +12,7 @@
 from cedarchute.calls.call import Call, ProgramContext
 from cedarchute.calls.call_errors import CallRefusedError
 from cedarchute.calls.program_admission_controller import ProgramAdmissionController
-from cedarchute.calls.stream_call_handler import StreamCallHandler
+from cedarchute.calls.stream_call_handler import StreamCallHandler, make_terms
 from cedarchute.calls.target_client import TargetClient
 from cedarchute.metrics import Metrics
 from cedarchute.pressure.held_byte_account import HeldByteAccount
@@ -161,6 +161,28 @@
     assert FINISH_SECONDS < quorum.terms.open_seconds <= longest
 
 
+# A burst of long turns ended holders, which were told of no text before it came.
+@pytest.mark.parametrize("retains_turns", [True, False])
+def test_holders_are_told_of_the_text_that_a_turn_brings(retains_turns):
+    request = CallerRequest(b"POST", b"/", Headers(), b"text", True, time.monotonic())
+    call = Call("t1", None, ProgramContext("p", None, "t0", 1))
+    shares = (ServiceShare("s", 1.0),)
+    route = Route(
+        "r",
+        "h",
+        b"/",
+        Repeatability.STREAM,
+        shares,
+        TIMEOUT_SECONDS,
+        1.0,
+        retains_turns=retains_turns,
+        retention_seconds=90.0,
+    )
+    terms = make_terms(request, call, route)
+    assert terms.input_bytes == (4 if retains_turns else 0)
+    assert terms.keep_seconds == 90.0
+
+
 class CountingQuorum(SlowQuorum):
     """Holders that note how much is held while they store a turn."""
 
