Replace holders that are gone before vacant seats are filled

Cause: a new box took the first vacant seat. The seat of the machine that it replaced stayed with a box that never came back, whose disk counted as complete: the copy to a lost disk waited for it, and no seat could be released.

The fix works since find_free_seat looks for a holder that is gone first, and waits while one may be; one that answers or restarts delays a vacant seat by seconds at most.

--- a/src/cedarchute/turns/absent_holders.py
+++ b/src/cedarchute/turns/absent_holders.py
@@ -60,6 +60,7 @@
         self.joined_at: float | None = None
         self.since: dict[str, float] = {}
         self.silent: set[str] = set()
+        self.answering: set[str] = set()
 
     def find_gone(self, table: SeatTable, among: Collection[int]) -> int | None:
         """Return one of some seats whose holder is gone, the one absent longest first.
@@ -88,8 +89,21 @@
                 log.info("Holder is unreachable.", extra=facts)
                 return number
             self.since[box] = now
+            self.answering.add(box)
         return None
 
+    def may_be_gone(self, table: SeatTable) -> bool:
+        """Whether `find_gone` may soon find a holder, as far as it knows so far.
+
+        With more of them than may be lost this box is cut off. A holder that answers
+        is there, whatever the directory has of it.
+        """
+        if self.is_within_joining(time.monotonic()):
+            suspects = self.silent
+        else:
+            suspects = self.since.keys() - self.answering
+        return 0 < len(suspects) <= table.losses
+
     def is_within_joining(self, now: float) -> bool:
         """Whether this box has joined a moment ago."""
         if not self.is_joining:
@@ -105,6 +119,7 @@
         if is_probing:
             self.silent = self.list_silent(table)
             absent |= self.silent
+        self.answering &= absent
         for box in self.since.keys() - absent:
             del self.since[box]
         for box in sorted(absent):
--- a/src/cedarchute/turns/seat_manager.py
+++ b/src/cedarchute/turns/seat_manager.py
@@ -17,6 +17,7 @@
 from cedarchute.turns.seat_table_writer import SeatTableWriter
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
     from pathlib import Path
 
     from cedarchute.fleet.box_directory import BoxDirectory
@@ -241,12 +242,26 @@
         return len(table.seats) > self.losses and not self.has_spare_holder(table)
 
     def find_free_seat(self, table: SeatTable) -> int | None:
-        """Return a seat that is vacant or whose holder is retiring or gone.
+        """Return a seat whose holder is gone, or that is vacant or about to be.
 
-        While this disk is the last complete one of a seat it may take no other: its
-        loss would be that of two disks.
+        A holder that is gone comes first: while it has its seat its disk counts as one
+        to be read, and to be lost. While this disk is the last complete one of a seat
+        it may take no other: its loss would be that of two disks.
         """
-        among = table.find_needing(self.own_seat.disk) or range(len(table.seats))
+        needing = table.find_needing(self.own_seat.disk)
+        if needing:
+            number = self.find_vacant_seat(table, needing)
+            if number is None:
+                number = self.absent_holders.find_gone(table, needing)
+            return number
+        every = range(len(table.seats))
+        number = self.absent_holders.find_gone(table, every)
+        if number is None and not self.absent_holders.may_be_gone(table):
+            number = self.find_vacant_seat(table, every)
+        return number
+
+    def find_vacant_seat(self, table: SeatTable, among: Collection[int]) -> int | None:
+        """Return one of some seats that is vacant or whose holder is retiring."""
         for number in among:
             seat = table.seats[number]
             if seat.is_vacant:
@@ -254,7 +269,7 @@
             is_retiring = seat.box in self.retirements.asked
             if is_retiring and table.can_vacate(number, self.list_present()):
                 return number
-        return self.absent_holders.find_gone(table, among)
+        return None
 
     def retire(self, table: SeatTable) -> None:
         """Vacate the seat, and leave once the other holders have all its records."""
--- a/tests/turns/test_seat_changes.py
+++ b/tests/turns/test_seat_changes.py
@@ -150,6 +150,32 @@
     assert site.read(kept) == b"in-keptout-kept"
 
 
+# A new box took the vacant seat and left its own to a machine that never came back, so
+# one lost disk stopped all turns for good.
+@pytest.mark.parametrize("lost", ["c", "new"])
+@pytest.mark.parametrize("replaced", ["b", "c"])
+def test_a_disk_lost_after_a_holder_was_emptied_and_another_replaced(
+    site, replaced, lost
+):
+    if lost == replaced:
+        lost = "b"
+    site.form("a", "b", "c")
+    kept = keep_without(site, "c", make_turn("kept"))
+    site.retirements.asked.add("a")
+    site.settle()
+    assert site.retired == ["a"]
+    site.kill("a", replaced)
+    site.start("new")
+    site.settle()
+    assert site.table.find_box(replaced) is None
+    site.kill(lost)
+    site.wipe(lost)
+    site.start(lost)
+    site.settle()
+    assert site.read(kept) == b"in-keptout-kept"
+    site.keep(make_turn("next"))
+
+
 def test_a_holder_is_not_emptied_while_another_disk_is_filled_again(site):
     site.form("a", "b", "c")
     kept = keep_without(site, "c", make_turn("kept"))
--- a/tests/turns/test_seat_manager.py
+++ b/tests/turns/test_seat_manager.py
@@ -7,7 +7,11 @@
 from cedarchute.fleet.box_directory import BoxDirectory
 from cedarchute.fleet.box_entry import BoxEntry, Role
 from cedarchute.turns import seat_manager
-from cedarchute.turns.absent_holders import ABSENT_TIMEOUT_SECONDS, AbsentHolders
+from cedarchute.turns.absent_holders import (
+    ABSENT_TIMEOUT_SECONDS,
+    JOINING_TIMEOUT_SECONDS,
+    AbsentHolders,
+)
 from cedarchute.turns.active_seat_table import ActiveSeatTable
 from cedarchute.turns.disk_identity import DiskIdentity
 from cedarchute.turns.holder_client import HolderRefusedError, HolderUnavailableError
@@ -106,6 +110,46 @@
     assert manager.find_free_seat(table) == 1
 
 
+def test_a_holder_that_is_gone_is_replaced_before_a_vacant_seat_is_taken(clock):
+    manager, table = make_manager(("b", "c"), ("b",), vacant=("a",))
+    manager.directory.known.drop("c")
+    assert manager.find_free_seat(table) is None
+    clock.now += ABSENT_TIMEOUT_SECONDS + 1
+    assert manager.find_free_seat(table) == 2
+
+
+def test_a_vacant_seat_is_taken_once_a_holder_that_restarts_is_back(clock):
+    manager, table = make_manager(("b",), ("b",), vacant=("a",))
+    assert manager.find_free_seat(table) is None
+    manager.directory.put(BoxEntry("c", Role.HOLDER, "a", "region", "", "c"))
+    assert manager.find_free_seat(table) == 0
+
+
+def test_a_holder_without_an_entry_that_answers_delays_no_vacant_seat_for_long(clock):
+    manager, table = make_manager(("b",), ("b", "c"), vacant=("a",))
+    assert manager.find_free_seat(table) is None
+    clock.now += ABSENT_TIMEOUT_SECONDS + 1
+    assert manager.find_free_seat(table) == 0
+
+
+def test_a_box_that_is_cut_off_waits_for_no_holder(clock):
+    manager, table = make_manager((), (), vacant=("a",))
+    assert manager.find_free_seat(table) == 0
+
+
+@pytest.mark.parametrize(("alive", "seat"), [(("b",), 2), (("b", "c"), 0)])
+def test_a_joining_box_asks_the_holders_before_it_takes_a_vacant_seat(
+    clock, alive, seat
+):
+    manager, table = make_manager(("b", "c"), alive, vacant=("a",))
+    client = manager.absent_holders.client
+    manager.absent_holders = AbsentHolders(manager.directory, client, is_joining=True)
+    found = manager.find_free_seat(table)
+    assert found == (0 if seat == 0 else None)
+    clock.now += JOINING_TIMEOUT_SECONDS
+    assert manager.find_free_seat(table) == seat
+
+
 def join_new_table(manager, boxes, losses):
     """Give a manager the first seat of a new table; return the tables it writes."""
     changes = []
