Write the entry of a box again when a late write replaced it

The entry was back under a lease that had been given up, vanished with it, and /resolve answered 503.

Cause: an entry was written when it changed, and nobody looked whether the store still has it; a write without an answer may be done late.

Evidence: tests/fleet/test_registration.py; the code before has no mirror there.

The fix works since the box knows the revision of its last write and sees in its copy of the store that the entry is gone or newer, at each renewal, without a call.

--- a/src/cedarchute/daemon/node_parts.py
+++ b/src/cedarchute/daemon/node_parts.py
@@ -83,7 +83,9 @@
             StalenessLimits(settings.known_seconds, chance),
             metrics,
         )
-        self.registration = Registration(self.store, me, self.note_reachable, metrics)
+        self.registration = Registration(
+            self.store, me, self.note_reachable, metrics, self.mirror
+        )
 
     def start(self) -> None:
         """Start the tasks."""
--- a/src/cedarchute/fleet/registration.py
+++ b/src/cedarchute/fleet/registration.py
@@ -16,6 +16,7 @@
     from collections.abc import Callable
 
     from cedarchute.fleet.box_entry import BoxEntry
+    from cedarchute.fleet.store_mirror import StoreMirror
     from cedarchute.metrics import Metrics
     from cedarchute.platform.store_client import StoreClient
 
@@ -43,6 +44,8 @@
     ----------
     published : BoxEntry or None
         The entry that the store has confirmed last.
+    revision : int
+        The revision at which it was written.
     """
 
     def __init__(
@@ -51,12 +54,15 @@
         entry: BoxEntry,
         note_reachable: Callable[[bool], None],
         metrics: Metrics,
+        mirror: StoreMirror | None = None,
     ) -> None:
+        self.mirror = mirror
         self.note_reachable = note_reachable
         self.store = store
         self.entry = entry
         self.metrics = metrics
         self.published: BoxEntry | None = None
+        self.revision = 0
         self.lease: int | None = None
         self.backoff = Backoff(MAX_RETRY_SECONDS)
         self.next_call_log_at = 0.0
@@ -91,6 +97,21 @@
         # It may have changed during the write, or while the store was unavailable.
         if self.published is not self.entry:
             self.write(self.lease)
+        elif self.is_overwritten:
+            self.metrics.count("registration.overwritten")
+            log.warning("Entry was removed or overwritten.")
+            self.write(self.lease)
+
+    @property
+    def is_overwritten(self) -> bool:
+        """Whether the entry is not the one that was written last, as the mirror knows.
+
+        A write without an answer may be done late, under a lease that was given up.
+        """
+        if self.mirror is None or self.mirror.revision < self.revision:
+            return False
+        known = self.mirror.entries.get(BOXES_PREFIX + self.entry.name)
+        return known is None or known.revision != self.revision
 
     def log_store_calls(self) -> None:
         """Log the counts of store calls once per period."""
@@ -106,7 +127,7 @@
         """Write the current entry under `lease`."""
         entry = self.entry
         text = msgspec.json.encode(entry).decode()
-        self.store.put(BOXES_PREFIX + entry.name, text, lease)
+        self.revision = self.store.put(BOXES_PREFIX + entry.name, text, lease)
         self.published = entry
 
     def leave(self) -> None:
--- a/src/cedarchute/platform/store_client.py
+++ b/src/cedarchute/platform/store_client.py
@@ -162,10 +162,14 @@
                     return SwapResult(False, current)
         raise AssertionError("unreachable")
 
-    def put(self, key: str, value: str, lease: int = 0) -> None:
-        """Set `key` to `value`, unconditionally; only for keys with a single writer."""
+    def put(self, key: str, value: str, lease: int = 0) -> int:
+        """Set `key` to `value`; return the revision. For keys with a single writer.
+
+        Unconditional: one without an answer may be done after a later one.
+        """
         write = {"PrivateKey": key, "Value": encode_value(value), "Lease": lease}
-        self._commit([], [write], [], key)
+        revision, _ = self._commit([], [write], [], key)
+        return revision or 0
 
     def delete(self, key: str, expected: int) -> SwapResult:
         """Remove `key` if its version is `expected`."""
--- a/tests/fleet/test_registration.py
+++ b/tests/fleet/test_registration.py
@@ -8,8 +8,10 @@
 from cedarchute.fleet import registration
 from cedarchute.fleet.box_entry import BoxEntry, Role
 from cedarchute.fleet.registration import RENEW_SECONDS, Registration
+from cedarchute.fleet.store_mirror import StoreMirror
 from cedarchute.metrics import Metrics
 from cedarchute.platform.store_client import StoreUnavailableError
+from cedarchute.platform.store_entry import StoreEntry, StoreListing
 
 ENTRY = BoxEntry("entry-1", Role.ENTRY, "a", "r", "", "127.0.0.1:1")
 
@@ -24,7 +26,7 @@
         return 7
 
     def put(self, key, value, lease):
-        pass
+        return 1
 
     def renew_lease(self, lease):
         if not self.answers:
@@ -84,6 +86,7 @@
         during, self.during = self.during, lambda: None
         during()
         self.written.append(msgspec.json.decode(value, type=BoxEntry))
+        return len(self.written)
 
 
 @pytest.fixture
@@ -112,3 +115,40 @@
     assert store.written[-1].leaving
     box_registration.renew_once()
     assert len(store.written) == 2
+
+
+@pytest.fixture
+def mirror(store, box_registration):
+    box_registration.mirror = StoreMirror({})
+    return box_registration.mirror
+
+
+def show(mirror, revision, written_at):
+    """Let the mirror know the store up to a revision; the entry is from another."""
+    found = written_at and [StoreEntry("cedarchute/boxes/entry-1", "{}", written_at)]
+    mirror.apply_listing(StoreListing(found or [], revision))
+
+
+# A late write put an entry back under a lease that had been given up, and the entry
+# vanished with that lease for good.
+@pytest.mark.parametrize("written_at", [0, 8])
+def test_an_entry_that_a_late_write_replaced_is_written_again(
+    store, box_registration, mirror, written_at
+):
+    box_registration.renew_once()
+    show(mirror, 9, written_at)
+    box_registration.renew_once()
+    assert len(store.written) == 2
+
+
+def test_an_entry_is_written_once_while_the_mirror_is_behind(
+    store, box_registration, mirror
+):
+    store.written = [None] * 5
+    for _ in range(3):
+        box_registration.renew_once()
+    show(mirror, 5, 4)
+    box_registration.renew_once()
+    show(mirror, 7, 6)
+    box_registration.renew_once()
+    assert len(store.written) == 6
