Keep a program for as long as those that continue its chain

A program of before kept its 60 s although a program of after went on from it: its next turn got 404 after 78 s.

Cause: a program's retention is that of its own turns; the use by others counted, their retention did not.

Evidence: test_a_chain_is_kept_for_as_long_as_the_program_that_continues_it, for each of three holders.

The fix works since holders take the longest retention of the programs that continue one, and tell it when they are asked for idle times.

--- a/src/cedarchute/turns/expiry.py
+++ b/src/cedarchute/turns/expiry.py
@@ -110,6 +110,7 @@
             state = self.storage.programs.get(program)
             if state is not None:
                 state.last_used_at = max(state.last_used_at, now - idle_seconds)
+                state.keep_for(answer.keep_seconds.get(program, 0.0))
         return [p for p in programs if self.is_expired(p)]
 
     def is_expired(self, program: str) -> bool:
--- a/src/cedarchute/turns/holder.py
+++ b/src/cedarchute/turns/holder.py
@@ -238,11 +238,15 @@
         return Chain(tuple(chain), missing)
 
     def read_idle_times(self, message: ReadIdleTimes) -> IdleTimes:
-        """Return the time since the last use of each program that is known."""
+        """Return when each known program was last used, and how long it is kept."""
         self.check_addressee(message)
         now = time.monotonic()
         used_at = {p: self.storage.find_last_use(p) for p in message.programs}
-        return IdleTimes({p: now - at for p, at in used_at.items() if at is not None})
+        kept = {p: self.storage.find_retention(p) for p in message.programs}
+        return IdleTimes(
+            {p: now - at for p, at in used_at.items() if at is not None},
+            {p: seconds for p, seconds in kept.items() if seconds is not None},
+        )
 
     def check_disk(self, box: str, disk: str) -> None:
         """Reject a request for a disk that this box does not have."""
--- a/src/cedarchute/turns/messages.py
+++ b/src/cedarchute/turns/messages.py
@@ -254,9 +254,16 @@
 
 
 class IdleTimes(msgspec.Struct, frozen=True):
-    """Time since the last use of each requested program that the holder knows."""
+    """Time since the last use of each requested program that the holder knows.
+
+    Attributes
+    ----------
+    keep_seconds : dict of str to float
+        Their retention; empty in earlier versions.
+    """
 
     seconds: dict[str, float]
+    keep_seconds: dict[str, float] = {}
 
 
 class Refused(msgspec.Struct, frozen=True):
--- a/src/cedarchute/turns/program_state.py
+++ b/src/cedarchute/turns/program_state.py
@@ -72,7 +72,7 @@
         self.last_used_at = time.monotonic()
         if isinstance(record, Reserved):
             self.lower_budget(record.budget)
-            self.retention_seconds = max(self.retention_seconds, record.keep_seconds)
+            self.keep_for(record.keep_seconds)
             if record.turn in self.settled or record.turn in self.open:
                 return False
             self.open[record.turn] = record.tokens
@@ -90,7 +90,7 @@
             self.held_bytes += count_bytes(record)
             self.held_bytes -= count_bytes(self.completed.get(record.turn))
             self.completed[record.turn] = record
-            self.retention_seconds = max(self.retention_seconds, record.keep_seconds)
+            self.keep_for(record.keep_seconds)
         if self.open.pop(record.turn, None) is not None:
             self.held_bytes -= TOKEN_COUNT_BYTES + len(record.turn)
             self.held_bytes -= self.expected_bytes.pop(record.turn, 0)
@@ -103,6 +103,10 @@
             self.settled[record.turn] = record.tokens
         return is_new
 
+    def keep_for(self, seconds: float) -> None:
+        """Keep the program for that long after its last use, unless longer already."""
+        self.retention_seconds = max(self.retention_seconds, seconds)
+
     def lower_budget(self, budget: int | None) -> None:
         """Apply the budget of a call, if it is the smallest so far."""
         if budget is None:
--- a/src/cedarchute/turns/turn_storage.py
+++ b/src/cedarchute/turns/turn_storage.py
@@ -77,6 +77,12 @@
         now = time.monotonic()
         return max((state.find_last_use(now) for state in states), default=None)
 
+    def find_retention(self, program: str) -> float | None:
+        """Return the longest retention of a program and those that continue it."""
+        names = (program, *self.continued_by.get(program, ()))
+        states = [self.programs[name] for name in names if name in self.programs]
+        return max((state.retention_seconds for state in states), default=None)
+
     def collect_chain(
         self,
         turn: str,
@@ -171,6 +177,7 @@
             state = self.programs.get(program)
             if state is not None:
                 state.last_used_at = self.find_last_use(program) or 0.0
+                state.keep_for(self.find_retention(program) or 0.0)
         now = time.monotonic()
         return [p for p, state in self.programs.items() if state.is_expired(now)]
 
--- a/tests/turns/test_long_turns.py
+++ b/tests/turns/test_long_turns.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import msgspec
 import pytest
 from test_expiry import RETENTION_SECONDS, clock, expire, site, write
 from test_turn_storage import make_storage, make_turn
@@ -61,6 +62,24 @@
     assert "t1" in expire(site, name)
 
 
+# After the retention of a route was raised, a chain lost the programs of before.
+@pytest.mark.parametrize("name", ["a", "b", "c"])
+def test_a_chain_is_kept_for_as_long_as_the_program_that_continues_it(
+    site, clock, name
+):
+    write(site, "abc", "t1")
+    turn = msgspec.structs.replace(
+        make_turn("t2", "t1", program="other"),
+        keep_seconds=LONGER_SECONDS,
+        continued=("p",),
+    )
+    take(site, "ab", turn)
+    clock.now += LONGER_SECONDS - 1
+    assert "t1" in expire(site, name)
+    clock.now += ANSWER_DELAY_SECONDS + 2
+    assert expire(site, name) == set()
+
+
 @pytest.mark.parametrize("program", ["p", "other"])
 def test_a_turn_that_never_ends_keeps_nothing_beyond_its_time(site, clock, program):
     write(site, "abc", "t1")
