--- a/src/cedarchute/daemon/holder_box.py
+++ b/src/cedarchute/daemon/holder_box.py
@@ -58,7 +58,7 @@
 
 # Programs that are over are forgotten this often.
 TIDY_SECONDS: Final = 5.0
-# The journal is written anew once this much was appended: a part of a small disk.
+# The journal is written anew once this much can be freed: a part of a small disk.
 COMPACT_BYTES: Final = 64_000_000
 
 
@@ -159,6 +159,8 @@
         seconds = round(time.monotonic() - started, 3)
         facts = {
             "records": count,
+            "journal_bytes": self.journal.stored_bytes,
+            "held_bytes": self.book.held_bytes,
             "seconds": seconds,
             "disk": self.holder.disk,
             "is_known": self.has_known_disk,
@@ -180,13 +182,14 @@
         self.stop.wait()
 
     def tidy_forever(self) -> None:
-        """Forget programs that are over, and keep the journal short."""
+        """Forget programs that are over, and keep the journal short and dated."""
         while True:
             eventlet.sleep(TIDY_SECONDS)
+            self.book.note_uptime()
             dropped = self.expiry.run_once()
             if dropped:
                 log.info("Expired programs dropped.", extra={"programs": dropped})
-            is_long = self.journal.since_compaction > COMPACT_BYTES
+            is_long = self.book.wasted_bytes > COMPACT_BYTES
             if is_long or self.book.writer.has_failed:
                 self.compact()
 
--- a/src/cedarchute/turns/group_commit_writer.py
+++ b/src/cedarchute/turns/group_commit_writer.py
@@ -11,8 +11,10 @@
 from cedarchute.turns.turn_journal import encode_line
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from cedarchute.metrics import Metrics
-    from cedarchute.turns.records import Record
+    from cedarchute.turns.records import JournalRecord
     from cedarchute.turns.turn_journal import TurnJournal
 
 log = logging.getLogger("cedarchute.turns")
@@ -37,7 +39,7 @@
         self.starts_segment = False
         self.has_failed = False
 
-    def write(self, records: list[Record]) -> None:
+    def write(self, records: Sequence[JournalRecord]) -> None:
         """Write `records` and wait until durable; raise ``OSError`` on failure.
 
         All that was written before is durable then as well.
@@ -47,6 +49,14 @@
             self.lines.append(b"")
         self.wait_written()
 
+    def note(self, record: JournalRecord) -> None:
+        """Write a record with the next group, without a wait for it.
+
+        One that is lost with the process, or fails, must do no harm.
+        """
+        self.lines.append(encode_line(record))
+        self.start_writing()
+
     def start_segment(self) -> int:
         """Open a segment for all records from now on, and return its number.
 
@@ -61,10 +71,14 @@
     def wait_written(self) -> int:
         """Wait until all that is pending is durable; return its segment."""
         done = self.done
+        self.start_writing()
+        return done.wait()
+
+    def start_writing(self) -> None:
+        """Start the task that writes, unless it runs."""
         if not self.writing:
             self.writing = True
             eventlet.spawn_n(self.write_pending)
-        return done.wait()
 
     def write_pending(self) -> None:
         """Write groups until no lines are pending."""
--- a/src/cedarchute/turns/program_state.py
+++ b/src/cedarchute/turns/program_state.py
@@ -5,7 +5,7 @@
 import time
 from typing import TYPE_CHECKING, Final
 
-from cedarchute.turns.records import Reserved, Settled, Turn
+from cedarchute.turns.records import LastUse, Reserved, Settled, Turn
 
 if TYPE_CHECKING:
     from cedarchute.turns.records import Record
@@ -81,8 +81,9 @@
                 expected = count_expected(record.input_bytes)
                 self.expected_bytes[record.turn] = expected
                 self.held_bytes += expected
-            end = self.last_used_at + record.open_seconds
-            self.open_until = max(self.open_until, end)
+            if record.open_seconds:
+                end = self.last_used_at + record.open_seconds
+                self.open_until = max(self.open_until, end)
             return True
         is_new = record.turn not in self.settled
         if isinstance(record, Turn):
@@ -127,8 +128,15 @@
             Longest time until that turn ends and says so itself.
         """
         self.last_used_at = time.monotonic()
-        end = self.last_used_at + open_seconds
-        self.continued_until = max(self.continued_until, end)
+        if open_seconds:
+            end = self.last_used_at + open_seconds
+            self.continued_until = max(self.continued_until, end)
+
+    def describe_last_use(self) -> LastUse:
+        """Return the record by which the last use can be rebuilt."""
+        now = time.monotonic()
+        open_seconds = max(0.0, self.continued_until - now)
+        return LastUse(self.program, now - self.last_used_at, open_seconds)
 
     def find_last_use(self, now: float) -> float:
         """Return when the program was last used; `now` while a turn is under way."""
--- a/src/cedarchute/turns/records.py
+++ b/src/cedarchute/turns/records.py
@@ -66,4 +66,31 @@
     continued: tuple[str, ...] = ()
 
 
+class Dropped(msgspec.Struct, frozen=True, tag="dropped", tag_field="kind"):
+    """A program was forgotten; only in the journal of the disk that did."""
+
+    program: str
+
+
+class LastUse(msgspec.Struct, frozen=True, tag="last_use", tag_field="kind"):
+    """When a program was last used, if not at the time of its records before.
+
+    Attributes
+    ----------
+    open_seconds : float
+        Longest time until a turn of another program ends that continues it.
+    """
+
+    program: str
+    idle_seconds: float
+    open_seconds: float
+
+
+class Uptime(msgspec.Struct, frozen=True, tag="uptime", tag_field="kind"):
+    """How long the process that writes has run, by which its records are dated."""
+
+    seconds: float
+
+
 Record = Reserved | Settled | Turn
+JournalRecord = Record | Dropped | LastUse | Uptime
--- a/src/cedarchute/turns/turn_journal.py
+++ b/src/cedarchute/turns/turn_journal.py
@@ -11,7 +11,7 @@
 from eventlet import tpool
 
 from cedarchute.turns.durable_file import sync_folder
-from cedarchute.turns.records import Record
+from cedarchute.turns.records import JournalRecord
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -24,16 +24,16 @@
 CHECKSUM_DIGITS: Final = 8
 
 _encoder = msgspec.json.Encoder()
-_decoder = msgspec.json.Decoder(Record)
+_decoder = msgspec.json.Decoder(JournalRecord)
 
 
-def encode_line(record: Record) -> bytes:
+def encode_line(record: JournalRecord) -> bytes:
     """Encode a record as one line: CRC-32 in hex, space, JSON."""
     text = _encoder.encode(record)
     return b"%08x %s\n" % (zlib.crc32(text), text)
 
 
-def decode_line(line: bytes) -> Record | None:
+def decode_line(line: bytes) -> JournalRecord | None:
     """Decode a line; return None if it is torn or corrupt."""
     digits, _, text = line.rstrip(b"\n").partition(b" ")
     try:
@@ -57,9 +57,22 @@
         self.sequence = max(self.list_segments(), default=0)
         self.file: int | None = None
         self.written = 0
-        self.since_compaction = 0
+        self.found_bytes = sum(map(self.measure, self.list_segments()))
+        # Counted by the thread that writes, respectively by the one that deletes.
+        self.written_bytes = 0
+        self.deleted_bytes = 0
         self.torn_lines = 0
 
+    @property
+    def stored_bytes(self) -> int:
+        """Size of all segments on the disk, those of earlier processes included."""
+        return self.found_bytes + self.written_bytes - self.deleted_bytes
+
+    def measure(self, segment: int) -> int:
+        """Return the size of a segment; 0 if it is not there."""
+        path = self.path(segment)
+        return path.stat().st_size if path.exists() else 0
+
     def list_segments(self) -> list[int]:
         """Return the numbers of the segments on disk, oldest first."""
         names = self.folder.glob(f"*{SUFFIX}")
@@ -69,7 +82,7 @@
         """Return the path of a segment."""
         return self.folder / f"{segment:08d}{SUFFIX}"
 
-    def read_all(self) -> Iterator[Record]:
+    def read_all(self) -> Iterator[JournalRecord]:
         """Yield all valid records, oldest first; log the number of torn lines."""
         for segment in self.list_segments():
             torn = 0
@@ -104,8 +117,6 @@
         try:
             if self.file is None or in_new_segment or self.written > SEGMENT_BYTES:
                 self.open_segment()
-            if in_new_segment:
-                self.since_compaction = 0
             view = memoryview(data)
             while view:
                 view = view[os.write(self.file, view) :]
@@ -116,7 +127,7 @@
             self.close_segment()
             raise
         self.written += len(data)
-        self.since_compaction += len(data)
+        self.written_bytes += len(data)
 
     def open_segment(self) -> None:
         """Open a new segment and sync its directory entry."""
@@ -138,4 +149,5 @@
         """Delete the segments older than `segment`."""
         for number in self.list_segments():
             if number < segment:
+                self.deleted_bytes += self.measure(number)
                 self.path(number).unlink(missing_ok=True)
--- a/src/cedarchute/turns/turn_storage.py
+++ b/src/cedarchute/turns/turn_storage.py
@@ -3,16 +3,22 @@
 from __future__ import annotations
 
 import time
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from cedarchute.turns.change_log import ChangeLog
+from cedarchute.turns.journal_clock import JournalClock
 from cedarchute.turns.program_state import ProgramState, count_text
-from cedarchute.turns.records import Turn
+from cedarchute.turns.records import Dropped, LastUse, Turn, Uptime
 from cedarchute.turns.turn_index import TurnIndex
 
 if TYPE_CHECKING:
     from cedarchute.turns.group_commit_writer import GroupCommitWriter
-    from cedarchute.turns.records import Record
+    from cedarchute.turns.records import JournalRecord, Record
+
+# A last use that differs by less from the time of a record is not written.
+DATED_SECONDS: Final = 1.0
+# A text in the journal is in Base64.
+ENCODED_SIZE: Final = 4 / 3
 
 
 class TurnStorage:
@@ -24,6 +30,8 @@
         What programs and their records cost in memory.
     text_bytes : int
         What of that is the text of turns.
+    compacted_bytes : int
+        Size of the journal after it was last rewritten, as far as known.
     """
 
     def __init__(self, writer: GroupCommitWriter) -> None:
@@ -34,15 +42,53 @@
         self.continued_by: dict[str, set[str]] = {}
         self.text_bytes = 0
         self.held_bytes = 0
+        self.compacted_bytes = 0
+        self.started_at = time.monotonic()
 
     def load(self) -> int:
-        """Replay the journal; return the number of records."""
+        """Replay the journal; return the number of records.
+
+        A program that was dropped is forgotten again, so that memory is needed only for
+        as much as was held at once.
+        """
         count = 0
+        clock = JournalClock()
         for record in self.writer.journal.read_all():
-            self.apply(record)
+            self.replay(record, clock)
             count += 1
+        now = time.monotonic()
+        for program, idle_seconds in clock.list_idle():
+            self.programs[program].last_used_at = now - idle_seconds
+        stored_bytes = self.writer.journal.stored_bytes
+        self.compacted_bytes = min(stored_bytes, int(ENCODED_SIZE * self.held_bytes))
         return count
 
+    def replay(self, record: JournalRecord, clock: JournalClock) -> None:
+        """Apply a record of the journal."""
+        if isinstance(record, Uptime):
+            clock.advance(record.seconds)
+        elif isinstance(record, Dropped):
+            if record.program in self.programs:
+                self.forget(record.program)
+                clock.forget(record.program)
+        elif isinstance(record, LastUse):
+            if record.program in self.programs:
+                self.programs[record.program].mark_continued(record.open_seconds)
+                clock.note_use(record.program, record.idle_seconds)
+        else:
+            self.apply(record)
+            clock.note_use(record.program)
+
+    def note_uptime(self) -> None:
+        """Date the records so far, for a restart."""
+        if self.programs:
+            self.writer.note(Uptime(time.monotonic() - self.started_at))
+
+    @property
+    def wasted_bytes(self) -> int:
+        """What a rewrite of the journal may free, of any process before as well."""
+        return self.writer.journal.stored_bytes - self.compacted_bytes
+
     def apply(self, record: Record) -> None:
         """Apply a record in memory."""
         state = self.get_or_create(record.program)
@@ -108,6 +154,7 @@
         continuing = program
         chain: list[Turn] = []
         seen = {barred}
+        others: set[str] = set()
         while turn:
             found = self.turn_index.find(turn, program)
             if found is None or turn in seen:
@@ -115,7 +162,12 @@
             seen.add(turn)
             program = found
             state = self.programs[program]
-            state.mark_continued(0.0 if program == continuing else open_seconds)
+            if program == continuing or not open_seconds:
+                state.mark_continued(0.0)
+            elif program not in others:
+                others.add(program)
+                state.mark_continued(open_seconds)
+                self.writer.note(state.describe_last_use())
             chain.append(state.completed[turn])
             turn = chain[-1].previous
         return chain[::-1], ""
@@ -156,7 +208,15 @@
                 used_at = max(used_at, state.last_used_at)
             self.apply(record)
             self.programs[program].last_used_at = used_at
-        self.writer.write(records)
+        names = {record.program for record in records}
+        self.writer.write([*records, *self.describe_last_uses(names)])
+
+    def describe_last_uses(self, programs: set[str]) -> list[LastUse]:
+        """Return the records of last uses that are older than records written now."""
+        uses = [self.programs[program].describe_last_use() for program in programs]
+        return [
+            use for use in uses if use.open_seconds or use.idle_seconds > DATED_SECONDS
+        ]
 
     def sync(self) -> None:
         """Return once all that is known here is durable.
@@ -182,7 +242,13 @@
         return [p for p, state in self.programs.items() if state.is_expired(now)]
 
     def drop(self, program: str) -> None:
-        """Forget a program."""
+        """Forget a program, also after a restart."""
+        if not self.programs[program].is_empty:
+            self.writer.note(Dropped(program))
+        self.forget(program)
+
+    def forget(self, program: str) -> None:
+        """Forget a program in memory."""
         self.changes.drop(program)
         state = self.programs.pop(program)
         self.held_bytes -= state.held_bytes
@@ -206,5 +272,7 @@
         for program in list(self.programs):
             state = self.programs.get(program)
             if state is not None:
-                self.writer.write(state.list_records(program))
+                uses = self.describe_last_uses({program})
+                self.writer.write([*state.list_records(program), *uses])
         self.writer.journal.delete_before(keep_from)
+        self.compacted_bytes = self.writer.journal.stored_bytes
