Refuse answers of targets that break HTTP, by one set of rules

Here 000, 007, 099, 600 and 999 reached callers on every kind of route; 101 and an interim answer with a body were told only at the time limit.

Cause: httptools checks the form of a head, not its meaning: any three digits are a status, RTSP is HTTP, versions 0.9 and 2.0 and control bytes in a reason pass, and of a coding "gzip, chunked" the chunks are removed and the rest is passed on.

The fix works since every answer of a target comes through AnswerReader, which now applies relay/answer_head.py as a head ends and raises before anything of it can be read; the failure takes the way of any garbled answer. Malformed bytes behind an answer to another call are raised as soon as that one is dropped.

--- a/src/cedarchute/relay/answer_reader.py
+++ b/src/cedarchute/relay/answer_reader.py
@@ -7,10 +7,12 @@
 
 import httptools
 
+from cedarchute.relay.answer_head import check_first_byte, check_head
 from cedarchute.relay.answer_limits import DEFAULT_LIMITS, AnswerLimits
 from cedarchute.relay.answer_too_long import AnswerPart, AnswerTooLongError
 from cedarchute.relay.framing_bound import FramingBound
 from cedarchute.relay.headers import Headers
+from cedarchute.relay.malformed_answer_error import MalformedAnswerError
 from cedarchute.relay.target_answer import TargetAnswer
 
 BODILESS_STATUSES: Final = frozenset((204, 304))
@@ -23,7 +25,8 @@
     """Collects the responses of a connection in order of arrival.
 
     There may be more responses than requests; the consumer of `answers` matches them
-    to requests.
+    to requests. Interim ones (RFC 9110, section 15.2) are not among them. Every answer that a box reads comes through here, whoever sent it, so
+    that the same bytes are an answer everywhere or nowhere.
 
     Attributes
     ----------
@@ -38,7 +41,7 @@
     interim_answers : int
         How many came since the last response that is not interim.
     excess : AnswerTooLongError or None
-        Why headers or interim answers were left out.
+        Why a head is refused: it has too many headers or interim answers before it.
     """
 
     def __init__(self, limits: AnswerLimits = DEFAULT_LIMITS) -> None:
@@ -47,6 +50,8 @@
         self.body_bytes = 0
         self.interim_answers = 0
         self.excess: AnswerTooLongError | None = None
+        self.reason = bytearray()
+        self.on_status = self.reason.extend
         self.parser = httptools.HttpResponseParser(self)
         self.expects_body = True
         self.has_ended_head = False
@@ -58,14 +63,14 @@
 
         Raises
         ------
-        httptools.HttpParserError
-            When they are malformed.
+        MalformedAnswerError
+            When they are no answer.
         AnswerTooLongError
             When a head goes on for too long.
         """
         self.body_bytes = 0
         self.has_ended_head = False
-        self.parser.feed_data(data)
+        self.parse(data)
         if self.excess is not None:
             raise self.excess
         if self.has_ended_head:
@@ -75,6 +80,21 @@
         if self.framing.is_exceeded(self.limits.head_bytes):
             raise AnswerTooLongError(AnswerPart.HEAD, self.limits.head_bytes)
 
+    def parse(self, data: bytes) -> None:
+        """Pass bytes to the parser; raise `MalformedAnswerError` if it refuses them."""
+        if data and self.current is None:
+            check_first_byte(data)
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade as error:
+            raise MalformedAnswerError("protocol switched") from error
+        except httptools.HttpParserError as error:
+            # The parser wraps what a callback raises.
+            cause = error.__context__
+            if isinstance(cause, MalformedAnswerError):
+                raise cause from None
+            raise MalformedAnswerError(str(error)) from error
+
     def feed_eof(self) -> bool:
         """Handle an orderly close; return whether no response was cut short."""
         if self.current is None:
@@ -86,6 +106,7 @@
 
     def on_message_begin(self) -> None:
         """Start a new response."""
+        self.reason.clear()
         self.current = TargetAnswer()
         self.answers.append(self.current)
 
@@ -105,6 +126,7 @@
             return
         answer.status = self.parser.get_status_code()
         answer.headers = Headers(tuple(answer.fields))
+        check_head(self.parser.get_http_version(), self.reason, answer)
         answer.keep_alive = self.parser.should_keep_alive()
         has_length = answer.headers.get(b"content-length") is not None
         is_chunked = b"chunked" in answer.headers.list_tokens(b"transfer-encoding")
@@ -119,7 +141,7 @@
             self.on_message_complete()
 
     def count_interim(self, answer: TargetAnswer) -> None:
-        """Leave an interim answer out if there are too many of them."""
+        """Count the interim answers before one that is not."""
         if not answer.is_interim:
             self.interim_answers = 0
             return
@@ -128,7 +150,6 @@
             self.excess = AnswerTooLongError(
                 AnswerPart.HEAD, MAX_INTERIM_ANSWERS, "interim answers"
             )
-            self.answers.pop()
 
     def on_body(self, body: bytes) -> None:
         """Store bytes of the body."""
@@ -137,7 +158,10 @@
             self.current.parts.append(body)
 
     def on_message_complete(self) -> None:
-        """Mark the response as complete."""
-        if self.current is not None:
-            self.current.is_complete = True
+        """Mark the response as complete; drop an interim one."""
+        if self.current is None:
+            return
+        self.current.is_complete = True
+        if self.current.is_interim:
+            self.answers.pop()
         self.current = None
--- a/src/cedarchute/relay/target_connection.py
+++ b/src/cedarchute/relay/target_connection.py
@@ -8,13 +8,13 @@
 from typing import TYPE_CHECKING, Final
 
 import eventlet
-import httptools
 
 from cedarchute.cooperative_turn import CooperativeTurn
 from cedarchute.relay.answer_limits import DEFAULT_LIMITS, AnswerLimits
 from cedarchute.relay.answer_reader import AnswerReader
 from cedarchute.relay.answer_too_long import AnswerPart, AnswerTooLongError
 from cedarchute.relay.carried_requests import CarriedRequests
+from cedarchute.relay.malformed_answer_error import MalformedAnswerError
 from cedarchute.relay.socket_io import receive_within
 from cedarchute.relay.target_failure import TargetFailureError
 from cedarchute.verdict import Verdict
@@ -53,6 +53,8 @@
         The requests that it carried, to which surplus answers may still come.
     discarded : int
         How many answers to other requests, or to none, were read and dropped.
+    failure : TargetFailureError or None
+        Why nothing more can be read: malformed bytes follow what was read.
     """
 
     def __init__(
@@ -73,6 +75,7 @@
         self.is_closed = False
         self.carried = CarriedRequests()
         self.discarded = 0
+        self.failure: TargetFailureError | None = None
         self.sender: eventlet.greenthread.GreenThread | None = None
         self.send_failed = False
 
@@ -169,6 +172,8 @@
             On a timeout, a reset, a premature close, a malformed response or one that
             exceeds a limit.
         """
+        if self.failure is not None:
+            raise self.failure
         try:
             data = receive_within(self.sock, max(0.0, seconds), SILENT)
         except OSError as error:
@@ -185,12 +190,13 @@
         except AnswerTooLongError:
             self.reusable = False
             raise
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+        except MalformedAnswerError as error:
             self.reusable = False
+            reason = f"garbled: {error}"
+            self.failure = TargetFailureError(reason, Verdict.MAY_HAVE_RUN)
             if self.reader.answers and self.reader.answers[0].is_complete:
                 return  # The malformed bytes follow a complete response.
-            reason = f"garbled: {error}"
-            raise TargetFailureError(reason, Verdict.MAY_HAVE_RUN) from None
+            raise self.failure from None
 
     def pass_turn(self, count: int, seconds: float) -> None:
         """Give other tasks a turn after many bytes; raise well after the deadline."""
@@ -250,8 +256,7 @@
                 if echoed is None or self.carried.is_full:
                     self.reusable = False
                 return answer
-            if not answer.is_interim:
-                self.note_discarded(answer, echoed, request_id)
+            self.note_discarded(answer, echoed, request_id)
             self.drop_rest(answer, deadline)
             self.reader.answers.popleft()
 
@@ -314,8 +319,6 @@
     requests : int
         How many requests the connection has carried.
     """
-    if answer.is_interim:
-        return False
     if echoed is not None:
         return echoed == request_id
     if requests > 1:
