--- a/src/cedarchute/cli/box_client.py
+++ b/src/cedarchute/cli/box_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import time
 from typing import Any, Final
 
@@ -9,10 +10,13 @@
 
 from cedarchute.address import Address
 from cedarchute.cli.exit_codes import ExitCode
+from cedarchute.host_pools import HostPools
 
 ATTEMPTS: Final = 4
 WAIT_SECONDS: Final = 0.5
 TIMEOUT_SECONDS: Final = 15.0
+MAX_BOXES: Final = 64
+JSON_HEADERS: Final = {"Content-Type": "application/json"}
 
 
 class BoxSilentError(Exception):
@@ -54,7 +58,7 @@
 
     def __init__(self, boxes: list[str]) -> None:
         self.boxes = [Address.parse(text) for text in boxes]
-        self.pool = urllib3.PoolManager(retries=False)
+        self.pools = HostPools(1, MAX_BOXES)
 
     def request(self, method: str, path: str, document: object = None) -> Any:
         """Return the document of the answer.
@@ -66,15 +70,18 @@
         BoxRefusedError
             When a box has refused for good, or for longer than the tool tries.
         """
+        body = None if document is None else json.dumps(document).encode()
         last = "no box tried"
         refused = None
         for attempt in range(ATTEMPTS):
             for box in self.boxes:
                 try:
-                    response = self.pool.request(
+                    response = self.pools.request(
                         method,
-                        f"http://{box}{path}",
-                        json=document,
+                        box,
+                        path,
+                        body=body,
+                        headers=JSON_HEADERS,
                         timeout=TIMEOUT_SECONDS,
                     )
                 except urllib3.exceptions.HTTPError as error:
--- a/src/cedarchute/peers/peer_client.py
+++ b/src/cedarchute/peers/peer_client.py
@@ -50,7 +50,11 @@
     while cause is not None:
         if isinstance(cause, ConnectionRefusedError):
             return True
-        cause = getattr(cause, "reason", None) or cause.__cause__ or cause.__context__
+        reason = getattr(cause, "reason", None)
+        if isinstance(reason, BaseException):
+            cause = reason
+        else:
+            cause = cause.__cause__ or cause.__context__
     return "Connection refused" in str(error)
 
 
--- a/src/cedarchute/platform/box_list.py
+++ b/src/cedarchute/platform/box_list.py
@@ -9,6 +9,8 @@
 import urllib3
 from pydantic import BaseModel, ConfigDict, ValidationError
 
+from cedarchute.host_pools import HostPools
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -58,7 +60,7 @@
         self.book = book
         self.on_leaving = on_leaving
         self.metrics = metrics
-        self.pool = urllib3.PoolManager(retries=False)
+        self.pools = HostPools(1, hosts=1)
 
     def watch_forever(self) -> None:
         """Read the list every `PERIOD_SECONDS`."""
@@ -69,8 +71,8 @@
     def read_once(self) -> None:
         """Read the list once; on failure, keep the previous state."""
         try:
-            response = self.pool.request(
-                "GET", f"http://{self.address}/boxes", timeout=TIMEOUT_SECONDS
+            response = self.pools.request(
+                "GET", self.address, "/boxes", timeout=TIMEOUT_SECONDS
             )
             listing = BoxListing.model_validate_json(response.data)
         except (urllib3.exceptions.HTTPError, OSError, ValidationError) as error:
