--- a/src/cedarchute/relay/answer_reader.py
+++ b/src/cedarchute/relay/answer_reader.py
@@ -25,8 +25,9 @@
     """Collects the responses of a connection in order of arrival.
 
     There may be more responses than requests; the consumer of `answers` matches them
-    to requests. Interim ones (RFC 9110, section 15.2) are not among them. Every answer that a box reads comes through here, whoever sent it, so
-    that the same bytes are an answer everywhere or nowhere.
+    to requests. Interim ones (RFC 9110, section 15.2) are not among them. Every answer
+    that a box reads comes through here, whoever sent it, so that the same bytes are an
+    answer everywhere or nowhere.
 
     Attributes
     ----------
