Keep what is known of crashes while a run of the request is under way

Callers would see: a request under which targets go dark is sent to any number of them if each run takes more than 60 s; three are the limit.

Cause: the runs known of a request were valid for 60 s after their last change, and a run under way changes nothing.

The fix works since a counted run holds the entry of its request at its box from when it counts until it is over, and the 60 s begin then; a run that is withdrawn, cleared or left lets go of it, which the second test checks for each end.

--- a/src/cedarchute/crashes/crash_table.py
+++ b/src/cedarchute/crashes/crash_table.py
@@ -4,7 +4,7 @@
 
 import logging
 import time
-from collections import OrderedDict, defaultdict
+from collections import Counter, OrderedDict, defaultdict
 from typing import TYPE_CHECKING, Final
 
 import msgspec
@@ -57,6 +57,9 @@
     ----------
     open_at : dict of str to set of str
         Digests of the requests with an open run, by incarnation of the target.
+    held : Counter
+        Counted runs that this box has under way, by digest; what is known of their
+        requests stays valid meanwhile, and for the usual time after the last one.
     doubted_since : dict of str to float
         When targets first ended under a request, or may have, by incarnation; until
         one is shown alive.
@@ -67,6 +70,7 @@
         self.known: OrderedDict[str, KnownRequest] = OrderedDict()
         self.open_at: defaultdict[str, set[str]] = defaultdict(set)
         self.doubted_since: dict[str, float] = {}
+        self.held: Counter[str] = Counter()
 
     def __len__(self) -> int:
         self.expire()
@@ -78,7 +82,7 @@
     def get(self, digest: str) -> KnownRequest | None:
         """Return what is known of a request and still valid."""
         known = self.known.get(digest)
-        if known is None or self.find_seconds_left(known) <= 0:
+        if known is None or self.find_seconds_left(digest, known) <= 0:
             return None
         return known
 
@@ -92,22 +96,36 @@
         known = self.get(digest)
         if known is None or not known.count.is_blocking:
             return None
-        return self.find_seconds_left(known)
+        return self.find_seconds_left(digest, known)
 
     def find_lapse(self, digest: str) -> float:
         """Return for how many seconds what is known of a request is valid."""
         known = self.get(digest)
-        return self.find_seconds_left(known) if known else 0.0
+        return self.find_seconds_left(digest, known) if known else 0.0
 
     def list_suspects(self, digest: str) -> dict[str, RunState]:
         """Return the targets that ended under a request, or may have, or still may."""
         known = self.get(digest)
         return list_suspects(known.runs) if known else {}
 
-    def find_seconds_left(self, known: KnownRequest) -> float:
-        """Return how long a count is valid."""
+    def find_seconds_left(self, digest: str, known: KnownRequest) -> float:
+        """Return how long a count is valid, if no run of the request begins or ends."""
+        if digest in self.held:
+            return LAPSE_SECONDS
         return known.counted_at + LAPSE_SECONDS - self.clock()
 
+    def hold(self, digest: str) -> None:
+        """Take in that a run that counts is under way at this box."""
+        self.held[digest] += 1
+
+    def release(self, digest: str) -> None:
+        """Take in that such a run is over."""
+        if digest in self.known:
+            self.touch(digest, age_seconds=0.0)
+        self.held[digest] -= 1
+        if not self.held[digest]:
+            del self.held[digest]
+
     def merge(self, digest: str, count: CrashCount, age_seconds: float = 0.0) -> bool:
         """Take in a count; return whether it is larger than the known one."""
         self.expire()
@@ -246,7 +264,7 @@
             del self.doubted_since[target]
         while self.known:
             digest, oldest = next(iter(self.known.items()))
-            if self.find_seconds_left(oldest) > 0:
+            if self.find_seconds_left(digest, oldest) > 0:
                 return
             self.drop(digest)
 
--- a/src/cedarchute/crashes/watched_run.py
+++ b/src/cedarchute/crashes/watched_run.py
@@ -38,6 +38,8 @@
         request.
     is_counted : bool
         Whether the run counts against the request.
+    is_held : bool
+        Whether the table keeps what it knows of the request until the run is over.
     """
 
     def __init__(
@@ -54,6 +56,7 @@
         self.known = known
         self.was_doubted = was_doubted
         self.is_counted = is_counted
+        self.is_held = False
 
     @property
     def digest(self) -> str:
@@ -67,18 +70,30 @@
 
     def count(self, state: RunState) -> None:
         """Have the run count, unless its target had failed before."""
-        if not self.was_doubted:
-            self.is_counted |= self.note(state)
+        if self.was_doubted:
+            return
+        self.is_counted |= self.note(state)
+        if not self.is_held:
+            self.is_held = True
+            self.exchange.table.hold(self.digest)
 
     def clear(self) -> None:
         """Have the run count no more."""
         if self.is_counted and self.note(RunState.CLEARED):
             self.exchange.tell(self.digest)
         self.is_counted = False
+        self.release()
 
     def end(self) -> None:
         """Take in that nothing more is to be learnt of the run."""
         self.exchange.active.discard(self)
+        self.release()
+
+    def release(self) -> None:
+        """Let what is known of the request lapse in the usual time from now on."""
+        if self.is_held:
+            self.is_held = False
+            self.exchange.table.release(self.digest)
 
     def watch_left(self, request_id: str) -> None:
         """Find out whether the target outlives the run, which its caller left."""
--- a/tests/crashes/test_crash_watch.py
+++ b/tests/crashes/test_crash_watch.py
@@ -12,7 +12,7 @@
 
 from cedarchute.calls.call import Call, ProgramContext
 from cedarchute.crashes import crash_watch, watched_run
-from cedarchute.crashes.crash_table import CrashTable
+from cedarchute.crashes.crash_table import LAPSE_SECONDS, CrashTable
 from cedarchute.crashes.crash_watcher import CrashWatcher
 from cedarchute.crashes.target_life import TargetLife
 from cedarchute.decisions.crash_count import MAX_CRASHES, NO_CRASHES, CrashCount
@@ -366,3 +366,59 @@
     begin(watch, TARGET)
     assert watch.run.known == NO_CRASHES
     watch.record_answer(200)
+
+
+class Clock:
+    """A clock that a test moves."""
+
+    def __init__(self):
+        self.now = 1000.0
+
+    def __call__(self):
+        return self.now
+
+
+@pytest.fixture
+def clock(watcher):
+    clock = Clock()
+    watcher.exchange.table = CrashTable(clock)
+    return clock
+
+
+# Targets that go dark under one request: none counted, as each run took over a minute.
+@pytest.mark.parametrize("life", [TargetLife.ENDED, TargetLife.UNKNOWN])
+def test_runs_that_outlast_the_time_of_a_count_are_counted_together(
+    watcher, clock, life
+):
+    watcher.life_check.life = life
+    for target in TARGETS[:MAX_CRASHES]:
+        watch = watcher.watch(REQUEST, CALL)
+        assert watch.find_block() is None
+        assert begin(watch, target)
+        clock.now += LAPSE_SECONDS + 10
+        watch.record_failure(target, RESET)
+        clock.now += 1
+    assert watcher.watch(REQUEST, CALL).find_block() is not None
+
+
+@pytest.mark.parametrize("end", ["answer", "failure", "not run", "withdrawn"])
+def test_what_is_known_of_a_request_lapses_after_its_last_run(watcher, clock, end):
+    watcher.life_check.life = TargetLife.UNKNOWN
+    crash(watcher.watch(REQUEST, CALL), TARGETS[0])
+    watch = watcher.watch(REQUEST, CALL)
+    if end == "withdrawn":
+        assert not watch.begin_run(TARGETS[1])
+    else:
+        assert begin(watch, TARGETS[1])
+    clock.now += LAPSE_SECONDS + 10
+    if end == "answer":
+        watch.record_answer(500)
+    elif end == "failure":
+        watch.record_failure(TARGETS[1], RESET)
+    elif end == "not run":
+        watch.record_not_run()
+    clock.now += LAPSE_SECONDS
+    table = watcher.exchange.table
+    assert not table.held
+    assert not table.list_suspects(watch.digest)
+    assert len(table) == 0
