--- a/src/cedarchute/bounded_response.py
+++ b/src/cedarchute/bounded_response.py
@@ -93,7 +93,6 @@
             self.receive()
         answer = self.answer = answers[0]
         self.status = answer.status
-        self.reason = self.parser.reason.decode("latin-1")
         self.will_close = not answer.keep_alive or answer.is_close_delimited
         for name, value in answer.headers.fields:
             self.msg.set_raw(name.decode("latin-1"), value.decode("latin-1"))
--- a/tests/cli/test_tool.py
+++ b/tests/cli/test_tool.py
@@ -90,3 +90,9 @@
     command = [sys.executable, "-m", "cedarchute.cli.main", *words]
     result = subprocess.run(command, capture_output=True, text=True, check=False)
     assert result.returncode == code, result.stderr
+
+
+def test_notices_of_libraries_are_no_output_of_the_tool(site):
+    result = run(site, "status")
+    assert result.returncode == 0
+    assert result.stderr == ""
