--- a/tests/platform_site/test_malformed_answers.py
+++ b/tests/platform_site/test_malformed_answers.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import itertools
-
 import pytest
 from conftest_nodes import wait_gone, wait_known
 from turn_callers import turn_headers
@@ -16,7 +14,7 @@
     WRONG_BODY,
     fill_for,
 )
-from standins.raw_target import RawTarget, answer, read_id
+from standins.raw_target import RawTarget, read_id
 
 # Well below the timeout of the routes; a call that waits for so long gets 504.
 PATIENCE_MS = 4000
@@ -83,41 +81,3 @@
     status, headers, body = send(entry, path + shape.encode(), call_id)
     assert (status, body) == (200, RIGHT_BODY)
     assert headers["server-seal"] == f"seal-{call_id.decode()}"
-
-
-@pytest.mark.parametrize("shape", ["status_000", "name_blank", "protocol_switched"])
-def test_a_call_that_may_be_repeated_goes_on_elsewhere(serve, entry, shape):
-    def write_malformed(request, connection):
-        connection.sendall(fill_for(MALFORMED[shape], request))
-
-    targets = serve(
-        "plain", write_malformed, lambda r, c: c.sendall(answer(r, RIGHT_BODY))
-    )
-    for number in itertools.count():
-        status, _, body = send(entry, b"/again/x", b"mc%d" % number)
-        assert (status, body) == (200, RIGHT_BODY)
-        if all(target.requests for target in targets):
-            break
-
-
-# The malformed bytes come behind a surplus answer: known at once, and told only late.
-@pytest.mark.parametrize(
-    ("path", "service"), [(b"/once/x", "plain"), (b"/turn/x", "model")]
-)
-def test_malformed_bytes_behind_a_surplus_answer_are_a_failure_at_once(
-    serve, entry, path, service
-):
-    def write_surplus_first(request, connection):
-        surplus = answer(request).replace(b"md1", b"md0")
-        malformed = fill_for(MALFORMED["status_000"], request)
-        connection.sendall(surplus + malformed)
-
-    serve(service, write_surplus_first)
-    assert send(entry, path, b"md1")[0] == BAD_GATEWAY
-
-
-@pytest.mark.parametrize("status", [b"299", b"418", b"499", b"599"])
-def test_a_status_without_a_name_is_passed_on(serve, entry, status):
-    serve("plain", lambda r, c: c.sendall(answer(r, RIGHT_BODY, status + b" Odd")))
-    answered, _, body = send(entry, b"/once/x", b"me1")
-    assert (answered, body) == (int(status), RIGHT_BODY)
--- a/tests/platform_site/test_odd_answers.py
+++ b/tests/platform_site/test_odd_answers.py
@@ -1,18 +1,22 @@
-"""Answers of targets that are rare in HTTP, through a real entry box."""
+"""Answers of targets that are rare or none in HTTP, through a real entry box."""
 
 from __future__ import annotations
 
+import itertools
 import threading
 
 import pytest
+from turn_callers import turn_headers
 
-from experiments.raw_caller import RawCaller, build_request
+from experiments.raw_caller import RawCaller, build_request, call
 from experiments.waiting import wait_until
+from standins.malformed_answers import MALFORMED, RIGHT_BODY, fill_for
 from standins.raw_target import answer, read_id
 
 HEAD_END = b"\r\n\r\n"
 # Well below the timeout of the routes.
 PATIENCE_MS = 3000
+BAD_GATEWAY = 502
 
 
 def read_head(caller):
@@ -100,3 +104,44 @@
         status = caller.read_answer()[0]
     assert status in (502, 503)
     wait_until(lambda: len(target.requests) >= 2, "the call was sent")
+
+
+@pytest.mark.parametrize("shape", ["status_000", "name_blank", "protocol_switched"])
+def test_a_call_that_may_be_repeated_goes_on_elsewhere(serve, entry, shape):
+    def write_malformed(request, connection):
+        connection.sendall(fill_for(MALFORMED[shape], request))
+
+    targets = serve(
+        "plain", write_malformed, lambda r, c: c.sendall(answer(r, RIGHT_BODY))
+    )
+    for number in itertools.count():
+        call_id = b"oe%d" % number
+        status, _, body = call(entry, b"/again/x", call_id, patience=PATIENCE_MS)
+        assert (status, body) == (200, RIGHT_BODY)
+        if all(target.requests for target in targets):
+            break
+
+
+# The malformed bytes come behind a surplus answer: known at once, and told only late.
+@pytest.mark.parametrize(
+    ("path", "service"), [(b"/once/x", "plain"), (b"/turn/x", "model")]
+)
+def test_malformed_bytes_behind_a_surplus_answer_are_a_failure_at_once(
+    serve, entry, path, service
+):
+    def write_surplus_first(request, connection):
+        surplus = answer(request).replace(b"of1", b"of0")
+        malformed = fill_for(MALFORMED["status_000"], request)
+        connection.sendall(surplus + malformed)
+
+    serve(service, write_surplus_first)
+    headers = turn_headers("of") if service == "model" else b""
+    status = call(entry, path, b"of1", headers=headers, patience=PATIENCE_MS)[0]
+    assert status == BAD_GATEWAY
+
+
+@pytest.mark.parametrize("status", [b"299", b"418", b"499", b"599"])
+def test_a_status_without_a_name_is_passed_on(serve, entry, status):
+    serve("plain", lambda r, c: c.sendall(answer(r, RIGHT_BODY, status + b" Odd")))
+    answered, _, body = call(entry, b"/once/x", b"og1", patience=PATIENCE_MS)
+    assert (answered, body) == (int(status), RIGHT_BODY)
